--- /dev/null
+++ b/Makefile
@@ -0,0 +1,18 @@
+# Targets for developers. README.md explains each.
+GO ?= go
+
+.PHONY: build test lint demo generate
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+test:
+	$(GO) test -race -count=1 ./...
+
+lint:
+	./scripts/lint
+
+demo: build
+	./scripts/demo
+
+generate:
+	./scripts/generate
--- /dev/null
+++ b/cmd/egretmuxd/main.go
@@ -0,0 +1,90 @@
+// Command egretmuxd is one instance of an egretmux cell.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/egretmux/egretmux/internal/daemon"
+	"github.com/egretmux/egretmux/internal/inifile"
+	"github.com/egretmux/egretmux/internal/settings"
+	"github.com/egretmux/egretmux/internal/telemetry"
+)
+
+// Exit codes.
+const (
+	exitFailure  = 1
+	exitUsage    = 2
+	exitSettings = 3
+)
+
+type options struct {
+	Settings      string `long:"settings" short:"s" description:"settings file" default:"egretmuxd.ini"`
+	CheckSettings bool   `long:"check-settings" description:"check the settings file and exit"`
+	PrintDefaults bool   `long:"print-defaults" description:"print every setting with its default and exit"`
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	var opts options
+	if _, err := flags.NewParser(&opts, flags.Default).ParseArgs(args); err != nil {
+		if flags.WroteHelp(err) {
+			return 0
+		}
+		return exitUsage
+	}
+	if opts.PrintDefaults {
+		fmt.Print(inifile.Defaults(settings.Schema()))
+		return 0
+	}
+	s, err := settings.Load(opts.Settings)
+	if err == nil {
+		err = s.CheckPorts()
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if opts.CheckSettings {
+		fmt.Println(opts.Settings + ": ok")
+		return 0
+	}
+	return serve(s)
+}
+
+// serve runs the instance. The first signal shuts it down gracefully, the
+// second one at once.
+func serve(s *settings.Settings) int {
+	logger := telemetry.NewLogger(os.Stderr, s.Instance)
+	if _, err := telemetry.SetLevel(s.LogLevel); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	d, err := daemon.New(s, logger)
+	if err != nil {
+		logger.Error().Err(err).Str("event", "start_failed").Msg("")
+		return exitFailure
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	hurry := make(chan struct{})
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		cancel()
+		<-signals
+		close(hurry)
+	}()
+	if err := d.Run(ctx, hurry); err != nil {
+		logger.Error().Err(err).Str("event", "instance_failed").Msg("")
+		return exitFailure
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,196 @@
+// Package cli is the command line of operators and submitters.
+package cli
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/egretmux/egretmux/internal/refusal"
+)
+
+// Exit codes.
+const (
+	ExitOK       = 0
+	ExitFailure  = 1 // no instance answered, or the outcome is unknown
+	ExitUsage    = 2
+	ExitConflict = 3 // the contract changed meanwhile
+	ExitNotFound = 4
+	ExitRefused  = 5 // invalid, forbidden or over a limit
+	ExitBehind   = 6 // accepted, but not in force everywhere in time
+	ExitTask     = 7 // the task ended other than succeeded, or still runs
+)
+
+// Globals are the options of every command.
+type Globals struct {
+	Server  string        `long:"server" env:"EGRETMUX_SERVER" default:"127.0.0.1:7101" description:"control addresses of instances, separated by commas, tried in turn"`
+	Token   string        `long:"token" env:"EGRETMUX_TOKEN" description:"credential"`
+	TLS     bool          `long:"tls" env:"EGRETMUX_TLS" description:"use TLS"`
+	CA      string        `long:"ca" env:"EGRETMUX_CA" description:"file of the certificates that instances are checked against"`
+	Output  string        `long:"output" short:"o" choice:"table" choice:"json" default:"table" description:"form of the output"`
+	Timeout time.Duration `long:"timeout" default:"30s" description:"longest time for the command"`
+}
+
+// app holds what commands need.
+type app struct {
+	globals Globals
+	out     io.Writer
+	errOut  io.Writer
+}
+
+// exitError ends a command with a code other than failure.
+type exitError struct {
+	code    int
+	message string
+}
+
+// Error returns the message.
+func (e *exitError) Error() string { return e.message }
+
+// Main runs the command line and returns the exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	a := &app{out: out, errOut: errOut}
+	parser := flags.NewNamedParser("egretmux", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "Exit codes: 0 done; 1 no answer or outcome unknown; 2 wrong usage; 3 conflict; 4 not found; 5 refused; 6 not in force everywhere in time; 7 the task did not succeed."
+	if _, err := parser.AddGroup("Global options", "", &a.globals); err != nil {
+		return fail(errOut, err)
+	}
+	if err := a.addCommands(parser); err != nil {
+		return fail(errOut, err)
+	}
+	_, err := parser.ParseArgs(args)
+	var usage *flags.Error
+	if errors.As(err, &usage) {
+		if usage.Type == flags.ErrHelp {
+			_, _ = fmt.Fprintln(out, usage.Message)
+			return ExitOK
+		}
+		_, _ = fmt.Fprintln(errOut, usage.Message)
+		return ExitUsage
+	}
+	if err != nil {
+		return fail(errOut, err)
+	}
+	return ExitOK
+}
+
+func fail(errOut io.Writer, err error) int {
+	_, _ = fmt.Fprintln(errOut, "egretmux: "+err.Error())
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var exit *exitError
+	if errors.As(err, &exit) {
+		return exit.code
+	}
+	var r *refusal.Error
+	if !errors.As(err, &r) {
+		return ExitFailure
+	}
+	switch r.Kind {
+	case refusal.VersionConflict, refusal.KeyConflict:
+		return ExitConflict
+	case refusal.NotFound:
+		return ExitNotFound
+	case refusal.OutcomeUnknown, refusal.NoLeader, refusal.NoLease, refusal.Internal:
+		return ExitFailure
+	}
+	return ExitRefused
+}
+
+// group is a command with subcommands.
+type group struct{}
+
+func (a *app) addCommands(p *flags.Parser) error {
+	type sub struct {
+		name, short string
+		data        any
+	}
+	groups := []struct {
+		name, short string
+		subs        []sub
+	}{
+		{"contract", "contracts of customers", []sub{
+			{"apply", "apply a contract file and wait until it is in force everywhere", &contractApply{app: a}},
+			{"diff", "compare a contract file with the version in force", &contractDiff{app: a}},
+			{"get", "print a contract", &contractGet{app: a}},
+			{"list", "list contracts", &contractList{app: a}},
+			{"history", "list the versions of a contract", &contractHistory{app: a}},
+			{"delete", "delete a contract", &contractDelete{app: a}},
+			{"check", "check a contract file without a cell", &contractCheck{app: a}},
+		}},
+		{"task", "tasks", []sub{
+			{"submit", "submit a task", &taskSubmit{app: a}},
+			{"get", "print a task", &taskGet{app: a}},
+			{"wait", "wait until a task ends", &taskWait{app: a}},
+			{"cancel", "cancel tasks", &taskCancel{app: a}},
+			{"list", "list tasks", &taskList{app: a}},
+			{"explain", "tell why a task waits", &taskExplain{app: a}},
+		}},
+		{"worker", "workers", []sub{
+			{"list", "list workers", &workerList{app: a}},
+			{"drain", "let a worker take no new tasks", &workerDrain{app: a}},
+			{"undrain", "let a worker take tasks again", &workerDrain{app: a, undrain: true}},
+		}},
+		{"service", "services", []sub{{"list", "list services", &serviceList{app: a}}}},
+		{"endpoint", "endpoints", []sub{{"list", "list endpoints", &endpointList{app: a}}}},
+		{"instance", "instances", []sub{
+			{"list", "list instances", &instanceList{app: a}},
+			{"log-level", "change the log level of the instance that answers", &logLevel{app: a}},
+		}},
+		{"snapshot", "snapshots of the replicated state", []sub{{"inspect", "summarise the newest snapshot in a data folder", &snapshotInspect{app: a}}}},
+	}
+	for _, g := range groups {
+		command, err := p.AddCommand(g.name, g.short, g.short, &group{})
+		if err != nil {
+			return err
+		}
+		for _, s := range g.subs {
+			if _, err := command.AddCommand(s.name, s.short, s.short, s.data); err != nil {
+				return err
+			}
+		}
+	}
+	if _, err := p.AddCommand("status", "summarise the cell", "summarise the cell", &status{app: a}); err != nil {
+		return err
+	}
+	_, err := p.AddCommand("completion", "print a completion script for bash", "print a completion script for bash", &completion{app: a})
+	return err
+}
+
+// completion prints a script that asks the program itself for completions.
+type completion struct{ *app }
+
+// Execute implements flags.Commander.
+func (c *completion) Execute([]string) error {
+	_, err := fmt.Fprint(c.out, `_egretmux() {
+    local IFS=$'\n'
+    COMPREPLY=($(GO_FLAGS_COMPLETION=1 "${COMP_WORDS[0]}" "${COMP_WORDS[@]:1:$COMP_CWORD}"))
+}
+complete -F _egretmux egretmux
+`)
+	return err
+}
+
+func servers(list string) []string {
+	var out []string
+	for _, s := range strings.Split(list, ",") {
+		if s = strings.TrimSpace(s); s != "" {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func author() string {
+	if user := os.Getenv("USER"); user != "" {
+		return user
+	}
+	return "operator"
+}
--- /dev/null
+++ b/internal/cli/client.go
@@ -0,0 +1,109 @@
+package cli
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net/http"
+	"os"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"github.com/egretmux/egretmux/gen/egretmux/v1/egretmuxv1connect"
+	"github.com/egretmux/egretmux/internal/refusal"
+	"github.com/egretmux/egretmux/internal/refusal/refusalrpc"
+)
+
+const (
+	attemptTimeout = 10 * time.Second
+	resendPause    = 200 * time.Millisecond
+)
+
+// client calls the instances in turn until one answers.
+type client struct {
+	tasks     []egretmuxv1connect.TaskServiceClient
+	operators []egretmuxv1connect.OperatorServiceClient
+	current   int
+}
+
+func (a *app) client() (*client, error) {
+	transport := &http.Transport{}
+	scheme := "http://"
+	if a.globals.TLS || a.globals.CA != "" {
+		scheme = "https://"
+		config := &tls.Config{MinVersion: tls.VersionTLS12}
+		if a.globals.CA != "" {
+			pem, err := os.ReadFile(a.globals.CA)
+			if err != nil {
+				return nil, errors.Wrap(err, "--ca")
+			}
+			config.RootCAs = x509.NewCertPool()
+			config.RootCAs.AppendCertsFromPEM(pem)
+		}
+		transport.TLSClientConfig = config
+	}
+	c := &client{}
+	option := connect.WithInterceptors(credential(a.globals.Token))
+	for _, address := range servers(a.globals.Server) {
+		h := &http.Client{Transport: transport}
+		c.tasks = append(c.tasks, egretmuxv1connect.NewTaskServiceClient(h, scheme+address, option))
+		c.operators = append(c.operators, egretmuxv1connect.NewOperatorServiceClient(h, scheme+address, option))
+	}
+	if len(c.tasks) == 0 {
+		return nil, &exitError{ExitUsage, "--server names no instance"}
+	}
+	return c, nil
+}
+
+func credential(token string) connect.UnaryInterceptorFunc {
+	return func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+			if token != "" {
+				req.Header().Set("Authorization", "Bearer "+token)
+			}
+			return next(ctx, req)
+		}
+	}
+}
+
+// send calls f on one instance after another until one gives an answer or a
+// refusal that another instance would repeat. Changes carry a change id, so
+// sending one again does no harm.
+func send[A any](ctx context.Context, c *client, f func(context.Context, egretmuxv1connect.TaskServiceClient, egretmuxv1connect.OperatorServiceClient) (*connect.Response[A], error)) (*A, error) {
+	for {
+		once, cancel := context.WithTimeout(ctx, attemptTimeout)
+		resp, err := f(once, c.tasks[c.current], c.operators[c.current])
+		cancel()
+		if err == nil {
+			return resp.Msg, nil
+		}
+		r, _ := refusalrpc.From(err)
+		if !another(r.Kind) {
+			return nil, r
+		}
+		c.current = (c.current + 1) % len(c.tasks)
+		select {
+		case <-ctx.Done():
+			return nil, r
+		case <-time.After(resendPause):
+		}
+	}
+}
+
+// another reports whether a different instance may give a different answer.
+func another(k refusal.Kind) bool {
+	return k == refusal.NoLeader || k == refusal.NoLease || k == refusal.OutcomeUnknown || k == refusal.Draining
+}
+
+// call is send with a context limited by the global timeout.
+func call[A any](a *app, f func(context.Context, egretmuxv1connect.TaskServiceClient, egretmuxv1connect.OperatorServiceClient) (*connect.Response[A], error)) (*A, error) {
+	c, err := a.client()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), a.globals.Timeout)
+	defer cancel()
+	return send(ctx, c, f)
+}
--- /dev/null
+++ b/internal/consensus/core/election.go
@@ -0,0 +1,287 @@
+package core
+
+import egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+
+// Tick advances the core's time by one tick.
+func (c *Core) Tick() {
+	c.electionElapsed++
+	if c.role == Leader {
+		c.tickLeader()
+		return
+	}
+	if c.electionElapsed >= c.electionTimeout {
+		c.electionElapsed = 0
+		c.campaign()
+	}
+}
+
+func (c *Core) tickLeader() {
+	c.heartbeatElapsed++
+	if c.transferTo != 0 {
+		c.transferElapsed++
+		if c.transferElapsed >= c.cfg.ElectionTicks {
+			c.transferTo = 0
+		}
+	}
+	if c.electionElapsed >= c.cfg.ElectionTicks {
+		c.electionElapsed = 0
+		if !c.quorumActive() {
+			c.becomeFollower(c.term, 0)
+			return
+		}
+	}
+	if c.heartbeatElapsed >= c.cfg.HeartbeatTicks {
+		for _, p := range c.progress {
+			p.stalled++
+		}
+		c.broadcastHeartbeat()
+	}
+}
+
+// quorumActive reports whether a quorum answered since the last call.
+func (c *Core) quorumActive() bool {
+	active := func(id uint64) bool {
+		p := c.progress[id]
+		return id == c.cfg.ID || (p != nil && p.active)
+	}
+	ok := c.members.quorum(active)
+	for _, p := range c.progress {
+		p.active = false
+	}
+	return ok
+}
+
+func (c *Core) becomeFollower(term, leader uint64) {
+	if term != c.term {
+		c.term = term
+		c.vote = 0
+	}
+	c.role = Follower
+	c.leader = leader
+	c.progress = nil
+	c.votes = nil
+	c.transferTo = 0
+	c.resetElection()
+	c.failReads()
+}
+
+func (c *Core) resetElection() {
+	c.electionElapsed = 0
+	c.electionTimeout = c.cfg.ElectionTicks + c.cfg.Rand(c.cfg.ElectionTicks)
+}
+
+// campaign asks for pre-votes. They change no replica's term, so a replica
+// that was cut off does not disturb the leader when it comes back.
+func (c *Core) campaign() {
+	if !c.members.isVoter(c.cfg.ID) {
+		return
+	}
+	c.role = PreCandidate
+	c.leader = 0
+	c.votes = map[uint64]bool{c.cfg.ID: true}
+	c.resetElection()
+	if c.members.quorum(c.granted) {
+		c.elect(false)
+		return
+	}
+	c.requestVotes(egretmuxv1.MessageKind_MESSAGE_KIND_PRE_VOTE, c.term+1, false)
+}
+
+func (c *Core) elect(transfer bool) {
+	c.role = Candidate
+	c.leader = 0
+	c.term++
+	c.vote = c.cfg.ID
+	c.votes = map[uint64]bool{c.cfg.ID: true}
+	c.resetElection()
+	if c.members.quorum(c.granted) {
+		c.becomeLeader()
+		return
+	}
+	c.requestVotes(egretmuxv1.MessageKind_MESSAGE_KIND_VOTE, c.term, transfer)
+}
+
+func (c *Core) granted(id uint64) bool { return c.votes[id] }
+
+func (c *Core) refused(id uint64) bool {
+	granted, answered := c.votes[id]
+	return answered && !granted
+}
+
+func (c *Core) requestVotes(kind egretmuxv1.MessageKind, term uint64, transfer bool) {
+	for _, r := range c.members.current().GetReplicas() {
+		if r.GetLearner() || r.GetId() == c.cfg.ID {
+			continue
+		}
+		// A vote request carries the candidate's own vote, so it waits for the disk.
+		c.sendAfterSync(&egretmuxv1.Message{
+			Kind: kind, To: r.GetId(), Term: term, Transfer: transfer,
+			Index: c.log.last(), LogTerm: c.log.lastTerm(),
+		})
+	}
+}
+
+// Step handles one message.
+func (c *Core) Step(m *egretmuxv1.Message) {
+	if m.GetTo() != c.cfg.ID {
+		return
+	}
+	switch {
+	case m.GetTerm() > c.term:
+		if !c.acceptHigherTerm(m) {
+			return
+		}
+	case m.GetTerm() < c.term:
+		c.answerLowerTerm(m)
+		return
+	}
+	c.dispatch(m)
+}
+
+// acceptHigherTerm moves to the message's term if the message may do that. It
+// reports whether the message should be handled further.
+func (c *Core) acceptHigherTerm(m *egretmuxv1.Message) bool {
+	switch m.GetKind() {
+	case egretmuxv1.MessageKind_MESSAGE_KIND_PRE_VOTE, egretmuxv1.MessageKind_MESSAGE_KIND_VOTE:
+		if c.hasLiveLeader() && !m.GetTransfer() {
+			return false
+		}
+		if m.GetKind() == egretmuxv1.MessageKind_MESSAGE_KIND_VOTE {
+			c.becomeFollower(m.GetTerm(), 0)
+		}
+	case egretmuxv1.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY:
+		if m.GetReject() {
+			c.becomeFollower(m.GetTerm(), 0)
+		}
+	case egretmuxv1.MessageKind_MESSAGE_KIND_APPEND,
+		egretmuxv1.MessageKind_MESSAGE_KIND_HEARTBEAT,
+		egretmuxv1.MessageKind_MESSAGE_KIND_SNAPSHOT:
+		c.becomeFollower(m.GetTerm(), m.GetFrom())
+	default:
+		c.becomeFollower(m.GetTerm(), 0)
+	}
+	return true
+}
+
+// hasLiveLeader reports whether this replica heard from a leader within the
+// election timeout; it then helps no one to replace that leader.
+func (c *Core) hasLiveLeader() bool {
+	return c.leader != 0 && c.electionElapsed < c.cfg.ElectionTicks
+}
+
+func (c *Core) answerLowerTerm(m *egretmuxv1.Message) {
+	switch m.GetKind() {
+	case egretmuxv1.MessageKind_MESSAGE_KIND_APPEND,
+		egretmuxv1.MessageKind_MESSAGE_KIND_HEARTBEAT,
+		egretmuxv1.MessageKind_MESSAGE_KIND_SNAPSHOT:
+		// Makes a leader of an older term step down.
+		c.sendAfterSync(&egretmuxv1.Message{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_APPEND_REPLY, To: m.GetFrom(), Reject: true})
+	case egretmuxv1.MessageKind_MESSAGE_KIND_PRE_VOTE:
+		c.sendAfterSync(&egretmuxv1.Message{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY, To: m.GetFrom(), Reject: true})
+	}
+}
+
+func (c *Core) dispatch(m *egretmuxv1.Message) {
+	switch m.GetKind() {
+	case egretmuxv1.MessageKind_MESSAGE_KIND_PRE_VOTE, egretmuxv1.MessageKind_MESSAGE_KIND_VOTE:
+		c.handleVoteRequest(m)
+	case egretmuxv1.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY:
+		c.handleVoteReply(m, PreCandidate)
+	case egretmuxv1.MessageKind_MESSAGE_KIND_VOTE_REPLY:
+		c.handleVoteReply(m, Candidate)
+	case egretmuxv1.MessageKind_MESSAGE_KIND_APPEND:
+		c.handleAppend(m)
+	case egretmuxv1.MessageKind_MESSAGE_KIND_HEARTBEAT:
+		c.handleHeartbeat(m)
+	case egretmuxv1.MessageKind_MESSAGE_KIND_SNAPSHOT:
+		c.handleSnapshot(m)
+	case egretmuxv1.MessageKind_MESSAGE_KIND_APPEND_REPLY:
+		c.handleAppendReply(m)
+	case egretmuxv1.MessageKind_MESSAGE_KIND_HEARTBEAT_REPLY:
+		c.handleHeartbeatReply(m)
+	case egretmuxv1.MessageKind_MESSAGE_KIND_SNAPSHOT_REPLY:
+		c.handleSnapshotReply(m)
+	case egretmuxv1.MessageKind_MESSAGE_KIND_TIMEOUT_NOW:
+		if c.role != Leader && c.members.isVoter(c.cfg.ID) {
+			c.elect(true)
+		}
+	}
+}
+
+func (c *Core) handleVoteRequest(m *egretmuxv1.Message) {
+	pre := m.GetKind() == egretmuxv1.MessageKind_MESSAGE_KIND_PRE_VOTE
+	free := c.vote == 0 || c.vote == m.GetFrom()
+	if pre {
+		free = m.GetTerm() > c.term
+	}
+	upToDate := m.GetLogTerm() > c.log.lastTerm() ||
+		(m.GetLogTerm() == c.log.lastTerm() && m.GetIndex() >= c.log.last())
+	grant := free && upToDate
+	reply := &egretmuxv1.Message{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_VOTE_REPLY, To: m.GetFrom(), Reject: !grant}
+	if pre {
+		reply.Kind = egretmuxv1.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY
+		if grant {
+			reply.Term = m.GetTerm()
+		}
+	} else if grant {
+		c.vote = m.GetFrom()
+		c.electionElapsed = 0
+	}
+	c.sendAfterSync(reply)
+}
+
+func (c *Core) handleVoteReply(m *egretmuxv1.Message, role Role) {
+	if c.role != role {
+		return
+	}
+	if role == PreCandidate && !m.GetReject() && m.GetTerm() != c.term+1 {
+		return
+	}
+	c.votes[m.GetFrom()] = !m.GetReject()
+	switch {
+	case c.members.quorum(c.granted):
+		if role == PreCandidate {
+			c.elect(false)
+		} else {
+			c.becomeLeader()
+		}
+	case c.members.quorum(c.refused):
+		c.becomeFollower(c.term, 0)
+	}
+}
+
+func (c *Core) becomeLeader() {
+	c.role = Leader
+	c.leader = c.cfg.ID
+	c.votes = nil
+	c.electionElapsed = 0
+	c.heartbeatElapsed = 0
+	c.transferTo = 0
+	c.progress = make(map[uint64]*progress)
+	c.syncProgress()
+	for _, p := range c.progress {
+		p.active = true
+	}
+	c.progress[c.cfg.ID].match = c.persisted
+	// An entry of its own term lets the leader commit those of earlier terms.
+	c.appendEntries(&egretmuxv1.Entry{Kind: egretmuxv1.EntryKind_ENTRY_KIND_COMMAND})
+}
+
+// TransferLeadership hands leadership to the given voter once it has the whole
+// log. It reports whether the transfer was started.
+func (c *Core) TransferLeadership(to uint64) bool {
+	p := c.progress[to]
+	if c.role != Leader || to == c.cfg.ID || p == nil || !c.members.isVoter(to) {
+		return false
+	}
+	c.transferTo = to
+	c.transferElapsed = 0
+	c.maybeTransfer(to, p)
+	return true
+}
+
+func (c *Core) maybeTransfer(id uint64, p *progress) {
+	if c.transferTo == id && p.match == c.log.last() {
+		c.send(&egretmuxv1.Message{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_TIMEOUT_NOW, To: id})
+	}
+}
--- /dev/null
+++ b/internal/consensus/core/log.go
@@ -0,0 +1,114 @@
+package core
+
+import egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+
+// memoryLog holds the entries after the last compaction. entries[i] has index
+// snapIndex+1+i. Entries from unstable on have not been handed to the driver's
+// disk yet.
+type memoryLog struct {
+	snapIndex uint64 // the entry before entries[0]
+	snapTerm  uint64
+	snapMeta  *egretmuxv1.SnapshotMeta // newest snapshot that can be sent to a replica
+	entries   []*egretmuxv1.Entry
+	unstable  uint64
+	handedOut uint64 // last index handed to the driver, not yet confirmed
+}
+
+func newMemoryLog(snap *egretmuxv1.SnapshotMeta, entries []*egretmuxv1.Entry) *memoryLog {
+	l := &memoryLog{entries: entries}
+	if snap != nil {
+		l.snapIndex = snap.GetIndex()
+		l.snapTerm = snap.GetTerm()
+		l.snapMeta = snap
+	}
+	l.unstable = l.last() + 1
+	return l
+}
+
+func (l *memoryLog) last() uint64 { return l.snapIndex + uint64(len(l.entries)) }
+
+func (l *memoryLog) termAt(index uint64) uint64 {
+	if index == l.snapIndex {
+		return l.snapTerm
+	}
+	if index < l.snapIndex || index > l.last() {
+		return 0
+	}
+	return l.entries[index-l.snapIndex-1].GetTerm()
+}
+
+func (l *memoryLog) lastTerm() uint64 { return l.termAt(l.last()) }
+
+// slice returns the entries with indexes in [from, to].
+func (l *memoryLog) slice(from, to uint64) []*egretmuxv1.Entry {
+	from = max(from, l.snapIndex+1)
+	to = min(to, l.last())
+	if from > to {
+		return nil
+	}
+	return append([]*egretmuxv1.Entry(nil), l.entries[from-l.snapIndex-1:to-l.snapIndex]...)
+}
+
+// batch returns entries from index on, within the limits of one append message.
+func (l *memoryLog) batch(from uint64) []*egretmuxv1.Entry {
+	if from <= l.snapIndex {
+		return nil
+	}
+	size := 0
+	to := from
+	for ; to <= l.last() && to-from < maxAppendEntries; to++ {
+		size += len(l.entries[to-l.snapIndex-1].GetData())
+		if size > maxAppendBytes && to > from {
+			break
+		}
+	}
+	return l.slice(from, to-1)
+}
+
+func (l *memoryLog) append(entries ...*egretmuxv1.Entry) {
+	l.entries = append(l.entries, entries...)
+}
+
+// truncate drops the entries from index on.
+func (l *memoryLog) truncate(index uint64) {
+	l.entries = l.entries[: index-l.snapIndex-1 : index-l.snapIndex-1]
+	l.unstable = min(l.unstable, index)
+	l.handedOut = min(l.handedOut, index-1)
+}
+
+// reset replaces the whole log by a snapshot.
+func (l *memoryLog) reset(meta *egretmuxv1.SnapshotMeta) {
+	*l = memoryLog{snapIndex: meta.GetIndex(), snapTerm: meta.GetTerm(), snapMeta: meta}
+	l.unstable = l.snapIndex + 1
+	l.handedOut = l.snapIndex
+}
+
+func (l *memoryLog) hasUnstable() bool { return l.unstable <= l.last() }
+
+func (l *memoryLog) unstableEntries() []*egretmuxv1.Entry {
+	l.handedOut = l.last()
+	return l.slice(l.unstable, l.last())
+}
+
+// markStable records that all entries handed out are on disk and returns the
+// last of them.
+func (l *memoryLog) markStable() uint64 {
+	l.unstable = max(l.unstable, l.handedOut+1)
+	return l.unstable - 1
+}
+
+// compact records a newer snapshot and drops the entries before keepFrom that
+// it covers.
+func (l *memoryLog) compact(meta *egretmuxv1.SnapshotMeta, keepFrom uint64) {
+	if l.snapMeta == nil || meta.GetIndex() > l.snapMeta.GetIndex() {
+		l.snapMeta = meta
+	}
+	cut := min(meta.GetIndex(), keepFrom-1)
+	if keepFrom == 0 || cut <= l.snapIndex {
+		return
+	}
+	term := l.termAt(cut)
+	l.entries = append([]*egretmuxv1.Entry(nil), l.entries[cut-l.snapIndex:]...)
+	l.snapIndex = cut
+	l.snapTerm = term
+}
--- /dev/null
+++ b/internal/consensus/core/membership.go
@@ -0,0 +1,220 @@
+package core
+
+import (
+	"sort"
+
+	"google.golang.org/protobuf/proto"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+)
+
+// membershipHistory holds the memberships in the log, oldest first. The newest
+// one counts as soon as it is in the log, committed or not; it is taken back
+// when its entry is truncated.
+type membershipHistory struct {
+	items []membershipItem
+}
+
+type membershipItem struct {
+	index      uint64
+	membership *egretmuxv1.Membership
+}
+
+func (h *membershipHistory) reset(snap *egretmuxv1.SnapshotMeta) {
+	h.items = h.items[:0]
+	if snap != nil {
+		h.items = append(h.items, membershipItem{snap.GetIndex(), snap.GetMembership()})
+	}
+}
+
+func (h *membershipHistory) observe(e *egretmuxv1.Entry) {
+	if e.GetKind() != egretmuxv1.EntryKind_ENTRY_KIND_MEMBERSHIP {
+		return
+	}
+	m := &egretmuxv1.Membership{}
+	if err := proto.Unmarshal(e.GetData(), m); err == nil {
+		h.items = append(h.items, membershipItem{e.GetIndex(), m})
+	}
+}
+
+func (h *membershipHistory) truncate(from uint64) {
+	for len(h.items) > 0 && h.items[len(h.items)-1].index >= from {
+		h.items = h.items[:len(h.items)-1]
+	}
+}
+
+func (h *membershipHistory) current() *egretmuxv1.Membership {
+	if len(h.items) == 0 {
+		return &egretmuxv1.Membership{}
+	}
+	return h.items[len(h.items)-1].membership
+}
+
+func (h *membershipHistory) index() uint64 {
+	if len(h.items) == 0 {
+		return 0
+	}
+	return h.items[len(h.items)-1].index
+}
+
+func (h *membershipHistory) at(index uint64) *egretmuxv1.Membership {
+	found := &egretmuxv1.Membership{}
+	for _, it := range h.items {
+		if it.index <= index {
+			found = it.membership
+		}
+	}
+	return found
+}
+
+func (h *membershipHistory) replica(id uint64) *egretmuxv1.Replica {
+	for _, r := range h.current().GetReplicas() {
+		if r.GetId() == id {
+			return r
+		}
+	}
+	return nil
+}
+
+func (h *membershipHistory) isVoter(id uint64) bool {
+	r := h.replica(id)
+	return r != nil && !r.GetLearner()
+}
+
+// quorum reports whether has holds for a majority of the voters.
+func (h *membershipHistory) quorum(has func(id uint64) bool) bool {
+	voters, with := 0, 0
+	for _, r := range h.current().GetReplicas() {
+		if r.GetLearner() {
+			continue
+		}
+		voters++
+		if has(r.GetId()) {
+			with++
+		}
+	}
+	return with > voters/2
+}
+
+// quorumIndex returns the highest value that a majority of the voters reaches.
+func (h *membershipHistory) quorumIndex(of func(id uint64) uint64) uint64 {
+	var values []uint64
+	for _, r := range h.current().GetReplicas() {
+		if !r.GetLearner() {
+			values = append(values, of(r.GetId()))
+		}
+	}
+	if len(values) == 0 {
+		return 0
+	}
+	sort.Slice(values, func(i, j int) bool { return values[i] > values[j] })
+	return values[len(values)/2]
+}
+
+// syncProgress starts tracking new replicas and forgets removed ones.
+func (c *Core) syncProgress() {
+	known := make(map[uint64]bool)
+	for _, r := range c.members.current().GetReplicas() {
+		known[r.GetId()] = true
+		if c.progress[r.GetId()] == nil {
+			c.progress[r.GetId()] = &progress{next: c.log.last() + 1, probing: true, active: true}
+		}
+	}
+	for id := range c.progress {
+		if !known[id] {
+			delete(c.progress, id)
+		}
+	}
+	if c.progress[c.cfg.ID] == nil {
+		c.progress[c.cfg.ID] = &progress{match: c.persisted}
+	}
+}
+
+// ChangeError is a typed reason for refusing a membership change.
+type ChangeError string
+
+// Reasons for refusing a membership change.
+const (
+	ErrChangeNotLeader ChangeError = "this replica does not lead; ask the leader"
+	ErrChangePending   ChangeError = "another membership change is not committed yet; retry when it is"
+	ErrChangeNotReady  ChangeError = "the leader has not committed an entry of its term yet; retry shortly"
+	ErrChangeTooLarge  ChangeError = "more than one voter would change; change one at a time"
+	ErrChangeLagging   ChangeError = "the learner does not hold the whole log yet; retry when it has caught up"
+	ErrChangeEmpty     ChangeError = "no voter would remain; keep at least one"
+)
+
+// Error returns the reason and its remedy.
+func (e ChangeError) Error() string { return string(e) }
+
+// ChangeMembership appends a new membership. Only one voter may change at a
+// time, and a learner becomes a voter only once it holds everything that is
+// committed.
+func (c *Core) ChangeMembership(next *egretmuxv1.Membership) error {
+	if c.role != Leader || c.transferTo != 0 {
+		return ErrChangeNotLeader
+	}
+	if c.members.index() > c.commit {
+		return ErrChangePending
+	}
+	if !c.committedInTerm() {
+		return ErrChangeNotReady
+	}
+	if err := c.checkChange(next); err != nil {
+		return err
+	}
+	data, err := proto.Marshal(next)
+	if err != nil {
+		return err
+	}
+	e := &egretmuxv1.Entry{Kind: egretmuxv1.EntryKind_ENTRY_KIND_MEMBERSHIP, Data: data, Term: c.term, Index: c.log.last() + 1}
+	c.log.append(e)
+	c.members.observe(e)
+	c.syncProgress()
+	c.broadcastAppend()
+	return nil
+}
+
+func (c *Core) checkChange(next *egretmuxv1.Membership) error {
+	before := voterSet(c.members.current())
+	after := voterSet(next)
+	if len(after) == 0 {
+		return ErrChangeEmpty
+	}
+	changed := 0
+	for id := range after {
+		if before[id] {
+			continue
+		}
+		changed++
+		if p := c.progress[id]; p == nil || p.match < c.commit {
+			return ErrChangeLagging
+		}
+	}
+	for id := range before {
+		if !after[id] {
+			changed++
+		}
+	}
+	if changed > 1 {
+		return ErrChangeTooLarge
+	}
+	return nil
+}
+
+func voterSet(m *egretmuxv1.Membership) map[uint64]bool {
+	set := make(map[uint64]bool)
+	for _, r := range m.GetReplicas() {
+		if !r.GetLearner() {
+			set[r.GetId()] = true
+		}
+	}
+	return set
+}
+
+// stepDownIfRemoved makes a leader that is no longer a voter follow once its
+// removal is committed.
+func (c *Core) stepDownIfRemoved() {
+	if c.role == Leader && !c.members.isVoter(c.cfg.ID) && c.members.index() <= c.commit {
+		c.becomeFollower(c.term, 0)
+	}
+}
--- /dev/null
+++ b/internal/consensus/core/replication.go
@@ -0,0 +1,364 @@
+package core
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+)
+
+// progress is what the leader knows of one replica.
+type progress struct {
+	match     uint64 // last entry known to be persisted there
+	next      uint64 // next entry to send
+	active    bool   // answered since the last quorum check
+	probing   bool   // match is not known; one message at a time
+	waiting   bool   // a probe or snapshot chunk is under way
+	inflight  int    // append messages under way
+	snapshot  *egretmuxv1.SnapshotMeta
+	offset    uint64 // next snapshot byte to send
+	readRound uint64 // newest heartbeat round acknowledged
+	stalled   int    // periodic heartbeats since the replica last made progress
+}
+
+// stalledHeartbeats is how many heartbeats without progress mean that a
+// message was lost.
+const stalledHeartbeats = 2
+
+// incomingSnapshot is a snapshot being received.
+type incomingSnapshot struct {
+	index, term uint64
+	offset      uint64
+}
+
+// Propose appends commands to the leader's log. It returns the index of the
+// first one and false when this replica cannot accept proposals.
+func (c *Core) Propose(data ...[]byte) (uint64, bool) {
+	if c.role != Leader || c.transferTo != 0 {
+		return 0, false
+	}
+	first := c.log.last() + 1
+	entries := make([]*egretmuxv1.Entry, len(data))
+	for i, d := range data {
+		entries[i] = &egretmuxv1.Entry{Kind: egretmuxv1.EntryKind_ENTRY_KIND_COMMAND, Data: d}
+	}
+	c.appendEntries(entries...)
+	return first, true
+}
+
+// appendEntries adds entries to the leader's own log and sends them.
+func (c *Core) appendEntries(entries ...*egretmuxv1.Entry) {
+	for _, e := range entries {
+		e.Term = c.term
+		e.Index = c.log.last() + 1
+		c.log.append(e)
+		c.members.observe(e)
+	}
+	c.broadcastAppend()
+}
+
+func (c *Core) broadcastAppend() {
+	for _, id := range c.peers() {
+		c.sendAppend(id)
+	}
+}
+
+// sendAppend sends what a replica still lacks, as far as flow control lets it.
+func (c *Core) sendAppend(id uint64) {
+	p := c.progress[id]
+	for p.next <= c.log.last() && !p.waiting && p.inflight < maxInflight {
+		if p.next <= c.log.snapIndex {
+			c.startSnapshot(id, p)
+			return
+		}
+		entries := c.log.batch(p.next)
+		c.send(&egretmuxv1.Message{
+			Kind: egretmuxv1.MessageKind_MESSAGE_KIND_APPEND, To: id,
+			Index: p.next - 1, LogTerm: c.log.termAt(p.next - 1),
+			Entries: entries, Commit: c.commit,
+		})
+		if p.probing {
+			p.waiting = true
+			return
+		}
+		p.inflight++
+		p.next += uint64(len(entries))
+	}
+}
+
+// sendCommit tells a replica that has everything of a newer commit index.
+func (c *Core) sendCommit(id uint64) {
+	p := c.progress[id]
+	if p.probing || p.waiting || p.next <= c.log.snapIndex {
+		return
+	}
+	c.send(&egretmuxv1.Message{
+		Kind: egretmuxv1.MessageKind_MESSAGE_KIND_APPEND, To: id,
+		Index: p.next - 1, LogTerm: c.log.termAt(p.next - 1), Commit: c.commit,
+	})
+}
+
+func (c *Core) startSnapshot(id uint64, p *progress) {
+	p.snapshot = c.log.snapMeta
+	p.offset = 0
+	p.waiting = true
+	c.sendSnapshotChunk(id, p)
+}
+
+// sendSnapshotChunk asks the driver to fill in the chunk at p.offset.
+func (c *Core) sendSnapshotChunk(id uint64, p *progress) {
+	c.send(&egretmuxv1.Message{
+		Kind: egretmuxv1.MessageKind_MESSAGE_KIND_SNAPSHOT, To: id,
+		Snapshot: p.snapshot, Offset: p.offset, Commit: c.commit,
+	})
+}
+
+// SnapshotUnavailable tells the leader that a snapshot it is sending to a
+// replica no longer exists; the newest one is sent from its beginning.
+func (c *Core) SnapshotUnavailable(id uint64) {
+	if p := c.progress[id]; c.role == Leader && p != nil && p.snapshot != nil {
+		p.snapshot = nil
+		p.waiting = false
+		p.probing = true
+	}
+}
+
+func (c *Core) broadcastHeartbeat() {
+	c.heartbeatElapsed = 0
+	for _, id := range c.peers() {
+		p := c.progress[id]
+		c.send(&egretmuxv1.Message{
+			Kind: egretmuxv1.MessageKind_MESSAGE_KIND_HEARTBEAT, To: id,
+			Commit: min(c.commit, p.match), Context: c.reads.round,
+		})
+	}
+}
+
+func (c *Core) handleAppend(m *egretmuxv1.Message) {
+	c.followLeader(m.GetFrom())
+	reply := &egretmuxv1.Message{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_APPEND_REPLY, To: m.GetFrom()}
+	prev := m.GetIndex()
+	if prev < c.commit {
+		// Everything up to commit is already the same as the leader's.
+		reply.Index = c.commit
+		c.sendAfterSync(reply)
+		return
+	}
+	if prev > c.log.last() || c.log.termAt(prev) != m.GetLogTerm() {
+		reply.Reject = true
+		reply.Index = prev
+		reply.Hint = c.conflictHint(prev)
+		c.sendAfterSync(reply)
+		return
+	}
+	c.appendMissing(m.GetEntries())
+	last := prev + uint64(len(m.GetEntries()))
+	c.commitTo(min(m.GetCommit(), last))
+	reply.Index = last
+	c.sendAfterSync(reply)
+}
+
+func (c *Core) followLeader(id uint64) {
+	if c.role != Follower || c.leader != id {
+		c.becomeFollower(c.term, id)
+	}
+	c.electionElapsed = 0
+}
+
+// conflictHint returns the last index at which this log may agree with the
+// leader's, skipping the whole conflicting term.
+func (c *Core) conflictHint(prev uint64) uint64 {
+	i := min(prev, c.log.last())
+	if i < prev {
+		return i
+	}
+	term := c.log.termAt(i)
+	for i > c.commit && i > c.log.snapIndex && c.log.termAt(i) == term {
+		i--
+	}
+	return max(i, c.commit)
+}
+
+// appendMissing adds the entries that this log lacks, after dropping those
+// that differ from the leader's.
+func (c *Core) appendMissing(entries []*egretmuxv1.Entry) {
+	for i, e := range entries {
+		if e.GetIndex() <= c.log.last() {
+			if c.log.termAt(e.GetIndex()) == e.GetTerm() {
+				continue
+			}
+			c.log.truncate(e.GetIndex())
+			c.members.truncate(e.GetIndex())
+			c.persisted = min(c.persisted, e.GetIndex()-1)
+		}
+		c.log.append(entries[i:]...)
+		for _, added := range entries[i:] {
+			c.members.observe(added)
+		}
+		return
+	}
+}
+
+func (c *Core) commitTo(index uint64) {
+	c.commit = max(c.commit, min(index, c.log.last()))
+}
+
+func (c *Core) handleHeartbeat(m *egretmuxv1.Message) {
+	c.followLeader(m.GetFrom())
+	c.commitTo(m.GetCommit())
+	c.sendAfterSync(&egretmuxv1.Message{
+		Kind: egretmuxv1.MessageKind_MESSAGE_KIND_HEARTBEAT_REPLY, To: m.GetFrom(),
+		Context: m.GetContext(), Index: c.log.last(),
+	})
+}
+
+func (c *Core) handleSnapshot(m *egretmuxv1.Message) {
+	c.followLeader(m.GetFrom())
+	meta := m.GetSnapshot()
+	if meta.GetIndex() <= c.commit {
+		c.sendAfterSync(&egretmuxv1.Message{
+			Kind: egretmuxv1.MessageKind_MESSAGE_KIND_APPEND_REPLY, To: m.GetFrom(), Index: c.commit,
+		})
+		return
+	}
+	in := &c.incoming
+	if in.index != meta.GetIndex() || in.term != meta.GetTerm() || m.GetOffset() == 0 {
+		*in = incomingSnapshot{index: meta.GetIndex(), term: meta.GetTerm()}
+	}
+	if m.GetOffset() != in.offset {
+		c.replySnapshot(m.GetFrom(), meta, in.offset)
+		return
+	}
+	in.offset += uint64(len(m.GetChunk()))
+	c.out.Chunks = append(c.out.Chunks, Chunk{Meta: meta, Offset: m.GetOffset(), Data: m.GetChunk(), Last: m.GetLastChunk()})
+	if !m.GetLastChunk() {
+		c.replySnapshot(m.GetFrom(), meta, in.offset)
+		return
+	}
+	c.installSnapshot(meta)
+	c.sendAfterSync(&egretmuxv1.Message{
+		Kind: egretmuxv1.MessageKind_MESSAGE_KIND_APPEND_REPLY, To: m.GetFrom(), Index: meta.GetIndex(),
+	})
+}
+
+func (c *Core) replySnapshot(to uint64, meta *egretmuxv1.SnapshotMeta, offset uint64) {
+	c.sendAfterSync(&egretmuxv1.Message{
+		Kind: egretmuxv1.MessageKind_MESSAGE_KIND_SNAPSHOT_REPLY, To: to,
+		Snapshot: &egretmuxv1.SnapshotMeta{Index: meta.GetIndex(), Term: meta.GetTerm()}, Offset: offset,
+	})
+}
+
+func (c *Core) installSnapshot(meta *egretmuxv1.SnapshotMeta) {
+	c.incoming = incomingSnapshot{}
+	c.log.reset(proto.Clone(meta).(*egretmuxv1.SnapshotMeta))
+	c.members.reset(meta)
+	c.commit = meta.GetIndex()
+	c.applied = meta.GetIndex()
+	c.persisted = meta.GetIndex()
+}
+
+func (c *Core) handleAppendReply(m *egretmuxv1.Message) {
+	p := c.progress[m.GetFrom()]
+	if c.role != Leader || p == nil {
+		return
+	}
+	p.active = true
+	p.stalled = 0
+	if m.GetReject() {
+		c.handleAppendReject(m, p)
+		return
+	}
+	p.inflight = max(0, p.inflight-1)
+	if m.GetIndex() > p.match {
+		p.match = m.GetIndex()
+	}
+	if p.snapshot != nil && p.match >= p.snapshot.GetIndex() {
+		p.snapshot = nil
+	}
+	if p.snapshot == nil {
+		p.probing = false
+		p.waiting = false
+	}
+	p.next = max(p.next, p.match+1)
+	c.advanceCommit()
+	c.maybeTransfer(m.GetFrom(), p)
+	c.sendAppend(m.GetFrom())
+}
+
+func (c *Core) handleAppendReject(m *egretmuxv1.Message, p *progress) {
+	if m.GetIndex() <= p.match && !p.probing {
+		return
+	}
+	p.probing = true
+	p.waiting = false
+	p.inflight = 0
+	p.next = max(p.match+1, min(m.GetIndex(), m.GetHint()+1))
+	c.sendAppend(m.GetFrom())
+}
+
+func (c *Core) handleHeartbeatReply(m *egretmuxv1.Message) {
+	p := c.progress[m.GetFrom()]
+	if c.role != Leader || p == nil {
+		return
+	}
+	p.active = true
+	p.readRound = max(p.readRound, m.GetContext())
+	c.confirmReads()
+	if p.stalled >= stalledHeartbeats {
+		p.stalled = 0
+		c.resume(m.GetFrom(), p, m.GetIndex())
+	}
+}
+
+// resume repeats what may have been lost. A replica whose log ends before what
+// was sent to it is probed again.
+func (c *Core) resume(id uint64, p *progress, last uint64) {
+	if p.snapshot != nil {
+		c.sendSnapshotChunk(id, p)
+		return
+	}
+	if p.match < c.log.last() && last < p.next-1 {
+		p.probing = true
+		p.next = max(p.match+1, min(p.next, last+1))
+	}
+	p.waiting = false
+	p.inflight = 0
+	if p.match < c.log.last() {
+		c.sendAppend(id)
+	}
+}
+
+func (c *Core) handleSnapshotReply(m *egretmuxv1.Message) {
+	p := c.progress[m.GetFrom()]
+	if c.role != Leader || p == nil || p.snapshot == nil {
+		return
+	}
+	p.active = true
+	if m.GetSnapshot().GetIndex() != p.snapshot.GetIndex() || m.GetOffset() == p.offset {
+		return
+	}
+	p.stalled = 0
+	p.offset = m.GetOffset()
+	c.sendSnapshotChunk(m.GetFrom(), p)
+}
+
+// advanceCommit commits what a quorum has persisted, provided that the newest
+// such entry is of this term.
+func (c *Core) advanceCommit() {
+	index := c.members.quorumIndex(func(id uint64) uint64 {
+		if p := c.progress[id]; p != nil {
+			return p.match
+		}
+		return 0
+	})
+	if index <= c.commit || c.log.termAt(index) != c.term {
+		return
+	}
+	c.commit = index
+	for _, id := range c.peers() {
+		if c.progress[id].next > c.log.last() {
+			c.sendCommit(id)
+		}
+	}
+	c.startReads()
+	c.stepDownIfRemoved()
+}
--- /dev/null
+++ b/internal/consensus/wal/disk.go
@@ -0,0 +1,128 @@
+// Package wal keeps a replica's log, hard state and snapshots on disk.
+//
+// Guarantees: what Append or SaveSnapshot acknowledged survives a crash of the
+// process or the machine; a tail that was being written when the machine died
+// is cut; damage anywhere else is reported with file and offset and never
+// skipped; after one failed write or sync nothing more is acknowledged.
+package wal
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"sort"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+)
+
+// File is an open file of a Disk.
+type File interface {
+	io.Writer
+	io.ReaderAt
+	Sync() error
+	Close() error
+}
+
+// Disk is the data folder. Names are plain file names within it.
+type Disk interface {
+	List() ([]string, error)
+	Create(name string) (File, error) // truncates an existing file
+	Append(name string) (File, error) // opens an existing file for appending
+	ReadFile(name string) ([]byte, error)
+	Truncate(name string, size int64) error
+	Rename(from, to string) error
+	Remove(name string) error
+	SyncDir() error
+}
+
+const (
+	folderMode = 0o750
+	fileMode   = 0o640
+	lockName   = "LOCK"
+)
+
+// Folder is a Disk in a real directory, locked against a second process.
+type Folder struct {
+	path string
+	lock *os.File
+}
+
+// OpenFolder creates the directory if needed and locks it.
+func OpenFolder(path string) (*Folder, error) {
+	if err := os.MkdirAll(path, folderMode); err != nil {
+		return nil, errors.Wrapf(err, "data folder %s cannot be created; check its parent and permissions", path)
+	}
+	lock, err := os.OpenFile(filepath.Join(path, lockName), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, errors.Wrapf(err, "data folder %s is not writable; check its permissions", path)
+	}
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = lock.Close()
+		return nil, errors.Newf("data folder %s is used by another process; stop it or set another folder", path)
+	}
+	return &Folder{path: path, lock: lock}, nil
+}
+
+// Close releases the lock.
+func (f *Folder) Close() error { return f.lock.Close() }
+
+func (f *Folder) file(name string) string { return filepath.Join(f.path, name) }
+
+// List returns the names of the files, sorted.
+func (f *Folder) List() ([]string, error) {
+	entries, err := os.ReadDir(f.path)
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, 0, len(entries))
+	for _, e := range entries {
+		if !e.IsDir() && e.Name() != lockName {
+			names = append(names, e.Name())
+		}
+	}
+	sort.Strings(names)
+	return names, nil
+}
+
+// Create opens a new, empty file.
+func (f *Folder) Create(name string) (File, error) {
+	return os.OpenFile(f.file(name), os.O_CREATE|os.O_TRUNC|os.O_RDWR, fileMode)
+}
+
+// Append opens an existing file for appending.
+func (f *Folder) Append(name string) (File, error) {
+	return os.OpenFile(f.file(name), os.O_APPEND|os.O_RDWR, fileMode)
+}
+
+// ReadFile returns a file's content.
+func (f *Folder) ReadFile(name string) ([]byte, error) { return os.ReadFile(f.file(name)) }
+
+// Truncate cuts a file and syncs it.
+func (f *Folder) Truncate(name string, size int64) error {
+	file, err := os.OpenFile(f.file(name), os.O_RDWR, fileMode)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }()
+	if err := file.Truncate(size); err != nil {
+		return err
+	}
+	return file.Sync()
+}
+
+// Rename replaces a file by another.
+func (f *Folder) Rename(from, to string) error { return os.Rename(f.file(from), f.file(to)) }
+
+// Remove deletes a file.
+func (f *Folder) Remove(name string) error { return os.Remove(f.file(name)) }
+
+// SyncDir makes creations, renames and removals durable.
+func (f *Folder) SyncDir() error {
+	dir, err := os.Open(f.path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = dir.Close() }()
+	return dir.Sync()
+}
--- /dev/null
+++ b/internal/consensus/wal/record.go
@@ -0,0 +1,78 @@
+package wal
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+)
+
+// A record is: checksum (4 bytes, Castagnoli, over all that follows), payload
+// length (4), batch number (8), kind (1), payload. Records written by one
+// Append share a batch number; the next batch is written only after the
+// previous one was synced.
+const (
+	headerSize     = 17
+	maxRecordBytes = 64 << 20
+)
+
+type recordKind byte
+
+const (
+	kindEntry     recordKind = 1
+	kindHardState recordKind = 2
+	kindSegment   recordKind = 3 // first record of a segment
+	kindReset     recordKind = 4 // a snapshot took the place of all entries before
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+type record struct {
+	kind    recordKind
+	batch   uint64
+	payload []byte
+}
+
+func appendRecord(buf []byte, r record) []byte {
+	start := len(buf)
+	buf = append(buf, 0, 0, 0, 0)
+	buf = binary.LittleEndian.AppendUint32(buf, uint32(len(r.payload)))
+	buf = binary.LittleEndian.AppendUint64(buf, r.batch)
+	buf = append(buf, byte(r.kind))
+	buf = append(buf, r.payload...)
+	sum := crc32.Checksum(buf[start+4:], castagnoli)
+	binary.LittleEndian.PutUint32(buf[start:], sum)
+	return buf
+}
+
+// readRecord decodes the record at the start of data. ok is false when there
+// is no whole, undamaged record there.
+func readRecord(data []byte) (r record, size int, ok bool) {
+	if len(data) < headerSize {
+		return record{}, 0, false
+	}
+	length := binary.LittleEndian.Uint32(data[4:])
+	if length > maxRecordBytes || int(length) > len(data)-headerSize {
+		return record{}, 0, false
+	}
+	size = headerSize + int(length)
+	if crc32.Checksum(data[4:size], castagnoli) != binary.LittleEndian.Uint32(data) {
+		return record{}, 0, false
+	}
+	return record{
+		kind:    recordKind(data[16]),
+		batch:   binary.LittleEndian.Uint64(data[8:]),
+		payload: data[headerSize:size],
+	}, size, true
+}
+
+// laterBatch reports whether an undamaged record of a batch after the given
+// one follows anywhere in data. Such a record was written after the damaged
+// place had been synced, so the damage is not a torn tail.
+func laterBatch(data []byte, batch uint64) bool {
+	for i := 1; i+headerSize <= len(data); i++ {
+		r, _, ok := readRecord(data[i:])
+		if ok && r.batch > batch && r.kind >= kindEntry && r.kind <= kindReset {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/leader/contracts.go
@@ -0,0 +1,102 @@
+package leader
+
+import (
+	"context"
+	"time"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/refusal"
+)
+
+// ApplyContract commits a change of a contract. On a conflict it returns the
+// version in force beside the error.
+func (l *Leader) ApplyContract(ctx context.Context, c *egretmuxv1.ApplyContract) (*egretmuxv1.ContractVersion, error) {
+	if _, err := l.current(); err != nil {
+		return nil, err
+	}
+	result, err := l.propose(ctx, &egretmuxv1.Command{Body: &egretmuxv1.Command_ApplyContract{ApplyContract: c}})
+	if err != nil {
+		return nil, err
+	}
+	return result.Contract, nil
+}
+
+// Contract returns a version of a contract, the newest for version zero.
+func (l *Leader) Contract(ctx context.Context, customer string, version uint64) (*egretmuxv1.ContractVersion, error) {
+	if _, err := l.confirm(ctx); err != nil {
+		return nil, err
+	}
+	c := l.store.Contract(customer, version)
+	if c == nil {
+		return nil, refusal.New(refusal.NotFound, "list contracts with 'egretmux contract list'", "no contract %s at version %d", customer, version)
+	}
+	return c, nil
+}
+
+// Contracts returns the newest version of each contract.
+func (l *Leader) Contracts(ctx context.Context) ([]*egretmuxv1.ContractVersion, error) {
+	if _, err := l.confirm(ctx); err != nil {
+		return nil, err
+	}
+	return l.store.ContractsSince(0), nil
+}
+
+// History returns the kept versions of a contract, newest first.
+func (l *Leader) History(ctx context.Context, customer string) ([]*egretmuxv1.ContractVersion, error) {
+	if _, err := l.confirm(ctx); err != nil {
+		return nil, err
+	}
+	return l.store.History(customer), nil
+}
+
+// ForceStatus tells whether every instance that may be serving uses at least
+// the given cell version.
+func (l *Leader) ForceStatus(ctx context.Context, cellVersion uint64) (*egretmuxv1.ForceStatusResponse, error) {
+	t, err := l.confirm(ctx)
+	if err != nil {
+		return nil, err
+	}
+	resp := &egretmuxv1.ForceStatusResponse{Everywhere: true}
+	for _, in := range t.instances(time.Now()) {
+		resp.Instances++
+		if in.GetLeaseValid() && in.GetContractVersion() < cellVersion {
+			resp.Everywhere = false
+			resp.Behind = append(resp.Behind, in)
+		}
+	}
+	return resp, nil
+}
+
+// instances reports on each instance of the cell.
+func (t *tenure) instances(now time.Time) []*egretmuxv1.InstanceStatus {
+	status, _ := t.leader.node.Status()
+	replicas := make(map[string]*egretmuxv1.Replica)
+	for _, r := range status.Membership.GetReplicas() {
+		replicas[r.GetInstance()] = r
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []*egretmuxv1.InstanceStatus
+	for _, in := range t.store.Instances() {
+		s := &egretmuxv1.InstanceStatus{Instance: in, LeaseValid: t.leaseMayHold(in.GetId(), now), Role: "entry"}
+		if r := replicas[in.GetId()]; r != nil {
+			s.Replica = r.GetId()
+			s.Role = "voter"
+			if r.GetLearner() {
+				s.Role = "learner"
+			}
+			if r.GetId() == status.Leader {
+				s.Role = "leader"
+				s.Leader = true
+			}
+		}
+		heard := t.started
+		if x := t.sessions[in.GetId()]; x != nil {
+			s.ContractVersion = x.contractVersion
+			heard = x.confirmed
+		}
+		s.SilentMs = now.Sub(heard).Milliseconds()
+		out = append(out, s)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/leader/status.go
@@ -0,0 +1,183 @@
+package leader
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/task"
+	"github.com/egretmux/egretmux/internal/worker"
+)
+
+// Workers reports on each worker.
+func (l *Leader) Workers(ctx context.Context) ([]*egretmuxv1.WorkerStatus, error) {
+	t, err := l.confirm(ctx)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []*egretmuxv1.WorkerStatus
+	for _, w := range l.store.Workers() {
+		committed, attempts := l.store.Committed(w.GetId())
+		s := &egretmuxv1.WorkerStatus{Worker: w, Committed: committed.Resources(), Attempts: int32(attempts)}
+		heard := t.started
+		if v := t.workers[w.GetId()]; v != nil {
+			heard = v.heard
+			s.Used = v.used().Resources()
+		}
+		s.SilentMs = now.Sub(heard).Milliseconds()
+		out = append(out, s)
+	}
+	return out, nil
+}
+
+// used sums the newest usage reports.
+func (v *workerView) used() worker.Room {
+	var sum worker.Room
+	for _, u := range v.usage {
+		sum = sum.Plus(worker.RoomOf(u.GetUsed()))
+	}
+	return sum
+}
+
+// DrainWorker lets a worker take no new attempts, or take them again.
+func (l *Leader) DrainWorker(ctx context.Context, id string, undrain bool, reason string) error {
+	if _, err := l.current(); err != nil {
+		return err
+	}
+	phase := egretmuxv1.WorkerPhase_WORKER_PHASE_DRAINING
+	if undrain {
+		phase = egretmuxv1.WorkerPhase_WORKER_PHASE_READY
+	}
+	_, err := l.propose(ctx, &egretmuxv1.Command{Body: &egretmuxv1.Command_SetWorkerPhase{SetWorkerPhase: &egretmuxv1.SetWorkerPhase{
+		Worker: id, Phase: phase, Reason: reason,
+	}}})
+	return err
+}
+
+// Endpoints reports on the endpoints of a service, all for "".
+func (l *Leader) Endpoints(ctx context.Context, service string) ([]*egretmuxv1.EndpointStatus, error) {
+	t, err := l.confirm(ctx)
+	if err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.endpoints.Status(service, time.Now()), nil
+}
+
+// Services sums the endpoints of each service.
+func (l *Leader) Services(ctx context.Context) ([]*egretmuxv1.ServiceStatus, error) {
+	endpoints, err := l.Endpoints(ctx, "")
+	if err != nil {
+		return nil, err
+	}
+	byName := make(map[string]*egretmuxv1.ServiceStatus)
+	var out []*egretmuxv1.ServiceStatus
+	for _, e := range endpoints {
+		s := byName[e.GetService()]
+		if s == nil {
+			s = &egretmuxv1.ServiceStatus{Service: e.GetService()}
+			byName[e.GetService()] = s
+			out = append(out, s)
+		}
+		s.Endpoints++
+		s.Slots += e.GetSlots()
+		s.Granted += e.GetGranted()
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].GetService() < out[j].GetService() })
+	return out, nil
+}
+
+// Instances reports on each instance of the cell.
+func (l *Leader) Instances(ctx context.Context) ([]*egretmuxv1.InstanceStatus, error) {
+	t, err := l.confirm(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return t.instances(time.Now()), nil
+}
+
+// Status summarises the cell.
+func (l *Leader) Status(ctx context.Context) (*egretmuxv1.StatusResponse, error) {
+	t, err := l.confirm(ctx)
+	if err != nil {
+		return nil, err
+	}
+	node, _ := l.node.Status()
+	resp := &egretmuxv1.StatusResponse{
+		Term: t.term, AppliedIndex: l.store.Applied(), ContractVersion: l.store.CellVersion(),
+		Instances: t.instances(time.Now()), Customers: l.customers(),
+	}
+	for _, r := range node.Membership.GetReplicas() {
+		if r.GetId() == node.Leader {
+			resp.Leader = r.GetInstance()
+		}
+	}
+	for _, w := range l.store.Workers() {
+		if w.GetPhase() == egretmuxv1.WorkerPhase_WORKER_PHASE_READY {
+			resp.WorkersReady++
+		} else {
+			resp.WorkersOther++
+		}
+	}
+	for _, c := range resp.Customers {
+		resp.TasksQueued += c.GetQueued()
+		resp.TasksRunning += c.GetRunning()
+	}
+	endpoints, err := l.Endpoints(ctx, "")
+	resp.Endpoints = int32(len(endpoints))
+	return resp, err
+}
+
+// customers sums each customer's work.
+func (l *Leader) customers() []*egretmuxv1.CustomerStatus {
+	var total worker.Room
+	for _, w := range l.store.Workers() {
+		total = total.Plus(worker.RoomOf(w.GetCapacity()))
+	}
+	byName := make(map[string]*egretmuxv1.CustomerStatus)
+	held := make(map[string]worker.Room)
+	var out []*egretmuxv1.CustomerStatus
+	for _, c := range l.store.AllParsed() {
+		s := &egretmuxv1.CustomerStatus{Customer: c.Customer, Share: c.Share, ContractVersion: l.store.Contract(c.Customer, 0).GetVersion()}
+		byName[c.Customer] = s
+		out = append(out, s)
+	}
+	for _, t := range l.store.Tasks() {
+		s := byName[t.GetSpec().GetCustomer()]
+		if s == nil {
+			continue
+		}
+		if task.Final(t.GetPhase()) {
+			countDeadline(s, t)
+			continue
+		}
+		s.Queued += int32(len(task.Waiting(t)))
+		for _, a := range t.GetAttempts() {
+			if task.Live(a.GetPhase()) {
+				s.Running++
+				held[s.GetCustomer()] = held[s.GetCustomer()].Plus(worker.RoomOf(t.GetSpec().GetResources()))
+			}
+		}
+	}
+	for _, s := range out {
+		s.DominantShare = held[s.GetCustomer()].Dominant(total)
+	}
+	return out
+}
+
+func countDeadline(s *egretmuxv1.CustomerStatus, t *egretmuxv1.Task) {
+	deadline := t.GetSpec().GetDeadlineUnixMs()
+	if deadline == 0 || t.GetPhase() == egretmuxv1.TaskPhase_TASK_PHASE_CANCELLED {
+		return
+	}
+	if t.GetPhase() == egretmuxv1.TaskPhase_TASK_PHASE_SUCCEEDED && t.GetEndedUnixMs() <= deadline {
+		s.DeadlinesMet++
+	} else {
+		s.DeadlinesMissed++
+	}
+}
--- /dev/null
+++ b/internal/leader/tasks.go
@@ -0,0 +1,140 @@
+package leader
+
+import (
+	"context"
+	"time"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/refusal"
+	"github.com/egretmux/egretmux/internal/task"
+)
+
+// defaultPage is the number of tasks in a list without a limit.
+const defaultPage = 100
+
+// SubmitTask commits a task. A change id that was used before returns the task
+// of its first use.
+func (l *Leader) SubmitTask(ctx context.Context, changeID string, spec *egretmuxv1.TaskSpec) (*egretmuxv1.Task, error) {
+	if _, err := l.current(); err != nil {
+		return nil, err
+	}
+	result, err := l.propose(ctx, &egretmuxv1.Command{Body: &egretmuxv1.Command_SubmitTask{SubmitTask: &egretmuxv1.SubmitTask{ChangeId: changeID, Spec: spec}}})
+	if err != nil {
+		return nil, err
+	}
+	return result.Task, nil
+}
+
+// Task returns a task of the customer; an empty customer stands for an operator.
+func (l *Leader) Task(ctx context.Context, customer string, id uint64) (*egretmuxv1.Task, error) {
+	if _, err := l.confirm(ctx); err != nil {
+		return nil, err
+	}
+	t := l.store.Task(id)
+	if t == nil || customer != "" && t.GetSpec().GetCustomer() != customer {
+		return nil, refusal.New(refusal.NotFound, "list tasks with 'egretmux task list'", "no task %d", id)
+	}
+	return t, nil
+}
+
+// WaitTask returns when the task is final, or runs when running is set, or the
+// wait has ended. reached tells which.
+func (l *Leader) WaitTask(ctx context.Context, customer string, id uint64, running bool, wait time.Duration) (*egretmuxv1.Task, bool, error) {
+	end := time.NewTimer(wait)
+	defer end.Stop()
+	for {
+		changed := l.waits.wait(id)
+		t, err := l.Task(ctx, customer, id)
+		if err != nil {
+			return nil, false, err
+		}
+		if task.Final(t.GetPhase()) || running && t.GetPhase() == egretmuxv1.TaskPhase_TASK_PHASE_RUNNING && allConfirmed(t) {
+			return t, true, nil
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			return t, false, nil
+		case <-ctx.Done():
+			return t, false, nil
+		}
+	}
+}
+
+// allConfirmed reports whether the workers have confirmed every live attempt.
+func allConfirmed(t *egretmuxv1.Task) bool {
+	for _, a := range t.GetAttempts() {
+		if a.GetPhase() == egretmuxv1.AttemptPhase_ATTEMPT_PHASE_STARTING {
+			return false
+		}
+	}
+	return true
+}
+
+// CancelTasks cancels tasks and returns how many were not final before.
+func (l *Leader) CancelTasks(ctx context.Context, customer string, ids []uint64, reason string) (int, error) {
+	if _, err := l.current(); err != nil {
+		return 0, err
+	}
+	n := 0
+	for _, id := range ids {
+		result, err := l.propose(ctx, &egretmuxv1.Command{Body: &egretmuxv1.Command_CancelTask{CancelTask: &egretmuxv1.CancelTask{
+			Task: id, Customer: customer, Reason: reason,
+		}}})
+		if err != nil {
+			return n, err
+		}
+		n += result.Applied
+	}
+	return n, nil
+}
+
+// ListTasks returns a page of tasks and where the next one begins.
+func (l *Leader) ListTasks(ctx context.Context, customer string, phase egretmuxv1.TaskPhase, after uint64, limit int) ([]*egretmuxv1.Task, uint64, error) {
+	if _, err := l.confirm(ctx); err != nil {
+		return nil, 0, err
+	}
+	if limit <= 0 {
+		limit = defaultPage
+	}
+	var page []*egretmuxv1.Task
+	for _, t := range l.store.Tasks() {
+		if t.GetId() <= after || customer != "" && t.GetSpec().GetCustomer() != customer ||
+			phase != egretmuxv1.TaskPhase_TASK_PHASE_UNSPECIFIED && t.GetPhase() != phase {
+			continue
+		}
+		if len(page) == limit {
+			return page, page[limit-1].GetId(), nil
+		}
+		page = append(page, t)
+	}
+	return page, 0, nil
+}
+
+// BeginRequest commits the attempt of a non-idempotent request. run tells
+// whether the caller may send it.
+func (l *Leader) BeginRequest(ctx context.Context, r *egretmuxv1.RequestRecord) (record *egretmuxv1.RequestRecord, run, conflict bool, err error) {
+	if _, err := l.current(); err != nil {
+		return nil, false, false, err
+	}
+	result, err := l.propose(ctx, &egretmuxv1.Command{Body: &egretmuxv1.Command_BeginRequest{BeginRequest: &egretmuxv1.BeginRequest{Request: r}}})
+	if result != nil && result.Err != nil && result.Err.Kind == refusal.KeyConflict {
+		return result.Request, false, true, nil
+	}
+	if err != nil {
+		return nil, false, false, err
+	}
+	return result.Request, result.Run, false, nil
+}
+
+// EndRequest commits the outcome of a non-idempotent request.
+func (l *Leader) EndRequest(ctx context.Context, r *egretmuxv1.RequestRecord) error {
+	if _, err := l.current(); err != nil {
+		return err
+	}
+	_, err := l.propose(ctx, &egretmuxv1.Command{Body: &egretmuxv1.Command_EndRequest{EndRequest: &egretmuxv1.EndRequest{
+		Customer: r.GetCustomer(), Key: r.GetKey(), Attempt: r.GetAttempt(), Phase: r.GetPhase(),
+		Status: r.GetStatus(), Answer: r.GetAnswer(), AnswerKept: r.GetAnswerKept(),
+	}}})
+	return err
+}
--- /dev/null
+++ b/internal/leader/tenure.go
@@ -0,0 +1,306 @@
+package leader
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/endpoint"
+	"github.com/egretmux/egretmux/internal/place"
+	"github.com/egretmux/egretmux/internal/state"
+	"github.com/egretmux/egretmux/internal/task"
+)
+
+// Periods of the leader's loops.
+const (
+	upkeepPeriod  = 100 * time.Millisecond
+	garbagePeriod = time.Minute
+	resendAfter   = 300 * time.Millisecond // a command not confirmed by then is sent again
+	planPeriod    = 250 * time.Millisecond // planning without a change, for backoffs that end
+	pauseLimit    = time.Second            // a longer gap between upkeeps means this process was paused
+)
+
+// tenure is the leader's volatile state during one term.
+type tenure struct {
+	leader  *Leader
+	store   *state.Store
+	term    uint64
+	started time.Time
+
+	plan chan struct{}
+
+	mu        sync.Mutex
+	sessions  map[string]*session
+	workers   map[string]*workerView
+	endpoints *endpoint.Table
+	queue     map[uint64]*egretmuxv1.Task
+	commands  map[uint64]*command // by attempt
+	floor     time.Time           // silence before this time does not count
+}
+
+// workerView is what the leader has heard of a worker.
+type workerView struct {
+	heard    time.Time
+	instance string // that the worker announces itself through
+	usage    map[uint64]*egretmuxv1.AttemptUsage
+}
+
+// command is an instruction that a worker has not confirmed yet.
+type command struct {
+	task   uint64
+	worker string
+	stop   bool
+	sent   time.Time
+}
+
+func newTenure(l *Leader, term uint64) *tenure {
+	now := time.Now()
+	t := &tenure{
+		leader: l, store: l.store, term: term, started: now, floor: now,
+		plan:      make(chan struct{}, 1),
+		sessions:  make(map[string]*session),
+		workers:   make(map[string]*workerView),
+		endpoints: endpoint.NewTable(l.timing.EndpointSilent),
+		queue:     make(map[uint64]*egretmuxv1.Task),
+		commands:  make(map[uint64]*command),
+	}
+	t.endpoints.Recovering = true
+	return t
+}
+
+// run does the leader's work until the context ends.
+func (t *tenure) run(ctx context.Context) {
+	for _, x := range t.store.Tasks() {
+		t.taskChanged(x)
+	}
+	var loops sync.WaitGroup
+	loops.Go(func() { t.runPlanner(ctx) })
+	loops.Go(func() { t.runUpkeep(ctx) })
+	loops.Go(func() { t.runGarbage(ctx) })
+	loops.Wait()
+}
+
+// taskChanged updates the queue and the commands to workers.
+func (t *tenure) taskChanged(x *egretmuxv1.Task) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(task.Waiting(x)) > 0 {
+		t.queue[x.GetId()] = x
+	} else {
+		delete(t.queue, x.GetId())
+	}
+	for _, a := range x.GetAttempts() {
+		t.noteAttempt(x, a)
+	}
+	t.wakePlanner()
+}
+
+func (t *tenure) noteAttempt(x *egretmuxv1.Task, a *egretmuxv1.Attempt) {
+	old := t.commands[a.GetId()]
+	switch a.GetPhase() {
+	case egretmuxv1.AttemptPhase_ATTEMPT_PHASE_STARTING:
+		if old == nil {
+			t.commands[a.GetId()] = &command{task: x.GetId(), worker: a.GetWorker()}
+		}
+	case egretmuxv1.AttemptPhase_ATTEMPT_PHASE_STOPPING:
+		if old == nil || !old.stop {
+			t.commands[a.GetId()] = &command{task: x.GetId(), worker: a.GetWorker(), stop: true}
+		}
+	default:
+		delete(t.commands, a.GetId())
+		return
+	}
+	t.sendCommand(a.GetId(), time.Now())
+}
+
+// sendCommand hands a command to the instance its worker is attached to. It is
+// repeated until the worker's report makes it obsolete.
+func (t *tenure) sendCommand(attempt uint64, now time.Time) {
+	c := t.commands[attempt]
+	if now.Sub(c.sent) < resendAfter {
+		return
+	}
+	view := t.workers[c.worker]
+	if view == nil {
+		return
+	}
+	s := t.sessions[view.instance]
+	w := t.store.Worker(c.worker)
+	x := t.store.Task(c.task)
+	a := task.FindAttempt(x, attempt)
+	if s == nil || w == nil || a == nil {
+		return
+	}
+	c.sent = now
+	s.push(buildCommand(w, x, a, c.stop))
+}
+
+func buildCommand(w *egretmuxv1.Worker, x *egretmuxv1.Task, a *egretmuxv1.Attempt, stop bool) *egretmuxv1.WorkerCommand {
+	out := &egretmuxv1.WorkerCommand{Worker: w.GetId(), Address: w.GetAddress(), WorkerEpoch: w.GetEpoch()}
+	if stop {
+		out.Body = &egretmuxv1.WorkerCommand_Stop{Stop: &egretmuxv1.StopAttempt{
+			Task: x.GetId(), Attempt: a.GetId(), Checkpoint: a.GetPreempted(),
+		}}
+		return out
+	}
+	out.Body = &egretmuxv1.WorkerCommand_Start{Start: &egretmuxv1.StartAttempt{
+		Task: x.GetId(), Attempt: a.GetId(), Member: a.GetMember(), Spec: x.GetSpec(), ResumeMs: task.SavedRun(x, a.GetMember()),
+	}}
+	return out
+}
+
+func (t *tenure) wakePlanner() {
+	select {
+	case t.plan <- struct{}{}:
+	default:
+	}
+}
+
+func (t *tenure) wakeAll() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.sessions {
+		s.wakeUp()
+	}
+}
+
+// runPlanner plans whenever something changed and commits what was decided.
+func (t *tenure) runPlanner(ctx context.Context) {
+	ticker := time.NewTicker(planPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.plan:
+		case <-ticker.C:
+		}
+		t.planOnce(ctx)
+	}
+}
+
+func (t *tenure) planOnce(ctx context.Context) {
+	snapshot := t.snapshot()
+	if len(snapshot.Queue) == 0 {
+		return
+	}
+	plan := place.Decide(snapshot)
+	if len(plan.GetStarts())+len(plan.GetStops())+len(plan.GetRejects()) == 0 {
+		return
+	}
+	result, err := t.leader.propose(ctx, &egretmuxv1.Command{Body: &egretmuxv1.Command_CommitPlan{CommitPlan: plan}})
+	if err != nil {
+		t.leader.logger.Warn().Err(err).Str("event", "plan_not_committed").Msg("")
+		return
+	}
+	t.leader.logger.Debug().Str("event", "plan_committed").Int("applied", result.Applied).Int("starts", len(plan.GetStarts())).Msg("")
+}
+
+func (t *tenure) snapshot() *place.Snapshot {
+	s := &place.Snapshot{Now: time.Now().UnixMilli()}
+	t.mu.Lock()
+	for _, x := range t.queue {
+		s.Queue = append(s.Queue, x)
+	}
+	t.mu.Unlock()
+	for _, w := range t.store.Workers() {
+		committed, n := t.store.Committed(w.GetId())
+		s.Workers = append(s.Workers, place.Worker{Record: w, Committed: committed, Attempts: n})
+	}
+	return s
+}
+
+// runUpkeep expires leases and repeats commands.
+func (t *tenure) runUpkeep(ctx context.Context) {
+	ticker := time.NewTicker(upkeepPeriod)
+	defer ticker.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := time.Now()
+		if now.Sub(last) > pauseLimit {
+			// Reports that arrived during the pause have not been read yet.
+			t.mu.Lock()
+			t.floor = now
+			t.mu.Unlock()
+		}
+		last = now
+		t.upkeep(ctx, now)
+	}
+}
+
+func (t *tenure) upkeep(ctx context.Context, now time.Time) {
+	t.mu.Lock()
+	for attempt := range t.commands {
+		t.sendCommand(attempt, now)
+	}
+	t.expireEntries(now)
+	changed := false
+	if t.endpoints.Recovering && t.entriesKnown(now) {
+		t.endpoints.Recovering = false
+		changed = true
+	}
+	changed = t.endpoints.Expire(now) || changed
+	changed = t.endpoints.Rebalance() || changed
+	if changed {
+		for _, s := range t.sessions {
+			s.wakeUp()
+		}
+	}
+	lost := t.silentWorkers(now)
+	t.mu.Unlock()
+	for _, w := range lost {
+		t.loseWorker(ctx, w)
+	}
+}
+
+// silentWorkers returns the workers whose leases have certainly ended.
+func (t *tenure) silentWorkers(now time.Time) []*egretmuxv1.Worker {
+	var lost []*egretmuxv1.Worker
+	for _, w := range t.store.Workers() {
+		if w.GetPhase() == egretmuxv1.WorkerPhase_WORKER_PHASE_LOST {
+			continue
+		}
+		heard := t.floor
+		if v := t.workers[w.GetId()]; v != nil && v.heard.After(heard) {
+			heard = v.heard
+		}
+		if now.Sub(heard) > outlast(t.leader.timing.WorkerLease) {
+			lost = append(lost, w)
+		}
+	}
+	return lost
+}
+
+func (t *tenure) loseWorker(ctx context.Context, w *egretmuxv1.Worker) {
+	_, err := t.leader.propose(ctx, &egretmuxv1.Command{Body: &egretmuxv1.Command_SetWorkerPhase{SetWorkerPhase: &egretmuxv1.SetWorkerPhase{
+		Worker: w.GetId(), Epoch: w.GetEpoch(), Phase: egretmuxv1.WorkerPhase_WORKER_PHASE_LOST, Reason: "silent for longer than its lease",
+	}}})
+	t.leader.logger.Warn().AnErr("error", err).Str("event", "worker_lost").Str("worker", w.GetId()).Msg("")
+}
+
+// runGarbage drops old records now and then.
+func (t *tenure) runGarbage(ctx context.Context) {
+	ticker := time.NewTicker(garbagePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := time.Now()
+		_, err := t.leader.propose(ctx, &egretmuxv1.Command{Body: &egretmuxv1.Command_CollectGarbage{CollectGarbage: &egretmuxv1.CollectGarbage{
+			TasksEndedBeforeUnixMs:    now.Add(-t.leader.timing.TaskKeep).UnixMilli(),
+			RequestsEndedBeforeUnixMs: now.Add(-t.leader.timing.RequestKeep).UnixMilli(),
+		}}})
+		if err != nil {
+			t.leader.logger.Warn().Err(err).Str("event", "garbage_not_collected").Msg("")
+		}
+	}
+}
--- /dev/null
+++ b/internal/leader/workers.go
@@ -0,0 +1,100 @@
+package leader
+
+import (
+	"context"
+	"time"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+)
+
+// takeWorkerReports commits the changes of attempts and answers each worker.
+// A worker's lease is renewed only by an answer that names its epoch.
+func (t *tenure) takeWorkerReports(ctx context.Context, req *egretmuxv1.ReportRequest, now time.Time, resp *egretmuxv1.ReportResponse) error {
+	var changes []*egretmuxv1.AttemptChange
+	for _, r := range req.GetWorkers() {
+		reply, err := t.takeWorkerReport(ctx, req.GetInstance().GetId(), r, now)
+		if err != nil {
+			return err
+		}
+		resp.Workers = append(resp.Workers, reply)
+		if !reply.GetRegister() {
+			changes = append(changes, attemptChanges(r)...)
+		}
+	}
+	if len(changes) == 0 {
+		return nil
+	}
+	_, err := t.leader.propose(ctx, &egretmuxv1.Command{Body: &egretmuxv1.Command_ReportAttempts{ReportAttempts: &egretmuxv1.ReportAttempts{Changes: changes}}})
+	return err
+}
+
+func (t *tenure) takeWorkerReport(ctx context.Context, instance string, r *egretmuxv1.WorkerReport, now time.Time) (*egretmuxv1.WorkerReply, error) {
+	if r.GetRegister() != nil {
+		return t.register(ctx, instance, r, now)
+	}
+	reply := &egretmuxv1.WorkerReply{Worker: r.GetWorker()}
+	w := t.store.Worker(r.GetWorker())
+	if w == nil || w.GetEpoch() != r.GetEpoch() || w.GetPhase() == egretmuxv1.WorkerPhase_WORKER_PHASE_LOST {
+		reply.Register = true
+		return reply, nil
+	}
+	reply.Epoch = w.GetEpoch()
+	reply.StopAttempts = t.unknownAttempts(r)
+	t.heard(r.GetWorker(), instance, r.GetUsage(), now)
+	return reply, nil
+}
+
+// register gives a worker a new epoch once it runs nothing that the cell does
+// not know; until then unknown attempts hold its room.
+func (t *tenure) register(ctx context.Context, instance string, r *egretmuxv1.WorkerReport, now time.Time) (*egretmuxv1.WorkerReply, error) {
+	reply := &egretmuxv1.WorkerReply{Worker: r.GetWorker()}
+	if unknown := t.unknownAttempts(r); len(unknown) > 0 {
+		reply.Register = true
+		reply.StopAttempts = unknown
+		return reply, nil
+	}
+	result, err := t.leader.propose(ctx, &egretmuxv1.Command{Body: &egretmuxv1.Command_RegisterWorker{RegisterWorker: &egretmuxv1.RegisterWorker{
+		Worker: r.GetRegister(), Running: r.GetRunning(),
+	}}})
+	if err != nil {
+		return nil, err
+	}
+	reply.Epoch = result.Worker.GetEpoch()
+	t.heard(r.GetWorker(), instance, r.GetUsage(), now)
+	return reply, nil
+}
+
+func (t *tenure) unknownAttempts(r *egretmuxv1.WorkerReport) []uint64 {
+	var unknown []uint64
+	for _, a := range r.GetRunning() {
+		if t.store.TaskOfAttempt(r.GetWorker(), a) == 0 {
+			unknown = append(unknown, a)
+		}
+	}
+	return unknown
+}
+
+func (t *tenure) heard(worker, instance string, usage []*egretmuxv1.AttemptUsage, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v := t.workers[worker]
+	if v == nil {
+		v = &workerView{usage: make(map[uint64]*egretmuxv1.AttemptUsage)}
+		t.workers[worker] = v
+	}
+	v.heard = now
+	v.instance = instance
+	for _, u := range usage {
+		v.usage[u.GetAttempt()] = u
+	}
+}
+
+func attemptChanges(r *egretmuxv1.WorkerReport) []*egretmuxv1.AttemptChange {
+	changes := make([]*egretmuxv1.AttemptChange, 0, len(r.GetAttempts()))
+	for _, a := range r.GetAttempts() {
+		changes = append(changes, &egretmuxv1.AttemptChange{
+			Task: a.GetTask(), Attempt: a.GetAttempt(), Phase: a.GetPhase(), Detail: a.GetDetail(), CheckpointMs: a.GetCheckpointMs(),
+		})
+	}
+	return changes
+}
--- /dev/null
+++ b/internal/operator/identity.go
@@ -0,0 +1,105 @@
+// Package operator serves tasks and operators: it authenticates them, finds
+// the leader, and translates between messages and the leader's operations.
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"github.com/egretmux/egretmux/internal/contract"
+	"github.com/egretmux/egretmux/internal/refusal"
+)
+
+// Headers that carry the authenticated identity between instances.
+const (
+	identityHeader   = "Egretmux-Identity"
+	operatorIdentity = "operator"
+	customerPrefix   = "customer/"
+)
+
+// Identity is who calls.
+type Identity struct {
+	Operator bool
+	Customer string // empty for operators
+}
+
+// Access checks credentials.
+type Access struct {
+	OperatorSHA256 string
+	Book           *contract.Book
+	Open           bool // everybody is an operator
+}
+
+// Identify returns who shows the credential in the header.
+func (a *Access) Identify(h http.Header) (Identity, error) {
+	token, _ := strings.CutPrefix(h.Get("Authorization"), "Bearer ")
+	if matches(token, a.OperatorSHA256) {
+		return Identity{Operator: true}, nil
+	}
+	if c := a.Book.ByCredential(token); c != nil {
+		return Identity{Customer: c.Customer}, nil
+	}
+	if a.Open {
+		return Identity{Operator: true}, nil
+	}
+	return Identity{}, refusal.New(refusal.Unauthenticated, "send Authorization: Bearer with an operator's or customer's credential", "the credential is not known")
+}
+
+func matches(token, sha string) bool {
+	sum := sha256.Sum256([]byte(token))
+	return sha != "" && subtle.ConstantTimeCompare([]byte(hex.EncodeToString(sum[:])), []byte(strings.ToLower(sha))) == 1
+}
+
+// RequireToken lets only requests with the credential through. An empty hash
+// lets everything through.
+func RequireToken(sha string, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if sha != "" && !matches(token, sha) {
+			http.Error(w, "unauthenticated; send the announcers' credential as bearer token", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (i Identity) header() string {
+	if i.Operator {
+		return operatorIdentity
+	}
+	return customerPrefix + i.Customer
+}
+
+func identityOf(h http.Header) Identity {
+	value := h.Get(identityHeader)
+	if value == operatorIdentity {
+		return Identity{Operator: true}
+	}
+	customer, _ := strings.CutPrefix(value, customerPrefix)
+	return Identity{Customer: customer}
+}
+
+func (i Identity) requireOperator() error {
+	if !i.Operator {
+		return refusal.New(refusal.Forbidden, "use the operators' credential", "only operators may do this")
+	}
+	return nil
+}
+
+// scope returns the customer that a call is limited to, "" for operators.
+func (i Identity) scope() string { return i.Customer }
+
+type identityKey struct{}
+
+func withIdentity(ctx context.Context, i Identity) context.Context {
+	return context.WithValue(ctx, identityKey{}, i)
+}
+
+func identityFrom(ctx context.Context) Identity {
+	i, _ := ctx.Value(identityKey{}).(Identity)
+	return i
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,184 @@
+// Package peer connects the instances of a cell: the client side of their
+// RPCs, the search for the leader and the transport of the replicated log.
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"github.com/egretmux/egretmux/gen/egretmux/v1/egretmuxv1connect"
+	"github.com/egretmux/egretmux/internal/refusal"
+	"github.com/egretmux/egretmux/internal/refusal/refusalrpc"
+)
+
+// Times of connections between instances. A connection that stays silent is
+// pinged, and closed when the ping is not answered.
+const (
+	dialTimeout  = time.Second
+	pingAfter    = time.Second
+	pingTimeout  = time.Second
+	idleTimeout  = time.Minute
+	keyHeader    = "Egretmux-Cell-Key"
+	retryPause   = 30 * time.Millisecond
+	maxRetryWait = 300 * time.Millisecond
+)
+
+// Dialer makes HTTP clients that speak HTTP/2 to other instances.
+type Dialer struct {
+	key    string
+	client *http.Client
+	scheme string
+}
+
+// NewDialer returns a dialer that shows the cell key. With a file of CA
+// certificates it uses TLS.
+func NewDialer(key, caFile string) (*Dialer, error) {
+	transport := &http.Transport{
+		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		IdleConnTimeout: idleTimeout,
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		Protocols:       new(http.Protocols),
+	}
+	d := &Dialer{key: key, scheme: "http://", client: &http.Client{Transport: transport}}
+	if caFile == "" {
+		transport.Protocols.SetUnencryptedHTTP2(true)
+		return d, nil
+	}
+	pem, err := os.ReadFile(caFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "certificates of the cell cannot be read")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, errors.Newf("%s holds no certificate in PEM form", caFile)
+	}
+	transport.Protocols.SetHTTP2(true)
+	transport.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}
+	d.scheme = "https://"
+	return d, nil
+}
+
+// Key returns the cell key.
+func (d *Dialer) Key() string { return d.key }
+
+// interceptor adds the cell key to each call.
+func (d *Dialer) interceptor() connect.UnaryInterceptorFunc {
+	return func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+			req.Header().Set(keyHeader, d.key)
+			return next(ctx, req)
+		}
+	}
+}
+
+// Clients are the RPC clients of one instance.
+type Clients struct {
+	Address   string
+	Cell      egretmuxv1connect.CellServiceClient
+	Task      egretmuxv1connect.TaskServiceClient
+	Operator  egretmuxv1connect.OperatorServiceClient
+	Consensus egretmuxv1connect.ConsensusServiceClient
+}
+
+// Clients returns the clients for an instance's cell listener.
+func (d *Dialer) Clients(address string) *Clients {
+	option := connect.WithInterceptors(d.interceptor())
+	url := d.scheme + address
+	return &Clients{
+		Address:   address,
+		Cell:      egretmuxv1connect.NewCellServiceClient(d.client, url, option),
+		Task:      egretmuxv1connect.NewTaskServiceClient(d.client, url, option),
+		Operator:  egretmuxv1connect.NewOperatorServiceClient(d.client, url, option),
+		Consensus: egretmuxv1connect.NewConsensusServiceClient(d.client, url, option),
+	}
+}
+
+// Leader finds the leader among the voters and calls it.
+type Leader struct {
+	dialer *Dialer
+	hint   func() string // address of the leader as a local replica knows it; may return ""
+
+	mu      sync.Mutex
+	clients map[string]*Clients
+	voters  []string
+	current string
+	next    int
+}
+
+// NewLeader returns a finder for the given addresses of voters.
+func NewLeader(d *Dialer, voters []string, hint func() string) *Leader {
+	return &Leader{dialer: d, hint: hint, voters: voters, clients: make(map[string]*Clients)}
+}
+
+// pick returns the clients of the instance to try.
+func (l *Leader) pick() *Clients {
+	hint := l.hint()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	address := l.current
+	if hint != "" {
+		address = hint
+	}
+	if address == "" {
+		address = l.voters[l.next%len(l.voters)]
+		l.next++
+	}
+	c := l.clients[address]
+	if c == nil {
+		c = l.dialer.Clients(address)
+		l.clients[address] = c
+	}
+	return c
+}
+
+// learn records where the leader was or was not found.
+func (l *Leader) learn(tried, leader string, found bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case found:
+		l.current = tried
+	case leader != "" && leader != tried:
+		l.current = leader
+	case l.current == tried:
+		l.current = ""
+	}
+}
+
+// Call runs f against the leader. While no leader answers, or the outcome is
+// unknown, it tries again until the context ends, so f must be safe to repeat.
+func (l *Leader) Call(ctx context.Context, f func(context.Context, *Clients) error) error {
+	pause := retryPause
+	for {
+		c := l.pick()
+		err := f(ctx, c)
+		if err == nil {
+			l.learn(c.Address, "", true)
+			return nil
+		}
+		r, leader := refusalrpc.From(err)
+		if r.Kind != refusal.NoLeader && r.Kind != refusal.OutcomeUnknown {
+			l.learn(c.Address, "", true)
+			return r
+		}
+		l.learn(c.Address, leader, false)
+		if leader != "" && leader != c.Address {
+			pause = retryPause
+		}
+		select {
+		case <-ctx.Done():
+			return r
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, maxRetryWait)
+	}
+}
--- /dev/null
+++ b/internal/standin/caller.go
@@ -0,0 +1,178 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"hash/crc32"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// CallerConfig describes a stand-in caller.
+type CallerConfig struct {
+	Instances []string // callers addresses, which stand for the platform's balancer
+	Ready     []string // control addresses in the same order, for readiness; may be empty
+	Token     string
+	Path      string // such as /service/lease/lookup?work=5ms
+	Method    string
+	Rate      int // requests a second
+	Length    time.Duration
+	Parallel  int
+	Journal   *Journal
+}
+
+// CallerResult sums what the caller saw.
+type CallerResult struct {
+	Sent, Whole, NotRun, Unknown, Cut, Wrong int64
+	Latency                                  *hdrhistogram.Histogram // microseconds
+}
+
+// Caller sends requests at a steady rate and checks each answer.
+type Caller struct {
+	cfg    CallerConfig
+	client *http.Client
+	ready  []atomic.Bool
+
+	mu     sync.Mutex
+	result CallerResult
+}
+
+const (
+	maxLatencyMicros = 60_000_000
+	readyPeriod      = 100 * time.Millisecond
+	callTimeout      = 30 * time.Second
+)
+
+// NewCaller returns a caller that Run starts.
+func NewCaller(cfg CallerConfig) *Caller {
+	c := &Caller{cfg: cfg, ready: make([]atomic.Bool, len(cfg.Instances))}
+	for i := range c.ready {
+		c.ready[i].Store(true)
+	}
+	c.client = &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: cfg.Parallel, IdleConnTimeout: time.Minute}}
+	c.result.Latency = hdrhistogram.New(1, maxLatencyMicros, 3)
+	return c
+}
+
+// Run sends requests for the configured time.
+func (c *Caller) Run(ctx context.Context) CallerResult {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go c.watchReadiness(ctx)
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, c.cfg.Parallel)
+	begin := time.Now()
+	total := int(c.cfg.Length.Seconds() * float64(c.cfg.Rate))
+	for n := range total {
+		due := begin.Add(time.Duration(n) * time.Second / time.Duration(c.cfg.Rate))
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Until(due)):
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			c.call(n)
+		})
+	}
+	wg.Wait()
+	return c.result
+}
+
+// watchReadiness plays the balancer's health checks.
+func (c *Caller) watchReadiness(ctx context.Context) {
+	client := &http.Client{Timeout: readyPeriod * 5}
+	for ctx.Err() == nil {
+		for i, address := range c.cfg.Ready {
+			resp, err := client.Get("http://" + address + "/readyz")
+			ok := err == nil && resp.StatusCode == http.StatusOK
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+			c.ready[i].Store(ok)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(readyPeriod):
+		}
+	}
+}
+
+// target returns the next instance that is ready.
+func (c *Caller) target(n int) string {
+	for i := range c.cfg.Instances {
+		j := (n + i) % len(c.cfg.Instances)
+		if c.ready[j].Load() {
+			return c.cfg.Instances[j]
+		}
+	}
+	return c.cfg.Instances[n%len(c.cfg.Instances)]
+}
+
+func (c *Caller) call(n int) {
+	body := []byte("request " + strconv.Itoa(n))
+	method := c.cfg.Method
+	if method == "" {
+		method = http.MethodGet
+	}
+	req, err := http.NewRequest(method, "http://"+c.target(n)+c.cfg.Path, bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	req.Header.Set("Authorization", "Bearer "+c.cfg.Token)
+	began := time.Now()
+	resp, err := c.client.Do(req)
+	outcome, id := c.judge(resp, err, body)
+	c.cfg.Journal.Write(JournalEntry{What: outcome, Who: "caller", Request: id})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.result.Sent++
+	_ = c.result.Latency.RecordValue(time.Since(began).Microseconds())
+	switch outcome {
+	case "whole":
+		c.result.Whole++
+	case "not_run":
+		c.result.NotRun++
+	case "unknown":
+		c.result.Unknown++
+	case "cut":
+		c.result.Cut++
+	default:
+		c.result.Wrong++
+	}
+}
+
+// judge tells what became of a request.
+func (c *Caller) judge(resp *http.Response, err error, sent []byte) (outcome, id string) {
+	if err != nil {
+		return "cut", ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	id = resp.Header.Get("Egretmux-Request-Id")
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return "cut", id
+	}
+	if resp.StatusCode != http.StatusOK {
+		refused := struct{ Ran string }{}
+		if json.Unmarshal(data, &refused) == nil && refused.Ran == "no" {
+			return "not_run", id
+		}
+		return "unknown", id
+	}
+	echo := Echo{}
+	if json.Unmarshal(data, &echo) != nil || echo.Request != id || echo.BodySum != crc32.ChecksumIEEE(sent) {
+		return "wrong", id
+	}
+	return "whole", id
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,299 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/gen/egretmux/v1/egretmuxv1connect"
+)
+
+const announcePeriod = 500 * time.Millisecond
+
+// WorkerConfig describes a stand-in worker.
+type WorkerConfig struct {
+	Record    *egretmuxv1.Worker // id, address, data centre, rack, capacity
+	Announcer *Announcer
+	Journal   *Journal
+	Slots     int32 // of the endpoints that service tasks start
+	Links     int32
+}
+
+// Worker runs attempts as timers. A task's command says how: "run 200ms" ends
+// well after that time, "fail 10ms" fails after it, and service tasks serve an
+// endpoint until they are stopped.
+type Worker struct {
+	cfg  WorkerConfig
+	wake chan struct{}
+
+	mu       sync.Mutex
+	epoch    uint64
+	lease    time.Time
+	running  map[uint64]*attempt
+	finished map[uint64]*egretmuxv1.AttemptReport // not acknowledged yet
+	fenced   map[uint64]bool                      // never to be started
+}
+
+type attempt struct {
+	start   *egretmuxv1.StartAttempt
+	began   time.Time
+	stop    chan struct{}
+	told    bool // its start was acknowledged
+	stopped bool
+}
+
+// NewWorker returns a worker that Run starts.
+func NewWorker(cfg WorkerConfig) *Worker {
+	return &Worker{
+		cfg: cfg, wake: make(chan struct{}, 1), running: make(map[uint64]*attempt),
+		finished: make(map[uint64]*egretmuxv1.AttemptReport), fenced: make(map[uint64]bool),
+	}
+}
+
+// Run serves commands and announces the worker until the context ends.
+func (w *Worker) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", w.cfg.Record.GetAddress())
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle(egretmuxv1connect.NewWorkerServiceHandler(w))
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: announceTimeout}
+	go func() { _ = server.Serve(listener) }()
+	defer func() { _ = server.Close() }()
+	ticker := time.NewTicker(announcePeriod)
+	defer ticker.Stop()
+	for {
+		w.announce(ctx)
+		select {
+		case <-ctx.Done():
+			w.stopAll("worker ends")
+			return nil
+		case <-ticker.C:
+		case <-w.wake:
+		}
+		w.checkLease()
+	}
+}
+
+func (w *Worker) wakeUp() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// checkLease stops everything once the lease has ended.
+func (w *Worker) checkLease() {
+	w.mu.Lock()
+	over := w.epoch != 0 && time.Now().After(w.lease)
+	w.mu.Unlock()
+	if over {
+		w.stopAll("lease ended")
+		w.mu.Lock()
+		w.epoch = 0
+		w.mu.Unlock()
+	}
+}
+
+func (w *Worker) stopAll(reason string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, a := range w.running {
+		w.end(id, a, egretmuxv1.AttemptPhase_ATTEMPT_PHASE_STOPPED, reason)
+	}
+}
+
+// announce sends a report and takes in the answer.
+func (w *Worker) announce(ctx context.Context) {
+	report := w.report()
+	sent := time.Now()
+	resp, err := w.cfg.Announcer.Worker(ctx, report)
+	if err != nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, id := range resp.GetStopAttempts() {
+		w.fenced[id] = true
+		if a := w.running[id]; a != nil {
+			w.end(id, a, egretmuxv1.AttemptPhase_ATTEMPT_PHASE_STOPPED, "not known to the cell")
+			delete(w.finished, id)
+		}
+	}
+	if resp.GetRegister() {
+		w.epoch = 0
+		w.wakeUp()
+		return
+	}
+	w.epoch = resp.GetEpoch()
+	w.lease = sent.Add(time.Duration(resp.GetLeaseMs()) * time.Millisecond)
+	w.acknowledge(report)
+}
+
+// acknowledge forgets what the leader has taken in.
+func (w *Worker) acknowledge(report *egretmuxv1.WorkerReport) {
+	if report.GetRegister() != nil {
+		w.wakeUp() // reports the attempts that a registration does not carry
+		return
+	}
+	for _, r := range report.GetAttempts() {
+		if a := w.running[r.GetAttempt()]; a != nil {
+			a.told = true
+		}
+		if f := w.finished[r.GetAttempt()]; f != nil && f.GetPhase() == r.GetPhase() {
+			delete(w.finished, r.GetAttempt())
+		}
+	}
+}
+
+func (w *Worker) report() *egretmuxv1.WorkerReport {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r := &egretmuxv1.WorkerReport{Worker: w.cfg.Record.GetId(), Epoch: w.epoch, Full: true}
+	if w.epoch == 0 {
+		r.Register = w.cfg.Record
+	}
+	for id, a := range w.running {
+		r.Running = append(r.Running, id)
+		if !a.told {
+			r.Attempts = append(r.Attempts, &egretmuxv1.AttemptReport{
+				Task: a.start.GetTask(), Attempt: id, Phase: egretmuxv1.AttemptPhase_ATTEMPT_PHASE_RUNNING,
+			})
+		}
+		r.Usage = append(r.Usage, &egretmuxv1.AttemptUsage{Attempt: id, Used: a.start.GetSpec().GetResources()})
+	}
+	for _, f := range w.finished {
+		r.Attempts = append(r.Attempts, f)
+	}
+	sort.Slice(r.Running, func(i, j int) bool { return r.Running[i] < r.Running[j] })
+	return r
+}
+
+// RunCommands implements WorkerService.
+func (w *Worker) RunCommands(_ context.Context, req *connect.Request[egretmuxv1.RunCommandsRequest]) (*connect.Response[egretmuxv1.RunCommandsResponse], error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	resp := &egretmuxv1.RunCommandsResponse{}
+	for _, c := range req.Msg.GetCommands() {
+		if c.GetWorker() != w.cfg.Record.GetId() {
+			continue
+		}
+		if s := c.GetStart(); s != nil {
+			if refused := w.start(c, s); refused != nil {
+				resp.Refused = append(resp.Refused, refused)
+			}
+		}
+		if s := c.GetStop(); s != nil {
+			w.stop(s)
+		}
+	}
+	w.wakeUp()
+	return connect.NewResponse(resp), nil
+}
+
+// start begins an attempt once. It refuses one of another epoch or after the
+// lease has ended.
+func (w *Worker) start(c *egretmuxv1.WorkerCommand, s *egretmuxv1.StartAttempt) *egretmuxv1.AttemptReport {
+	id := s.GetAttempt()
+	if w.running[id] != nil || w.finished[id] != nil {
+		return nil
+	}
+	if w.fenced[id] || c.GetWorkerEpoch() != w.epoch || time.Now().After(w.lease) {
+		return &egretmuxv1.AttemptReport{Task: s.GetTask(), Attempt: id, Phase: egretmuxv1.AttemptPhase_ATTEMPT_PHASE_REFUSED}
+	}
+	w.fenced[id] = true
+	a := &attempt{start: s, began: time.Now(), stop: make(chan struct{})}
+	w.running[id] = a
+	w.journal("attempt_started", a, "")
+	go w.execute(a)
+	return nil
+}
+
+func (w *Worker) stop(s *egretmuxv1.StopAttempt) {
+	id := s.GetAttempt()
+	w.fenced[id] = true
+	if a := w.running[id]; a != nil {
+		w.end(id, a, egretmuxv1.AttemptPhase_ATTEMPT_PHASE_STOPPED, "stopped by command")
+		if s.GetCheckpoint() {
+			w.finished[id].CheckpointMs = a.start.GetResumeMs() + time.Since(a.began).Milliseconds()
+		}
+		return
+	}
+	if w.finished[id] == nil {
+		w.finished[id] = &egretmuxv1.AttemptReport{Task: s.GetTask(), Attempt: id, Phase: egretmuxv1.AttemptPhase_ATTEMPT_PHASE_REFUSED, Detail: "never started here"}
+	}
+}
+
+// end records an attempt's end. The caller holds the lock.
+func (w *Worker) end(id uint64, a *attempt, phase egretmuxv1.AttemptPhase, detail string) {
+	if a.stopped {
+		return
+	}
+	a.stopped = true
+	close(a.stop)
+	delete(w.running, id)
+	w.finished[id] = &egretmuxv1.AttemptReport{Task: a.start.GetTask(), Attempt: id, Phase: phase, Detail: detail}
+	w.journal("attempt_ended", a, phase.String())
+	w.wakeUp()
+}
+
+func (w *Worker) journal(what string, a *attempt, detail string) {
+	w.cfg.Journal.Write(JournalEntry{
+		What: what, Who: w.cfg.Record.GetId(), Task: a.start.GetTask(), Attempt: a.start.GetAttempt(), Member: a.start.GetMember(), Detail: detail,
+	})
+}
+
+// execute plays the attempt's command.
+func (w *Worker) execute(a *attempt) {
+	spec := a.start.GetSpec()
+	if spec.GetKind() == egretmuxv1.TaskKind_TASK_KIND_SERVICE {
+		w.serve(a)
+		return
+	}
+	verb, rest, _ := strings.Cut(spec.GetCommand(), " ")
+	length, err := time.ParseDuration(rest)
+	if err != nil {
+		length = 0
+	}
+	length -= time.Duration(a.start.GetResumeMs()) * time.Millisecond
+	select {
+	case <-a.stop:
+		return
+	case <-time.After(length):
+	}
+	phase := egretmuxv1.AttemptPhase_ATTEMPT_PHASE_SUCCEEDED
+	if verb == "fail" {
+		phase = egretmuxv1.AttemptPhase_ATTEMPT_PHASE_FAILED
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.end(a.start.GetAttempt(), a, phase, "")
+}
+
+// serve runs an endpoint for a service task.
+func (w *Worker) serve(a *attempt) {
+	host, _, _ := net.SplitHostPort(w.cfg.Record.GetAddress())
+	e := NewEndpoint(EndpointConfig{
+		ID: w.cfg.Record.GetId() + "-" + a.start.GetSpec().GetService() + "-" + uintName(a.start.GetAttempt()), Service: a.start.GetSpec().GetService(),
+		Address: net.JoinHostPort(host, "0"), Datacentre: w.cfg.Record.GetDatacentre(),
+		Slots: w.cfg.Slots, Links: w.cfg.Links, Announcer: w.cfg.Announcer, Journal: w.cfg.Journal,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-a.stop
+		cancel()
+	}()
+	if err := e.Run(ctx); err != nil {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.end(a.start.GetAttempt(), a, egretmuxv1.AttemptPhase_ATTEMPT_PHASE_FAILED, err.Error())
+	}
+}
--- /dev/null
+++ b/internal/state/requests.go
@@ -0,0 +1,139 @@
+package state
+
+import (
+	"sort"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/refusal"
+)
+
+const requestShards = 16
+
+// requestKey names a non-idempotent request of a customer.
+type requestKey struct{ customer, key string }
+
+// requestTable holds the records of non-idempotent requests in shards.
+type requestTable struct {
+	shards [requestShards]requestShard
+}
+
+type requestShard struct {
+	mu    sync.RWMutex
+	byKey map[requestKey]*egretmuxv1.RequestRecord
+}
+
+func (t *requestTable) clear() {
+	for i := range t.shards {
+		t.shards[i].mu.Lock()
+		t.shards[i].byKey = make(map[requestKey]*egretmuxv1.RequestRecord)
+		t.shards[i].mu.Unlock()
+	}
+}
+
+func (t *requestTable) shard(k requestKey) *requestShard {
+	return &t.shards[xxhash.Sum64String(k.key)%requestShards]
+}
+
+func (t *requestTable) get(k requestKey) *egretmuxv1.RequestRecord {
+	s := t.shard(k)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.byKey[k]
+}
+
+func (t *requestTable) put(r *egretmuxv1.RequestRecord) {
+	k := requestKey{r.GetCustomer(), r.GetKey()}
+	s := t.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.byKey[k] = r
+}
+
+func (t *requestTable) len() int {
+	n := 0
+	for i := range t.shards {
+		t.shards[i].mu.RLock()
+		n += len(t.shards[i].byKey)
+		t.shards[i].mu.RUnlock()
+	}
+	return n
+}
+
+func (t *requestTable) all() []*egretmuxv1.RequestRecord {
+	var out []*egretmuxv1.RequestRecord
+	for i := range t.shards {
+		t.shards[i].mu.RLock()
+		for _, r := range t.shards[i].byKey {
+			out = append(out, r)
+		}
+		t.shards[i].mu.RUnlock()
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].GetCustomer() != out[j].GetCustomer() {
+			return out[i].GetCustomer() < out[j].GetCustomer()
+		}
+		return out[i].GetKey() < out[j].GetKey()
+	})
+	return out
+}
+
+func (t *requestTable) collect(before int64) int {
+	n := 0
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for k, r := range s.byKey {
+			if max(r.GetBegunUnixMs(), r.GetEndedUnixMs()) < before {
+				delete(s.byKey, k)
+				n++
+			}
+		}
+		s.mu.Unlock()
+	}
+	return n
+}
+
+// beginRequest records an attempt before its first byte is sent. Only the
+// proposer whose Result has Run set may send it.
+func (s *Store) beginRequest(c *egretmuxv1.BeginRequest) *Result {
+	r := c.GetRequest()
+	k := requestKey{r.GetCustomer(), r.GetKey()}
+	old := s.requests.get(k)
+	if old != nil && old.GetBodyHash() != r.GetBodyHash() {
+		return &Result{Request: old, Err: refusal.New(refusal.KeyConflict, "use a new Idempotency-Key for another request",
+			"key %s was used for another request", r.GetKey())}
+	}
+	if old != nil && old.GetPhase() != egretmuxv1.RequestPhase_REQUEST_PHASE_NOT_RUN {
+		// The same attempt again is an answer to the entry that lost the first one.
+		return &Result{Request: old, Run: old.GetPhase() == egretmuxv1.RequestPhase_REQUEST_PHASE_BEGUN && old.GetAttempt() == r.GetAttempt()}
+	}
+	next := clone(r)
+	next.Phase = egretmuxv1.RequestPhase_REQUEST_PHASE_BEGUN
+	next.BegunUnixMs = s.now
+	s.requests.put(next)
+	return &Result{Request: next, Run: true}
+}
+
+// endRequest records the outcome of an attempt; the first outcome stays.
+func (s *Store) endRequest(c *egretmuxv1.EndRequest) *Result {
+	old := s.requests.get(requestKey{c.GetCustomer(), c.GetKey()})
+	if old == nil || old.GetAttempt() != c.GetAttempt() || old.GetPhase() != egretmuxv1.RequestPhase_REQUEST_PHASE_BEGUN {
+		return &Result{Request: old}
+	}
+	next := clone(old)
+	next.Phase = c.GetPhase()
+	next.EndedUnixMs = s.now
+	next.Status = c.GetStatus()
+	next.Answer = c.GetAnswer()
+	next.AnswerKept = c.GetAnswerKept()
+	s.requests.put(next)
+	return &Result{Request: next, Applied: 1}
+}
+
+// Request returns the record of a non-idempotent request, or nil.
+func (s *Store) Request(customer, key string) *egretmuxv1.RequestRecord {
+	return s.requests.get(requestKey{customer, key})
+}
--- /dev/null
+++ b/internal/state/tasks.go
@@ -0,0 +1,253 @@
+package state
+
+import (
+	"sort"
+	"strconv"
+	"sync"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/refusal"
+	"github.com/egretmux/egretmux/internal/task"
+)
+
+const (
+	taskShards    = 16
+	maxMembers    = 10000 // members of one task
+	keptAttempts  = 8     // ended attempts kept in a task's record
+	failureDelay  = 1000  // milliseconds before a failed member is tried again
+	maxFailureGap = 60000 // milliseconds
+)
+
+// taskTable holds the tasks in shards, each under its own lock.
+type taskTable struct {
+	shards  [taskShards]taskShard
+	changes sync.Map // hash of customer and change id -> task number
+}
+
+type taskShard struct {
+	mu   sync.RWMutex
+	byID map[uint64]*egretmuxv1.Task
+}
+
+func (t *taskTable) clear() {
+	for i := range t.shards {
+		t.shards[i].mu.Lock()
+		t.shards[i].byID = make(map[uint64]*egretmuxv1.Task)
+		t.shards[i].mu.Unlock()
+	}
+	t.changes.Clear()
+}
+
+func (t *taskTable) shard(id uint64) *taskShard { return &t.shards[id%taskShards] }
+
+func (t *taskTable) get(id uint64) *egretmuxv1.Task {
+	s := t.shard(id)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.byID[id]
+}
+
+func (t *taskTable) put(x *egretmuxv1.Task) {
+	s := t.shard(x.GetId())
+	s.mu.Lock()
+	s.byID[x.GetId()] = x
+	s.mu.Unlock()
+	if x.GetChangeIdHash() != 0 {
+		t.changes.Store(x.GetChangeIdHash(), x.GetId())
+	}
+}
+
+func (t *taskTable) remove(x *egretmuxv1.Task) {
+	s := t.shard(x.GetId())
+	s.mu.Lock()
+	delete(s.byID, x.GetId())
+	s.mu.Unlock()
+	t.changes.Delete(x.GetChangeIdHash())
+}
+
+func (t *taskTable) len() int {
+	n := 0
+	for i := range t.shards {
+		t.shards[i].mu.RLock()
+		n += len(t.shards[i].byID)
+		t.shards[i].mu.RUnlock()
+	}
+	return n
+}
+
+func (t *taskTable) all() []*egretmuxv1.Task {
+	out := make([]*egretmuxv1.Task, 0, t.len())
+	for i := range t.shards {
+		t.shards[i].mu.RLock()
+		for _, x := range t.shards[i].byID {
+			out = append(out, x)
+		}
+		t.shards[i].mu.RUnlock()
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].GetId() < out[j].GetId() })
+	return out
+}
+
+// putTask stores a task and keeps the workers' room in step with its attempts.
+func (s *Store) putTask(t *egretmuxv1.Task) {
+	s.workers.account(s.tasks.get(t.GetId()), t)
+	s.tasks.put(t)
+}
+
+// changeTask stores a changed copy and tells the listener.
+func (s *Store) changeTask(t *egretmuxv1.Task) {
+	s.settle(t)
+	s.putTask(t)
+	if s.listener != nil {
+		s.listener.TaskChanged(t)
+	}
+}
+
+func (s *Store) submitTask(c *egretmuxv1.SubmitTask) *Result {
+	spec := c.GetSpec()
+	hash := hashChange(spec.GetCustomer(), c.GetChangeId())
+	if c.GetChangeId() != "" {
+		if id, ok := s.tasks.changes.Load(hash); ok {
+			return &Result{Task: s.tasks.get(id.(uint64))}
+		}
+	}
+	if err := s.checkSpec(spec); err != nil {
+		return &Result{Err: err}
+	}
+	s.mu.Lock()
+	s.last.task++
+	id := s.last.task
+	s.mu.Unlock()
+	t := &egretmuxv1.Task{
+		Id: id, Spec: spec, Phase: egretmuxv1.TaskPhase_TASK_PHASE_QUEUED, SubmittedUnixMs: s.now,
+	}
+	if c.GetChangeId() != "" {
+		t.ChangeIdHash = hash
+	}
+	s.changeTask(t)
+	return &Result{Task: t}
+}
+
+func (s *Store) checkSpec(spec *egretmuxv1.TaskSpec) *refusal.Error {
+	c := s.Parsed(spec.GetCustomer())
+	if c == nil {
+		return refusal.New(refusal.Forbidden, "apply a contract first", "customer %s has no contract", spec.GetCustomer())
+	}
+	if spec.GetClass() != "" && c.Class(spec.GetClass()) == nil {
+		return refusal.New(refusal.Invalid, "name a class of the contract", "contract %s has no class %s", c.Customer, spec.GetClass())
+	}
+	if spec.GetKind() == egretmuxv1.TaskKind_TASK_KIND_UNSPECIFIED {
+		return refusal.New(refusal.Invalid, "set kind to service, batch or gang", "the task has no kind")
+	}
+	if spec.GetMembers() < 0 || spec.GetMembers() > maxMembers {
+		return refusal.New(refusal.Invalid, "use 1 to "+strconv.Itoa(maxMembers), "%d members", spec.GetMembers())
+	}
+	r := spec.GetResources()
+	if r.GetCpuMillis() < 0 || r.GetMemoryMib() < 0 || r.GetAccelerators() < 0 || r.GetCpuMillis()+r.GetMemoryMib() == 0 {
+		return refusal.New(refusal.Invalid, "declare processors and memory of one member", "the task's resources are missing or negative")
+	}
+	return nil
+}
+
+// cancelTask stops the live attempts; the task ends when they have stopped.
+func (s *Store) cancelTask(c *egretmuxv1.CancelTask) *Result {
+	t := s.tasks.get(c.GetTask())
+	if t == nil || c.GetCustomer() != "" && t.GetSpec().GetCustomer() != c.GetCustomer() {
+		return &Result{Err: refusal.New(refusal.NotFound, "list tasks with 'egretmux task list'", "no task %d", c.GetTask())}
+	}
+	if task.Final(t.GetPhase()) {
+		return &Result{Task: t}
+	}
+	next := clone(t)
+	next.Ending = egretmuxv1.TaskPhase_TASK_PHASE_CANCELLED
+	next.Reason = c.GetReason()
+	stopLive(next)
+	s.changeTask(next)
+	return &Result{Task: next, Applied: 1}
+}
+
+// stopLive marks every live attempt as stopping.
+func stopLive(t *egretmuxv1.Task) {
+	for _, a := range t.GetAttempts() {
+		if task.Live(a.GetPhase()) {
+			a.Phase = egretmuxv1.AttemptPhase_ATTEMPT_PHASE_STOPPING
+		}
+	}
+}
+
+// settle derives the task's phase from its attempts and drops old ones.
+func (s *Store) settle(t *egretmuxv1.Task) {
+	if task.Final(t.GetPhase()) {
+		return
+	}
+	live := 0
+	for _, a := range t.GetAttempts() {
+		if task.Live(a.GetPhase()) {
+			live++
+		}
+	}
+	waiting := len(task.Waiting(t))
+	switch {
+	case t.GetEnding() != egretmuxv1.TaskPhase_TASK_PHASE_UNSPECIFIED:
+		if live == 0 {
+			t.Phase = t.GetEnding()
+			t.EndedUnixMs = s.now
+		}
+	case live == 0 && waiting == 0:
+		t.Phase = egretmuxv1.TaskPhase_TASK_PHASE_SUCCEEDED
+		t.EndedUnixMs = s.now
+	case waiting > 0:
+		t.Phase = egretmuxv1.TaskPhase_TASK_PHASE_QUEUED
+	default:
+		t.Phase = egretmuxv1.TaskPhase_TASK_PHASE_RUNNING
+	}
+	trimAttempts(t)
+}
+
+// trimAttempts keeps the live attempts and the newest ended ones.
+func trimAttempts(t *egretmuxv1.Task) {
+	ended := 0
+	for _, a := range t.GetAttempts() {
+		if !task.Live(a.GetPhase()) {
+			ended++
+		}
+	}
+	limit := max(keptAttempts, int(task.Members(t.GetSpec())))
+	if ended <= limit {
+		return
+	}
+	kept := t.Attempts[:0]
+	for _, a := range t.GetAttempts() {
+		if !task.Live(a.GetPhase()) && ended > limit {
+			ended--
+			continue
+		}
+		kept = append(kept, a)
+	}
+	t.Attempts = kept
+}
+
+func (s *Store) collectGarbage(c *egretmuxv1.CollectGarbage) *Result {
+	n := 0
+	for _, t := range s.tasks.all() {
+		if task.Final(t.GetPhase()) && t.GetEndedUnixMs() < c.GetTasksEndedBeforeUnixMs() {
+			s.tasks.remove(t)
+			n++
+		}
+	}
+	n += s.requests.collect(c.GetRequestsEndedBeforeUnixMs())
+	for id, ch := range s.changes {
+		if ch.GetAtUnixMs() < c.GetTasksEndedBeforeUnixMs() {
+			delete(s.changes, id)
+		}
+	}
+	return &Result{Applied: n}
+}
+
+// Task returns a task or nil. The record must not be changed.
+func (s *Store) Task(id uint64) *egretmuxv1.Task { return s.tasks.get(id) }
+
+// Tasks returns all tasks in order of their numbers.
+func (s *Store) Tasks() []*egretmuxv1.Task { return s.tasks.all() }
+
+func uintName(n uint64) string { return strconv.FormatUint(n, 10) }
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,53 @@
+// Package telemetry holds the process's logger and counters.
+package telemetry
+
+import (
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/egretmux/egretmux/internal/refusal"
+)
+
+// NewLogger returns a logger that writes one JSON object a line and names the
+// instance in each.
+func NewLogger(w io.Writer, instance string) zerolog.Logger {
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	return zerolog.New(w).With().Timestamp().Str("instance", instance).Logger()
+}
+
+// SetLevel changes the least level written by every logger of the process and
+// returns the previous one.
+func SetLevel(name string) (string, error) {
+	previous := zerolog.GlobalLevel().String()
+	level, err := zerolog.ParseLevel(name)
+	if err != nil || name == "" {
+		return previous, errors.Newf("%q is not a log level; use debug, info, warn or error", name)
+	}
+	zerolog.SetGlobalLevel(level)
+	return previous, nil
+}
+
+// CountRefusal counts a refused request by kind and by whether it ran.
+func CountRefusal(e *refusal.Error) {
+	metrics.GetOrCreateCounter(`egretmux_refusals_total{kind="` + string(e.Kind) + `",ran="` + string(e.Ran) + `"}`).Inc()
+}
+
+// CountRetry counts a retried attempt by reason.
+func CountRetry(reason refusal.Kind) {
+	metrics.GetOrCreateCounter(`egretmux_retries_total{reason="` + string(reason) + `"}`).Inc()
+}
+
+// Count adds one to a counter without labels.
+func Count(name string) { metrics.GetOrCreateCounter("egretmux_" + name).Inc() }
+
+// ObserveSeconds records a duration in a histogram.
+func ObserveSeconds(name string, d time.Duration) {
+	metrics.GetOrCreateHistogram("egretmux_" + name + "_seconds").Update(d.Seconds())
+}
+
+// WriteMetrics writes all metrics in the Prometheus text format.
+func WriteMetrics(w io.Writer) { metrics.WritePrometheus(w, true) }
