--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,19 @@
 # Targets for developers. README.md explains each.
 GO ?= go
 
-.PHONY: build test lint demo generate
+.PHONY: build test lint demo generate fuzz
 build:
 	$(GO) build -o bin/ ./cmd/...
 
 test:
 	$(GO) test -race -count=1 ./...
 
+# Runs the random tests of the replicated log: make fuzz SEED=n CHECKS=n
+SEED ?= 1
+CHECKS ?= 1000
+fuzz:
+	$(GO) test -count=1 -v -timeout=0 -run=Faults ./internal/consensus -rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
+
 lint:
 	./scripts/lint
 
--- a/internal/consensus/core/core.go
+++ b/internal/consensus/core/core.go
@@ -28,6 +28,12 @@
 	maxInflight      = 32        // unacknowledged append messages to one replica
 )
 
+// Limits of the entries kept in memory behind a snapshot for slow replicas.
+const (
+	maxRetainedEntries = 100_000
+	maxRetainedBytes   = 32 << 20
+)
+
 // Role is what a replica currently does.
 type Role int
 
@@ -76,6 +82,7 @@
 	AfterSync []*egretmuxv1.Message // only after everything above is persisted
 	Committed []*egretmuxv1.Entry   // to apply, in order
 	Reads     []Read
+	Stale     bool // this replica lost what it had acknowledged; stop it
 }
 
 // Chunk is a received part of a snapshot. When Last is set, the log has been
@@ -111,6 +118,9 @@
 	heartbeatElapsed int
 	transferTo       uint64
 	transferElapsed  int
+	recentCommit     [recentHeartbeats]uint64 // commit at the last heartbeats, newest first
+
+	stale bool // forgot acknowledged entries; takes no further part
 
 	reads readQueue
 
@@ -126,6 +136,7 @@
 		c.vote = init.HardState.GetVote()
 		c.commit = init.HardState.GetCommit()
 	}
+	c.term = max(c.term, c.log.lastTerm())
 	c.commit = min(max(c.commit, c.log.snapIndex), c.log.last())
 	c.applied = c.log.snapIndex
 	c.persisted = c.log.last()
@@ -145,6 +156,7 @@
 	Commit, Applied      uint64
 	First, Last          uint64
 	Membership           *egretmuxv1.Membership
+	MembershipIndex      uint64 // log index of the membership
 	MembershipCommitted  bool
 	Match                map[uint64]uint64 // by replica; only on the leader
 	CommittedInThisTerm  bool
@@ -158,6 +170,7 @@
 		Commit: c.commit, Applied: c.applied,
 		First: c.log.snapIndex + 1, Last: c.log.last(),
 		Membership:           c.members.current(),
+		MembershipIndex:      c.members.index(),
 		MembershipCommitted:  c.members.index() <= c.commit,
 		CommittedInThisTerm:  c.committedInTerm(),
 		TransferInProgressTo: c.transferTo,
@@ -184,10 +197,12 @@
 // out completely before the next one is taken.
 func (c *Core) Output() Output {
 	c.out.Entries = c.log.unstableEntries()
-	hard := egretmuxv1.HardState{Term: c.term, Vote: c.vote, Commit: c.commit}
-	if hard.Term != c.savedHard.Term || hard.Vote != c.savedHard.Vote || hard.Commit != c.savedHard.Commit {
-		c.savedHard = egretmuxv1.HardState{Term: hard.Term, Vote: hard.Vote, Commit: hard.Commit}
-		c.out.HardState = &hard
+	c.out.Stale = c.stale
+	// A commit index alone promises nothing; it is persisted with the next entries.
+	moved := c.commit != c.savedHard.GetCommit() && len(c.out.Entries) > 0
+	if moved || c.hasUnsavedVote() {
+		c.savedHard = egretmuxv1.HardState{Term: c.term, Vote: c.vote, Commit: c.commit}
+		c.out.HardState = &egretmuxv1.HardState{Term: c.term, Vote: c.vote, Commit: c.commit}
 	}
 	if c.commit > c.applied {
 		c.out.Committed = c.log.slice(c.applied+1, c.commit)
@@ -202,12 +217,19 @@
 func (c *Core) HasOutput() bool {
 	return len(c.out.Messages) > 0 || len(c.out.AfterSync) > 0 || len(c.out.Reads) > 0 ||
 		len(c.out.Chunks) > 0 || c.log.hasUnstable() || c.commit > c.applied ||
-		c.term != c.savedHard.GetTerm() || c.vote != c.savedHard.GetVote()
+		c.stale || c.hasUnsavedVote()
+}
+
+func (c *Core) hasUnsavedVote() bool {
+	return c.term != c.savedHard.GetTerm() || c.vote != c.savedHard.GetVote()
 }
 
-// Persisted tells the core that the entries of the last Output are on disk.
+// Persisted tells the core that the last Output is on disk.
 func (c *Core) Persisted() {
 	c.persisted = c.log.markStable()
+	if c.role == Candidate && c.vote == c.cfg.ID {
+		c.countVote(c.cfg.ID, true)
+	}
 	if c.role != Leader {
 		return
 	}
@@ -218,14 +240,27 @@
 	}
 }
 
-// Compact forgets entries up to index, which the snapshot meta covers.
-func (c *Core) Compact(meta *egretmuxv1.SnapshotMeta, keepFrom uint64) {
+// Compact records a newer snapshot and forgets the entries that it covers, but
+// for those from keepFrom on and those that a live replica is about to need.
+// It returns the first entry kept.
+func (c *Core) Compact(meta *egretmuxv1.SnapshotMeta, keepFrom uint64) uint64 {
 	if meta.GetIndex() > c.applied {
-		return
+		return c.log.snapIndex + 1
 	}
+	for id, p := range c.progress {
+		if id != c.cfg.ID && p.idle < c.cfg.ElectionTicks {
+			keepFrom = min(keepFrom, p.needsFrom())
+		}
+	}
+	keepFrom = max(keepFrom, c.log.firstWithin(maxRetainedBytes, maxRetainedEntries))
 	c.log.compact(meta, keepFrom)
+	c.members.prune(c.log.snapIndex)
+	return c.log.snapIndex + 1
 }
 
+// Replica returns a member of the current membership, or nil.
+func (c *Core) Replica(id uint64) *egretmuxv1.Replica { return c.members.replica(id) }
+
 // MembershipAt returns the membership in force at the given log index.
 func (c *Core) MembershipAt(index uint64) *egretmuxv1.Membership { return c.members.at(index) }
 
--- a/internal/consensus/core/election.go
+++ b/internal/consensus/core/election.go
@@ -4,6 +4,9 @@
 
 // Tick advances the core's time by one tick.
 func (c *Core) Tick() {
+	if c.stale {
+		return
+	}
 	c.electionElapsed++
 	if c.role == Leader {
 		c.tickLeader()
@@ -30,25 +33,25 @@
 			return
 		}
 	}
+	for _, p := range c.progress {
+		p.idle++
+	}
 	if c.heartbeatElapsed >= c.cfg.HeartbeatTicks {
 		for _, p := range c.progress {
 			p.stalled++
 		}
+		copy(c.recentCommit[1:], c.recentCommit[:])
+		c.recentCommit[0] = c.commit
 		c.broadcastHeartbeat()
 	}
 }
 
-// quorumActive reports whether a quorum answered since the last call.
+// quorumActive reports whether a quorum answered within the election timeout.
 func (c *Core) quorumActive() bool {
-	active := func(id uint64) bool {
+	return c.members.quorum(func(id uint64) bool {
 		p := c.progress[id]
-		return id == c.cfg.ID || (p != nil && p.active)
-	}
-	ok := c.members.quorum(active)
-	for _, p := range c.progress {
-		p.active = false
-	}
-	return ok
+		return id == c.cfg.ID || (p != nil && p.idle < c.cfg.ElectionTicks)
+	})
 }
 
 func (c *Core) becomeFollower(term, leader uint64) {
@@ -74,6 +77,7 @@
 // that was cut off does not disturb the leader when it comes back.
 func (c *Core) campaign() {
 	if !c.members.isVoter(c.cfg.ID) {
+		c.leader = 0
 		return
 	}
 	c.role = PreCandidate
@@ -92,12 +96,8 @@
 	c.leader = 0
 	c.term++
 	c.vote = c.cfg.ID
-	c.votes = map[uint64]bool{c.cfg.ID: true}
+	c.votes = make(map[uint64]bool) // its own vote counts once it is persisted
 	c.resetElection()
-	if c.members.quorum(c.granted) {
-		c.becomeLeader()
-		return
-	}
 	c.requestVotes(egretmuxv1.MessageKind_MESSAGE_KIND_VOTE, c.term, transfer)
 }
 
@@ -123,7 +123,7 @@
 
 // Step handles one message.
 func (c *Core) Step(m *egretmuxv1.Message) {
-	if m.GetTo() != c.cfg.ID {
+	if m.GetTo() != c.cfg.ID || c.stale {
 		return
 	}
 	switch {
@@ -237,10 +237,14 @@
 	if role == PreCandidate && !m.GetReject() && m.GetTerm() != c.term+1 {
 		return
 	}
-	c.votes[m.GetFrom()] = !m.GetReject()
+	c.countVote(m.GetFrom(), !m.GetReject())
+}
+
+func (c *Core) countVote(from uint64, granted bool) {
+	c.votes[from] = granted
 	switch {
 	case c.members.quorum(c.granted):
-		if role == PreCandidate {
+		if c.role == PreCandidate {
 			c.elect(false)
 		} else {
 			c.becomeLeader()
@@ -259,9 +263,7 @@
 	c.transferTo = 0
 	c.progress = make(map[uint64]*progress)
 	c.syncProgress()
-	for _, p := range c.progress {
-		p.active = true
-	}
+	c.recentCommit = [recentHeartbeats]uint64{c.log.last(), c.log.last(), c.log.last()}
 	c.progress[c.cfg.ID].match = c.persisted
 	// An entry of its own term lets the leader commit those of earlier terms.
 	c.appendEntries(&egretmuxv1.Entry{Kind: egretmuxv1.EntryKind_ENTRY_KIND_COMMAND})
--- a/internal/consensus/core/log.go
+++ b/internal/consensus/core/log.go
@@ -97,6 +97,20 @@
 	return l.unstable - 1
 }
 
+// firstWithin returns the first entry such that it and those after it keep to
+// the limits.
+func (l *memoryLog) firstWithin(bytes, count int) uint64 {
+	i := len(l.entries)
+	for i > 0 && len(l.entries)-i < count {
+		bytes -= len(l.entries[i-1].GetData())
+		if bytes < 0 {
+			break
+		}
+		i--
+	}
+	return l.snapIndex + 1 + uint64(i)
+}
+
 // compact records a newer snapshot and drops the entries before keepFrom that
 // it covers.
 func (l *memoryLog) compact(meta *egretmuxv1.SnapshotMeta, keepFrom uint64) {
--- a/internal/consensus/core/membership.go
+++ b/internal/consensus/core/membership.go
@@ -43,6 +43,13 @@
 	}
 }
 
+// prune forgets the memberships that were replaced at or before index.
+func (h *membershipHistory) prune(index uint64) {
+	for len(h.items) > 1 && h.items[1].index <= index {
+		h.items = h.items[1:]
+	}
+}
+
 func (h *membershipHistory) current() *egretmuxv1.Membership {
 	if len(h.items) == 0 {
 		return &egretmuxv1.Membership{}
@@ -117,7 +124,7 @@
 	for _, r := range c.members.current().GetReplicas() {
 		known[r.GetId()] = true
 		if c.progress[r.GetId()] == nil {
-			c.progress[r.GetId()] = &progress{next: c.log.last() + 1, probing: true, active: true}
+			c.progress[r.GetId()] = &progress{next: c.log.last() + 1, probing: true}
 		}
 	}
 	for id := range c.progress {
@@ -141,14 +148,16 @@
 	ErrChangeTooLarge  ChangeError = "more than one voter would change; change one at a time"
 	ErrChangeLagging   ChangeError = "the learner does not hold the whole log yet; retry when it has caught up"
 	ErrChangeEmpty     ChangeError = "no voter would remain; keep at least one"
+	ErrChangeUnsafe    ChangeError = "too few of the remaining voters answer and hold the whole log; retry when they do"
 )
 
 // Error returns the reason and its remedy.
 func (e ChangeError) Error() string { return string(e) }
 
 // ChangeMembership appends a new membership. Only one voter may change at a
-// time, and a learner becomes a voter only once it holds everything that is
-// committed.
+// time. A learner becomes a voter only once it answers and holds what was
+// committed a moment ago, and a voter is removed only while a majority of the
+// others does so.
 func (c *Core) ChangeMembership(next *egretmuxv1.Membership) error {
 	if c.role != Leader || c.transferTo != 0 {
 		return ErrChangeNotLeader
@@ -186,7 +195,7 @@
 			continue
 		}
 		changed++
-		if p := c.progress[id]; p == nil || p.match < c.commit {
+		if !c.caughtUp(id) {
 			return ErrChangeLagging
 		}
 	}
@@ -198,9 +207,37 @@
 	if changed > 1 {
 		return ErrChangeTooLarge
 	}
+	if changed == 1 && !c.majorityCaughtUp(after) {
+		return ErrChangeUnsafe
+	}
 	return nil
 }
 
+// recentHeartbeats is how many heartbeats back a commit index lies that a
+// replica must hold to count as caught up: under constant load it never holds
+// the newest one.
+const recentHeartbeats = 3
+
+// caughtUp reports whether a replica answers and holds what was committed a
+// few heartbeats ago.
+func (c *Core) caughtUp(id uint64) bool {
+	if id == c.cfg.ID {
+		return true
+	}
+	p := c.progress[id]
+	return p != nil && p.heard && p.idle < c.cfg.ElectionTicks && p.match >= c.recentCommit[recentHeartbeats-1]
+}
+
+func (c *Core) majorityCaughtUp(voters map[uint64]bool) bool {
+	count := 0
+	for id := range voters {
+		if c.caughtUp(id) {
+			count++
+		}
+	}
+	return count > len(voters)/2
+}
+
 func voterSet(m *egretmuxv1.Membership) map[uint64]bool {
 	set := make(map[uint64]bool)
 	for _, r := range m.GetReplicas() {
--- a/internal/consensus/core/replication.go
+++ b/internal/consensus/core/replication.go
@@ -10,7 +10,8 @@
 type progress struct {
 	match     uint64 // last entry known to be persisted there
 	next      uint64 // next entry to send
-	active    bool   // answered since the last quorum check
+	idle      int    // ticks since the replica last answered
+	heard     bool   // it has answered in this term
 	probing   bool   // match is not known; one message at a time
 	waiting   bool   // a probe or snapshot chunk is under way
 	inflight  int    // append messages under way
@@ -20,14 +21,29 @@
 	stalled   int    // periodic heartbeats since the replica last made progress
 }
 
+// needsFrom returns the first entry that the replica may still need.
+func (p *progress) needsFrom() uint64 {
+	if p.snapshot != nil {
+		return p.snapshot.GetIndex() + 1
+	}
+	return p.match + 1
+}
+
+// answered records that the replica is alive.
+func (p *progress) answered() {
+	p.idle = 0
+	p.heard = true
+}
+
 // stalledHeartbeats is how many heartbeats without progress mean that a
 // message was lost.
 const stalledHeartbeats = 2
 
 // incomingSnapshot is a snapshot being received.
 type incomingSnapshot struct {
-	index, term uint64
-	offset      uint64
+	from, leaderTerm uint64 // files of two leaders may differ
+	index, term      uint64
+	offset           uint64
 }
 
 // Propose appends commands to the leader's log. It returns the index of the
@@ -128,7 +144,7 @@
 		p := c.progress[id]
 		c.send(&egretmuxv1.Message{
 			Kind: egretmuxv1.MessageKind_MESSAGE_KIND_HEARTBEAT, To: id,
-			Commit: min(c.commit, p.match), Context: c.reads.round,
+			Commit: min(c.commit, p.match), Index: p.match, Context: c.reads.round,
 		})
 	}
 }
@@ -136,22 +152,26 @@
 func (c *Core) handleAppend(m *egretmuxv1.Message) {
 	c.followLeader(m.GetFrom())
 	reply := &egretmuxv1.Message{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_APPEND_REPLY, To: m.GetFrom()}
-	prev := m.GetIndex()
-	if prev < c.commit {
-		// Everything up to commit is already the same as the leader's.
+	prev, prevTerm, entries := m.GetIndex(), m.GetLogTerm(), m.GetEntries()
+	last := prev + uint64(len(entries))
+	if last < c.commit {
 		reply.Index = c.commit
 		c.sendAfterSync(reply)
 		return
 	}
-	if prev > c.log.last() || c.log.termAt(prev) != m.GetLogTerm() {
+	if prev < c.commit {
+		// Everything up to commit is already the same as the leader's.
+		entries = entries[c.commit-prev:]
+		prev, prevTerm = c.commit, c.log.termAt(c.commit)
+	}
+	if prev > c.log.last() || c.log.termAt(prev) != prevTerm {
 		reply.Reject = true
 		reply.Index = prev
 		reply.Hint = c.conflictHint(prev)
 		c.sendAfterSync(reply)
 		return
 	}
-	c.appendMissing(m.GetEntries())
-	last := prev + uint64(len(m.GetEntries()))
+	c.appendMissing(entries)
 	c.commitTo(min(m.GetCommit(), last))
 	reply.Index = last
 	c.sendAfterSync(reply)
@@ -204,6 +224,12 @@
 
 func (c *Core) handleHeartbeat(m *egretmuxv1.Message) {
 	c.followLeader(m.GetFrom())
+	if m.GetIndex() > c.log.last() {
+		// The leader was told of entries that this log does not hold: the disk
+		// came back older than it was.
+		c.stale = true
+		return
+	}
 	c.commitTo(m.GetCommit())
 	c.sendAfterSync(&egretmuxv1.Message{
 		Kind: egretmuxv1.MessageKind_MESSAGE_KIND_HEARTBEAT_REPLY, To: m.GetFrom(),
@@ -220,9 +246,20 @@
 		})
 		return
 	}
+	if c.log.termAt(meta.GetIndex()) == meta.GetTerm() {
+		// The log holds all that the snapshot covers, and perhaps acknowledged
+		// entries after it, which must stay.
+		c.commitTo(meta.GetIndex())
+		c.sendAfterSync(&egretmuxv1.Message{
+			Kind: egretmuxv1.MessageKind_MESSAGE_KIND_APPEND_REPLY, To: m.GetFrom(), Index: meta.GetIndex(),
+		})
+		return
+	}
 	in := &c.incoming
-	if in.index != meta.GetIndex() || in.term != meta.GetTerm() || m.GetOffset() == 0 {
-		*in = incomingSnapshot{index: meta.GetIndex(), term: meta.GetTerm()}
+	source := incomingSnapshot{from: m.GetFrom(), leaderTerm: m.GetTerm(), index: meta.GetIndex(), term: meta.GetTerm(), offset: in.offset}
+	if *in != source || m.GetOffset() == 0 {
+		*in = source
+		in.offset = 0
 	}
 	if m.GetOffset() != in.offset {
 		c.replySnapshot(m.GetFrom(), meta, in.offset)
@@ -261,7 +298,7 @@
 	if c.role != Leader || p == nil {
 		return
 	}
-	p.active = true
+	p.answered()
 	p.stalled = 0
 	if m.GetReject() {
 		c.handleAppendReject(m, p)
@@ -280,12 +317,15 @@
 	}
 	p.next = max(p.next, p.match+1)
 	c.advanceCommit()
+	if c.role != Leader {
+		return // its own removal was committed
+	}
 	c.maybeTransfer(m.GetFrom(), p)
 	c.sendAppend(m.GetFrom())
 }
 
 func (c *Core) handleAppendReject(m *egretmuxv1.Message, p *progress) {
-	if m.GetIndex() <= p.match && !p.probing {
+	if p.snapshot != nil || m.GetIndex() <= p.match && !p.probing {
 		return
 	}
 	p.probing = true
@@ -300,7 +340,7 @@
 	if c.role != Leader || p == nil {
 		return
 	}
-	p.active = true
+	p.answered()
 	p.readRound = max(p.readRound, m.GetContext())
 	c.confirmReads()
 	if p.stalled >= stalledHeartbeats {
@@ -309,22 +349,25 @@
 	}
 }
 
-// resume repeats what may have been lost. A replica whose log ends before what
-// was sent to it is probed again.
+// resume repeats what may have been lost: a snapshot chunk, entries, or the
+// reply that tells what the replica holds.
 func (c *Core) resume(id uint64, p *progress, last uint64) {
 	if p.snapshot != nil {
 		c.sendSnapshotChunk(id, p)
 		return
 	}
-	if p.match < c.log.last() && last < p.next-1 {
-		p.probing = true
-		p.next = max(p.match+1, min(p.next, last+1))
-	}
 	p.waiting = false
 	p.inflight = 0
-	if p.match < c.log.last() {
-		c.sendAppend(id)
+	if p.match >= c.log.last() {
+		return
 	}
+	p.next = max(p.match+1, min(p.next, last+1))
+	if p.next > c.log.last() {
+		p.probing = false
+		c.sendCommit(id)
+	}
+	p.probing = true
+	c.sendAppend(id)
 }
 
 func (c *Core) handleSnapshotReply(m *egretmuxv1.Message) {
@@ -332,7 +375,7 @@
 	if c.role != Leader || p == nil || p.snapshot == nil {
 		return
 	}
-	p.active = true
+	p.answered()
 	if m.GetSnapshot().GetIndex() != p.snapshot.GetIndex() || m.GetOffset() == p.offset {
 		return
 	}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -40,6 +40,7 @@
 	ErrNotLeader      = errors.New("this instance does not lead; ask the leader")
 	ErrOutcomeUnknown = errors.New("leadership was lost before the outcome was known; resend with the same change id")
 	ErrStopped        = errors.New("the replica has stopped; see its log for the cause")
+	ErrStale          = errors.New("the data folder is older than what this replica has acknowledged to the others; move it away and restart: the instance rejoins with a new identity")
 )
 
 // Config holds the parts and timing of a Node.
@@ -52,21 +53,32 @@
 	Tick            time.Duration
 	ElectionTicks   int
 	HeartbeatTicks  int
-	SnapshotEntries uint64 // entries between two snapshots
+	SnapshotEntries uint64          // entries between two snapshots
+	SnapshotBytes   int             // command bytes between two snapshots; zero means DefaultSnapshotBytes
+	KeptEntries     uint64          // entries kept in memory behind a snapshot; zero means DefaultKeptEntries
+	ChunkBytes      int             // snapshot bytes in one message; zero means DefaultChunkBytes
+	Rand            func(n int) int // uniform in [0, n); nil means math/rand
 	Logger          zerolog.Logger
 	OnFailure       func(error) // called once when the disk fails
 }
 
 const (
-	proposalQueue   = 4096 // proposals that wait for the loop
-	maxBatch        = 1024 // proposals taken up at once
-	chunkBytes      = 256 << 10
-	keptLogEntries  = 5000 // entries kept in memory behind a snapshot for slow replicas
+	proposalQueue   = 4096     // proposals that wait for the loop
+	maxBatch        = 1024     // proposals taken up at once
+	maxWaiting      = 16384    // proposals that wait for their commit
+	maxWaitingBytes = 32 << 20 // command bytes that wait for their commit
 	messageQueue    = 1024
 	controlQueue    = 64
 	readQueueLength = 4096
 )
 
+// Defaults of Config.
+const (
+	DefaultSnapshotBytes = 32 << 20
+	DefaultKeptEntries   = 5000
+	DefaultChunkBytes    = 256 << 10
+)
+
 type proposal struct {
 	data []byte
 	done chan result
@@ -79,6 +91,7 @@
 
 type waiter struct {
 	term uint64
+	size int
 	done chan result
 }
 
@@ -100,14 +113,16 @@
 	stopped   chan struct{}
 	stopOnce  sync.Once
 
-	waiting   map[uint64]waiter
-	tokens    map[uint64]readWaiter
-	confirmed []readWaiter
-	nextToken uint64
-	applied   uint64
-	snapAt    uint64
-	snapping  bool
-	snapDone  chan *egretmuxv1.SnapshotMeta
+	waiting      map[uint64]waiter // by log index
+	waitingBytes int
+	tokens       map[uint64]readWaiter
+	confirmed    []readWaiter
+	nextToken    uint64
+	applied      uint64
+	snapAt       uint64
+	snapBytes    int // command bytes applied since the last snapshot
+	snapping     bool
+	snapDone     chan *egretmuxv1.SnapshotMeta
 
 	statusMu sync.RWMutex
 	status   core.Status
@@ -116,6 +131,7 @@
 
 // NewNode restores the state machine and returns a node that Run starts.
 func NewNode(cfg Config) (*Node, error) {
+	cfg.setDefaults()
 	n := &Node{
 		cfg:       cfg,
 		proposals: make(chan proposal, proposalQueue),
@@ -141,12 +157,27 @@
 		n.snapAt = snap.GetIndex()
 	}
 	n.core = core.New(core.Config{
-		ID: cfg.ID, ElectionTicks: cfg.ElectionTicks, HeartbeatTicks: cfg.HeartbeatTicks, Rand: rand.IntN,
+		ID: cfg.ID, ElectionTicks: cfg.ElectionTicks, HeartbeatTicks: cfg.HeartbeatTicks, Rand: cfg.Rand,
 	}, core.Initial{HardState: cfg.Recovered.HardState, Snapshot: cfg.Recovered.Snapshot, Entries: cfg.Recovered.Entries})
 	n.publishStatus()
 	return n, nil
 }
 
+func (c *Config) setDefaults() {
+	if c.SnapshotBytes == 0 {
+		c.SnapshotBytes = DefaultSnapshotBytes
+	}
+	if c.KeptEntries == 0 {
+		c.KeptEntries = DefaultKeptEntries
+	}
+	if c.ChunkBytes == 0 {
+		c.ChunkBytes = DefaultChunkBytes
+	}
+	if c.Rand == nil {
+		c.Rand = rand.IntN
+	}
+}
+
 // Run drives the replica until Stop or a disk failure.
 func (n *Node) Run() {
 	defer close(n.stopped)
@@ -181,7 +212,7 @@
 		return false
 	case <-tick:
 		n.core.Tick()
-	case p := <-n.proposals:
+	case p := <-n.acceptProposals():
 		n.propose(p)
 	case m := <-n.messages:
 		n.stepAll(m)
@@ -196,6 +227,10 @@
 		select {
 		case m := <-n.messages:
 			n.stepAll(m)
+		case p := <-n.acceptProposals():
+			n.propose(p)
+		case r := <-n.reads:
+			n.read(r)
 		case f := <-n.control:
 			f(n.core)
 		default:
@@ -205,6 +240,15 @@
 	return true
 }
 
+// acceptProposals returns the queue of proposals, or nil while too many wait
+// for their commit.
+func (n *Node) acceptProposals() <-chan proposal {
+	if len(n.waiting) >= maxWaiting || n.waitingBytes >= maxWaitingBytes {
+		return nil
+	}
+	return n.proposals
+}
+
 func (n *Node) stepAll(messages []*egretmuxv1.Message) {
 	for _, m := range messages {
 		n.core.Step(m)
@@ -233,7 +277,8 @@
 			p.done <- result{err: ErrNotLeader}
 			continue
 		}
-		n.waiting[index+uint64(i)] = waiter{term: n.core.Term(), done: p.done}
+		n.waiting[index+uint64(i)] = waiter{term: n.core.Term(), size: len(p.data), done: p.done}
+		n.waitingBytes += len(p.data)
 	}
 }
 
@@ -257,10 +302,20 @@
 	return n.nextToken
 }
 
+// answer ends the wait of the proposal at a log index.
+func (n *Node) answer(index uint64, w waiter, r result) {
+	delete(n.waiting, index)
+	n.waitingBytes -= w.size
+	w.done <- r
+}
+
 // process carries out the core's outputs until there are none.
 func (n *Node) process() error {
 	for n.core.HasOutput() {
 		out := n.core.Output()
+		if out.Stale {
+			return ErrStale
+		}
 		n.sendAll(out.Messages)
 		if err := n.persist(out); err != nil {
 			return err
@@ -304,15 +359,15 @@
 			value = n.cfg.Machine.Apply(e.GetIndex(), e.GetData())
 		}
 		n.applied = e.GetIndex()
+		n.snapBytes += len(e.GetData())
 		w, ok := n.waiting[e.GetIndex()]
 		if !ok {
 			continue
 		}
-		delete(n.waiting, e.GetIndex())
 		if w.term == e.GetTerm() {
-			w.done <- result{value: value}
+			n.answer(e.GetIndex(), w, result{value: value})
 		} else {
-			w.done <- result{err: ErrOutcomeUnknown}
+			n.answer(e.GetIndex(), w, result{err: ErrOutcomeUnknown})
 		}
 	}
 	n.releaseReads()
@@ -347,36 +402,29 @@
 
 // sendAll groups messages by receiver and fills in snapshot chunks.
 func (n *Node) sendAll(messages []*egretmuxv1.Message) {
-	if len(messages) == 0 {
-		return
-	}
 	groups := make(map[uint64][]*egretmuxv1.Message)
+	var order []uint64
 	for _, m := range messages {
 		if m.GetKind() == egretmuxv1.MessageKind_MESSAGE_KIND_SNAPSHOT && !n.fillChunk(m) {
 			continue
 		}
-		groups[m.GetTo()] = append(groups[m.GetTo()], m)
-	}
-	for id, group := range groups {
-		if r := n.replica(id); r != nil {
-			n.cfg.Transport.Send(r, group)
+		if groups[m.GetTo()] == nil {
+			order = append(order, m.GetTo())
 		}
+		groups[m.GetTo()] = append(groups[m.GetTo()], m)
 	}
-}
-
-// replica returns the address of a replica; one that is not in the membership
-// is answered by its identity alone.
-func (n *Node) replica(id uint64) *egretmuxv1.Replica {
-	for _, r := range n.core.Status().Membership.GetReplicas() {
-		if r.GetId() == id {
-			return r
+	for _, id := range order {
+		to := n.core.Replica(id)
+		if to == nil {
+			// Not in the membership: answered by its identity alone.
+			to = &egretmuxv1.Replica{Id: id}
 		}
+		n.cfg.Transport.Send(to, groups[id])
 	}
-	return &egretmuxv1.Replica{Id: id}
 }
 
 func (n *Node) fillChunk(m *egretmuxv1.Message) bool {
-	data, last, err := n.cfg.Log.ReadChunk(m.GetSnapshot(), m.GetOffset(), chunkBytes)
+	data, last, err := n.cfg.Log.ReadChunk(m.GetSnapshot(), m.GetOffset(), n.cfg.ChunkBytes)
 	if err != nil {
 		n.core.SnapshotUnavailable(m.GetTo())
 		return false
@@ -386,13 +434,17 @@
 	return true
 }
 
-// maybeSnapshot starts a snapshot when enough entries were applied since the last.
+// maybeSnapshot starts a snapshot when enough was applied since the last.
 func (n *Node) maybeSnapshot() {
-	if n.snapping || n.applied < n.snapAt+n.cfg.SnapshotEntries {
+	if n.snapping || n.applied == n.snapAt {
+		return
+	}
+	if n.applied < n.snapAt+n.cfg.SnapshotEntries && n.snapBytes < n.cfg.SnapshotBytes {
 		return
 	}
 	n.snapping = true
 	n.snapAt = n.applied
+	n.snapBytes = 0
 	meta := &egretmuxv1.SnapshotMeta{
 		Index: n.applied, Term: n.core.TermAt(n.applied), Membership: n.core.MembershipAt(n.applied),
 	}
@@ -412,10 +464,10 @@
 		return
 	}
 	keepFrom := uint64(1)
-	if meta.GetIndex() > keptLogEntries {
-		keepFrom = meta.GetIndex() - keptLogEntries
+	if meta.GetIndex() > n.cfg.KeptEntries {
+		keepFrom = meta.GetIndex() - n.cfg.KeptEntries
 	}
-	n.core.Compact(meta, keepFrom)
+	keepFrom = n.core.Compact(meta, keepFrom)
 	if err := n.cfg.Log.Compact(keepFrom - 1); err != nil {
 		n.cfg.Logger.Error().Err(err).Str("event", "compaction_failed").Msg("")
 	}
@@ -424,8 +476,7 @@
 
 func (n *Node) failAll(err error) {
 	for i, w := range n.waiting {
-		w.done <- result{err: ErrOutcomeUnknown}
-		delete(n.waiting, i)
+		n.answer(i, w, result{err: ErrOutcomeUnknown})
 	}
 	for t, w := range n.tokens {
 		w.done <- err
@@ -456,8 +507,7 @@
 	n.cfg.Logger.Info().Str("event", "role_changed").Stringer("role", s.Role).Uint64("term", s.Term).Uint64("leader", s.Leader).Msg("")
 	for i, w := range n.waiting {
 		if s.Role != core.Leader || w.term != s.Term {
-			w.done <- result{err: ErrOutcomeUnknown}
-			delete(n.waiting, i)
+			n.answer(i, w, result{err: ErrOutcomeUnknown})
 		}
 	}
 }
--- a/internal/consensus/wal/disk.go
+++ b/internal/consensus/wal/disk.go
@@ -30,7 +30,6 @@
 	Create(name string) (File, error) // truncates an existing file
 	Append(name string) (File, error) // opens an existing file for appending
 	ReadFile(name string) ([]byte, error)
-	Truncate(name string, size int64) error
 	Rename(from, to string) error
 	Remove(name string) error
 	SyncDir() error
@@ -98,19 +97,6 @@
 // ReadFile returns a file's content.
 func (f *Folder) ReadFile(name string) ([]byte, error) { return os.ReadFile(f.file(name)) }
 
-// Truncate cuts a file and syncs it.
-func (f *Folder) Truncate(name string, size int64) error {
-	file, err := os.OpenFile(f.file(name), os.O_RDWR, fileMode)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = file.Close() }()
-	if err := file.Truncate(size); err != nil {
-		return err
-	}
-	return file.Sync()
-}
-
 // Rename replaces a file by another.
 func (f *Folder) Rename(from, to string) error { return os.Rename(f.file(from), f.file(to)) }
 
--- a/internal/consensus/wal/identity.go
+++ b/internal/consensus/wal/identity.go
@@ -1,8 +1,6 @@
 package wal
 
 import (
-	"crypto/rand"
-	"encoding/binary"
 	"strconv"
 	"strings"
 
@@ -15,24 +13,28 @@
 )
 
 // Identity returns the replica identity of the data folder, creating a random
-// one in an empty folder. A folder that lost its content therefore never
-// speaks with the identity that voted before.
-func Identity(disk Disk) (uint64, error) {
+// one in a folder without a log. A folder that lost its content therefore
+// never speaks with the identity that voted before. random returns uniformly
+// distributed numbers that no other replica draws.
+func Identity(disk Disk, random func() uint64) (uint64, error) {
 	names, err := disk.List()
 	if err != nil {
 		return 0, errors.Wrap(err, "data folder cannot be listed")
 	}
+	known, segments, snapshots := false, false, false
 	for _, n := range names {
-		if n == identityName {
-			return readIdentity(disk)
-		}
+		known = known || n == identityName
+		segments = segments || strings.HasPrefix(n, "log-")
+		snapshots = snapshots || strings.HasPrefix(n, "snapshot-0")
 	}
-	for _, n := range names {
-		if strings.HasPrefix(n, "log-") || strings.HasPrefix(n, "snapshot-") {
-			return 0, &CorruptionError{File: identityName, Detail: "the file is missing although the folder holds a log"}
-		}
+	switch {
+	case known && segments:
+		return readIdentity(disk)
+	case segments || snapshots:
+		return 0, &CorruptionError{File: identityName, Detail: "the folder holds only a part of identity, log and snapshot"}
+	default:
+		return createIdentity(disk, random)
 	}
-	return createIdentity(disk)
 }
 
 func readIdentity(disk Disk) (uint64, error) {
@@ -47,12 +49,8 @@
 	return id, nil
 }
 
-func createIdentity(disk Disk) (uint64, error) {
-	var raw [8]byte
-	if _, err := rand.Read(raw[:]); err != nil {
-		return 0, err
-	}
-	id := binary.LittleEndian.Uint64(raw[:]) | 1
+func createIdentity(disk Disk, random func() uint64) (uint64, error) {
+	id := random() | 1
 	file, err := disk.Create(identityTemp)
 	if err != nil {
 		return 0, err
--- a/internal/consensus/wal/log.go
+++ b/internal/consensus/wal/log.go
@@ -9,8 +9,12 @@
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 )
 
-// maxSegmentBytes is the size at which a new segment is begun.
-const maxSegmentBytes = 32 << 20
+const (
+	// maxSegmentBytes is the size at which a new segment is begun.
+	maxSegmentBytes = 32 << 20
+	// rewriteName holds the newest segment while it is stored again.
+	rewriteName = "rewrite.tmp"
+)
 
 // ErrStopped is returned after a write or sync has failed.
 var ErrStopped = errors.New("the log stopped after a failed write; free or replace the disk and restart the instance")
@@ -32,6 +36,7 @@
 // goroutine, but for SaveSnapshot and ReadSnapshot.
 type Log struct {
 	disk     Disk
+	limit    int64 // bytes of a segment
 	segments []segment
 	active   File
 	size     int64
@@ -64,7 +69,7 @@
 
 // Open reads everything in the data folder and prepares it for appending.
 func Open(disk Disk) (*Log, *Recovered, error) {
-	l := &Log{disk: disk}
+	l := &Log{disk: disk, limit: maxSegmentBytes}
 	names, err := disk.List()
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "data folder cannot be listed")
@@ -76,24 +81,39 @@
 	if err := l.readSegments(names, rec); err != nil {
 		return nil, nil, err
 	}
-	if err := l.dropCovered(rec); err != nil {
+	replaced, err := dropCovered(rec)
+	if err != nil {
 		return nil, nil, err
 	}
 	l.hard = rec.HardState
 	if err := l.rotate(); err != nil {
 		return nil, nil, err
 	}
+	if replaced {
+		if err := l.reset(); err != nil {
+			return nil, nil, err
+		}
+	}
 	return l, rec, nil
 }
 
 func (l *Log) readSegments(names []string, rec *Recovered) error {
 	var found []segment
 	for _, n := range names {
+		if n == rewriteName {
+			if err := l.disk.Remove(n); err != nil {
+				return err
+			}
+			continue
+		}
 		var s segment
 		if _, err := fmt.Sscanf(n, "log-%016x", &s.sequence); err == nil && s.name() == n {
 			found = append(found, s)
 		}
 	}
+	if len(found) == 0 && rec.Snapshot != nil {
+		return &CorruptionError{File: "log", Detail: "there is a snapshot but no segment of the log"}
+	}
 	for i := range found {
 		if i > 0 && found[i].sequence != found[i-1].sequence+1 {
 			return &CorruptionError{File: found[i].name(), Detail: "the segment before it is missing"}
@@ -111,23 +131,54 @@
 	if err != nil {
 		return errors.Wrapf(err, "%s cannot be read", s.name())
 	}
-	offset := 0
-	for offset < len(data) {
-		r, size, ok := readRecord(data[offset:])
+	whole := 0
+	for whole < len(data) {
+		records, size, ok := readBatch(data[whole:])
 		if !ok {
-			if !newest || laterBatch(data[offset:], l.batch+1) {
-				return &CorruptionError{File: s.name(), Offset: int64(offset), Detail: "checksum does not match"}
+			bad := whole + size
+			if !newest || laterBatch(data[bad:], l.batch+1) {
+				return &CorruptionError{File: s.name(), Offset: int64(bad), Detail: "checksum does not match"}
 			}
-			rec.CutBytes = int64(len(data) - offset)
-			return errors.Wrapf(l.disk.Truncate(s.name(), int64(offset)), "%s: torn tail cannot be cut", s.name())
+			rec.CutBytes = int64(len(data) - whole)
+			break
 		}
-		if err := l.takeRecord(s, r, rec); err != nil {
-			return &CorruptionError{File: s.name(), Offset: int64(offset), Detail: err.Error()}
+		if l.batch != 0 && records[0].batch != l.batch+1 {
+			detail := fmt.Sprintf("batch %d follows batch %d", records[0].batch, l.batch)
+			return &CorruptionError{File: s.name(), Offset: int64(whole), Detail: detail}
+		}
+		for _, r := range records {
+			if err := l.takeRecord(s, r, rec); err != nil {
+				return &CorruptionError{File: s.name(), Offset: int64(whole), Detail: err.Error()}
+			}
 		}
-		l.batch = max(l.batch, r.batch)
-		offset += size
+		l.batch = records[0].batch
+		whole += size
 	}
-	return nil
+	if !newest {
+		return nil
+	}
+	return errors.Wrapf(l.rewrite(s.name(), data[:whole]), "%s cannot be rewritten", s.name())
+}
+
+// rewrite stores the whole batches of the newest segment once more. After a
+// failed sync its content may be readable and yet not be on the medium, which
+// no further sync of the same file would mend.
+func (l *Log) rewrite(name string, data []byte) error {
+	file, err := l.disk.Create(rewriteName)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }()
+	if _, err := file.Write(data); err != nil {
+		return err
+	}
+	if err := file.Sync(); err != nil {
+		return err
+	}
+	if err := l.disk.Rename(rewriteName, name); err != nil {
+		return err
+	}
+	return l.disk.SyncDir()
 }
 
 func (l *Log) takeRecord(s *segment, r record, rec *Recovered) error {
@@ -160,9 +211,7 @@
 	first := r.Entries[0].GetIndex()
 	next := first + uint64(len(r.Entries))
 	if e.GetIndex() > next {
-		// A snapshot installed in between took the place of the gap.
-		r.Entries = append(r.Entries[:0:0], e)
-		return nil
+		return errors.Newf("entries %d to %d are missing", next, e.GetIndex()-1)
 	}
 	if e.GetIndex() < first {
 		r.Entries = append(r.Entries[:0:0], e)
@@ -173,23 +222,26 @@
 }
 
 // dropCovered removes the entries that the snapshot covers and checks that the
-// rest follows it.
-func (l *Log) dropCovered(rec *Recovered) error {
+// rest follows it. It reports whether the snapshot replaced the whole log, as
+// an installation that a crash interrupted leaves it.
+func dropCovered(rec *Recovered) (replaced bool, err error) {
 	base := rec.Snapshot.GetIndex()
+	dropped := false
 	for len(rec.Entries) > 0 && rec.Entries[0].GetIndex() <= base {
 		e := rec.Entries[0]
+		dropped = true
 		if e.GetIndex() == base && e.GetTerm() != rec.Snapshot.GetTerm() {
 			rec.Entries = nil
-			break
+			return true, nil
 		}
 		rec.Entries = rec.Entries[1:]
 	}
 	if len(rec.Entries) > 0 && rec.Entries[0].GetIndex() != base+1 {
-		return &CorruptionError{
+		return false, &CorruptionError{
 			File: "log", Detail: fmt.Sprintf("entries %d to %d are missing", base+1, rec.Entries[0].GetIndex()-1),
 		}
 	}
-	return nil
+	return dropped && len(rec.Entries) == 0, nil
 }
 
 // Append writes the hard state (when not nil) and the entries, and returns
@@ -201,7 +253,7 @@
 	if hard == nil && len(entries) == 0 {
 		return nil
 	}
-	if l.size > maxSegmentBytes {
+	if l.size > l.limit {
 		if err := l.rotate(); err != nil {
 			return l.fail(err)
 		}
@@ -228,17 +280,21 @@
 // reset records that an installed snapshot replaced every entry so far.
 func (l *Log) reset() error {
 	l.batch++
-	return l.write(appendRecord(nil, record{kindReset, l.batch, nil}))
+	return l.write(endBatch(appendRecord(nil, record{kind: kindReset, batch: l.batch}), 0))
 }
 
+// encode returns a batch: the hard state follows the entries because its
+// commit index speaks of them.
 func (l *Log) encode(hard *egretmuxv1.HardState, entries []*egretmuxv1.Entry) ([]byte, error) {
 	var buf []byte
+	last := 0
 	for _, e := range entries {
 		payload, err := proto.Marshal(e)
 		if err != nil {
 			return nil, err
 		}
-		buf = appendRecord(buf, record{kindEntry, l.batch, payload})
+		last = len(buf)
+		buf = appendRecord(buf, record{kind: kindEntry, batch: l.batch, payload: payload})
 		s := &l.segments[len(l.segments)-1]
 		s.last = max(s.last, e.GetIndex())
 	}
@@ -247,10 +303,11 @@
 		if err != nil {
 			return nil, err
 		}
-		buf = appendRecord(buf, record{kindHardState, l.batch, payload})
+		last = len(buf)
+		buf = appendRecord(buf, record{kind: kindHardState, batch: l.batch, payload: payload})
 		l.hard = hard
 	}
-	return buf, nil
+	return endBatch(buf, last), nil
 }
 
 // rotate begins a new segment, which starts with the newest hard state.
@@ -269,15 +326,17 @@
 	l.active = file
 	l.segments = append(l.segments, next)
 	l.batch++
-	buf := appendRecord(nil, record{kindSegment, l.batch, nil})
+	buf := appendRecord(nil, record{kind: kindSegment, batch: l.batch})
+	last := 0
 	if l.hard != nil {
 		payload, err := proto.Marshal(l.hard)
 		if err != nil {
 			return err
 		}
-		buf = appendRecord(buf, record{kindHardState, l.batch, payload})
+		last = len(buf)
+		buf = appendRecord(buf, record{kind: kindHardState, batch: l.batch, payload: payload})
 	}
-	if _, err := file.Write(buf); err != nil {
+	if _, err := file.Write(endBatch(buf, last)); err != nil {
 		return err
 	}
 	if err := file.Sync(); err != nil {
@@ -287,22 +346,24 @@
 	return l.disk.SyncDir()
 }
 
-// Compact removes the segments that hold only entries up to index.
+// Compact removes the segments that hold only entries up to index. Each
+// removal is synced before the next one, so that a crash leaves no hole.
 func (l *Log) Compact(index uint64) error {
-	removed := 0
-	for removed < len(l.segments)-1 && l.segments[removed].last <= index {
-		if err := l.disk.Remove(l.segments[removed].name()); err != nil {
+	for len(l.segments) > 1 && l.segments[0].last <= index {
+		if err := l.disk.Remove(l.segments[0].name()); err != nil {
 			return l.fail(err)
 		}
-		removed++
-	}
-	l.segments = l.segments[removed:]
-	if removed == 0 {
-		return nil
+		if err := l.disk.SyncDir(); err != nil {
+			return l.fail(err)
+		}
+		l.segments = l.segments[1:]
 	}
-	return l.disk.SyncDir()
+	return nil
 }
 
+// SetSegmentBytes changes the size at which a new segment is begun.
+func (l *Log) SetSegmentBytes(limit int64) { l.limit = limit }
+
 // Close closes the active segment.
 func (l *Log) Close() error {
 	if l.failed == nil {
--- a/internal/consensus/wal/record.go
+++ b/internal/consensus/wal/record.go
@@ -7,13 +7,17 @@
 
 // A record is: checksum (4 bytes, Castagnoli, over all that follows), payload
 // length (4), batch number (8), kind (1), payload. Records written by one
-// Append share a batch number; the next batch is written only after the
-// previous one was synced.
+// Append share a batch number, and the kind of the last one carries the flag
+// batchEnd. A batch counts only as a whole, and the next one is written only
+// after it was synced.
 const (
 	headerSize     = 17
 	maxRecordBytes = 64 << 20
 )
 
+// batchEnd is set in the kind of a batch's last record.
+const batchEnd recordKind = 0x80
+
 type recordKind byte
 
 const (
@@ -29,6 +33,7 @@
 	kind    recordKind
 	batch   uint64
 	payload []byte
+	end     bool // last of its batch
 }
 
 func appendRecord(buf []byte, r record) []byte {
@@ -38,11 +43,37 @@
 	buf = binary.LittleEndian.AppendUint64(buf, r.batch)
 	buf = append(buf, byte(r.kind))
 	buf = append(buf, r.payload...)
-	sum := crc32.Checksum(buf[start+4:], castagnoli)
-	binary.LittleEndian.PutUint32(buf[start:], sum)
+	setChecksum(buf[start:])
+	return buf
+}
+
+func setChecksum(rec []byte) {
+	binary.LittleEndian.PutUint32(rec, crc32.Checksum(rec[4:], castagnoli))
+}
+
+// endBatch marks the record at offset, which must be the last one in buf.
+func endBatch(buf []byte, offset int) []byte {
+	buf[offset+16] |= byte(batchEnd)
+	setChecksum(buf[offset:])
 	return buf
 }
 
+// readBatch decodes the batch at the start of data. When ok is false, size is
+// the length of the undamaged records before the first damaged one.
+func readBatch(data []byte) (records []record, size int, ok bool) {
+	for {
+		r, n, whole := readRecord(data[size:])
+		if !whole || len(records) > 0 && r.batch != records[0].batch {
+			return nil, size, false
+		}
+		records = append(records, r)
+		size += n
+		if r.end {
+			return records, size, true
+		}
+	}
+}
+
 // readRecord decodes the record at the start of data. ok is false when there
 // is no whole, undamaged record there.
 func readRecord(data []byte) (r record, size int, ok bool) {
@@ -58,7 +89,8 @@
 		return record{}, 0, false
 	}
 	return record{
-		kind:    recordKind(data[16]),
+		kind:    recordKind(data[16]) &^ batchEnd,
+		end:     recordKind(data[16])&batchEnd != 0,
 		batch:   binary.LittleEndian.Uint64(data[8:]),
 		payload: data[headerSize:size],
 	}, size, true
--- a/internal/consensus/wal/snapshot.go
+++ b/internal/consensus/wal/snapshot.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
 	"io"
+	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -33,6 +35,7 @@
 	mu       sync.Mutex
 	metas    []*egretmuxv1.SnapshotMeta // oldest first
 	incoming File
+	sending  *egretmuxv1.SnapshotMeta // last one read by ReadChunk since the newest was saved
 }
 
 func snapshotName(meta *egretmuxv1.SnapshotMeta) string {
@@ -52,16 +55,18 @@
 		if _, err := fmt.Sscanf(n, "snapshot-%016x-%016x", &index, &term); err != nil {
 			continue
 		}
-		meta, _, err := readSnapshotFile(disk, n)
-		if err != nil {
-			return nil, err
-		}
-		s.metas = append(s.metas, meta)
+		s.metas = append(s.metas, &egretmuxv1.SnapshotMeta{Index: index, Term: term})
 	}
 	if len(s.metas) == 0 {
 		return nil, nil
 	}
-	return s.metas[len(s.metas)-1], nil
+	newest := len(s.metas) - 1
+	meta, _, err := readSnapshotFile(disk, snapshotName(s.metas[newest]))
+	if err != nil {
+		return nil, err
+	}
+	s.metas[newest] = meta
+	return meta, nil
 }
 
 func readSnapshotFile(disk Disk, name string) (*egretmuxv1.SnapshotMeta, []byte, error) {
@@ -124,13 +129,33 @@
 	if err := l.disk.SyncDir(); err != nil {
 		return err
 	}
-	l.snaps.metas = append(l.snaps.metas, meta)
-	for len(l.snaps.metas) > keptSnapshots {
-		if err := l.disk.Remove(snapshotName(l.snaps.metas[0])); err != nil {
+	metas := append(l.snaps.metas, meta)
+	slices.SortStableFunc(metas, func(a, b *egretmuxv1.SnapshotMeta) int { return cmp.Compare(a.GetIndex(), b.GetIndex()) })
+	l.snaps.metas = slices.CompactFunc(metas, sameSnapshot)
+	return l.removeOldSnapshots()
+}
+
+func sameSnapshot(a, b *egretmuxv1.SnapshotMeta) bool {
+	return a.GetIndex() == b.GetIndex() && a.GetTerm() == b.GetTerm()
+}
+
+// removeOldSnapshots keeps the newest ones, and the one being sent to a
+// replica as long as it was read since the last snapshot.
+func (l *Log) removeOldSnapshots() error {
+	s := &l.snaps
+	old := max(0, len(s.metas)-keptSnapshots)
+	var kept []*egretmuxv1.SnapshotMeta
+	for i, m := range s.metas {
+		if i >= old || s.sending != nil && sameSnapshot(m, s.sending) {
+			kept = append(kept, m)
+			continue
+		}
+		if err := l.disk.Remove(snapshotName(m)); err != nil {
 			return err
 		}
-		l.snaps.metas = l.snaps.metas[1:]
 	}
+	s.metas = kept
+	s.sending = nil
 	return nil
 }
 
@@ -147,11 +172,12 @@
 	defer l.snaps.mu.Unlock()
 	kept := false
 	for _, m := range l.snaps.metas {
-		kept = kept || m.GetIndex() == meta.GetIndex() && m.GetTerm() == meta.GetTerm()
+		kept = kept || sameSnapshot(m, meta)
 	}
 	if !kept {
 		return nil, false, ErrNoSnapshot
 	}
+	l.snaps.sending = meta
 	file, err := l.disk.Append(snapshotName(meta))
 	if err != nil {
 		return nil, false, err
--- /dev/null
+++ b/internal/standin/disk.go
@@ -0,0 +1,225 @@
+package standin
+
+import (
+	"io"
+	"io/fs"
+	"maps"
+	"slices"
+	"sync"
+	"syscall"
+
+	"github.com/egretmux/egretmux/internal/consensus/wal"
+)
+
+// Disk is a wal.Disk in memory that loses what was not synced when the machine
+// crashes, and fails on demand. Durable is only file content that was synced
+// and a folder entry that was synced by SyncDir.
+type Disk struct {
+	mu      sync.Mutex
+	files   map[string]*diskFile // the folder as the process sees it
+	durable map[string]*diskFile // the folder as a crash leaves it
+	free    int                  // bytes that can still be written; negative: no limit
+	failing bool                 // syncs fail
+	Syncs   int                  // file syncs that succeeded
+	Read    int                  // bytes read
+}
+
+type diskFile struct {
+	data   []byte
+	synced []byte // content after a crash
+	lost   int    // bytes at the end of data that a failed sync dropped from the cache's dirty list
+}
+
+// NewDisk returns an empty disk.
+func NewDisk() *Disk {
+	return &Disk{files: make(map[string]*diskFile), durable: make(map[string]*diskFile), free: -1}
+}
+
+// SetFree limits the bytes that can still be written; negative lifts the limit.
+func (d *Disk) SetFree(bytes int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.free = bytes
+}
+
+// FailSyncs makes every sync fail until it is called with false.
+func (d *Disk) FailSyncs(failing bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failing = failing
+}
+
+// Crash loses what was not synced. For each file, keep chooses how many of its
+// unsynced bytes survive, which tears a write.
+func (d *Disk) Crash(keep func(unsynced int) int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.files = maps.Clone(d.durable)
+	for _, name := range slices.Sorted(maps.Keys(d.files)) {
+		f := d.files[name]
+		survives := len(f.synced)
+		if unsynced := len(f.data) - survives - f.lost; unsynced > 0 && string(f.data[:survives]) == string(f.synced) {
+			survives += keep(unsynced)
+			f.synced = slices.Clone(f.data[:survives])
+		}
+		f.data = slices.Clone(f.synced)
+		f.lost = 0
+	}
+}
+
+// Clone returns a copy, as a backup of the disk would hold it.
+func (d *Disk) Clone() *Disk {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := NewDisk()
+	for name, f := range d.files {
+		copied := &diskFile{data: slices.Clone(f.data), synced: slices.Clone(f.data)}
+		c.files[name] = copied
+		c.durable[name] = copied
+	}
+	return c
+}
+
+// Damage inverts one byte of a file, on the medium itself.
+func (d *Disk) Damage(name string, offset int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f := d.files[name]
+	f.data = slices.Clone(f.data)
+	f.data[offset] ^= 0xff
+	f.synced = slices.Clone(f.data)
+}
+
+// Size returns the length of a file.
+func (d *Disk) Size(name string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.files[name].data)
+}
+
+// List implements wal.Disk.
+func (d *Disk) List() ([]string, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Sorted(maps.Keys(d.files)), nil
+}
+
+// Create implements wal.Disk.
+func (d *Disk) Create(name string) (wal.File, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f := &diskFile{}
+	d.files[name] = f
+	return &openFile{disk: d, file: f}, nil
+}
+
+// Append implements wal.Disk.
+func (d *Disk) Append(name string) (wal.File, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f := d.files[name]
+	if f == nil {
+		return nil, fs.ErrNotExist
+	}
+	return &openFile{disk: d, file: f}, nil
+}
+
+// ReadFile implements wal.Disk.
+func (d *Disk) ReadFile(name string) ([]byte, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f := d.files[name]
+	if f == nil {
+		return nil, fs.ErrNotExist
+	}
+	d.Read += len(f.data)
+	return slices.Clone(f.data), nil
+}
+
+// Rename implements wal.Disk.
+func (d *Disk) Rename(from, to string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f := d.files[from]
+	if f == nil {
+		return fs.ErrNotExist
+	}
+	delete(d.files, from)
+	d.files[to] = f
+	return nil
+}
+
+// Remove implements wal.Disk.
+func (d *Disk) Remove(name string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.files, name)
+	return nil
+}
+
+// SyncDir implements wal.Disk.
+func (d *Disk) SyncDir() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.failing {
+		return syscall.EIO
+	}
+	d.durable = maps.Clone(d.files)
+	return nil
+}
+
+type openFile struct {
+	disk *Disk
+	file *diskFile
+}
+
+// Write implements wal.File. A full disk takes what fits.
+func (o *openFile) Write(p []byte) (int, error) {
+	o.disk.mu.Lock()
+	defer o.disk.mu.Unlock()
+	n := len(p)
+	if o.disk.free >= 0 {
+		n = min(n, o.disk.free)
+		o.disk.free -= n
+	}
+	o.file.data = append(o.file.data, p[:n]...)
+	if n < len(p) {
+		return n, syscall.ENOSPC
+	}
+	return n, nil
+}
+
+// ReadAt implements wal.File.
+func (o *openFile) ReadAt(p []byte, offset int64) (int, error) {
+	o.disk.mu.Lock()
+	defer o.disk.mu.Unlock()
+	if offset >= int64(len(o.file.data)) {
+		return 0, io.EOF
+	}
+	n := copy(p, o.file.data[offset:])
+	o.disk.Read += n
+	if n < len(p) {
+		return n, io.EOF
+	}
+	return n, nil
+}
+
+// Sync implements wal.File. After a failed sync the written bytes can still be
+// read, but no later sync makes them durable.
+func (o *openFile) Sync() error {
+	o.disk.mu.Lock()
+	defer o.disk.mu.Unlock()
+	f := o.file
+	if o.disk.failing {
+		f.lost = len(f.data) - len(f.synced)
+		return syscall.EIO
+	}
+	if f.lost == 0 {
+		f.synced = slices.Clone(f.data)
+	}
+	o.disk.Syncs++
+	return nil
+}
+
+// Close implements wal.File.
+func (o *openFile) Close() error { return nil }
--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -5,13 +5,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
-	"google.golang.org/protobuf/proto"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/consensus"
@@ -48,7 +48,7 @@
 	if v.folder, err = wal.OpenFolder(s.DataFolder); err != nil {
 		return nil, err
 	}
-	if v.id, err = wal.Identity(v.folder); err != nil {
+	if v.id, err = wal.Identity(v.folder, rand.Uint64); err != nil {
 		return nil, err
 	}
 	if v.log, v.recovered, err = wal.Open(v.folder); err != nil {
@@ -123,17 +123,9 @@
 
 // form writes the first entry of a new cell.
 func (v *Voter) form(members *egretmuxv1.Membership) error {
-	data, err := proto.Marshal(members)
-	if err != nil {
-		return err
-	}
-	first := &egretmuxv1.Entry{Term: 1, Index: 1, Kind: egretmuxv1.EntryKind_ENTRY_KIND_MEMBERSHIP, Data: data}
-	hard := &egretmuxv1.HardState{Term: 1, Commit: 1}
-	if err := v.log.Append(hard, []*egretmuxv1.Entry{first}); err != nil {
+	if err := consensus.Bootstrap(v.log, v.recovered, members); err != nil {
 		return err
 	}
-	v.recovered.HardState = hard
-	v.recovered.Entries = []*egretmuxv1.Entry{first}
 	v.empty.Store(false)
 	v.logger.Info().Str("event", "cell_formed").Int("voters", len(members.GetReplicas())).Msg("")
 	return nil
