Ordered streams between replicas; formation and stale data folders under test

Nothing told a restored backup from a current data folder. Two instances whose settings name different voters could form two cells. None of it was tested.

Change: one client stream for each replica over a connection of its own, bounded by messages and bytes; streams are ended before the listener shuts down. A voter remembers in memory what other replicas promised (term, highest acknowledged entry, vote). A replica asks the others at its start, and when one remembers more than its disk holds, its files are set aside and it joins with a new identity. A cell is formed only when all voters name the same ones. make bench measures three voters on loopback.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets for developers. README.md explains each.
 GO ?= go
 
-.PHONY: build test lint demo generate fuzz
+.PHONY: build test lint demo generate fuzz bench
 build:
 	$(GO) build -o bin/ ./cmd/...
 
@@ -14,6 +14,12 @@
 fuzz:
 	$(GO) test -count=1 -v -timeout=0 -run=Faults ./internal/consensus -rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
 
+# Measures the replicated log: three voters on loopback with real syncs.
+bench:
+	$(GO) test -run=NONE -bench='Commit$$' -benchtime=100000x ./internal/voter
+	$(GO) test -run=NONE -bench=CommitLatency -benchtime=6400x ./internal/voter
+	$(GO) test -run=NONE -bench=LeaderLoss -benchtime=10x ./internal/voter
+
 lint:
 	./scripts/lint
 
--- a/gen/egretmux/v1/egretmuxv1connect/consensus.connect.go
+++ b/gen/egretmux/v1/egretmuxv1connect/consensus.connect.go
@@ -38,6 +38,9 @@
 	ConsensusServiceProbeProcedure = "/egretmux.v1.ConsensusService/Probe"
 	// ConsensusServiceStepProcedure is the fully-qualified name of the ConsensusService's Step RPC.
 	ConsensusServiceStepProcedure = "/egretmux.v1.ConsensusService/Step"
+	// ConsensusServiceStepStreamProcedure is the fully-qualified name of the ConsensusService's
+	// StepStream RPC.
+	ConsensusServiceStepStreamProcedure = "/egretmux.v1.ConsensusService/StepStream"
 )
 
 // ConsensusServiceClient is a client for the egretmux.v1.ConsensusService service.
@@ -46,6 +49,8 @@
 	Probe(context.Context, *connect.Request[v1.ProbeRequest]) (*connect.Response[v1.ProbeResponse], error)
 	// Step hands messages to the replica. Delivery may be repeated or lost.
 	Step(context.Context, *connect.Request[v1.StepRequest]) (*connect.Response[v1.StepResponse], error)
+	// StepStream hands messages to the replica in the order they were sent.
+	StepStream(context.Context) *connect.ClientStreamForClient[v1.StepRequest, v1.StepResponse]
 }
 
 // NewConsensusServiceClient constructs a client for the egretmux.v1.ConsensusService service. By
@@ -71,13 +76,20 @@
 			connect.WithSchema(consensusServiceMethods.ByName("Step")),
 			connect.WithClientOptions(opts...),
 		),
+		stepStream: connect.NewClient[v1.StepRequest, v1.StepResponse](
+			httpClient,
+			baseURL+ConsensusServiceStepStreamProcedure,
+			connect.WithSchema(consensusServiceMethods.ByName("StepStream")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // consensusServiceClient implements ConsensusServiceClient.
 type consensusServiceClient struct {
-	probe *connect.Client[v1.ProbeRequest, v1.ProbeResponse]
-	step  *connect.Client[v1.StepRequest, v1.StepResponse]
+	probe      *connect.Client[v1.ProbeRequest, v1.ProbeResponse]
+	step       *connect.Client[v1.StepRequest, v1.StepResponse]
+	stepStream *connect.Client[v1.StepRequest, v1.StepResponse]
 }
 
 // Probe calls egretmux.v1.ConsensusService.Probe.
@@ -90,12 +102,19 @@
 	return c.step.CallUnary(ctx, req)
 }
 
+// StepStream calls egretmux.v1.ConsensusService.StepStream.
+func (c *consensusServiceClient) StepStream(ctx context.Context) *connect.ClientStreamForClient[v1.StepRequest, v1.StepResponse] {
+	return c.stepStream.CallClientStream(ctx)
+}
+
 // ConsensusServiceHandler is an implementation of the egretmux.v1.ConsensusService service.
 type ConsensusServiceHandler interface {
 	// Probe asks a voter for its identity and whether it holds state.
 	Probe(context.Context, *connect.Request[v1.ProbeRequest]) (*connect.Response[v1.ProbeResponse], error)
 	// Step hands messages to the replica. Delivery may be repeated or lost.
 	Step(context.Context, *connect.Request[v1.StepRequest]) (*connect.Response[v1.StepResponse], error)
+	// StepStream hands messages to the replica in the order they were sent.
+	StepStream(context.Context, *connect.ClientStream[v1.StepRequest]) (*connect.Response[v1.StepResponse], error)
 }
 
 // NewConsensusServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -117,12 +136,20 @@
 		connect.WithSchema(consensusServiceMethods.ByName("Step")),
 		connect.WithHandlerOptions(opts...),
 	)
+	consensusServiceStepStreamHandler := connect.NewClientStreamHandler(
+		ConsensusServiceStepStreamProcedure,
+		svc.StepStream,
+		connect.WithSchema(consensusServiceMethods.ByName("StepStream")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/egretmux.v1.ConsensusService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ConsensusServiceProbeProcedure:
 			consensusServiceProbeHandler.ServeHTTP(w, r)
 		case ConsensusServiceStepProcedure:
 			consensusServiceStepHandler.ServeHTTP(w, r)
+		case ConsensusServiceStepStreamProcedure:
+			consensusServiceStepStreamHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -139,3 +166,7 @@
 func (UnimplementedConsensusServiceHandler) Step(context.Context, *connect.Request[v1.StepRequest]) (*connect.Response[v1.StepResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("egretmux.v1.ConsensusService.Step is not implemented"))
 }
+
+func (UnimplementedConsensusServiceHandler) StepStream(context.Context, *connect.ClientStream[v1.StepRequest]) (*connect.Response[v1.StepResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("egretmux.v1.ConsensusService.StepStream is not implemented"))
+}
--- a/internal/consensus/wal/identity.go
+++ b/internal/consensus/wal/identity.go
@@ -1,6 +1,7 @@
 package wal
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 
@@ -67,3 +68,22 @@
 	}
 	return id, disk.SyncDir()
 }
+
+// SetAside renames the files of a replica that must not run again, so that the
+// folder counts as empty. A crash in between leaves a folder without a part of
+// its files: Identity or Open then names the remedy, or the replica joins anew.
+func SetAside(disk Disk, id uint64) error {
+	names, err := disk.List()
+	if err != nil {
+		return err
+	}
+	for _, n := range names {
+		if n != identityName && !strings.HasPrefix(n, "log-") && !strings.HasPrefix(n, "snapshot-") {
+			continue
+		}
+		if err := disk.Rename(n, fmt.Sprintf("aside-%016x-%s", id, n)); err != nil {
+			return err
+		}
+	}
+	return disk.SyncDir()
+}
--- a/internal/consensus/wal/log.go
+++ b/internal/consensus/wal/log.go
@@ -67,6 +67,21 @@
 	return r.HardState == nil && r.Snapshot == nil && len(r.Entries) == 0
 }
 
+// Position returns the term, vote and last entry that the data folder holds.
+func (r *Recovered) Position() (term, vote, last uint64) {
+	last = r.Snapshot.GetIndex()
+	lastTerm := r.Snapshot.GetTerm()
+	if n := len(r.Entries); n > 0 {
+		last = r.Entries[n-1].GetIndex()
+		lastTerm = r.Entries[n-1].GetTerm()
+	}
+	term = max(r.HardState.GetTerm(), lastTerm)
+	if term == r.HardState.GetTerm() {
+		vote = r.HardState.GetVote()
+	}
+	return term, vote, last
+}
+
 // Open reads everything in the data folder and prepares it for appending.
 func Open(disk Disk) (*Log, *Recovered, error) {
 	l := &Log{disk: disk, limit: maxSegmentBytes}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -240,6 +240,9 @@
 func (d *Daemon) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
+	if d.voter != nil {
+		d.voter.EndStreams()
+	}
 	for name, server := range d.servers {
 		if err := server.Shutdown(ctx); err != nil {
 			d.logger.Debug().Err(err).Str("event", "listener_closed_hard").Str("listener", name).Msg("")
--- a/internal/daemon/handlers.go
+++ b/internal/daemon/handlers.go
@@ -58,7 +58,7 @@
 	mux := http.NewServeMux()
 	if d.voter != nil {
 		server := operator.NewServer(d.leader)
-		mux.Handle(egretmuxv1connect.NewConsensusServiceHandler(d.voter))
+		mux.Handle(d.voter.Handler())
 		mux.Handle(egretmuxv1connect.NewCellServiceHandler(&cellService{leader: d.leader}))
 		mux.Handle(egretmuxv1connect.NewTaskServiceHandler(server))
 		mux.Handle(egretmuxv1connect.NewOperatorServiceHandler(server))
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -67,6 +67,14 @@
 	return d, nil
 }
 
+// separate returns a dialer that shares no connection with this one, so that
+// bulk calls do not delay those made over it.
+func (d *Dialer) separate() *Dialer {
+	copied := *d
+	copied.client = &http.Client{Transport: d.client.Transport.(*http.Transport).Clone()}
+	return &copied
+}
+
 // Key returns the cell key.
 func (d *Dialer) Key() string { return d.key }
 
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -5,37 +5,42 @@
 	"sync"
 	"time"
 
-	"connectrpc.com/connect"
-
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/telemetry"
 )
 
 const (
-	stepTimeout   = time.Second
-	maxStepBytes  = 2 << 20 // entry and chunk data in one call
-	sendQueue     = 4096    // messages waiting for one replica
-	parallelSteps = 4       // calls to one replica at a time
+	stepTimeout  = 2 * time.Second // for handing over one batch
+	streamPause  = 50 * time.Millisecond
+	maxStepBytes = 1 << 20  // entry and chunk data in one batch
+	maxQueued    = 4096     // messages waiting for one replica
+	maxQueuedLen = 32 << 20 // entry and chunk data waiting for one replica
 )
 
 // Transport carries the messages of the replicated log. It implements
-// consensus.Transport: it never blocks and drops what a full queue cannot take.
+// consensus.Transport: it never blocks, keeps the order of messages to one
+// replica, and drops what a full queue cannot take.
 type Transport struct {
 	dialer *Dialer
 	self   *egretmuxv1.Replica
 
 	mu        sync.Mutex
 	addresses map[uint64]string // learned from messages received
-	queues    map[string]chan *egretmuxv1.Message
-	stop      chan struct{}
+	queues    map[string]*sendQueue
+	ctx       context.Context // ends with Close
+	cancel    context.CancelFunc
 	done      sync.WaitGroup
 }
 
-// NewTransport returns a transport that sends as the given replica.
+// NewTransport returns a transport that sends as the given replica, over
+// connections of its own.
 func NewTransport(d *Dialer, self *egretmuxv1.Replica) *Transport {
-	return &Transport{
-		dialer: d, self: self, stop: make(chan struct{}),
-		addresses: make(map[uint64]string), queues: make(map[string]chan *egretmuxv1.Message),
+	t := &Transport{
+		dialer: d.separate(), self: self,
+		addresses: make(map[uint64]string), queues: make(map[string]*sendQueue),
 	}
+	t.ctx, t.cancel = context.WithCancel(context.Background())
+	return t
 }
 
 // Learn remembers the address of a replica that sent a message.
@@ -50,71 +55,138 @@
 
 // Send implements consensus.Transport.
 func (t *Transport) Send(to *egretmuxv1.Replica, messages []*egretmuxv1.Message) {
-	queue := t.queue(to)
-	if queue == nil {
-		return
-	}
-	for _, m := range messages {
-		select {
-		case queue <- m:
-		default:
-		}
+	if queue := t.queue(to); queue != nil {
+		queue.put(messages)
 	}
 }
 
-func (t *Transport) queue(to *egretmuxv1.Replica) chan *egretmuxv1.Message {
+func (t *Transport) queue(to *egretmuxv1.Replica) *sendQueue {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	address := to.GetAddress()
 	if address == "" {
 		address = t.addresses[to.GetId()]
 	}
-	if address == "" {
+	if address == "" || t.ctx.Err() != nil {
 		return nil
 	}
 	queue := t.queues[address]
 	if queue == nil {
-		queue = make(chan *egretmuxv1.Message, sendQueue)
+		queue = newSendQueue()
 		t.queues[address] = queue
-		clients := t.dialer.Clients(address)
-		for range parallelSteps {
-			t.done.Add(1)
-			go t.run(clients, queue)
-		}
+		client := t.dialer.Clients(address)
+		t.done.Go(func() { t.run(client, queue) })
 	}
 	return queue
 }
 
-// run sends batches to one replica until Close.
-func (t *Transport) run(c *Clients, queue chan *egretmuxv1.Message) {
-	defer t.done.Done()
-	for {
+// run sends batches to one replica until Close, over one stream at a time.
+func (t *Transport) run(c *Clients, queue *sendQueue) {
+	for t.ctx.Err() == nil {
+		t.stream(c, queue)
+		telemetry.CountRetry("replica_stream")
 		select {
-		case <-t.stop:
+		case <-t.ctx.Done():
+		case <-time.After(streamPause):
+		}
+		queue.clear() // what waited meanwhile is out of date; the core repeats it
+	}
+}
+
+// stream sends batches until one cannot be handed over in time.
+func (t *Transport) stream(c *Clients, queue *sendQueue) {
+	ctx, cancel := context.WithCancel(t.ctx)
+	defer cancel()
+	stream := c.Consensus.StepStream(ctx)
+	stream.RequestHeader().Set(keyHeader, t.dialer.Key())
+	for {
+		batch := queue.take(ctx)
+		if batch == nil {
 			return
-		case m := <-queue:
-			t.step(c, collect(m, queue))
 		}
+		late := time.AfterFunc(stepTimeout, cancel)
+		err := stream.Send(&egretmuxv1.StepRequest{Messages: batch, Sender: t.self})
+		late.Stop()
+		if err != nil {
+			return
+		}
+	}
+}
+
+// Close stops sending.
+func (t *Transport) Close() {
+	t.mu.Lock()
+	t.cancel()
+	t.mu.Unlock()
+	t.done.Wait()
+}
+
+// sendQueue holds the messages for one replica.
+type sendQueue struct {
+	mu       sync.Mutex
+	messages []*egretmuxv1.Message
+	size     int
+	ready    chan struct{}
+}
+
+func newSendQueue() *sendQueue { return &sendQueue{ready: make(chan struct{}, 1)} }
+
+func (q *sendQueue) put(messages []*egretmuxv1.Message) {
+	q.mu.Lock()
+	for _, m := range messages {
+		size := messageBytes(m)
+		if len(q.messages) >= maxQueued || q.size+size > maxQueuedLen {
+			telemetry.CountRetry("replica_queue_full")
+			break
+		}
+		q.messages = append(q.messages, m)
+		q.size += size
+	}
+	q.mu.Unlock()
+	select {
+	case q.ready <- struct{}{}:
+	default:
 	}
 }
 
-// collect takes what else waits, up to the size of one call.
-func collect(first *egretmuxv1.Message, queue chan *egretmuxv1.Message) []*egretmuxv1.Message {
-	batch := []*egretmuxv1.Message{first}
-	size := messageBytes(first)
-	for size < maxStepBytes {
+// take waits for messages and returns as many as one batch may hold, or nil
+// when the context ends.
+func (q *sendQueue) take(ctx context.Context) []*egretmuxv1.Message {
+	for {
+		if batch := q.pop(); batch != nil {
+			return batch
+		}
 		select {
-		case m := <-queue:
-			batch = append(batch, m)
-			size += messageBytes(m)
-			continue
-		default:
+		case <-ctx.Done():
+			return nil
+		case <-q.ready:
 		}
-		break
 	}
+}
+
+func (q *sendQueue) pop() []*egretmuxv1.Message {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	n, size := 0, 0
+	for n < len(q.messages) && (n == 0 || size < maxStepBytes) {
+		size += messageBytes(q.messages[n])
+		n++
+	}
+	if n == 0 {
+		return nil
+	}
+	batch := q.messages[:n:n]
+	q.messages = q.messages[n:]
+	q.size -= size
 	return batch
 }
 
+func (q *sendQueue) clear() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.messages, q.size = nil, 0
+}
+
 func messageBytes(m *egretmuxv1.Message) int {
 	size := len(m.GetChunk())
 	for _, e := range m.GetEntries() {
@@ -122,16 +194,3 @@
 	}
 	return size
 }
-
-func (t *Transport) step(c *Clients, batch []*egretmuxv1.Message) {
-	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
-	defer cancel()
-	// A lost batch is repeated by the core.
-	_, _ = c.Consensus.Step(ctx, connect.NewRequest(&egretmuxv1.StepRequest{Messages: batch, Sender: t.self}))
-}
-
-// Close stops sending.
-func (t *Transport) Close() {
-	close(t.stop)
-	t.done.Wait()
-}
--- /dev/null
+++ b/internal/voter/form_test.go
@@ -0,0 +1,198 @@
+package voter
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/consensus/core"
+	"github.com/egretmux/egretmux/internal/peer"
+	"github.com/egretmux/egretmux/internal/settings"
+)
+
+// startLimit is how long a voter is watched, in virtual time.
+const startLimit = time.Minute
+
+// fakeVoters answers probes; each voter gives its answers in turn and repeats
+// the last one.
+type fakeVoters struct {
+	mu      sync.Mutex
+	scripts map[string][]string // by instance
+}
+
+func (f *fakeVoters) next(instance string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	script := f.scripts[instance]
+	if len(script) > 1 {
+		f.scripts[instance] = script[1:]
+	}
+	return script[0]
+}
+
+func (f *fakeVoters) ask(v *Voter, other settings.Voter) (*egretmuxv1.ProbeResponse, error) {
+	kind := f.next(other.Instance)
+	resp := &egretmuxv1.ProbeResponse{Instance: other.Instance, Replica: 77, Empty: true, Voters: v.voterAddresses()}
+	switch kind {
+	case "empty":
+	case "state":
+		resp.Empty = false
+	case "other-voters":
+		resp.Voters = []string{"127.0.0.9:1"}
+	default:
+		return nil, errors.New(kind)
+	}
+	return resp, nil
+}
+
+// remembered parses term:5,index:20,vote:9.
+func remembered(text string) (*egretmuxv1.ProbeResponse, error) {
+	if text == "down" {
+		return nil, errors.New(text)
+	}
+	resp := &egretmuxv1.ProbeResponse{}
+	for _, part := range strings.Split(text, ",") {
+		name, value, _ := strings.Cut(part, ":")
+		n, err := strconv.ParseUint(value, 10, 64)
+		if err != nil {
+			return nil, err
+		}
+		switch name {
+		case "term":
+			resp.KnownTerm = n
+		case "index":
+			resp.KnownIndex = n
+		case "vote":
+			resp.KnownVote = n
+			resp.KnownTerm = max(resp.KnownTerm, 5)
+		}
+	}
+	return resp, nil
+}
+
+func openFake(t *testing.T, self string) *Voter {
+	t.Helper()
+	s := &settings.Settings{Instance: self, DataFolder: t.TempDir(), Tick: time.Hour, ElectionTicks: 10, HeartbeatTicks: 1, SnapshotEntries: 100}
+	for i := range 3 {
+		s.Voters = append(s.Voters, settings.Voter{Instance: fmt.Sprintf("i%d", i), Address: fmt.Sprintf("127.0.0.1:%d", i+1)})
+	}
+	dialer, err := peer.NewDialer("", "")
+	require.NoError(t, err)
+	v, err := Open(s, dialer, zerolog.Nop())
+	require.NoError(t, err)
+	return v
+}
+
+func TestFormation(t *testing.T) {
+	datadriven.RunTest(t, "testdata/formation", func(t *testing.T, d *datadriven.TestData) string {
+		var out string
+		synctest.Test(t, func(t *testing.T) {
+			if d.Cmd == "start" {
+				out = startFake(t, d)
+			} else {
+				out = restartFake(t, d)
+			}
+		})
+		return out + "\n"
+	})
+}
+
+// startFake starts a voter with an empty disk.
+func startFake(t *testing.T, d *datadriven.TestData) string {
+	var self string
+	d.ScanArgs(t, "self", &self)
+	v := openFake(t, self)
+	defer func() { require.NoError(t, v.Close()) }()
+	voters := &fakeVoters{scripts: make(map[string][]string)}
+	for _, arg := range d.CmdArgs {
+		voters.scripts[arg.Key] = arg.Vals
+		if len(arg.Vals) == 1 {
+			voters.scripts[arg.Key] = strings.Split(arg.Vals[0], ",")
+		}
+	}
+	v.ask = func(_ context.Context, other settings.Voter) (*egretmuxv1.ProbeResponse, error) { return voters.ask(v, other) }
+	ctx, cancel := context.WithTimeout(t.Context(), startLimit)
+	defer cancel()
+	node, err := v.Start(ctx, &counter{}, nil)
+	if err != nil {
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+		require.True(t, v.empty, "nothing is written while waiting")
+		return "waits"
+	}
+	status, _ := node.Status()
+	if status.Last == 0 {
+		return "empty, joins"
+	}
+	return fmt.Sprintf("formed with %d voters", len(status.Membership.GetReplicas()))
+}
+
+// restartFake starts a voter whose disk holds state.
+func restartFake(t *testing.T, d *datadriven.TestData) string {
+	var self string
+	var term, vote uint64
+	var last int
+	d.ScanArgs(t, "self", &self)
+	d.ScanArgs(t, "term", &term)
+	d.ScanArgs(t, "vote", &vote)
+	d.ScanArgs(t, "last", &last)
+	v := openFake(t, self)
+	defer func() { require.NoError(t, v.Close()) }()
+	hard := &egretmuxv1.HardState{Term: term, Vote: vote}
+	var entries []*egretmuxv1.Entry
+	for i := range last {
+		entries = append(entries, &egretmuxv1.Entry{Index: uint64(i + 1), Term: term, Kind: egretmuxv1.EntryKind_ENTRY_KIND_COMMAND})
+	}
+	require.NoError(t, v.log.Append(hard, entries))
+	v.recovered.HardState, v.recovered.Entries = hard, entries
+	old := v.id
+	v.ask = func(_ context.Context, other settings.Voter) (*egretmuxv1.ProbeResponse, error) {
+		var text string
+		for _, arg := range d.CmdArgs {
+			if arg.Key == other.Instance {
+				text = strings.Join(arg.Vals, ",")
+			}
+		}
+		if text == "" || v.id != old {
+			return &egretmuxv1.ProbeResponse{Empty: false}, nil
+		}
+		return remembered(text)
+	}
+	node, err := v.Start(t.Context(), &counter{}, nil)
+	require.NoError(t, err)
+	status, _ := node.Status()
+	require.Equal(t, core.Follower, status.Role)
+	if status.ID == old {
+		require.Equal(t, uint64(last), status.Last)
+		return "continues"
+	}
+	require.Zero(t, status.Last)
+	require.Zero(t, status.Term)
+	return "set aside, new identity, joins"
+}
+
+func TestWitnessTakesOnlyPromises(t *testing.T) {
+	w := newWitness()
+	w.observe([]*egretmuxv1.Message{
+		{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_PRE_VOTE, From: 1, Term: 9},
+		{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY, From: 1, Term: 9},
+		{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_APPEND_REPLY, From: 1, Term: 3, Index: 7},
+		{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_APPEND_REPLY, From: 1, Term: 3, Index: 99, Reject: true},
+		{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_APPEND_REPLY, From: 1, Term: 2, Index: 50},
+		{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_VOTE_REPLY, From: 2, To: 1, Term: 4},
+		{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_VOTE_REPLY, From: 3, To: 1, Term: 4, Reject: true},
+	})
+	require.Equal(t, promise{term: 3, index: 7}, w.of(1))
+	require.Equal(t, promise{term: 4, vote: 1}, w.of(2))
+	require.Equal(t, promise{term: 4}, w.of(3))
+}
--- /dev/null
+++ b/internal/voter/server.go
@@ -0,0 +1,107 @@
+package voter
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/gen/egretmux/v1/egretmuxv1connect"
+)
+
+// maxStepBytes bounds one message batch received; a sender keeps to less.
+const maxStepBytes = 64 << 20
+
+// Handler serves ConsensusService and returns the path to mount it at.
+func (v *Voter) Handler() (string, http.Handler) {
+	path, handler := egretmuxv1connect.NewConsensusServiceHandler(v, connect.WithReadMaxBytes(maxStepBytes))
+	return path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == egretmuxv1connect.ConsensusServiceStepStreamProcedure {
+			end := v.streams.add(http.NewResponseController(w))
+			defer end()
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// EndStreams ends the streams on which other replicas send and refuses new
+// ones, so that the listener can be shut down.
+func (v *Voter) EndStreams() { v.streams.end() }
+
+// Probe implements ConsensusService.
+func (v *Voter) Probe(_ context.Context, req *connect.Request[egretmuxv1.ProbeRequest]) (*connect.Response[egretmuxv1.ProbeResponse], error) {
+	known := v.witness.of(req.Msg.GetReplica())
+	v.mu.Lock()
+	resp := &egretmuxv1.ProbeResponse{
+		Instance: v.settings.Instance, Replica: v.id, Empty: v.empty, Voters: v.voterAddresses(),
+		KnownTerm: known.term, KnownIndex: known.index, KnownVote: known.vote,
+	}
+	v.mu.Unlock()
+	if node := v.node.Load(); node != nil {
+		status, _ := node.Status()
+		resp.Empty = status.Last == 0
+		resp.Member = len(status.Membership.GetReplicas()) > 0
+		resp.Term = status.Term
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Step implements ConsensusService.
+func (v *Voter) Step(_ context.Context, req *connect.Request[egretmuxv1.StepRequest]) (*connect.Response[egretmuxv1.StepResponse], error) {
+	v.receive(req.Msg)
+	return connect.NewResponse(&egretmuxv1.StepResponse{}), nil
+}
+
+// StepStream implements ConsensusService.
+func (v *Voter) StepStream(_ context.Context, stream *connect.ClientStream[egretmuxv1.StepRequest]) (*connect.Response[egretmuxv1.StepResponse], error) {
+	for stream.Receive() {
+		v.receive(stream.Msg())
+	}
+	return connect.NewResponse(&egretmuxv1.StepResponse{}), stream.Err()
+}
+
+func (v *Voter) receive(batch *egretmuxv1.StepRequest) {
+	v.witness.observe(batch.GetMessages())
+	node := v.node.Load()
+	if node == nil {
+		return
+	}
+	v.transport.Learn(batch.GetSender())
+	node.Step(batch.GetMessages())
+}
+
+// streamSet holds the open streams of other replicas.
+type streamSet struct {
+	mu    sync.Mutex
+	open  map[*http.ResponseController]struct{}
+	ended bool
+}
+
+func (s *streamSet) add(c *http.ResponseController) (remove func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+	}
+	if s.open == nil {
+		s.open = make(map[*http.ResponseController]struct{})
+	}
+	s.open[c] = struct{}{}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.open, c)
+	}
+}
+
+func (s *streamSet) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	for c := range s.open {
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+	}
+}
--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,12 +19,13 @@
 	"github.com/egretmux/egretmux/internal/consensus/wal"
 	"github.com/egretmux/egretmux/internal/peer"
 	"github.com/egretmux/egretmux/internal/settings"
+	"github.com/egretmux/egretmux/internal/telemetry"
 )
 
 const (
 	probeTimeout = time.Second
 	probePause   = 200 * time.Millisecond
-	joinPause    = 500 * time.Millisecond
+	joinPause    = 100 * time.Millisecond
 	joinTimeout  = 3 * time.Second
 )
 
@@ -35,36 +37,61 @@
 	folder    *wal.Folder
 	log       *wal.Log
 	recovered *wal.Recovered
+	witness   *witness
+	ask       askFunc
+	node      atomic.Pointer[consensus.Node]
+	streams   streamSet
+
+	mu        sync.Mutex
 	id        uint64
-	empty     atomic.Bool // nothing was ever written to the log
+	empty     bool // nothing was ever written to the log
 	transport *peer.Transport
-	node      atomic.Pointer[consensus.Node]
 }
 
 // Open opens the data folder. Probe answers from then on; Start begins the replica.
 func Open(s *settings.Settings, d *peer.Dialer, logger zerolog.Logger) (*Voter, error) {
-	v := &Voter{settings: s, dialer: d, logger: logger}
+	v := &Voter{settings: s, dialer: d, logger: logger, witness: newWitness()}
+	v.ask = v.probe
 	var err error
 	if v.folder, err = wal.OpenFolder(s.DataFolder); err != nil {
 		return nil, err
 	}
-	if v.id, err = wal.Identity(v.folder, rand.Uint64); err != nil {
-		return nil, err
+	if err := v.open(); err != nil {
+		return nil, errors.CombineErrors(err, v.folder.Close())
+	}
+	return v, nil
+}
+
+// open reads the data folder and prepares for its replica.
+func (v *Voter) open() error {
+	id, err := wal.Identity(v.folder, rand.Uint64)
+	if err != nil {
+		return err
 	}
 	if v.log, v.recovered, err = wal.Open(v.folder); err != nil {
-		return nil, err
+		return err
 	}
 	if v.recovered.CutBytes > 0 {
-		logger.Warn().Str("event", "torn_tail_cut").Int64("bytes", v.recovered.CutBytes).Msg("")
+		telemetry.Count("torn_tails_cut_total")
+		v.logger.Warn().Str("event", "torn_tail_cut").Int64("bytes", v.recovered.CutBytes).Msg("")
 	}
-	v.empty.Store(v.recovered.Empty())
-	v.transport = peer.NewTransport(d, v.replica())
-	return v, nil
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.id = id
+	v.empty = v.recovered.Empty()
+	v.transport = peer.NewTransport(v.dialer, v.replica())
+	return nil
 }
 
-// Start forms a new cell if this instance is the one to do so, and starts the
-// replica.
+// Start forms a new cell if this instance is the one to do so, sets aside a
+// data folder that is older than what its replica told the others, and starts
+// the replica.
 func (v *Voter) Start(ctx context.Context, machine consensus.StateMachine, onFailure func(error)) (*consensus.Node, error) {
+	if !v.recovered.Empty() && v.forgot(ctx) {
+		if err := v.setAside(); err != nil {
+			return nil, err
+		}
+	}
 	if v.recovered.Empty() && v.coordinates() {
 		if err := v.formOrJoin(ctx); err != nil {
 			return nil, err
@@ -79,78 +106,31 @@
 	if err != nil {
 		return nil, err
 	}
+	v.recovered = nil // the replica holds the entries from now on
 	v.node.Store(node)
 	go node.Run()
 	return node, nil
 }
 
-func (v *Voter) replica() *egretmuxv1.Replica {
-	return &egretmuxv1.Replica{Id: v.id, Instance: v.settings.Instance, Address: v.settings.Cell.Address}
-}
-
-// coordinates reports whether this instance forms a new cell: the first voter does.
-func (v *Voter) coordinates() bool { return v.settings.Voters[0].Instance == v.settings.Instance }
-
-// formOrJoin returns when every configured voter is there and empty, after
-// writing the first membership, or as soon as one of them holds state, which
-// this replica then joins.
-func (v *Voter) formOrJoin(ctx context.Context) error {
-	for logged := false; ctx.Err() == nil; logged = true {
-		members := &egretmuxv1.Membership{Replicas: []*egretmuxv1.Replica{v.replica()}}
-		for _, other := range v.settings.Voters[1:] {
-			probe, err := v.probe(ctx, other)
-			switch {
-			case err != nil && !logged:
-				v.logger.Info().Err(err).Str("event", "waiting_for_voter").Str("voter", other.Instance).Msg("")
-			case err != nil:
-			case !probe.GetEmpty():
-				v.logger.Info().Str("event", "cell_exists").Str("voter", other.Instance).Msg("")
-				return nil
-			default:
-				members.Replicas = append(members.Replicas, &egretmuxv1.Replica{Id: probe.GetReplica(), Instance: other.Instance, Address: other.Address})
-			}
-		}
-		if len(members.GetReplicas()) == len(v.settings.Voters) {
-			return v.form(members)
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(probePause):
-		}
-	}
-	return ctx.Err()
-}
-
-// form writes the first entry of a new cell.
-func (v *Voter) form(members *egretmuxv1.Membership) error {
-	if err := consensus.Bootstrap(v.log, v.recovered, members); err != nil {
+// setAside keeps the content of the data folder under other names and begins
+// with an empty log and a new identity.
+func (v *Voter) setAside() error {
+	old := v.id
+	v.transport.Close()
+	if err := v.log.Close(); err != nil {
 		return err
 	}
-	v.empty.Store(false)
-	v.logger.Info().Str("event", "cell_formed").Int("voters", len(members.GetReplicas())).Msg("")
-	return nil
-}
-
-func (v *Voter) probe(ctx context.Context, other settings.Voter) (*egretmuxv1.ProbeResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	resp, err := v.dialer.Clients(other.Address).Consensus.Probe(ctx, connect.NewRequest(&egretmuxv1.ProbeRequest{Instance: v.settings.Instance}))
-	if err != nil {
-		return nil, err
+	if err := wal.SetAside(v.folder, old); err != nil {
+		return err
 	}
-	return resp.Msg, nil
+	telemetry.Count("stale_data_folders_total")
+	v.logger.Warn().Str("event", "stale_data_folder_set_aside").Uint64("replica", old).
+		Msg("the data folder is older than what its replica told the others; the replica joins anew, and files named aside-* can be removed")
+	return v.open()
 }
 
-// Probe implements ConsensusService.
-func (v *Voter) Probe(context.Context, *connect.Request[egretmuxv1.ProbeRequest]) (*connect.Response[egretmuxv1.ProbeResponse], error) {
-	resp := &egretmuxv1.ProbeResponse{Instance: v.settings.Instance, Replica: v.id, Empty: v.empty.Load()}
-	if node := v.node.Load(); node != nil {
-		status, _ := node.Status()
-		resp.Empty = status.Last == 0
-		resp.Member = len(status.Membership.GetReplicas()) > 0
-		resp.Term = status.Term
-	}
-	return connect.NewResponse(resp), nil
+func (v *Voter) replica() *egretmuxv1.Replica {
+	return &egretmuxv1.Replica{Id: v.id, Instance: v.settings.Instance, Address: v.settings.Cell.Address}
 }
 
 // Join makes the replica a voter if it is not one yet. It returns when the
@@ -192,15 +172,6 @@
 	})
 }
 
-// Step implements ConsensusService.
-func (v *Voter) Step(_ context.Context, req *connect.Request[egretmuxv1.StepRequest]) (*connect.Response[egretmuxv1.StepResponse], error) {
-	v.transport.Learn(req.Msg.GetSender())
-	if node := v.node.Load(); node != nil {
-		node.Step(req.Msg.GetMessages())
-	}
-	return connect.NewResponse(&egretmuxv1.StepResponse{}), nil
-}
-
 // Close stops the replica and releases the data folder.
 func (v *Voter) Close() error {
 	if node := v.node.Load(); node != nil {
