--- /dev/null
+++ b/internal/consensus/wal/crash_test.go
@@ -0,0 +1,224 @@
+package wal_test
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/consensus/wal"
+	"github.com/egretmux/egretmux/internal/standin"
+)
+
+const testSegmentBytes = 200
+
+// workload writes as a replica does and remembers what was acknowledged.
+type workload struct {
+	log      *wal.Log
+	snapshot *egretmuxv1.SnapshotMeta
+	term     uint64
+	vote     uint64
+	entries  map[uint64]uint64 // acknowledged entries after the snapshot: index to term
+	last     uint64
+
+	// What a call that failed may or may not have left behind.
+	maybeTerm     uint64
+	maybeSnapshot uint64
+}
+
+func entry(index, term uint64) *egretmuxv1.Entry {
+	return &egretmuxv1.Entry{Index: index, Term: term, Kind: egretmuxv1.EntryKind_ENTRY_KIND_COMMAND, Data: []byte(fmt.Sprintf("%d-%d", index, term))}
+}
+
+// append replaces the log from first on by count entries of the term.
+func (w *workload) append(term, vote, first uint64, count int) error {
+	var entries []*egretmuxv1.Entry
+	for i := range uint64(count) {
+		entries = append(entries, entry(first+i, term))
+	}
+	w.maybeTerm = term
+	if first <= w.last {
+		// From here on either the old or the new tail may be found.
+		for i := first; i <= w.last; i++ {
+			delete(w.entries, i)
+		}
+	}
+	if err := w.log.Append(&egretmuxv1.HardState{Term: term, Vote: vote}, entries); err != nil {
+		return err
+	}
+	w.term, w.vote = term, vote
+	for _, e := range entries {
+		w.entries[e.GetIndex()] = term
+	}
+	if count > 0 {
+		w.last = first + uint64(count) - 1
+	}
+	return nil
+}
+
+func (w *workload) save(index, term uint64) error {
+	meta := &egretmuxv1.SnapshotMeta{Index: index, Term: term}
+	w.maybeSnapshot = index
+	if err := w.log.SaveSnapshot(meta, payload); err != nil {
+		return err
+	}
+	w.covered(meta)
+	return w.log.Compact(index - 1)
+}
+
+func payload(out io.Writer) error {
+	_, err := out.Write([]byte("the state"))
+	return err
+}
+
+func (w *workload) covered(meta *egretmuxv1.SnapshotMeta) {
+	w.snapshot = meta
+	for i := range w.entries {
+		if i <= meta.GetIndex() {
+			delete(w.entries, i)
+		}
+	}
+}
+
+// install receives a snapshot that replaces the whole log.
+func (w *workload) install(index, term uint64) error {
+	source := standin.NewDisk()
+	other, _, err := wal.Open(source)
+	if err != nil {
+		return err
+	}
+	meta := &egretmuxv1.SnapshotMeta{Index: index, Term: term}
+	if err := other.SaveSnapshot(meta, payload); err != nil {
+		return err
+	}
+	w.maybeSnapshot = index
+	for offset := uint64(0); ; {
+		chunk, last, err := other.ReadChunk(meta, offset, 10)
+		if err != nil {
+			return err
+		}
+		if last {
+			clear(w.entries) // published by this call, or not
+		}
+		if err := w.log.WriteChunk(meta, offset, chunk, last); err != nil {
+			return err
+		}
+		offset += uint64(len(chunk))
+		if last {
+			break
+		}
+	}
+	w.covered(meta)
+	w.last = index
+	return nil
+}
+
+// run carries out every kind of write; it ends at the first error.
+func (w *workload) run() error {
+	steps := []func() error{
+		func() error { return w.append(1, 1, 1, 5) },
+		func() error { return w.append(1, 1, 6, 5) },
+		func() error { return w.append(2, 3, 8, 4) }, // replaces 8 to 10
+		func() error { return w.append(3, 0, 0, 0) },
+		func() error { return w.save(9, 2) },
+		func() error { return w.append(4, 1, 11, 6) }, // replaces 11
+		func() error { return w.append(4, 1, 17, 6) },
+		func() error { return w.save(20, 4) },
+		func() error { return w.append(5, 1, 23, 9) },
+		func() error { return w.install(27, 6) }, // entries 28 to 31 are of another term
+		func() error { return w.append(6, 2, 28, 2) },
+		func() error { return w.append(6, 2, 30, 8) },
+		func() error { return w.save(33, 6) },
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// check compares what was recovered with what was acknowledged.
+func (w *workload) check(t *testing.T, rec *wal.Recovered, at string) {
+	t.Helper()
+	term, vote, last := rec.Position()
+	require.GreaterOrEqual(t, term, w.term, at)
+	if term == w.term && w.maybeTerm == w.term {
+		require.Equal(t, w.vote, vote, at)
+	}
+	index := rec.Snapshot.GetIndex()
+	require.GreaterOrEqual(t, index, w.snapshot.GetIndex(), at)
+	if index != w.snapshot.GetIndex() {
+		require.Equal(t, w.maybeSnapshot, index, at)
+	}
+	found := make(map[uint64]uint64)
+	for i, e := range rec.Entries {
+		require.Equal(t, index+uint64(i)+1, e.GetIndex(), at)
+		require.Equal(t, fmt.Sprintf("%d-%d", e.GetIndex(), e.GetTerm()), string(e.GetData()), at)
+		found[e.GetIndex()] = e.GetTerm()
+	}
+	for i, want := range w.entries {
+		if i > index {
+			require.Equal(t, want, found[i], "%s: entry %d", at, i)
+		}
+	}
+	_ = last
+}
+
+// TestCrashAtEveryDiskOperation kills the machine at each disk operation of a
+// workload, twice in a row, and checks that nothing acknowledged is lost.
+func TestCrashAtEveryDiskOperation(t *testing.T) {
+	keeps := map[string]func(*rand.Rand) func(int) int{
+		"nothing unsynced survives":    func(*rand.Rand) func(int) int { return func(int) int { return 0 } },
+		"everything unsynced survives": func(*rand.Rand) func(int) int { return func(n int) int { return n } },
+		"writes are torn":              func(r *rand.Rand) func(int) int { return func(n int) int { return r.IntN(n + 1) } },
+	}
+	for name, keep := range keeps {
+		t.Run(name, func(t *testing.T) {
+			for operations := 1; ; operations++ {
+				if !crashAt(t, operations, keep(rand.New(rand.NewPCG(uint64(operations), 1)))) {
+					require.Greater(t, operations, 50)
+					return
+				}
+			}
+		})
+	}
+}
+
+// crashAt reports whether the workload was cut by the crash.
+func crashAt(t *testing.T, operations int, keep func(int) int) bool {
+	t.Helper()
+	at := fmt.Sprintf("crash after %d operations", operations)
+	disk := standin.NewDisk()
+	w := &workload{entries: make(map[uint64]uint64)}
+	var err error
+	w.log, _, err = wal.Open(disk)
+	require.NoError(t, err)
+	w.log.SetSegmentBytes(testSegmentBytes)
+	disk.DieAfter(operations)
+	cut := w.run() != nil
+	for again := range 4 { // the opening itself is cut as well
+		disk.Crash(keep)
+		disk.DieAfter(operations % (again + 2))
+		_, _, _ = wal.Open(disk)
+	}
+	disk.Crash(keep)
+	log, rec, err := wal.Open(disk)
+	require.NoError(t, err, at)
+	w.check(t, rec, at)
+	// What was recovered can be continued.
+	w.log = log
+	term, _, last := rec.Position()
+	clear(w.entries)
+	w.last = last
+	w.snapshot = rec.Snapshot
+	require.NoError(t, w.append(term+1, 1, last+1, 3), at)
+	disk.Crash(keep)
+	_, rec, err = wal.Open(disk)
+	require.NoError(t, err, at)
+	w.check(t, rec, at)
+	return cut
+}
