Core under unit test; quicker election after an early pre-vote; counters

Cause: planted faults in voting, in the read before a term's first commit and in the repetition of a lost reply were not caught. A pre-vote asked for while another replica still believed in the dead leader was repeated only after a whole election timeout.

Change: unit tests of the core for each; the random test lets the machine die at any disk operation and lets two replicas stand for election at once, and reads from each new leader. Pre-votes are repeated after a quarter of the election timeout.

--- a/internal/consensus/bench_test.go
+++ b/internal/consensus/bench_test.go
@@ -138,6 +138,7 @@
 	paused   bool
 	rate     int // tenths of a tick in each tick of the bench
 	credit   int
+	dying    bool  // the machine dies at a disk operation to come
 	failure  error // why the replica stopped by itself
 	observed core.Status
 }
@@ -200,6 +201,9 @@
 	if s.node != nil {
 		return
 	}
+	if s.dying {
+		b.crash(s)
+	}
 	s.failure = nil
 	id, err := wal.Identity(s.disk, b.rng.Uint64)
 	if err != nil {
@@ -267,6 +271,7 @@
 		b.collect()
 		return
 	}
+	led := s.observed.Role == core.Leader
 	s.observed = s.node.core.Status()
 	b.oracle.commit = max(b.oracle.commit, s.observed.Commit)
 	if s.observed.Role == core.Leader {
@@ -276,6 +281,9 @@
 		b.oracle.leaders[s.observed.Term] = s.id
 	}
 	b.collect()
+	if !led && s.observed.Role == core.Leader {
+		b.read(s) // a new leader does not know yet what is committed
+	}
 }
 
 // collect takes in the answers to changes and reads.
@@ -495,6 +503,7 @@
 func (b *bench) loseDisk(s *slot) {
 	b.stop(s)
 	s.disk = standin.NewDisk()
+	s.dying = false
 	s.id = 0
 	s.observed = core.Status{}
 }
@@ -502,6 +511,7 @@
 // crash ends the process and loses what was not synced.
 func (b *bench) crash(s *slot) {
 	b.stop(s)
+	s.dying = false
 	s.disk.Crash(func(unsynced int) int { return b.rng.IntN(unsynced + 1) })
 }
 
@@ -513,6 +523,9 @@
 		s.rate = 10
 		s.disk.FailSyncs(false)
 		s.disk.SetFree(-1)
+		if s.dying {
+			b.crash(s)
+		}
 		b.start(s)
 		if s.failure != nil {
 			b.t.Fatalf("%s does not start after all faults ended: %v", s.instance(), s.failure)
--- a/internal/consensus/core/core_test.go
+++ b/internal/consensus/core/core_test.go
@@ -4,15 +4,262 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/consensus/core"
 )
 
+const electionTicks = 10
+
+func config(id uint64) core.Config {
+	return core.Config{ID: id, ElectionTicks: electionTicks, HeartbeatTicks: 1, Rand: func(int) int { return 0 }}
+}
+
+// formed returns the state of a replica of a new group.
+func formed(t *testing.T, voters ...uint64) core.Initial {
+	t.Helper()
+	m := &egretmuxv1.Membership{}
+	for _, id := range voters {
+		m.Replicas = append(m.Replicas, &egretmuxv1.Replica{Id: id})
+	}
+	data, err := proto.Marshal(m)
+	require.NoError(t, err)
+	return core.Initial{
+		HardState: &egretmuxv1.HardState{Term: 1, Commit: 1},
+		Entries:   []*egretmuxv1.Entry{{Term: 1, Index: 1, Kind: egretmuxv1.EntryKind_ENTRY_KIND_MEMBERSHIP, Data: data}},
+	}
+}
+
+func message(kind egretmuxv1.MessageKind, from, to, term uint64) *egretmuxv1.Message {
+	return &egretmuxv1.Message{Kind: kind, From: from, To: to, Term: term, Index: 1, LogTerm: 1}
+}
+
+func kinds(messages []*egretmuxv1.Message) []egretmuxv1.MessageKind {
+	var out []egretmuxv1.MessageKind
+	for _, m := range messages {
+		out = append(out, m.GetKind())
+	}
+	return out
+}
+
+// lead makes replica 1 of a new group of three the leader of term 2, with its
+// first entry not yet acknowledged by the others.
+func lead(t *testing.T) *core.Core {
+	t.Helper()
+	c := core.New(config(1), formed(t, 1, 2, 3))
+	c.Output()
+	c.Step(message(egretmuxv1.MessageKind_MESSAGE_KIND_TIMEOUT_NOW, 2, 1, 1))
+	c.Output()
+	c.Persisted()
+	c.Step(message(egretmuxv1.MessageKind_MESSAGE_KIND_VOTE_REPLY, 2, 1, 2))
+	require.Equal(t, core.Leader, c.Role())
+	c.Output()
+	c.Persisted()
+	return c
+}
+
 func TestEmptyReplicaDoesNotCampaign(t *testing.T) {
-	c := core.New(core.Config{ID: 1, ElectionTicks: 10, HeartbeatTicks: 1, Rand: func(int) int { return 0 }}, core.Initial{})
+	c := core.New(config(1), core.Initial{})
 	for range 100 {
 		c.Tick()
 	}
 	require.Equal(t, core.Follower, c.Role())
 	require.False(t, c.HasOutput())
 }
+
+func TestVoteIsPersistedBeforeItIsSent(t *testing.T) {
+	c := core.New(config(1), formed(t, 1, 2, 3))
+	c.Step(message(egretmuxv1.MessageKind_MESSAGE_KIND_VOTE, 2, 1, 2))
+	out := c.Output()
+	require.True(t, proto.Equal(&egretmuxv1.HardState{Term: 2, Vote: 2, Commit: 1}, out.HardState))
+	require.Empty(t, out.Messages)
+	require.Equal(t, []egretmuxv1.MessageKind{egretmuxv1.MessageKind_MESSAGE_KIND_VOTE_REPLY}, kinds(out.AfterSync))
+	require.False(t, out.AfterSync[0].GetReject())
+
+	// After a restart the same term's vote is still taken.
+	c = core.New(config(1), core.Initial{HardState: out.HardState, Entries: formed(t, 1, 2, 3).Entries})
+	c.Step(message(egretmuxv1.MessageKind_MESSAGE_KIND_VOTE, 3, 1, 2))
+	out = c.Output()
+	require.True(t, out.AfterSync[0].GetReject())
+}
+
+func TestCandidateAsksOnlyWithItsOwnVotePersisted(t *testing.T) {
+	c := core.New(config(1), formed(t, 1, 2, 3))
+	c.Step(message(egretmuxv1.MessageKind_MESSAGE_KIND_TIMEOUT_NOW, 2, 1, 1))
+	out := c.Output()
+	require.Equal(t, uint64(1), out.HardState.GetVote())
+	require.Empty(t, out.Messages)
+	require.Len(t, out.AfterSync, 2)
+}
+
+func TestLoneVoterLeadsOnlyAfterItsVoteIsPersisted(t *testing.T) {
+	c := core.New(config(1), formed(t, 1))
+	for range electionTicks {
+		c.Tick()
+	}
+	require.Equal(t, core.Candidate, c.Role())
+	require.Equal(t, uint64(2), c.Output().HardState.GetTerm())
+	c.Persisted()
+	require.Equal(t, core.Leader, c.Role())
+}
+
+func TestCandidateWithOlderLogIsRefused(t *testing.T) {
+	c := core.New(config(1), formed(t, 1, 2, 3))
+	m := message(egretmuxv1.MessageKind_MESSAGE_KIND_VOTE, 2, 1, 2)
+	m.Index, m.LogTerm = 0, 0
+	c.Step(m)
+	require.True(t, c.Output().AfterSync[0].GetReject())
+}
+
+func TestAppendIsAcknowledgedAfterItIsPersisted(t *testing.T) {
+	c := core.New(config(1), formed(t, 1, 2, 3))
+	m := message(egretmuxv1.MessageKind_MESSAGE_KIND_APPEND, 2, 1, 2)
+	m.Entries = []*egretmuxv1.Entry{{Term: 2, Index: 2}}
+	c.Step(m)
+	out := c.Output()
+	require.Len(t, out.Entries, 1)
+	require.Empty(t, out.Messages)
+	require.Equal(t, uint64(2), out.AfterSync[0].GetIndex())
+}
+
+func TestReadWaitsForTheFirstCommitOfTheTerm(t *testing.T) {
+	c := lead(t)
+	c.ReadIndex(7)
+	beat := message(egretmuxv1.MessageKind_MESSAGE_KIND_HEARTBEAT_REPLY, 2, 1, 2)
+	c.Step(beat)
+	require.Empty(t, c.Output().Reads)
+	ack := message(egretmuxv1.MessageKind_MESSAGE_KIND_APPEND_REPLY, 2, 1, 2)
+	ack.Index = 2
+	c.Step(ack)
+	require.Empty(t, c.Output().Reads, "committed, but not confirmed since")
+	c.Step(beat)
+	require.Empty(t, c.Output().Reads, "a reply to an earlier heartbeat")
+	beat.Context = 1
+	c.Step(beat)
+	require.Equal(t, []core.Read{{Token: 7, Index: 2, OK: true}}, c.Output().Reads)
+}
+
+func TestEntryOfAnOlderTermIsNotCommittedByCount(t *testing.T) {
+	init := formed(t, 1, 2, 3)
+	init.Entries = append(init.Entries, &egretmuxv1.Entry{Term: 1, Index: 2, Kind: egretmuxv1.EntryKind_ENTRY_KIND_COMMAND})
+	c := core.New(config(1), init)
+	c.Step(message(egretmuxv1.MessageKind_MESSAGE_KIND_TIMEOUT_NOW, 2, 1, 1))
+	c.Output()
+	c.Persisted()
+	c.Step(message(egretmuxv1.MessageKind_MESSAGE_KIND_VOTE_REPLY, 2, 1, 2))
+	c.Output()
+	c.Persisted()
+	ack := message(egretmuxv1.MessageKind_MESSAGE_KIND_APPEND_REPLY, 2, 1, 2)
+	ack.Index = 2
+	c.Step(ack)
+	require.Equal(t, uint64(1), c.Status().Commit)
+	ack.Index = 3
+	c.Step(ack)
+	require.Equal(t, uint64(3), c.Status().Commit)
+}
+
+func TestCommitStopsAtTheEntriesThatMatch(t *testing.T) {
+	init := formed(t, 1, 2, 3)
+	init.Entries = append(init.Entries, &egretmuxv1.Entry{Term: 1, Index: 2}, &egretmuxv1.Entry{Term: 1, Index: 3})
+	c := core.New(config(1), init)
+	m := message(egretmuxv1.MessageKind_MESSAGE_KIND_APPEND, 2, 1, 2)
+	m.Commit = 3 // its entries 2 and 3 are others than those here
+	c.Step(m)
+	require.Equal(t, uint64(1), c.Status().Commit)
+}
+
+func TestSnapshotKeepsAcknowledgedEntriesAfterIt(t *testing.T) {
+	init := formed(t, 1, 2, 3)
+	init.Entries = append(init.Entries, &egretmuxv1.Entry{Term: 1, Index: 2}, &egretmuxv1.Entry{Term: 1, Index: 3})
+	c := core.New(config(1), init)
+	m := message(egretmuxv1.MessageKind_MESSAGE_KIND_SNAPSHOT, 2, 1, 1)
+	m.Snapshot = &egretmuxv1.SnapshotMeta{Index: 2, Term: 1}
+	m.LastChunk = true
+	c.Step(m)
+	require.Equal(t, uint64(3), c.Status().Last)
+	require.Equal(t, uint64(2), c.Status().Commit)
+	require.Empty(t, c.Output().Chunks)
+}
+
+func TestPartsOfTwoLeadersSnapshotsAreNotMixed(t *testing.T) {
+	c := core.New(config(1), formed(t, 1, 2, 3))
+	part := func(from, term, offset uint64) *egretmuxv1.Message {
+		m := message(egretmuxv1.MessageKind_MESSAGE_KIND_SNAPSHOT, from, 1, term)
+		m.Snapshot = &egretmuxv1.SnapshotMeta{Index: 9, Term: 2}
+		m.Offset = offset
+		m.Chunk = []byte("part")
+		return m
+	}
+	c.Step(part(2, 2, 0))
+	require.Len(t, c.Output().Chunks, 1)
+	c.Step(part(3, 3, 4))
+	out := c.Output()
+	require.Empty(t, out.Chunks)
+	require.Zero(t, out.AfterSync[0].GetOffset(), "asks for the beginning")
+}
+
+func TestLostReplyIsAskedForAgain(t *testing.T) {
+	c := lead(t)
+	for range 3 {
+		c.Tick()
+	}
+	c.Output()
+	beat := message(egretmuxv1.MessageKind_MESSAGE_KIND_HEARTBEAT_REPLY, 2, 1, 2)
+	beat.Index = 2 // it holds the entry; its acknowledgement was lost
+	c.Step(beat)
+	require.Contains(t, kinds(c.Output().Messages), egretmuxv1.MessageKind_MESSAGE_KIND_APPEND)
+}
+
+func TestMembershipChangesOneAtATime(t *testing.T) {
+	c := lead(t)
+	learner := &egretmuxv1.Membership{Replicas: []*egretmuxv1.Replica{{Id: 1}, {Id: 2}, {Id: 3}, {Id: 4, Learner: true}}}
+	require.ErrorIs(t, c.ChangeMembership(learner), core.ErrChangeNotReady)
+	ack := message(egretmuxv1.MessageKind_MESSAGE_KIND_APPEND_REPLY, 2, 1, 2)
+	ack.Index = 2
+	c.Step(ack)
+	two := &egretmuxv1.Membership{Replicas: []*egretmuxv1.Replica{{Id: 1}}}
+	require.ErrorIs(t, c.ChangeMembership(two), core.ErrChangeTooLarge)
+	require.ErrorIs(t, c.ChangeMembership(&egretmuxv1.Membership{}), core.ErrChangeEmpty)
+	require.NoError(t, c.ChangeMembership(learner))
+	require.ErrorIs(t, c.ChangeMembership(learner), core.ErrChangePending)
+}
+
+func TestPromotionAndRemovalNeedTheWholeLog(t *testing.T) {
+	c := lead(t)
+	ack := message(egretmuxv1.MessageKind_MESSAGE_KIND_APPEND_REPLY, 2, 1, 2)
+	ack.Index = 2
+	c.Step(ack)
+	learner := &egretmuxv1.Membership{Replicas: []*egretmuxv1.Replica{{Id: 1}, {Id: 2}, {Id: 3}, {Id: 4, Learner: true}}}
+	require.NoError(t, c.ChangeMembership(learner))
+	c.Output()
+	c.Persisted()
+	ack.Index = 3
+	c.Step(ack)
+	voter := &egretmuxv1.Membership{Replicas: []*egretmuxv1.Replica{{Id: 1}, {Id: 2}, {Id: 3}, {Id: 4}}}
+	require.ErrorIs(t, c.ChangeMembership(voter), core.ErrChangeLagging)
+	removed := &egretmuxv1.Membership{Replicas: []*egretmuxv1.Replica{{Id: 1}, {Id: 3}, {Id: 4, Learner: true}}}
+	require.ErrorIs(t, c.ChangeMembership(removed), core.ErrChangeUnsafe, "3 never answered")
+	four := message(egretmuxv1.MessageKind_MESSAGE_KIND_APPEND_REPLY, 4, 1, 2)
+	four.Index = 3
+	c.Step(four)
+	require.NoError(t, c.ChangeMembership(voter))
+}
+
+func TestOlderDiskIsNoticed(t *testing.T) {
+	c := core.New(config(1), formed(t, 1, 2, 3))
+	c.Step(message(egretmuxv1.MessageKind_MESSAGE_KIND_HEARTBEAT, 2, 1, 2))
+	require.False(t, c.Output().Stale)
+	beat := message(egretmuxv1.MessageKind_MESSAGE_KIND_HEARTBEAT, 2, 1, 2)
+	beat.Index = 5 // the leader was told of five entries
+	c.Step(beat)
+	require.True(t, c.Output().Stale)
+	c.Step(message(egretmuxv1.MessageKind_MESSAGE_KIND_VOTE, 3, 1, 9))
+	require.Empty(t, c.Output().AfterSync)
+}
+
+func TestTermFollowsTheLog(t *testing.T) {
+	init := formed(t, 1, 2, 3)
+	init.Entries = append(init.Entries, &egretmuxv1.Entry{Term: 7, Index: 2})
+	require.Equal(t, uint64(7), core.New(config(1), init).Term())
+}
--- a/internal/consensus/core/election.go
+++ b/internal/consensus/core/election.go
@@ -73,6 +73,9 @@
 	c.electionTimeout = c.cfg.ElectionTicks + c.cfg.Rand(c.cfg.ElectionTicks)
 }
 
+// minPreVoteTicks is the least time between two rounds of pre-votes.
+const minPreVoteTicks = 2
+
 // campaign asks for pre-votes. They change no replica's term, so a replica
 // that was cut off does not disturb the leader when it comes back.
 func (c *Core) campaign() {
@@ -84,6 +87,9 @@
 	c.leader = 0
 	c.votes = map[uint64]bool{c.cfg.ID: true}
 	c.resetElection()
+	// A pre-vote asked for too early, while others still believed in the leader,
+	// is repeated soon.
+	c.electionTimeout = max(minPreVoteTicks, c.cfg.ElectionTicks/4) + c.cfg.Rand(max(1, c.cfg.ElectionTicks/4))
 	if c.members.quorum(c.granted) {
 		c.elect(false)
 		return
--- a/internal/consensus/fuzz_test.go
+++ b/internal/consensus/fuzz_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 )
 
 // convergeTicks bounds the time from the end of all faults to agreement.
@@ -56,6 +58,8 @@
 		{"crash", 2, f.crash},
 		{"kill", 1, f.kill},
 		{"disk fault", 1, f.diskFault},
+		{"die", 3, f.die},
+		{"contest", 3, f.contest},
 		{"restart", 6, f.restart},
 		{"lose disk", 1, f.loseDisk},
 		{"clock", 1, f.clock},
@@ -152,6 +156,20 @@
 	f.b.run(2)
 }
 
+// die lets the machine die at one of the next disk operations, perhaps between
+// the sending of a message and the sync that follows.
+func (f *faults) die(t *rapid.T) {
+	s := f.slot(t)
+	if s.node == nil {
+		return
+	}
+	s.dying = true
+	s.disk.DieAfter(rapid.IntRange(0, 8).Draw(t, "operations"))
+	if rapid.Bool().Draw(t, "tick") {
+		f.b.run(rapid.IntRange(1, 12).Draw(t, "ticks"))
+	}
+}
+
 func (f *faults) restart(t *rapid.T) {
 	s := f.slot(t)
 	if s.node == nil {
@@ -178,6 +196,21 @@
 	}
 }
 
+// contest makes two replicas stand for election at the same time, in the same
+// term if they can.
+func (f *faults) contest(t *rapid.T) {
+	for range 2 {
+		s := f.slot(t)
+		if s.node == nil || s.paused {
+			continue
+		}
+		f.b.queue = append(f.b.queue, packet{s.id, s.id, &egretmuxv1.Message{
+			Kind: egretmuxv1.MessageKind_MESSAGE_KIND_TIMEOUT_NOW, From: s.id, To: s.id, Term: s.observed.Term,
+		}})
+	}
+	f.b.deliverAll(rapid.IntRange(1, 3).Draw(t, "rounds"))
+}
+
 // demote removes a voter. Removing one while another's disk is lost leaves no
 // quorum, so that both together are outside of what is promised.
 func (f *faults) demote(t *rapid.T) {
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -3,103 +3,16 @@
 package consensus
 
 import (
-	"context"
-	"io"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/rs/zerolog"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/consensus/core"
-	"github.com/egretmux/egretmux/internal/consensus/wal"
+	"github.com/egretmux/egretmux/internal/telemetry"
 )
 
-// StateMachine is what the log's commands are applied to. Apply and Restore
-// are called by one goroutine, in log order.
-type StateMachine interface {
-	// Apply carries out a command and returns its result for the proposer.
-	Apply(index uint64, command []byte) any
-	// Capture returns a function that writes the state as of now. Capture must
-	// be quick; the function runs beside later Applies.
-	Capture() func(io.Writer) error
-	// Restore replaces the state by a captured one.
-	Restore(data []byte) error
-}
-
-// Transport carries messages to other replicas. Send must not block; it may
-// drop messages.
-type Transport interface {
-	Send(to *egretmuxv1.Replica, messages []*egretmuxv1.Message)
-}
-
-// Errors of Propose and ConfirmLeader.
-var (
-	ErrNotLeader      = errors.New("this instance does not lead; ask the leader")
-	ErrOutcomeUnknown = errors.New("leadership was lost before the outcome was known; resend with the same change id")
-	ErrStopped        = errors.New("the replica has stopped; see its log for the cause")
-	ErrStale          = errors.New("the data folder is older than what this replica has acknowledged to the others; move it away and restart: the instance rejoins with a new identity")
-)
-
-// Config holds the parts and timing of a Node.
-type Config struct {
-	ID              uint64
-	Log             *wal.Log
-	Recovered       *wal.Recovered
-	Machine         StateMachine
-	Transport       Transport
-	Tick            time.Duration
-	ElectionTicks   int
-	HeartbeatTicks  int
-	SnapshotEntries uint64          // entries between two snapshots
-	SnapshotBytes   int             // command bytes between two snapshots; zero means DefaultSnapshotBytes
-	KeptEntries     uint64          // entries kept in memory behind a snapshot; zero means DefaultKeptEntries
-	ChunkBytes      int             // snapshot bytes in one message; zero means DefaultChunkBytes
-	Rand            func(n int) int // uniform in [0, n); nil means math/rand
-	Logger          zerolog.Logger
-	OnFailure       func(error) // called once when the disk fails
-}
-
-const (
-	proposalQueue   = 4096     // proposals that wait for the loop
-	maxBatch        = 1024     // proposals taken up at once
-	maxWaiting      = 16384    // proposals that wait for their commit
-	maxWaitingBytes = 32 << 20 // command bytes that wait for their commit
-	messageQueue    = 1024
-	controlQueue    = 64
-	readQueueLength = 4096
-)
-
-// Defaults of Config.
-const (
-	DefaultSnapshotBytes = 32 << 20
-	DefaultKeptEntries   = 5000
-	DefaultChunkBytes    = 256 << 10
-)
-
-type proposal struct {
-	data []byte
-	done chan result
-}
-
-type result struct {
-	value any
-	err   error
-}
-
-type waiter struct {
-	term uint64
-	size int
-	done chan result
-}
-
-type readWaiter struct {
-	index uint64
-	done  chan error
-}
-
 // Node is one running replica.
 type Node struct {
 	cfg  Config
@@ -163,21 +76,6 @@
 	return n, nil
 }
 
-func (c *Config) setDefaults() {
-	if c.SnapshotBytes == 0 {
-		c.SnapshotBytes = DefaultSnapshotBytes
-	}
-	if c.KeptEntries == 0 {
-		c.KeptEntries = DefaultKeptEntries
-	}
-	if c.ChunkBytes == 0 {
-		c.ChunkBytes = DefaultChunkBytes
-	}
-	if c.Rand == nil {
-		c.Rand = rand.IntN
-	}
-}
-
 // Run drives the replica until Stop or a disk failure.
 func (n *Node) Run() {
 	defer close(n.stopped)
@@ -255,60 +153,6 @@
 	}
 }
 
-// propose hands a batch of waiting proposals to the core.
-func (n *Node) propose(first proposal) {
-	batch := []proposal{first}
-	for len(batch) < maxBatch {
-		select {
-		case p := <-n.proposals:
-			batch = append(batch, p)
-			continue
-		default:
-		}
-		break
-	}
-	data := make([][]byte, len(batch))
-	for i, p := range batch {
-		data[i] = p.data
-	}
-	index, ok := n.core.Propose(data...)
-	for i, p := range batch {
-		if !ok {
-			p.done <- result{err: ErrNotLeader}
-			continue
-		}
-		n.waiting[index+uint64(i)] = waiter{term: n.core.Term(), size: len(p.data), done: p.done}
-		n.waitingBytes += len(p.data)
-	}
-}
-
-func (n *Node) read(first readWaiter) {
-	tokens := []uint64{n.addRead(first)}
-	for len(tokens) < maxBatch {
-		select {
-		case r := <-n.reads:
-			tokens = append(tokens, n.addRead(r))
-			continue
-		default:
-		}
-		break
-	}
-	n.core.ReadIndex(tokens...)
-}
-
-func (n *Node) addRead(r readWaiter) uint64 {
-	n.nextToken++
-	n.tokens[n.nextToken] = r
-	return n.nextToken
-}
-
-// answer ends the wait of the proposal at a log index.
-func (n *Node) answer(index uint64, w waiter, r result) {
-	delete(n.waiting, index)
-	n.waitingBytes -= w.size
-	w.done <- r
-}
-
 // process carries out the core's outputs until there are none.
 func (n *Node) process() error {
 	for n.core.HasOutput() {
@@ -347,9 +191,16 @@
 		}
 		n.applied = c.Meta.GetIndex()
 		n.snapAt = c.Meta.GetIndex()
+		telemetry.Count("replica_snapshots_installed_total")
 		n.cfg.Logger.Info().Str("event", "snapshot_installed").Uint64("index", n.applied).Msg("")
 	}
-	return n.cfg.Log.Append(out.HardState, out.Entries)
+	if out.HardState == nil && len(out.Entries) == 0 {
+		return nil
+	}
+	began := time.Now()
+	err := n.cfg.Log.Append(out.HardState, out.Entries)
+	telemetry.ObserveSeconds("log_append", time.Since(began))
+	return err
 }
 
 func (n *Node) apply(entries []*egretmuxv1.Entry) {
@@ -373,33 +224,6 @@
 	n.releaseReads()
 }
 
-func (n *Node) answerReads(reads []core.Read) {
-	for _, r := range reads {
-		w := n.tokens[r.Token]
-		delete(n.tokens, r.Token)
-		if !r.OK {
-			w.done <- ErrNotLeader
-			continue
-		}
-		w.index = r.Index
-		n.confirmed = append(n.confirmed, w)
-	}
-	n.releaseReads()
-}
-
-// releaseReads answers the confirmed reads whose index has been applied.
-func (n *Node) releaseReads() {
-	kept := n.confirmed[:0]
-	for _, w := range n.confirmed {
-		if w.index <= n.applied {
-			w.done <- nil
-		} else {
-			kept = append(kept, w)
-		}
-	}
-	n.confirmed = kept
-}
-
 // sendAll groups messages by receiver and fills in snapshot chunks.
 func (n *Node) sendAll(messages []*egretmuxv1.Message) {
 	groups := make(map[uint64][]*egretmuxv1.Message)
@@ -423,57 +247,6 @@
 	}
 }
 
-func (n *Node) fillChunk(m *egretmuxv1.Message) bool {
-	data, last, err := n.cfg.Log.ReadChunk(m.GetSnapshot(), m.GetOffset(), n.cfg.ChunkBytes)
-	if err != nil {
-		n.core.SnapshotUnavailable(m.GetTo())
-		return false
-	}
-	m.Chunk = data
-	m.LastChunk = last
-	return true
-}
-
-// maybeSnapshot starts a snapshot when enough was applied since the last.
-func (n *Node) maybeSnapshot() {
-	if n.snapping || n.applied == n.snapAt {
-		return
-	}
-	if n.applied < n.snapAt+n.cfg.SnapshotEntries && n.snapBytes < n.cfg.SnapshotBytes {
-		return
-	}
-	n.snapping = true
-	n.snapAt = n.applied
-	n.snapBytes = 0
-	meta := &egretmuxv1.SnapshotMeta{
-		Index: n.applied, Term: n.core.TermAt(n.applied), Membership: n.core.MembershipAt(n.applied),
-	}
-	write := n.cfg.Machine.Capture()
-	go func() {
-		if err := n.cfg.Log.SaveSnapshot(meta, write); err != nil {
-			n.cfg.Logger.Error().Err(err).Str("event", "snapshot_failed").Msg("")
-			meta = nil
-		}
-		n.snapDone <- meta
-	}()
-}
-
-func (n *Node) snapshotDone(meta *egretmuxv1.SnapshotMeta) {
-	n.snapping = false
-	if meta == nil {
-		return
-	}
-	keepFrom := uint64(1)
-	if meta.GetIndex() > n.cfg.KeptEntries {
-		keepFrom = meta.GetIndex() - n.cfg.KeptEntries
-	}
-	keepFrom = n.core.Compact(meta, keepFrom)
-	if err := n.cfg.Log.Compact(keepFrom - 1); err != nil {
-		n.cfg.Logger.Error().Err(err).Str("event", "compaction_failed").Msg("")
-	}
-	n.cfg.Logger.Info().Str("event", "snapshot_saved").Uint64("index", meta.GetIndex()).Msg("")
-}
-
 func (n *Node) failAll(err error) {
 	for i, w := range n.waiting {
 		n.answer(i, w, result{err: ErrOutcomeUnknown})
@@ -504,6 +277,9 @@
 	if !changed {
 		return
 	}
+	if old.Role != s.Role {
+		telemetry.Count(`replica_role_changes_total{role="` + s.Role.String() + `"}`)
+	}
 	n.cfg.Logger.Info().Str("event", "role_changed").Stringer("role", s.Role).Uint64("term", s.Term).Uint64("leader", s.Leader).Msg("")
 	for i, w := range n.waiting {
 		if s.Role != core.Leader || w.term != s.Term {
@@ -519,75 +295,3 @@
 	defer n.statusMu.RUnlock()
 	return n.status, n.changed
 }
-
-// Propose appends a command and returns its result once it is committed and
-// applied here. After ErrOutcomeUnknown or an ended context the command may
-// still be applied.
-func (n *Node) Propose(ctx context.Context, data []byte) (any, error) {
-	p := proposal{data: data, done: make(chan result, 1)}
-	select {
-	case n.proposals <- p:
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	case <-n.stopped:
-		return nil, ErrStopped
-	}
-	select {
-	case r := <-p.done:
-		return r.value, r.err
-	case <-ctx.Done():
-		return nil, errors.Mark(ctx.Err(), ErrOutcomeUnknown)
-	case <-n.stopped:
-		return nil, ErrOutcomeUnknown
-	}
-}
-
-// ConfirmLeader returns once a quorum has confirmed that this replica still
-// led after the call began, and everything committed by then is applied here.
-func (n *Node) ConfirmLeader(ctx context.Context) error {
-	w := readWaiter{done: make(chan error, 1)}
-	select {
-	case n.reads <- w:
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-n.stopped:
-		return ErrStopped
-	}
-	select {
-	case err := <-w.done:
-		return err
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-n.stopped:
-		return ErrStopped
-	}
-}
-
-// Step hands over messages received from other replicas. A full queue drops
-// them, as the network might.
-func (n *Node) Step(messages []*egretmuxv1.Message) {
-	select {
-	case n.messages <- messages:
-	default:
-	}
-}
-
-// Do runs f on the core between two events and waits for it.
-func (n *Node) Do(ctx context.Context, f func(*core.Core) error) error {
-	done := make(chan error, 1)
-	select {
-	case n.control <- func(c *core.Core) { done <- f(c) }:
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-n.stopped:
-		return ErrStopped
-	}
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-n.stopped:
-		return ErrStopped
-	}
-}
--- a/internal/consensus/scenario_test.go
+++ b/internal/consensus/scenario_test.go
@@ -52,6 +52,8 @@
 		s.isolate(at(), true, false)
 	case "mute":
 		s.isolate(at(), false, true)
+	case "block":
+		s.b.blocked[[2]int{s.slot(t, d, "from").number, s.slot(t, d, "to").number}] = true
 	case "mend":
 		clear(s.b.blocked)
 	case "pause":
