Capacity: slopes of each role's cost, measured on real processes

Cause: docs/CAPACITY.md needs measured slopes; nothing counted control traffic. Change: traffic counters on the control and cell listeners and dialers, a fleet of stand-in workers and endpoints, sampling, fitting and plotting, scripts/capacity.

--- a/Makefile
+++ b/Makefile
@@ -21,3 +21,7 @@
 .PHONY: soak
 soak: build
 	SECONDS_LONG=$(or $(SECONDS),90) SEED=$(or $(SEED),1) ./scripts/soak
+
+.PHONY: capacity
+capacity: build
+	./scripts/capacity
--- a/cmd/egretmux-standin/main.go
+++ b/cmd/egretmux-standin/main.go
@@ -116,6 +116,7 @@
 	for name, command := range map[string]any{
 		"worker": &workerCommand{}, "endpoint": &endpointCommand{}, "caller": &callerCommand{},
 		"link": &linkCommand{}, "load": &loadCommand{}, "check": &checkCommand{}, "note": &noteCommand{},
+		"fleet": &fleetCommand{}, "sample": &sampleCommand{}, "fit": &fitCommand{}, "starts": &startsCommand{},
 	} {
 		if _, err := parser.AddCommand(name, "play a "+name, "Plays a "+name+" until a signal.", command); err != nil {
 			fmt.Fprintln(os.Stderr, err)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/egretmux/egretmux/internal/route"
 	"github.com/egretmux/egretmux/internal/settings"
 	"github.com/egretmux/egretmux/internal/state"
+	"github.com/egretmux/egretmux/internal/telemetry"
 	"github.com/egretmux/egretmux/internal/voter"
 )
 
@@ -93,7 +94,9 @@
 
 func (d *Daemon) buildRelay() {
 	s := d.settings
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}}
+	client := &http.Client{Transport: &http.Transport{
+		DialContext: telemetry.CountDial((&net.Dialer{}).DialContext, "commands"), MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute,
+	}}
 	d.relay = relay.New(relay.Config{
 		Instance: &egretmuxv1.Instance{
 			Id: s.Instance, Datacentre: s.Datacentre, CellAddress: s.Cell.Address, ControlAddress: s.Control.Address, Voter: s.IsVoter(),
@@ -121,6 +124,9 @@
 		if err != nil {
 			return errors.Wrapf(err, "[listen] %s: %s cannot be opened; stop the other process or choose another port", name, l.Address)
 		}
+		if name != "callers" {
+			opened = telemetry.CountListener(opened, name)
+		}
 		if opened, err = withTLS(opened, l); err != nil {
 			return errors.Wrapf(err, "[tls] %s", name)
 		}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -18,6 +18,7 @@
 	"github.com/egretmux/egretmux/gen/egretmux/v1/egretmuxv1connect"
 	"github.com/egretmux/egretmux/internal/refusal"
 	"github.com/egretmux/egretmux/internal/refusal/refusalrpc"
+	"github.com/egretmux/egretmux/internal/telemetry"
 )
 
 // Times of connections between instances. A connection that stays silent is
@@ -43,7 +44,7 @@
 // certificates it uses TLS.
 func NewDialer(key, caFile string) (*Dialer, error) {
 	transport := &http.Transport{
-		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:     telemetry.CountDial((&net.Dialer{Timeout: dialTimeout}).DialContext, "peers"),
 		IdleConnTimeout: idleTimeout,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 		Protocols:       new(http.Protocols),
--- a/internal/standin/announcer.go
+++ b/internal/standin/announcer.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/gen/egretmux/v1/egretmuxv1connect"
+	"github.com/egretmux/egretmux/internal/telemetry"
 )
 
 const announceTimeout = 2 * time.Second
@@ -26,7 +28,9 @@
 // NewAnnouncer returns an announcer for the control addresses of instances.
 func NewAnnouncer(instances []string, token string) *Announcer {
 	a := &Announcer{}
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
+	client := &http.Client{Transport: &http.Transport{
+		DialContext: telemetry.CountDial((&net.Dialer{}).DialContext, "announce"), MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute,
+	}}
 	for _, address := range instances {
 		a.clients = append(a.clients, egretmuxv1connect.NewAnnounceServiceClient(client, "http://"+address,
 			connect.WithInterceptors(bearer(token))))
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -68,6 +68,13 @@
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: announceTimeout}
 	go func() { _ = server.Serve(listener) }()
 	defer func() { _ = server.Close() }()
+	w.RunAnnouncing(ctx)
+	return nil
+}
+
+// RunAnnouncing announces the worker until the context ends. The caller hands
+// it the commands for it.
+func (w *Worker) RunAnnouncing(ctx context.Context) {
 	ticker := time.NewTicker(announcePeriod)
 	defer ticker.Stop()
 	for {
@@ -75,7 +82,7 @@
 		select {
 		case <-ctx.Done():
 			w.stopAll("worker ends")
-			return nil
+			return
 		case <-ticker.C:
 		case <-w.wake:
 		}
