Leases and contract changes hold under restarts, pauses and late answers

Cause: a review of the exchange between instances and the leader found races. A cell version could be read before the contract it counts, so an entry acknowledged a change it lacked. A restarted instance hid its predecessor's lease. Grants of an older leader could arrive after the entry had told a newer one what it holds. A worker's loss could be decided between the reading of its phase and the renewal of its lease. Acknowledgements of a closed session dropped commands of the next. A call of several tries reported the last one's "not run". An empty change id got the answer of another change.

Change: contracts and their number change under one lock. Change ids keep the first answer, conflicts included, with a hash of the content; another content is a key conflict. A conflict carries a unified diff. Processes of an instance carry growing incarnations; the state notes a predecessor until its lease has certainly ended, and removes an instance only for the process that left. Entries take up a term before they report in full, and get a lease only after that. Endpoints are reported on change only; their silence is watched by the instance that hears them. Workers list running attempts and usage only when asked or when they change.

Conclusion: the first answer is kept for a conflict too, because a base version ahead of the one in force would otherwise be accepted later.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -99,7 +99,7 @@
 			Id: s.Instance, Datacentre: s.Datacentre, CellAddress: s.Cell.Address, ControlAddress: s.Control.Address, Voter: s.IsVoter(),
 		},
 		Leader: d.finder, Book: d.book, Endpoints: d.routes,
-		Commands: relay.NewCommander(client, "http", d.logger), Logger: d.logger,
+		Commands: relay.NewCommander(client, "http", d.logger), EndpointSilent: s.EndpointSilent, Logger: d.logger,
 	})
 }
 
--- a/internal/endpoint/table.go
+++ b/internal/endpoint/table.go
@@ -134,6 +134,10 @@
 	}
 }
 
+// RetireEntry gives an entry no new grants. Those it has stay out until
+// RemoveEntry takes them back.
+func (t *Table) RetireEntry(entry string) { delete(t.entries, entry) }
+
 // Hold records what an entry confirmed to hold and to want.
 func (t *Table) Hold(entry string, h *egretmuxv1.GrantHolding) {
 	g := t.grantOf(h.GetEndpoint(), entry)
--- a/internal/leader/contracts.go
+++ b/internal/leader/contracts.go
@@ -2,25 +2,49 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
+	"github.com/pmezard/go-difflib/difflib"
+
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/refusal"
 )
 
-// ApplyContract commits a change of a contract. On a conflict it returns the
-// version in force beside the error.
+// maxDifferenceBytes bounds the difference that a conflict carries.
+const maxDifferenceBytes = 16 << 10
+
+// ApplyContract commits a change of a contract. A conflict carries the
+// difference from the version in force to the refused text.
 func (l *Leader) ApplyContract(ctx context.Context, c *egretmuxv1.ApplyContract) (*egretmuxv1.ContractVersion, error) {
 	if _, err := l.current(); err != nil {
 		return nil, err
 	}
 	result, err := l.propose(ctx, &egretmuxv1.Command{Body: &egretmuxv1.Command_ApplyContract{ApplyContract: c}})
+	if result != nil && result.Err != nil && result.Err.Kind == refusal.VersionConflict {
+		conflict := *result.Err // the state's answer is shared
+		conflict.Difference = difference(result.Contract, c)
+		return nil, &conflict
+	}
 	if err != nil {
 		return nil, err
 	}
 	return result.Contract, nil
 }
 
+// difference returns a unified diff from a version in force to a change.
+func difference(from *egretmuxv1.ContractVersion, to *egretmuxv1.ApplyContract) string {
+	text, err := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
+		A: difflib.SplitLines(from.GetText()), FromFile: fmt.Sprintf("%s version %d, change %s by %s", to.GetCustomer(), from.GetVersion(), from.GetChangeId(), from.GetAuthor()),
+		B: difflib.SplitLines(to.GetText()), ToFile: fmt.Sprintf("change %s by %s", to.GetChangeId(), to.GetAuthor()),
+		Context: 1,
+	})
+	if err != nil || len(text) > maxDifferenceBytes {
+		return "the difference is too long; see 'egretmux contract diff'\n"
+	}
+	return text
+}
+
 // Contract returns a version of a contract, the newest for version zero.
 func (l *Leader) Contract(ctx context.Context, customer string, version uint64) (*egretmuxv1.ContractVersion, error) {
 	if _, err := l.confirm(ctx); err != nil {
@@ -38,7 +62,8 @@
 	if _, err := l.confirm(ctx); err != nil {
 		return nil, err
 	}
-	return l.store.ContractsSince(0), nil
+	_, list := l.store.ContractsSince(0)
+	return list, nil
 }
 
 // History returns the kept versions of a contract, newest first.
@@ -56,6 +81,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if current := l.store.CellVersion(); cellVersion > current {
+		return nil, refusal.New(refusal.NotFound, "use the cell version that the change was accepted with", "the cell is at version %d, not %d", current, cellVersion)
+	}
 	resp := &egretmuxv1.ForceStatusResponse{Everywhere: true}
 	for _, in := range t.instances(time.Now()) {
 		resp.Instances++
@@ -78,7 +106,7 @@
 	defer t.mu.Unlock()
 	var out []*egretmuxv1.InstanceStatus
 	for _, in := range t.store.Instances() {
-		s := &egretmuxv1.InstanceStatus{Instance: in, LeaseValid: t.leaseMayHold(in.GetId(), now), Role: "entry"}
+		s := &egretmuxv1.InstanceStatus{Instance: in, LeaseValid: t.mayServe(in, now), Role: "entry"}
 		if r := replicas[in.GetId()]; r != nil {
 			s.Replica = r.GetId()
 			s.Role = "voter"
@@ -92,7 +120,7 @@
 		}
 		heard := t.started
 		if x := t.sessions[in.GetId()]; x != nil {
-			s.ContractVersion = x.contractVersion
+			s.ContractVersion = x.versionInForce(in, t.predecessorMayHold(in, now))
 			heard = x.confirmed
 		}
 		s.SilentMs = now.Sub(heard).Milliseconds()
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -43,9 +43,23 @@
 	return d + d/clockDriftPart + margin
 }
 
+// Replica is the local replica of the log.
+type Replica interface {
+	// Status returns the newest status and a channel that is closed when role,
+	// term or leader change.
+	Status() (core.Status, <-chan struct{})
+	// Propose commits a command and returns what applying it returned.
+	Propose(ctx context.Context, data []byte) (any, error)
+	// ConfirmLeader returns once a quorum has confirmed that this replica led
+	// after the call began.
+	ConfirmLeader(ctx context.Context) error
+	// Do runs f between two events of the replica.
+	Do(ctx context.Context, f func(*core.Core) error) error
+}
+
 // Leader plans and keeps leases while the local replica leads.
 type Leader struct {
-	node   *consensus.Node
+	node   Replica
 	store  *state.Store
 	timing Timing
 	logger zerolog.Logger
@@ -63,13 +77,13 @@
 }
 
 // SetNode joins the leader with its replica and state.
-func (l *Leader) SetNode(node *consensus.Node, store *state.Store) {
+func (l *Leader) SetNode(node Replica, store *state.Store) {
 	l.node = node
 	l.store = store
 }
 
 // Node returns the replica.
-func (l *Leader) Node() *consensus.Node { return l.node }
+func (l *Leader) Node() Replica { return l.node }
 
 // Run begins and ends tenures until the context ends.
 func (l *Leader) Run(ctx context.Context) {
--- a/internal/leader/tenure.go
+++ b/internal/leader/tenure.go
@@ -18,6 +18,7 @@
 	garbagePeriod = time.Minute
 	resendAfter   = 300 * time.Millisecond // a command not confirmed by then is sent again
 	planPeriod    = 250 * time.Millisecond // planning without a change, for backoffs that end
+	requestGiveUp = 15 * time.Minute       // a request without an outcome is unknown; longer than any may take
 	pauseLimit    = time.Second            // a longer gap between upkeeps means this process was paused
 )
 
@@ -30,13 +31,18 @@
 
 	plan chan struct{}
 
-	mu        sync.Mutex
-	sessions  map[string]*session
-	workers   map[string]*workerView
-	endpoints *endpoint.Table
-	queue     map[uint64]*egretmuxv1.Task
-	commands  map[uint64]*command // by attempt
-	floor     time.Time           // silence before this time does not count
+	mu           sync.Mutex
+	sessions     map[string]*session // by instance
+	departures   []departure
+	removing     map[string]bool      // instances whose removal is being committed
+	closed       map[string]time.Time // when an instance's last session ended
+	lastSequence uint64               // of commands, over closed sessions
+	attached     *attachments
+	workers      map[string]*workerView
+	endpoints    *endpoint.Table
+	queue        map[uint64]*egretmuxv1.Task
+	commands     map[uint64]*command // by attempt
+	floor        time.Time           // silence before this time does not count
 }
 
 // workerView is what the leader has heard of a worker.
@@ -44,6 +50,8 @@
 	heard    time.Time
 	instance string // that the worker announces itself through
 	usage    map[uint64]*egretmuxv1.AttemptUsage
+	losing   bool // its loss is being committed; it gets no lease until that is decided
+	complete bool // its running attempts and usage are fully known
 }
 
 // command is an instruction that a worker has not confirmed yet.
@@ -61,6 +69,9 @@
 		plan:      make(chan struct{}, 1),
 		sessions:  make(map[string]*session),
 		workers:   make(map[string]*workerView),
+		removing:  make(map[string]bool),
+		closed:    make(map[string]time.Time),
+		attached:  newAttachments(),
 		endpoints: endpoint.NewTable(l.timing.EndpointSilent),
 		queue:     make(map[uint64]*egretmuxv1.Task),
 		commands:  make(map[uint64]*command),
@@ -78,6 +89,7 @@
 	loops.Go(func() { t.runPlanner(ctx) })
 	loops.Go(func() { t.runUpkeep(ctx) })
 	loops.Go(func() { t.runGarbage(ctx) })
+	loops.Go(func() { t.runMembers(ctx) })
 	loops.Wait()
 }
 
@@ -259,7 +271,8 @@
 	}
 }
 
-// silentWorkers returns the workers whose leases have certainly ended.
+// silentWorkers returns the workers whose leases have certainly ended. Until
+// their loss is decided their reports renew nothing.
 func (t *tenure) silentWorkers(now time.Time) []*egretmuxv1.Worker {
 	var lost []*egretmuxv1.Worker
 	for _, w := range t.store.Workers() {
@@ -271,6 +284,7 @@
 			heard = v.heard
 		}
 		if now.Sub(heard) > outlast(t.leader.timing.WorkerLease) {
+			t.view(w.GetId()).losing = true
 			lost = append(lost, w)
 		}
 	}
@@ -282,6 +296,12 @@
 		Worker: w.GetId(), Epoch: w.GetEpoch(), Phase: egretmuxv1.WorkerPhase_WORKER_PHASE_LOST, Reason: "silent for longer than its lease",
 	}}})
 	t.leader.logger.Warn().AnErr("error", err).Str("event", "worker_lost").Str("worker", w.GetId()).Msg("")
+	if err != nil {
+		return // the outcome is unknown and the tenure over
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.view(w.GetId()).losing = false
 }
 
 // runGarbage drops old records now and then.
@@ -298,6 +318,7 @@
 		_, err := t.leader.propose(ctx, &egretmuxv1.Command{Body: &egretmuxv1.Command_CollectGarbage{CollectGarbage: &egretmuxv1.CollectGarbage{
 			TasksEndedBeforeUnixMs:    now.Add(-t.leader.timing.TaskKeep).UnixMilli(),
 			RequestsEndedBeforeUnixMs: now.Add(-t.leader.timing.RequestKeep).UnixMilli(),
+			RequestsBegunBeforeUnixMs: now.Add(-requestGiveUp).UnixMilli(),
 		}}})
 		if err != nil {
 			t.leader.logger.Warn().Err(err).Str("event", "garbage_not_collected").Msg("")
--- a/internal/leader/workers.go
+++ b/internal/leader/workers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/task"
 )
 
 // takeWorkerReports commits the changes of attempts and answers each worker.
@@ -29,10 +30,16 @@
 }
 
 func (t *tenure) takeWorkerReport(ctx context.Context, instance string, r *egretmuxv1.WorkerReport, now time.Time) (*egretmuxv1.WorkerReply, error) {
+	reply := &egretmuxv1.WorkerReply{Worker: r.GetWorker()}
+	// The report must count before the worker's phase is read: a loss that is
+	// decided later then sees it, and one decided before renews nothing.
+	if !t.heard(r, instance, now, reply) {
+		reply.Register = true
+		return reply, nil
+	}
 	if r.GetRegister() != nil {
-		return t.register(ctx, instance, r, now)
+		return t.register(ctx, r, reply)
 	}
-	reply := &egretmuxv1.WorkerReply{Worker: r.GetWorker()}
 	w := t.store.Worker(r.GetWorker())
 	if w == nil || w.GetEpoch() != r.GetEpoch() || w.GetPhase() == egretmuxv1.WorkerPhase_WORKER_PHASE_LOST {
 		reply.Register = true
@@ -40,14 +47,12 @@
 	}
 	reply.Epoch = w.GetEpoch()
 	reply.StopAttempts = t.unknownAttempts(r)
-	t.heard(r.GetWorker(), instance, r.GetUsage(), now)
 	return reply, nil
 }
 
 // register gives a worker a new epoch once it runs nothing that the cell does
 // not know; until then unknown attempts hold its room.
-func (t *tenure) register(ctx context.Context, instance string, r *egretmuxv1.WorkerReport, now time.Time) (*egretmuxv1.WorkerReply, error) {
-	reply := &egretmuxv1.WorkerReply{Worker: r.GetWorker()}
+func (t *tenure) register(ctx context.Context, r *egretmuxv1.WorkerReport, reply *egretmuxv1.WorkerReply) (*egretmuxv1.WorkerReply, error) {
 	if unknown := t.unknownAttempts(r); len(unknown) > 0 {
 		reply.Register = true
 		reply.StopAttempts = unknown
@@ -60,7 +65,6 @@
 		return nil, err
 	}
 	reply.Epoch = result.Worker.GetEpoch()
-	t.heard(r.GetWorker(), instance, r.GetUsage(), now)
 	return reply, nil
 }
 
@@ -74,19 +78,42 @@
 	return unknown
 }
 
-func (t *tenure) heard(worker, instance string, usage []*egretmuxv1.AttemptUsage, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+// view returns what is known of a worker. The caller holds the lock.
+func (t *tenure) view(worker string) *workerView {
 	v := t.workers[worker]
 	if v == nil {
 		v = &workerView{usage: make(map[uint64]*egretmuxv1.AttemptUsage)}
 		t.workers[worker] = v
 	}
-	v.heard = now
+	return v
+}
+
+// heard notes a worker's report, unless the worker's loss is being decided.
+func (t *tenure) heard(r *egretmuxv1.WorkerReport, instance string, now time.Time, reply *egretmuxv1.WorkerReply) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v := t.view(r.GetWorker())
+	if v.losing {
+		return false
+	}
+	if now.After(v.heard) {
+		v.heard = now
+	}
 	v.instance = instance
-	for _, u := range usage {
+	if r.GetFull() {
+		v.usage = make(map[uint64]*egretmuxv1.AttemptUsage, len(r.GetUsage()))
+		v.complete = true
+	}
+	for _, u := range r.GetUsage() {
 		v.usage[u.GetAttempt()] = u
 	}
+	for _, a := range r.GetAttempts() {
+		if !task.Live(a.GetPhase()) {
+			delete(v.usage, a.GetAttempt())
+		}
+	}
+	reply.NeedFull = !v.complete
+	return true
 }
 
 func attemptChanges(r *egretmuxv1.WorkerReport) []*egretmuxv1.AttemptChange {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -156,8 +156,10 @@
 
 // Call runs f against the leader. While no leader answers, or the outcome is
 // unknown, it tries again until the context ends, so f must be safe to repeat.
+// When one of the tries may have been carried out, so may the whole call.
 func (l *Leader) Call(ctx context.Context, f func(context.Context, *Clients) error) error {
 	pause := retryPause
+	var unknown *refusal.Error
 	for {
 		c := l.pick()
 		err := f(ctx, c)
@@ -168,17 +170,32 @@
 		r, leader := refusalrpc.From(err)
 		if r.Kind != refusal.NoLeader && r.Kind != refusal.OutcomeUnknown {
 			l.learn(c.Address, "", true)
+			if unknown != nil && !definite(r.Kind) {
+				r.Ran = refusal.Unknown
+			}
 			return r
 		}
+		if r.Ran == refusal.Unknown {
+			unknown = r
+		}
 		l.learn(c.Address, leader, false)
 		if leader != "" && leader != c.Address {
 			pause = retryPause
 		}
 		select {
 		case <-ctx.Done():
+			if unknown != nil {
+				return unknown
+			}
 			return r
 		case <-time.After(pause):
 		}
 		pause = min(2*pause, maxRetryWait)
 	}
 }
+
+// definite reports whether a refusal of this kind also tells what became of
+// earlier tries with the same change id.
+func definite(k refusal.Kind) bool {
+	return k == refusal.VersionConflict || k == refusal.KeyConflict
+}
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -63,6 +63,7 @@
 	Message    string
 	Remedy     string
 	RetryAfter time.Duration // zero: retrying does not help, or at once
+	Difference string        // unified diff from what is in force to what was refused; with VersionConflict
 	cause      error
 }
 
--- a/internal/refusal/refusalrpc/refusalrpc.go
+++ b/internal/refusal/refusalrpc/refusalrpc.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"connectrpc.com/connect"
@@ -24,7 +25,7 @@
 	out := connect.NewError(code(r.Kind), errors.New(r.Error()))
 	detail, derr := connect.NewErrorDetail(&egretmuxv1.Refusal{
 		Kind: string(r.Kind), Ran: string(r.Ran), Message: r.Message, Remedy: r.Remedy,
-		RetryAfterMs: r.RetryAfter.Milliseconds(), LeaderAddress: leader,
+		RetryAfterMs: r.RetryAfter.Milliseconds(), LeaderAddress: leader, Difference: r.Difference,
 	})
 	if derr == nil {
 		out.AddDetail(detail)
@@ -55,7 +56,7 @@
 }
 
 // From converts an RPC error back. An error without a Refusal detail came from
-// the connection; the call may have been carried out.
+// the connection; unless none was made, the call may have been carried out.
 func From(err error) (r *refusal.Error, leader string) {
 	if err == nil {
 		return nil, ""
@@ -70,6 +71,10 @@
 			}
 		}
 	}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return refusal.New(refusal.NoLeader, "retry; the instance cannot be reached", "no connection").Because(err), ""
+	}
 	kind := refusal.NoLeader
 	if errors.Is(err, context.DeadlineExceeded) || connect.CodeOf(err) == connect.CodeDeadlineExceeded {
 		kind = refusal.OutcomeUnknown
@@ -81,5 +86,6 @@
 	return &refusal.Error{
 		Kind: refusal.Kind(w.GetKind()), Ran: refusal.Ran(w.GetRan()), Message: w.GetMessage(),
 		Remedy: w.GetRemedy(), RetryAfter: time.Duration(w.GetRetryAfterMs()) * time.Millisecond,
+		Difference: w.GetDifference(),
 	}
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -39,13 +39,14 @@
 	running  map[uint64]*attempt
 	finished map[uint64]*egretmuxv1.AttemptReport // not acknowledged yet
 	fenced   map[uint64]bool                      // never to be started
+	needFull bool                                 // the leader asked for a full report
 }
 
 type attempt struct {
 	start   *egretmuxv1.StartAttempt
 	began   time.Time
 	stop    chan struct{}
-	told    bool // its start was acknowledged
+	told    bool // its start and usage were acknowledged
 	stopped bool
 }
 
@@ -133,6 +134,10 @@
 		w.wakeUp()
 		return
 	}
+	w.needFull = resp.GetNeedFull()
+	if w.needFull {
+		w.wakeUp()
+	}
 	w.epoch = resp.GetEpoch()
 	w.lease = sent.Add(time.Duration(resp.GetLeaseMs()) * time.Millisecond)
 	w.acknowledge(report)
@@ -157,17 +162,22 @@
 func (w *Worker) report() *egretmuxv1.WorkerReport {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	r := &egretmuxv1.WorkerReport{Worker: w.cfg.Record.GetId(), Epoch: w.epoch, Full: true}
+	r := &egretmuxv1.WorkerReport{Worker: w.cfg.Record.GetId(), Epoch: w.epoch, Full: w.needFull || w.epoch == 0}
 	if w.epoch == 0 {
 		r.Register = w.cfg.Record
 	}
 	for id, a := range w.running {
-		r.Running = append(r.Running, id)
+		if r.GetFull() {
+			r.Running = append(r.Running, id)
+		}
 		if !a.told {
 			r.Attempts = append(r.Attempts, &egretmuxv1.AttemptReport{
 				Task: a.start.GetTask(), Attempt: id, Phase: egretmuxv1.AttemptPhase_ATTEMPT_PHASE_RUNNING,
 			})
 		}
+		if a.told && !r.GetFull() {
+			continue // nothing changed
+		}
 		r.Usage = append(r.Usage, &egretmuxv1.AttemptUsage{Attempt: id, Used: a.start.GetSpec().GetResources()})
 	}
 	for _, f := range w.finished {
--- /dev/null
+++ b/internal/state/changes.go
@@ -0,0 +1,61 @@
+package state
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+)
+
+// changeTable remembers the answers to contract changes by change id. Only the
+// applying goroutine uses it.
+type changeTable struct {
+	byID map[string]*egretmuxv1.ChangeRecord
+}
+
+func (t *changeTable) clear() { t.byID = make(map[string]*egretmuxv1.ChangeRecord) }
+
+func (t *changeTable) get(id string) *egretmuxv1.ChangeRecord { return t.byID[id] }
+
+func (t *changeTable) put(r *egretmuxv1.ChangeRecord) { t.byID[r.GetChangeId()] = r }
+
+// all returns the records by change id.
+func (t *changeTable) all() []*egretmuxv1.ChangeRecord {
+	out := make([]*egretmuxv1.ChangeRecord, 0, len(t.byID))
+	for _, r := range t.byID {
+		out = append(out, r)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].GetChangeId() < out[j].GetChangeId() })
+	return out
+}
+
+// collect drops the records of changes answered before the given time, Unix
+// milliseconds. A change resent after that meets its own version as a conflict.
+func (t *changeTable) collect(before int64) {
+	for id, r := range t.byID {
+		if r.GetAtUnixMs() < before {
+			delete(t.byID, id)
+		}
+	}
+}
+
+// changeRecord notes the answer to a change: the version that it made, or the
+// version that it lost against.
+func (s *Store) changeRecord(c *egretmuxv1.ApplyContract, answer *egretmuxv1.ContractVersion, conflict bool) *egretmuxv1.ChangeRecord {
+	return &egretmuxv1.ChangeRecord{
+		ChangeId: c.GetChangeId(), Customer: c.GetCustomer(), Author: c.GetAuthor(), BaseVersion: c.GetBaseVersion(),
+		Version: answer.GetVersion(), CellVersion: answer.GetCellVersion(), Winner: answer.GetChangeId(), WinnerAuthor: answer.GetAuthor(),
+		AtUnixMs: s.now, ContentHash: contentHash(c), Conflict: conflict,
+	}
+}
+
+// contentHash identifies what a change does.
+func contentHash(c *egretmuxv1.ApplyContract) uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(c.GetCustomer() + "\x00" + c.GetText())
+	if c.GetDelete() {
+		_, _ = h.WriteString("\x00deleted")
+	}
+	return h.Sum64()
+}
--- a/internal/state/contracts.go
+++ b/internal/state/contracts.go
@@ -9,24 +9,37 @@
 	"github.com/egretmux/egretmux/internal/refusal"
 )
 
-// keptVersions is how many versions of one contract can be looked up.
-const keptVersions = 50
+const (
+	keptVersions     = 50  // versions of one contract that can be looked up
+	maxChangeIDBytes = 256 // length of a change id
+)
 
 // contractTable holds the versions of each contract, oldest first, and the
-// newest one's checked form.
+// newest one's checked form. The cell version changes together with the
+// versions, so that no reader sees a number without the change it counts.
 type contractTable struct {
-	mu       sync.RWMutex
-	versions map[string][]*egretmuxv1.ContractVersion
-	parsed   map[string]*contract.Contract
+	mu          sync.RWMutex
+	cellVersion uint64 // contract changes so far
+	versions    map[string][]*egretmuxv1.ContractVersion
+	parsed      map[string]*contract.Contract
 }
 
-func (t *contractTable) clear() {
+// replace sets the whole content at once. The list is in order of cell versions.
+func (t *contractTable) replace(cellVersion uint64, list []*egretmuxv1.ContractVersion) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.cellVersion = cellVersion
 	t.versions = make(map[string][]*egretmuxv1.ContractVersion)
 	t.parsed = make(map[string]*contract.Contract)
+	for _, c := range list {
+		t.versions[c.GetCustomer()] = append(t.versions[c.GetCustomer()], c)
+	}
+	for customer := range t.versions {
+		t.parseNewest(customer)
+	}
 }
 
+// put adds the next change of the cell.
 func (t *contractTable) put(c *egretmuxv1.ContractVersion) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -35,25 +48,53 @@
 		list = append([]*egretmuxv1.ContractVersion(nil), list[len(list)-keptVersions:]...)
 	}
 	t.versions[c.GetCustomer()] = list
-	delete(t.parsed, c.GetCustomer())
-	if c.GetDeleted() {
+	t.cellVersion = c.GetCellVersion()
+	t.parseNewest(c.GetCustomer())
+}
+
+func (t *contractTable) parseNewest(customer string) {
+	delete(t.parsed, customer)
+	newest := newestOf(t.versions[customer])
+	if newest.GetDeleted() {
 		return
 	}
-	if parsed, err := contract.Parse(c.GetCustomer(), c.GetText()); err == nil {
-		t.parsed[c.GetCustomer()] = parsed
+	if parsed, err := contract.Parse(customer, newest.GetText()); err == nil {
+		t.parsed[customer] = parsed
 	}
 }
 
-func (t *contractTable) newest(customer string) *egretmuxv1.ContractVersion {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	list := t.versions[customer]
+func newestOf(list []*egretmuxv1.ContractVersion) *egretmuxv1.ContractVersion {
 	if len(list) == 0 {
 		return nil
 	}
 	return list[len(list)-1]
 }
 
+func (t *contractTable) newest(customer string) *egretmuxv1.ContractVersion {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return newestOf(t.versions[customer])
+}
+
+// at returns a kept version or nil.
+func (t *contractTable) at(customer string, version uint64) *egretmuxv1.ContractVersion {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for _, v := range t.versions[customer] {
+		if v.GetVersion() == version {
+			return v
+		}
+	}
+	return nil
+}
+
+func (t *contractTable) version() uint64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.cellVersion
+}
+
+// all returns every kept version in order of cell versions.
 func (t *contractTable) all() []*egretmuxv1.ContractVersion {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
@@ -61,70 +102,108 @@
 	for _, list := range t.versions {
 		out = append(out, list...)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].GetCellVersion() < out[j].GetCellVersion() })
+	sortByCellVersion(out)
 	return out
 }
 
+func sortByCellVersion(list []*egretmuxv1.ContractVersion) {
+	sort.Slice(list, func(i, j int) bool { return list[i].GetCellVersion() < list[j].GetCellVersion() })
+}
+
+// since returns the cell version and the newest version of each contract that
+// changed after the given one, as of one moment.
+func (t *contractTable) since(cellVersion uint64) (uint64, []*egretmuxv1.ContractVersion) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var out []*egretmuxv1.ContractVersion
+	for _, list := range t.versions {
+		if newest := newestOf(list); newest.GetCellVersion() > cellVersion {
+			out = append(out, newest)
+		}
+	}
+	sortByCellVersion(out)
+	return t.cellVersion, out
+}
+
 // applyContract is a compare and set on the customer's version. A change id
-// that was carried out before gets its first answer again.
+// that was answered before, by success or by a conflict, gets that answer again.
 func (s *Store) applyContract(c *egretmuxv1.ApplyContract) *Result {
-	if done := s.changes["contract/"+c.GetChangeId()]; done != nil {
+	if err := checkChangeID(c.GetChangeId()); err != nil {
+		return &Result{Err: err}
+	}
+	if done := s.changes.get(c.GetChangeId()); done != nil {
 		return s.repeatedContract(done, c)
 	}
 	current := s.contract.newest(c.GetCustomer())
 	if current.GetVersion() != c.GetBaseVersion() {
-		return &Result{Contract: current, Err: refusal.New(refusal.VersionConflict,
-			"look at the difference with 'egretmux contract diff', merge, and apply on version "+versionName(current),
-			"contract %s is at version %d (by %s, change %s), not %d",
-			c.GetCustomer(), current.GetVersion(), current.GetAuthor(), current.GetChangeId(), c.GetBaseVersion())}
-	}
-	if !c.GetDelete() {
-		parsed, err := contract.Parse(c.GetCustomer(), c.GetText())
-		if err != nil {
-			return &Result{Err: refusal.New(refusal.Invalid, "mend the file", "%v", err)}
-		}
-		if parsed.Customer != c.GetCustomer() {
-			return &Result{Err: refusal.New(refusal.Invalid, "apply it under its own name", "the file is for customer %s", parsed.Customer)}
-		}
+		s.changes.put(s.changeRecord(c, current, true))
+		return &Result{Contract: current, Err: versionConflict(c.GetCustomer(), c.GetBaseVersion(), current)}
+	}
+	if err := checkContract(c); err != nil {
+		return &Result{Err: err}
 	}
-	s.mu.Lock()
-	s.last.cellVersion++
-	version := s.last.cellVersion
-	s.mu.Unlock()
 	next := &egretmuxv1.ContractVersion{
-		Customer: c.GetCustomer(), Version: current.GetVersion() + 1, CellVersion: version,
+		Customer: c.GetCustomer(), Version: current.GetVersion() + 1, CellVersion: s.contract.version() + 1,
 		Text: c.GetText(), Author: c.GetAuthor(), ChangeId: c.GetChangeId(),
 		AppliedUnixMs: s.now, Deleted: c.GetDelete(),
 	}
+	s.changes.put(s.changeRecord(c, next, false))
 	s.contract.put(next)
-	s.changes["contract/"+c.GetChangeId()] = &egretmuxv1.ChangeRecord{
-		ChangeId: "contract/" + c.GetChangeId(), Customer: c.GetCustomer(),
-		Version: next.GetVersion(), CellVersion: version, AtUnixMs: s.now,
-	}
 	if s.listener != nil {
 		s.listener.ContractChanged(next)
 	}
 	return &Result{Contract: next}
 }
 
-func versionName(c *egretmuxv1.ContractVersion) string {
-	if c == nil {
-		return "0"
+func checkChangeID(id string) *refusal.Error {
+	if id == "" || len(id) > maxChangeIDBytes {
+		return refusal.New(refusal.Invalid, "give each change an id of its own, such as a commit's hash, and repeat it when resending",
+			"the change id is empty or longer than %d bytes", maxChangeIDBytes)
 	}
-	return uintName(c.GetVersion())
+	return nil
+}
+
+func checkContract(c *egretmuxv1.ApplyContract) *refusal.Error {
+	if c.GetDelete() {
+		return nil
+	}
+	parsed, err := contract.Parse(c.GetCustomer(), c.GetText())
+	if err != nil {
+		return refusal.New(refusal.Invalid, "mend the file", "%v", err)
+	}
+	if parsed.Customer != c.GetCustomer() {
+		return refusal.New(refusal.Invalid, "apply it under its own name", "the file is for customer %s", parsed.Customer)
+	}
+	return nil
+}
+
+// versionConflict names the change that won.
+func versionConflict(customer string, base uint64, winner *egretmuxv1.ContractVersion) *refusal.Error {
+	return refusal.New(refusal.VersionConflict,
+		"merge the difference and apply on version "+uintName(winner.GetVersion())+" under a new change id",
+		"contract %s is at version %d (by %s, change %s), not %d",
+		customer, winner.GetVersion(), winner.GetAuthor(), winner.GetChangeId(), base)
 }
 
+// repeatedContract gives the first answer again, unless the id now names
+// another change. The base version does not count: a client that reads it anew
+// before resending still means the same change.
 func (s *Store) repeatedContract(done *egretmuxv1.ChangeRecord, c *egretmuxv1.ApplyContract) *Result {
-	if done.GetCustomer() != c.GetCustomer() {
-		return &Result{Err: refusal.New(refusal.KeyConflict, "use a new change id", "change %s was for customer %s", c.GetChangeId(), done.GetCustomer())}
+	if done.GetContentHash() != contentHash(c) {
+		return &Result{Err: refusal.New(refusal.KeyConflict, "use a new change id",
+			"change %s was used for another change of customer %s by %s", c.GetChangeId(), done.GetCustomer(), done.GetAuthor())}
 	}
-	if v := s.Contract(done.GetCustomer(), done.GetVersion()); v != nil {
-		return &Result{Contract: v}
+	v := s.contract.at(done.GetCustomer(), done.GetVersion())
+	if v == nil { // no longer kept
+		v = &egretmuxv1.ContractVersion{
+			Customer: done.GetCustomer(), Version: done.GetVersion(), CellVersion: done.GetCellVersion(),
+			ChangeId: done.GetWinner(), Author: done.GetWinnerAuthor(), AppliedUnixMs: done.GetAtUnixMs(),
+		}
+	}
+	if done.GetConflict() {
+		return &Result{Contract: v, Err: versionConflict(done.GetCustomer(), done.GetBaseVersion(), v)}
 	}
-	return &Result{Contract: &egretmuxv1.ContractVersion{
-		Customer: done.GetCustomer(), Version: done.GetVersion(), CellVersion: done.GetCellVersion(),
-		ChangeId: c.GetChangeId(), AppliedUnixMs: done.GetAtUnixMs(),
-	}}
+	return &Result{Contract: v}
 }
 
 // Contract returns a version of a customer's contract, the newest for version
@@ -133,14 +212,7 @@
 	if version == 0 {
 		return s.contract.newest(customer)
 	}
-	s.contract.mu.RLock()
-	defer s.contract.mu.RUnlock()
-	for _, v := range s.contract.versions[customer] {
-		if v.GetVersion() == version {
-			return v
-		}
-	}
-	return nil
+	return s.contract.at(customer, version)
 }
 
 // History returns the kept versions of a contract, newest first.
@@ -155,19 +227,14 @@
 	return out
 }
 
-// ContractsSince returns the newest version of each contract that changed
-// after the given cell version, deletions included, oldest change first.
-func (s *Store) ContractsSince(cellVersion uint64) []*egretmuxv1.ContractVersion {
-	s.contract.mu.RLock()
-	defer s.contract.mu.RUnlock()
-	var out []*egretmuxv1.ContractVersion
-	for _, list := range s.contract.versions {
-		if newest := list[len(list)-1]; newest.GetCellVersion() > cellVersion {
-			out = append(out, newest)
-		}
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].GetCellVersion() < out[j].GetCellVersion() })
-	return out
+// CellVersion returns the number of contract changes so far.
+func (s *Store) CellVersion() uint64 { return s.contract.version() }
+
+// ContractsSince returns the cell version and, as of the same moment, the
+// newest version of each contract that changed after the given cell version,
+// deletions included, oldest change first.
+func (s *Store) ContractsSince(cellVersion uint64) (uint64, []*egretmuxv1.ContractVersion) {
+	return s.contract.since(cellVersion)
 }
 
 // Parsed returns the checked form of a customer's newest contract, or nil.
--- a/internal/state/instances.go
+++ b/internal/state/instances.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/refusal"
 )
 
 // instanceTable holds the instances that belong to the cell.
@@ -19,16 +20,46 @@
 	t.byID = make(map[string]*egretmuxv1.Instance)
 }
 
-func (t *instanceTable) join(m *egretmuxv1.Instance) {
+// put stores a record as it is.
+func (t *instanceTable) put(m *egretmuxv1.Instance) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.byID[m.GetId()] = m
 }
 
-func (t *instanceTable) leave(id string) {
+// join records a process of an instance. It returns false when a newer process
+// is recorded. A process that replaces one which has not left is marked as
+// having a predecessor until the leader says that it is settled.
+func (t *instanceTable) join(c *egretmuxv1.JoinInstance) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.byID, id)
+	next := clone(c.GetInstance())
+	old := t.byID[next.GetId()]
+	switch {
+	case old == nil:
+		next.Predecessor = false
+	case old.GetIncarnation() > next.GetIncarnation():
+		return false
+	case old.GetIncarnation() < next.GetIncarnation():
+		next.Predecessor = true
+	default:
+		next.Predecessor = old.GetPredecessor() && !c.GetSettled()
+	}
+	t.byID[next.GetId()] = next
+	return true
+}
+
+// leave removes an instance unless another process of its name has joined or
+// may still hold a lease.
+func (t *instanceTable) leave(c *egretmuxv1.LeaveInstance) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := t.byID[c.GetId()]
+	if m == nil || m.GetIncarnation() != c.GetIncarnation() || m.GetPredecessor() {
+		return 0
+	}
+	delete(t.byID, c.GetId())
+	return 1
 }
 
 func (t *instanceTable) all() []*egretmuxv1.Instance {
@@ -51,3 +82,10 @@
 	defer s.members.mu.RUnlock()
 	return s.members.byID[id]
 }
+
+func (s *Store) joinInstance(c *egretmuxv1.JoinInstance) *Result {
+	if c.GetInstance() == nil || !s.members.join(c) {
+		return &Result{Err: refusal.New(refusal.NoLease, "give each instance an id of its own", "a newer process of instance %s has joined", c.GetInstance().GetId())}
+	}
+	return &Result{Applied: 1}
+}
--- a/internal/state/requests.go
+++ b/internal/state/requests.go
@@ -96,6 +96,27 @@
 	return n
 }
 
+// giveUp marks the requests that began before the given time and have no
+// outcome as unknown: their entries no longer wait for them.
+func (t *requestTable) giveUp(before, now int64) int {
+	n := 0
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for k, r := range s.byKey {
+			if r.GetPhase() == egretmuxv1.RequestPhase_REQUEST_PHASE_BEGUN && r.GetBegunUnixMs() < before {
+				next := clone(r)
+				next.Phase = egretmuxv1.RequestPhase_REQUEST_PHASE_UNKNOWN
+				next.EndedUnixMs = now
+				s.byKey[k] = next
+				n++
+			}
+		}
+		s.mu.Unlock()
+	}
+	return n
+}
+
 // beginRequest records an attempt before its first byte is sent. Only the
 // proposer whose Result has Run set may send it.
 func (s *Store) beginRequest(c *egretmuxv1.BeginRequest) *Result {
@@ -110,6 +131,9 @@
 		// The same attempt again is an answer to the entry that lost the first one.
 		return &Result{Request: old, Run: old.GetPhase() == egretmuxv1.RequestPhase_REQUEST_PHASE_BEGUN && old.GetAttempt() == r.GetAttempt()}
 	}
+	if old != nil && old.GetAttempt() == r.GetAttempt() {
+		return &Result{Request: old} // a late copy of an attempt that has ended
+	}
 	next := clone(r)
 	next.Phase = egretmuxv1.RequestPhase_REQUEST_PHASE_BEGUN
 	next.BegunUnixMs = s.now
@@ -117,10 +141,11 @@
 	return &Result{Request: next, Run: true}
 }
 
-// endRequest records the outcome of an attempt; the first outcome stays.
+// endRequest records the outcome of an attempt; the first outcome stays, but
+// one that was unknown may still become known.
 func (s *Store) endRequest(c *egretmuxv1.EndRequest) *Result {
 	old := s.requests.get(requestKey{c.GetCustomer(), c.GetKey()})
-	if old == nil || old.GetAttempt() != c.GetAttempt() || old.GetPhase() != egretmuxv1.RequestPhase_REQUEST_PHASE_BEGUN {
+	if old == nil || old.GetAttempt() != c.GetAttempt() || !outcomeFits(old.GetPhase(), c.GetPhase()) {
 		return &Result{Request: old}
 	}
 	next := clone(old)
@@ -133,6 +158,17 @@
 	return &Result{Request: next, Applied: 1}
 }
 
+// outcomeFits reports whether an attempt in one phase may end in another.
+func outcomeFits(from, to egretmuxv1.RequestPhase) bool {
+	switch to {
+	case egretmuxv1.RequestPhase_REQUEST_PHASE_DONE:
+		return from == egretmuxv1.RequestPhase_REQUEST_PHASE_BEGUN || from == egretmuxv1.RequestPhase_REQUEST_PHASE_UNKNOWN
+	case egretmuxv1.RequestPhase_REQUEST_PHASE_NOT_RUN, egretmuxv1.RequestPhase_REQUEST_PHASE_UNKNOWN:
+		return from == egretmuxv1.RequestPhase_REQUEST_PHASE_BEGUN
+	}
+	return false
+}
+
 // Request returns the record of a non-idempotent request, or nil.
 func (s *Store) Request(customer, key string) *egretmuxv1.RequestRecord {
 	return s.requests.get(requestKey{customer, key})
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -49,7 +49,7 @@
 	mu       sync.RWMutex // guards the counters below
 	applied  uint64
 	last     counters
-	changes  map[string]*egretmuxv1.ChangeRecord
+	changes  changeTable
 	contract contractTable
 	tasks    taskTable
 	workers  workerTable
@@ -58,19 +58,19 @@
 }
 
 type counters struct {
-	task, attempt, cellVersion, workerEpoch uint64
+	task, attempt, workerEpoch uint64
 }
 
 // New returns an empty store. The listener may be nil.
 func New(listener Listener) *Store {
 	s := &Store{listener: listener}
 	s.clear()
+	s.contract.replace(0, nil)
 	return s
 }
 
 func (s *Store) clear() {
-	s.changes = make(map[string]*egretmuxv1.ChangeRecord)
-	s.contract.clear()
+	s.changes.clear()
 	s.tasks.clear()
 	s.workers.clear()
 	s.requests.clear()
@@ -110,11 +110,9 @@
 	case *egretmuxv1.Command_SetWorkerPhase:
 		return s.setWorkerPhase(b.SetWorkerPhase)
 	case *egretmuxv1.Command_JoinInstance:
-		s.members.join(b.JoinInstance.GetInstance())
-		return &Result{}
+		return s.joinInstance(b.JoinInstance)
 	case *egretmuxv1.Command_LeaveInstance:
-		s.members.leave(b.LeaveInstance.GetId())
-		return &Result{}
+		return &Result{Applied: s.members.leave(b.LeaveInstance)}
 	case *egretmuxv1.Command_BeginRequest:
 		return s.beginRequest(b.BeginRequest)
 	case *egretmuxv1.Command_EndRequest:
@@ -138,12 +136,10 @@
 	defer s.applyMu.Unlock()
 	snap := &egretmuxv1.StateSnapshot{
 		AppliedIndex: s.applied, LastTask: s.last.task, LastAttempt: s.last.attempt,
-		CellVersion: s.last.cellVersion, LastWorkerEpoch: s.last.workerEpoch,
+		CellVersion: s.contract.version(), LastWorkerEpoch: s.last.workerEpoch,
 		Contracts: s.contract.all(), Tasks: s.tasks.all(), Workers: s.workers.all(),
 		Instances: s.members.all(), Requests: s.requests.all(),
-	}
-	for _, c := range s.changes {
-		snap.Changes = append(snap.Changes, c)
+		Changes: s.changes.all(),
 	}
 	return func(w io.Writer) error {
 		data, err := proto.Marshal(snap)
@@ -166,11 +162,9 @@
 	s.clear()
 	s.mu.Lock()
 	s.applied = snap.GetAppliedIndex()
-	s.last = counters{snap.GetLastTask(), snap.GetLastAttempt(), snap.GetCellVersion(), snap.GetLastWorkerEpoch()}
+	s.last = counters{snap.GetLastTask(), snap.GetLastAttempt(), snap.GetLastWorkerEpoch()}
 	s.mu.Unlock()
-	for _, c := range snap.GetContracts() {
-		s.contract.put(c)
-	}
+	s.contract.replace(snap.GetCellVersion(), snap.GetContracts())
 	for _, w := range snap.GetWorkers() {
 		s.workers.put(w)
 	}
@@ -178,13 +172,13 @@
 		s.putTask(t)
 	}
 	for _, m := range snap.GetInstances() {
-		s.members.join(m)
+		s.members.put(m)
 	}
 	for _, r := range snap.GetRequests() {
 		s.requests.put(r)
 	}
 	for _, c := range snap.GetChanges() {
-		s.changes[c.GetChangeId()] = c
+		s.changes.put(c)
 	}
 	if s.listener != nil {
 		s.listener.Restored()
@@ -202,17 +196,7 @@
 
 // Counts returns the summary.
 func (s *Store) Counts() Counts {
-	s.mu.RLock()
-	version := s.last.cellVersion
-	s.mu.RUnlock()
-	return Counts{Tasks: s.tasks.len(), Requests: s.requests.len(), Workers: s.workers.len(), CellVersion: version}
-}
-
-// CellVersion returns the number of contract changes so far.
-func (s *Store) CellVersion() uint64 {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	return s.last.cellVersion
+	return Counts{Tasks: s.tasks.len(), Requests: s.requests.len(), Workers: s.workers.len(), CellVersion: s.contract.version()}
 }
 
 func clone[M proto.Message](m M) M { return proto.Clone(m).(M) }
--- a/internal/state/tasks.go
+++ b/internal/state/tasks.go
@@ -235,12 +235,9 @@
 			n++
 		}
 	}
+	n += s.requests.giveUp(c.GetRequestsBegunBeforeUnixMs(), s.now)
 	n += s.requests.collect(c.GetRequestsEndedBeforeUnixMs())
-	for id, ch := range s.changes {
-		if ch.GetAtUnixMs() < c.GetTasksEndedBeforeUnixMs() {
-			delete(s.changes, id)
-		}
-	}
+	s.changes.collect(c.GetTasksEndedBeforeUnixMs())
 	return &Result{Applied: n}
 }
 
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -44,6 +44,9 @@
 // Count adds one to a counter without labels.
 func Count(name string) { metrics.GetOrCreateCounter("egretmux_" + name).Inc() }
 
+// Add adds n to a counter without labels.
+func Add(name string, n int) { metrics.GetOrCreateCounter("egretmux_" + name).Add(n) }
+
 // ObserveSeconds records a duration in a histogram.
 func ObserveSeconds(name string, d time.Duration) {
 	metrics.GetOrCreateHistogram("egretmux_" + name + "_seconds").Update(d.Seconds())
