--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -185,15 +185,18 @@
 }
 
 // WorkerChanged implements state.Listener.
-func (l *Leader) WorkerChanged(*egretmuxv1.Worker) {
+func (l *Leader) WorkerChanged(w *egretmuxv1.Worker) {
 	if ten, err := l.current(); err == nil {
+		ten.planner.setWorker(w)
 		ten.wakePlanner()
 	}
 }
 
 // ContractChanged implements state.Listener.
-func (l *Leader) ContractChanged(*egretmuxv1.ContractVersion) {
+func (l *Leader) ContractChanged(c *egretmuxv1.ContractVersion) {
 	if ten, err := l.current(); err == nil {
+		ten.planner.setContract(l.store, c.GetCustomer())
+		ten.wakePlanner()
 		ten.wakeAll()
 	}
 }
--- a/internal/leader/status.go
+++ b/internal/leader/status.go
@@ -6,7 +6,7 @@
 	"time"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
-	"github.com/egretmux/egretmux/internal/task"
+	"github.com/egretmux/egretmux/internal/place"
 	"github.com/egretmux/egretmux/internal/worker"
 )
 
@@ -26,7 +26,7 @@
 		heard := t.started
 		if v := t.workers[w.GetId()]; v != nil {
 			heard = v.heard
-			s.Used = v.used().Resources()
+			s.Used = v.used.Resources()
 		}
 		s.SilentMs = now.Sub(heard).Milliseconds()
 		out = append(out, s)
@@ -34,10 +34,9 @@
 	return out, nil
 }
 
-// used sums the newest usage reports.
-func (v *workerView) used() worker.Room {
+func sumUsage(usage []*egretmuxv1.AttemptUsage) worker.Room {
 	var sum worker.Room
-	for _, u := range v.usage {
+	for _, u := range usage {
 		sum = sum.Plus(worker.RoomOf(u.GetUsed()))
 	}
 	return sum
@@ -110,7 +109,7 @@
 	node, _ := l.node.Status()
 	resp := &egretmuxv1.StatusResponse{
 		Term: t.term, AppliedIndex: l.store.Applied(), ContractVersion: l.store.CellVersion(),
-		Instances: t.instances(time.Now()), Customers: l.customers(),
+		Instances: t.instances(time.Now()), Customers: t.customers(),
 	}
 	for _, r := range node.Membership.GetReplicas() {
 		if r.GetId() == node.Leader {
@@ -133,51 +132,22 @@
 	return resp, err
 }
 
-// customers sums each customer's work.
-func (l *Leader) customers() []*egretmuxv1.CustomerStatus {
-	var total worker.Room
-	for _, w := range l.store.Workers() {
-		total = total.Plus(worker.RoomOf(w.GetCapacity()))
+// customers reports on each contract's use, share and outlook.
+func (t *tenure) customers() []*egretmuxv1.CustomerStatus {
+	outlook := make(map[string]place.Forecast)
+	for _, f := range t.planner.latest() {
+		outlook[f.Customer] = f
 	}
-	byName := make(map[string]*egretmuxv1.CustomerStatus)
-	held := make(map[string]worker.Room)
 	var out []*egretmuxv1.CustomerStatus
-	for _, c := range l.store.AllParsed() {
-		s := &egretmuxv1.CustomerStatus{Customer: c.Customer, Share: c.Share, ContractVersion: l.store.Contract(c.Customer, 0).GetVersion()}
-		byName[c.Customer] = s
-		out = append(out, s)
-	}
-	for _, t := range l.store.Tasks() {
-		s := byName[t.GetSpec().GetCustomer()]
-		if s == nil {
-			continue
-		}
-		if task.Final(t.GetPhase()) {
-			countDeadline(s, t)
-			continue
-		}
-		s.Queued += int32(len(task.Waiting(t)))
-		for _, a := range t.GetAttempts() {
-			if task.Live(a.GetPhase()) {
-				s.Running++
-				held[s.GetCustomer()] = held[s.GetCustomer()].Plus(worker.RoomOf(t.GetSpec().GetResources()))
-			}
-		}
-	}
-	for _, s := range out {
-		s.DominantShare = held[s.GetCustomer()].Dominant(total)
+	for _, c := range t.store.AllParsed() {
+		f := outlook[c.Customer]
+		out = append(out, &egretmuxv1.CustomerStatus{
+			Customer: c.Customer, ContractVersion: t.store.Contract(c.Customer, 0).GetVersion(),
+			Queued: int32(t.store.WaitingMembers(c.Customer)), Running: int32(f.Running),
+			Share: c.Share, DominantShare: f.Held, UsedShare: f.UsedShare,
+			PredictedLateMs: f.LateMs, PredictedLate: int32(f.Late), LateTrendMsPerMin: f.TrendMsMin,
+			LateReason: string(f.Reason), DeadlinesMet: f.Met, DeadlinesMissed: f.Missed,
+		})
 	}
 	return out
 }
-
-func countDeadline(s *egretmuxv1.CustomerStatus, t *egretmuxv1.Task) {
-	deadline := t.GetSpec().GetDeadlineUnixMs()
-	if deadline == 0 || t.GetPhase() == egretmuxv1.TaskPhase_TASK_PHASE_CANCELLED {
-		return
-	}
-	if t.GetPhase() == egretmuxv1.TaskPhase_TASK_PHASE_SUCCEEDED && t.GetEndedUnixMs() <= deadline {
-		s.DeadlinesMet++
-	} else {
-		s.DeadlinesMissed++
-	}
-}
--- a/internal/leader/tasks.go
+++ b/internal/leader/tasks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
@@ -9,20 +10,28 @@
 	"github.com/egretmux/egretmux/internal/task"
 )
 
-// defaultPage is the number of tasks in a list without a limit.
-const defaultPage = 100
+const (
+	defaultPage     = 100 // tasks in a list without a limit
+	parallelCancels = 64
+)
 
-// SubmitTask commits a task. A change id that was used before returns the task
-// of its first use.
-func (l *Leader) SubmitTask(ctx context.Context, changeID string, spec *egretmuxv1.TaskSpec) (*egretmuxv1.Task, error) {
-	if _, err := l.current(); err != nil {
-		return nil, err
+// SubmitTask commits a task and returns warnings about it. A change id that was
+// used before returns the task of its first use.
+func (l *Leader) SubmitTask(ctx context.Context, changeID string, spec *egretmuxv1.TaskSpec) (*egretmuxv1.Task, []string, error) {
+	t, err := l.current()
+	if err != nil {
+		return nil, nil, err
 	}
-	result, err := l.propose(ctx, &egretmuxv1.Command{Body: &egretmuxv1.Command_SubmitTask{SubmitTask: &egretmuxv1.SubmitTask{ChangeId: changeID, Spec: spec}}})
+	refused, warnings := t.planner.admit(spec)
+	submit := &egretmuxv1.SubmitTask{ChangeId: changeID, Spec: spec}
+	if refused != nil {
+		submit.Refusal = &egretmuxv1.Refusal{Kind: string(refused.Kind), Message: refused.Message, Remedy: refused.Remedy}
+	}
+	result, err := l.propose(ctx, &egretmuxv1.Command{Body: &egretmuxv1.Command_SubmitTask{SubmitTask: submit}})
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	return result.Task, nil
+	return result.Task, warnings, nil
 }
 
 // Task returns a task of the customer; an empty customer stands for an operator.
@@ -71,22 +80,35 @@
 	return true
 }
 
-// CancelTasks cancels tasks and returns how many were not final before.
+// CancelTasks cancels tasks and returns how many were not final before. Up to
+// parallelCancels are proposed at a time, so that a wave shares its log writes.
 func (l *Leader) CancelTasks(ctx context.Context, customer string, ids []uint64, reason string) (int, error) {
 	if _, err := l.current(); err != nil {
 		return 0, err
 	}
+	var mu sync.Mutex
+	var first error
 	n := 0
+	var group sync.WaitGroup
+	slots := make(chan struct{}, parallelCancels)
 	for _, id := range ids {
-		result, err := l.propose(ctx, &egretmuxv1.Command{Body: &egretmuxv1.Command_CancelTask{CancelTask: &egretmuxv1.CancelTask{
-			Task: id, Customer: customer, Reason: reason,
-		}}})
-		if err != nil {
-			return n, err
-		}
-		n += result.Applied
+		slots <- struct{}{}
+		group.Go(func() {
+			defer func() { <-slots }()
+			result, err := l.propose(ctx, &egretmuxv1.Command{Body: &egretmuxv1.Command_CancelTask{CancelTask: &egretmuxv1.CancelTask{
+				Task: id, Customer: customer, Reason: reason,
+			}}})
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil {
+				n += result.Applied
+			} else if first == nil {
+				first = err
+			}
+		})
 	}
-	return n, nil
+	group.Wait()
+	return n, first
 }
 
 // ListTasks returns a page of tasks and where the next one begins.
--- a/internal/leader/tenure.go
+++ b/internal/leader/tenure.go
@@ -7,9 +7,9 @@
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/endpoint"
-	"github.com/egretmux/egretmux/internal/place"
 	"github.com/egretmux/egretmux/internal/state"
 	"github.com/egretmux/egretmux/internal/task"
+	"github.com/egretmux/egretmux/internal/worker"
 )
 
 // Periods of the leader's loops.
@@ -18,6 +18,7 @@
 	garbagePeriod = time.Minute
 	resendAfter   = 300 * time.Millisecond // a command not confirmed by then is sent again
 	planPeriod    = 250 * time.Millisecond // planning without a change, for backoffs that end
+	checkpointMax = 3 * time.Second        // a checkpoint that takes longer is given up for a plain stop
 	pauseLimit    = time.Second            // a longer gap between upkeeps means this process was paused
 )
 
@@ -28,13 +29,13 @@
 	term    uint64
 	started time.Time
 
-	plan chan struct{}
+	plan    chan struct{}
+	planner planner
 
 	mu        sync.Mutex
 	sessions  map[string]*session
 	workers   map[string]*workerView
 	endpoints *endpoint.Table
-	queue     map[uint64]*egretmuxv1.Task
 	commands  map[uint64]*command // by attempt
 	floor     time.Time           // silence before this time does not count
 }
@@ -43,7 +44,7 @@
 type workerView struct {
 	heard    time.Time
 	instance string // that the worker announces itself through
-	usage    map[uint64]*egretmuxv1.AttemptUsage
+	used     worker.Room
 }
 
 // command is an instruction that a worker has not confirmed yet.
@@ -51,7 +52,8 @@
 	task   uint64
 	worker string
 	stop   bool
-	sent   time.Time
+	first  time.Time // first sent
+	sent   time.Time // last sent
 }
 
 func newTenure(l *Leader, term uint64) *tenure {
@@ -62,17 +64,18 @@
 		sessions:  make(map[string]*session),
 		workers:   make(map[string]*workerView),
 		endpoints: endpoint.NewTable(l.timing.EndpointSilent),
-		queue:     make(map[uint64]*egretmuxv1.Task),
 		commands:  make(map[uint64]*command),
 	}
 	t.endpoints.Recovering = true
+	t.planner.init()
 	return t
 }
 
 // run does the leader's work until the context ends.
 func (t *tenure) run(ctx context.Context) {
+	t.loadPlanner()
 	for _, x := range t.store.Tasks() {
-		t.taskChanged(x)
+		t.taskLoaded(x.GetId())
 	}
 	var loops sync.WaitGroup
 	loops.Go(func() { t.runPlanner(ctx) })
@@ -81,15 +84,23 @@
 	loops.Wait()
 }
 
-// taskChanged updates the queue and the commands to workers.
-func (t *tenure) taskChanged(x *egretmuxv1.Task) {
+// taskLoaded takes in a task that existed when the tenure began. It reads the
+// record under the lock, so that a newer one that taskChanged brings stays.
+func (t *tenure) taskLoaded(id uint64) {
+	t.planner.loadTask(t.store, id)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(task.Waiting(x)) > 0 {
-		t.queue[x.GetId()] = x
-	} else {
-		delete(t.queue, x.GetId())
+	x := t.store.Task(id)
+	for _, a := range x.GetAttempts() {
+		t.noteAttempt(x, a)
 	}
+}
+
+// taskChanged updates the planner and the commands to workers.
+func (t *tenure) taskChanged(x *egretmuxv1.Task) {
+	t.planner.setTask(x)
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	for _, a := range x.GetAttempts() {
 		t.noteAttempt(x, a)
 	}
@@ -133,14 +144,18 @@
 		return
 	}
 	c.sent = now
-	s.push(buildCommand(w, x, a, c.stop))
+	if c.first.IsZero() {
+		c.first = now
+	}
+	checkpoint := a.GetPreempted() && now.Sub(c.first) < checkpointMax
+	s.push(buildCommand(w, x, a, c.stop, checkpoint))
 }
 
-func buildCommand(w *egretmuxv1.Worker, x *egretmuxv1.Task, a *egretmuxv1.Attempt, stop bool) *egretmuxv1.WorkerCommand {
+func buildCommand(w *egretmuxv1.Worker, x *egretmuxv1.Task, a *egretmuxv1.Attempt, stop, checkpoint bool) *egretmuxv1.WorkerCommand {
 	out := &egretmuxv1.WorkerCommand{Worker: w.GetId(), Address: w.GetAddress(), WorkerEpoch: w.GetEpoch()}
 	if stop {
 		out.Body = &egretmuxv1.WorkerCommand_Stop{Stop: &egretmuxv1.StopAttempt{
-			Task: x.GetId(), Attempt: a.GetId(), Checkpoint: a.GetPreempted(),
+			Task: x.GetId(), Attempt: a.GetId(), Checkpoint: checkpoint,
 		}}
 		return out
 	}
@@ -165,52 +180,6 @@
 	}
 }
 
-// runPlanner plans whenever something changed and commits what was decided.
-func (t *tenure) runPlanner(ctx context.Context) {
-	ticker := time.NewTicker(planPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.plan:
-		case <-ticker.C:
-		}
-		t.planOnce(ctx)
-	}
-}
-
-func (t *tenure) planOnce(ctx context.Context) {
-	snapshot := t.snapshot()
-	if len(snapshot.Queue) == 0 {
-		return
-	}
-	plan := place.Decide(snapshot)
-	if len(plan.GetStarts())+len(plan.GetStops())+len(plan.GetRejects()) == 0 {
-		return
-	}
-	result, err := t.leader.propose(ctx, &egretmuxv1.Command{Body: &egretmuxv1.Command_CommitPlan{CommitPlan: plan}})
-	if err != nil {
-		t.leader.logger.Warn().Err(err).Str("event", "plan_not_committed").Msg("")
-		return
-	}
-	t.leader.logger.Debug().Str("event", "plan_committed").Int("applied", result.Applied).Int("starts", len(plan.GetStarts())).Msg("")
-}
-
-func (t *tenure) snapshot() *place.Snapshot {
-	s := &place.Snapshot{Now: time.Now().UnixMilli()}
-	t.mu.Lock()
-	for _, x := range t.queue {
-		s.Queue = append(s.Queue, x)
-	}
-	t.mu.Unlock()
-	for _, w := range t.store.Workers() {
-		committed, n := t.store.Committed(w.GetId())
-		s.Workers = append(s.Workers, place.Worker{Record: w, Committed: committed, Attempts: n})
-	}
-	return s
-}
-
 // runUpkeep expires leases and repeats commands.
 func (t *tenure) runUpkeep(ctx context.Context) {
 	ticker := time.NewTicker(upkeepPeriod)
@@ -254,6 +223,7 @@
 	}
 	lost := t.silentWorkers(now)
 	t.mu.Unlock()
+	t.forecast(now)
 	for _, w := range lost {
 		t.loseWorker(ctx, w)
 	}
--- a/internal/leader/workers.go
+++ b/internal/leader/workers.go
@@ -21,6 +21,10 @@
 			changes = append(changes, attemptChanges(r)...)
 		}
 	}
+	return t.commitChanges(ctx, changes)
+}
+
+func (t *tenure) commitChanges(ctx context.Context, changes []*egretmuxv1.AttemptChange) error {
 	if len(changes) == 0 {
 		return nil
 	}
@@ -53,6 +57,10 @@
 		reply.StopAttempts = unknown
 		return reply, nil
 	}
+	// What has ended must not count as lost with the old epoch.
+	if err := t.commitChanges(ctx, attemptChanges(r)); err != nil {
+		return nil, err
+	}
 	result, err := t.leader.propose(ctx, &egretmuxv1.Command{Body: &egretmuxv1.Command_RegisterWorker{RegisterWorker: &egretmuxv1.RegisterWorker{
 		Worker: r.GetRegister(), Running: r.GetRunning(),
 	}}})
@@ -75,17 +83,18 @@
 }
 
 func (t *tenure) heard(worker, instance string, usage []*egretmuxv1.AttemptUsage, now time.Time) {
+	t.planner.setUsage(worker, usage, now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	v := t.workers[worker]
 	if v == nil {
-		v = &workerView{usage: make(map[uint64]*egretmuxv1.AttemptUsage)}
+		v = &workerView{}
 		t.workers[worker] = v
 	}
 	v.heard = now
 	v.instance = instance
-	for _, u := range usage {
-		v.usage[u.GetAttempt()] = u
+	if len(usage) > 0 {
+		v.used = sumUsage(usage)
 	}
 }
 
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -42,8 +42,8 @@
 		}
 		spec.Customer = scope
 	}
-	t, err := s.leader.SubmitTask(ctx, req.Msg.GetChangeId(), spec)
-	return answer(s, &egretmuxv1.SubmitTaskResponse{Task: t.GetId()}, err)
+	t, warnings, err := s.leader.SubmitTask(ctx, req.Msg.GetChangeId(), spec)
+	return answer(s, &egretmuxv1.SubmitTaskResponse{Task: t.GetId(), Warnings: warnings}, err)
 }
 
 // GetTask implements TaskService.
--- /dev/null
+++ b/internal/place/account.go
@@ -0,0 +1,144 @@
+package place
+
+import (
+	"container/heap"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/task"
+	"github.com/egretmux/egretmux/internal/worker"
+)
+
+// account is one customer: its contract's limits, what it holds and its queue.
+type account struct {
+	name        string
+	share       float64     // of the cell, due by contract
+	quota       worker.Room // zero in a dimension: no limit
+	held        worker.Room
+	queue       jobHeap
+	usedShare   decayed
+	met, missed int32
+	late        lateness
+}
+
+func (a *account) withinQuota(extra worker.Room) bool {
+	sum := a.held.Plus(extra)
+	return (a.quota.CPUMillis == 0 || sum.CPUMillis <= a.quota.CPUMillis) &&
+		(a.quota.MemoryMiB == 0 || sum.MemoryMiB <= a.quota.MemoryMiB) &&
+		(a.quota.Accelerators == 0 || sum.Accelerators <= a.quota.Accelerators)
+}
+
+// overShare reports whether the account holds its share of the cell or more.
+func (p *Planner) overShare(a *account) bool {
+	return a.held.Dominant(p.total) >= a.share
+}
+
+// job is a task that is not final.
+type job struct {
+	task      *egretmuxv1.Task
+	account   *account
+	need      worker.Room // declared, or what its like was seen to use if that is more
+	waiting   []int32
+	live      map[uint64]*running
+	notBefore int64
+	parked    bool // no worker is large enough
+
+	tier      tier
+	startBy   int64 // latest start that keeps its deadline, Unix milliseconds
+	at        int   // position in its account's queue; -1: not queued
+	delayedAt int   // position among the delayed jobs; -1: not delayed
+	since     int64 // when its members began to wait
+	claims    []claim
+	retryGang int64 // no new reservation before
+}
+
+// tier is the first key of the queue's order.
+type tier int
+
+const (
+	tierUrgent tier = iota
+	tierService
+	tierBatch
+)
+
+func (j *job) kind() egretmuxv1.TaskKind { return j.task.GetSpec().GetKind() }
+func (j *job) members() int32            { return task.Members(j.task.GetSpec()) }
+func (j *job) urgent() bool              { return j.task.GetSpec().GetUrgent() }
+func (j *job) gang() bool                { return j.kind() == egretmuxv1.TaskKind_TASK_KIND_GANG }
+func (j *job) service() bool             { return j.kind() == egretmuxv1.TaskKind_TASK_KIND_SERVICE }
+
+func (j *job) key() learnKey {
+	return learnKey{j.task.GetSpec().GetCustomer(), j.task.GetSpec().GetName()}
+}
+
+// before is the order of one account's queue: urgent work, services, then the
+// least slack; the slack of two jobs shrinks alike, so the latest start decides.
+func (j *job) before(o *job) bool {
+	if j.tier != o.tier {
+		return j.tier < o.tier
+	}
+	if j.startBy != o.startBy {
+		return j.startBy < o.startBy
+	}
+	return j.task.GetId() < o.task.GetId()
+}
+
+type jobHeap []*job
+
+func (h jobHeap) Len() int           { return len(h) }
+func (h jobHeap) Less(i, j int) bool { return h[i].before(h[j]) }
+func (h jobHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].at, h[j].at = i, j
+}
+
+func (h *jobHeap) Push(x any) {
+	j := x.(*job)
+	j.at = len(*h)
+	*h = append(*h, j)
+}
+
+func (h *jobHeap) Pop() any {
+	old := *h
+	j := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	j.at = -1
+	return j
+}
+
+func (a *account) enqueue(j *job) {
+	if j.at < 0 {
+		heap.Push(&a.queue, j)
+	}
+}
+
+func (a *account) dequeue(j *job) {
+	if j.at >= 0 {
+		heap.Remove(&a.queue, j.at)
+	}
+}
+
+// delayHeap orders jobs by the end of their backoff.
+type delayHeap []*job
+
+func (h delayHeap) Len() int           { return len(h) }
+func (h delayHeap) Less(i, j int) bool { return h[i].notBefore < h[j].notBefore }
+func (h delayHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].delayedAt, h[j].delayedAt = i, j
+}
+
+func (h *delayHeap) Push(x any) {
+	j := x.(*job)
+	j.delayedAt = len(*h)
+	*h = append(*h, j)
+}
+
+func (h *delayHeap) Pop() any {
+	old := *h
+	j := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	j.delayedAt = -1
+	return j
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -1,108 +1,392 @@
-// Package place decides which waiting tasks start on which workers. It is a
-// function of a snapshot: no clock, no I/O, no shared state.
+// Package place decides which waiting tasks start on which workers, which
+// attempts make room for others, and what each attempt holds. A Planner is fed
+// the changes of the state and of the workers' usage and answers with plans. It
+// knows no clock, starts no goroutine and does no I/O; one goroutine at a time
+// may use it.
 package place
 
 import (
+	"container/heap"
 	"sort"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/contract"
 	"github.com/egretmux/egretmux/internal/task"
 	"github.com/egretmux/egretmux/internal/worker"
 )
 
-// Worker is a worker as the planner sees it.
-type Worker struct {
-	Record    *egretmuxv1.Worker
-	Committed worker.Room
-	Attempts  int
-}
-
-// Snapshot is what a decision is made from.
-type Snapshot struct {
-	Now     int64 // Unix milliseconds
-	Workers []Worker
-	Queue   []*egretmuxv1.Task // tasks with waiting members
-}
-
-// Decide returns the starts of one planning round.
-func Decide(s *Snapshot) *egretmuxv1.CommitPlan {
-	plan := &egretmuxv1.CommitPlan{}
-	queue := append([]*egretmuxv1.Task(nil), s.Queue...)
-	sort.SliceStable(queue, func(i, j int) bool { return before(queue[i], queue[j]) })
-	free := freeRooms(s.Workers)
-	for _, t := range queue {
-		if t.GetNotBeforeUnixMs() > s.Now {
-			continue
+// Limits of one planning round and of one worker.
+const (
+	maxStarting    = 32      // attempts of one worker that it has not confirmed
+	startsPerRound = 256     // starts and stops of one plan
+	startsPerSec   = 6000    // starts of the cell
+	backfillDepth  = 48      // waiting jobs of one customer looked at past the first that does not fit
+	noDeadlineMs   = 600_000 // latest start, after submission, of batch work without a deadline
+)
+
+// Planner holds what decisions are made from.
+type Planner struct {
+	hosts     map[string]*host
+	names     []string // of the hosts, sorted
+	index     *index
+	total     worker.Room // of all workers that are not lost
+	accounts  map[string]*account
+	order     []*account // by name
+	jobs      map[uint64]*job
+	running   map[uint64]*running
+	delayed   delayHeap
+	parked    map[uint64]*job
+	learn     *learner
+	blame     blame
+	dirty     map[*host]bool // with new usage reports
+	sick      map[*host]bool // quarantined
+	failing   map[*host]bool // with failures since the last success
+	recovered []*host        // whose probe succeeded
+	claimants map[*job]bool
+	hold      reservation
+	turn      int
+	budget    startBudget
+}
+
+// New returns a Planner that knows nothing yet.
+func New() *Planner {
+	return &Planner{
+		hosts: make(map[string]*host), index: newIndex(), accounts: make(map[string]*account),
+		jobs: make(map[uint64]*job), running: make(map[uint64]*running), parked: make(map[uint64]*job),
+		learn: newLearner(), blame: newBlame(), dirty: make(map[*host]bool), sick: make(map[*host]bool),
+		failing: make(map[*host]bool), claimants: make(map[*job]bool),
+	}
+}
+
+// SetContract takes in a contract in force.
+func (p *Planner) SetContract(c *contract.Contract) {
+	a := p.account(c.Customer)
+	a.share = c.Share
+	a.quota = worker.Room{CPUMillis: c.Quota.CPUMillis, MemoryMiB: c.Quota.MemoryMiB, Accelerators: c.Quota.Accelerators}
+}
+
+// RemoveContract leaves the customer without a share.
+func (p *Planner) RemoveContract(customer string) {
+	if a := p.accounts[customer]; a != nil {
+		a.share = 0
+	}
+}
+
+func (p *Planner) account(name string) *account {
+	a := p.accounts[name]
+	if a == nil {
+		a = &account{name: name}
+		p.accounts[name] = a
+		p.order = append(p.order, a)
+		sort.Slice(p.order, func(i, j int) bool { return p.order[i].name < p.order[j].name })
+	}
+	return a
+}
+
+// SetWorker takes in a new or changed worker.
+func (p *Planner) SetWorker(w *egretmuxv1.Worker, now int64) {
+	h := p.host(w.GetId())
+	if counts(h.record.GetPhase()) {
+		p.total = p.total.Minus(h.capacity)
+	}
+	h.record = w
+	h.capacity = worker.RoomOf(w.GetCapacity())
+	if counts(w.GetPhase()) {
+		p.total = p.total.Plus(h.capacity)
+	}
+	if w.GetPhase() == egretmuxv1.WorkerPhase_WORKER_PHASE_QUARANTINED {
+		p.sick[h] = true
+	} else {
+		delete(p.sick, h)
+	}
+	p.reindex(h)
+	p.unpark(now)
+}
+
+// counts reports whether a worker in that phase is part of the cell's room.
+func counts(phase egretmuxv1.WorkerPhase) bool {
+	return phase != egretmuxv1.WorkerPhase_WORKER_PHASE_LOST && phase != egretmuxv1.WorkerPhase_WORKER_PHASE_UNSPECIFIED
+}
+
+func (p *Planner) host(id string) *host {
+	h := p.hosts[id]
+	if h == nil {
+		h = &host{record: &egretmuxv1.Worker{Id: id}, live: make(map[uint64]*running), cell: -1}
+		p.hosts[id] = h
+		at := sort.SearchStrings(p.names, id)
+		p.names = append(p.names, "")
+		copy(p.names[at+1:], p.names[at:])
+		p.names[at] = id
+	}
+	return h
+}
+
+// reindex files the host under its free room, or nowhere when it takes nothing.
+func (p *Planner) reindex(h *host) {
+	if h.record.GetPhase() != egretmuxv1.WorkerPhase_WORKER_PHASE_READY {
+		p.index.remove(h)
+		return
+	}
+	p.index.put(h)
+}
+
+// unpark looks again at the jobs that no worker was large enough for.
+func (p *Planner) unpark(now int64) {
+	for _, j := range p.parked {
+		p.requeue(j, now)
+	}
+}
+
+// SetTask takes in a new or changed task.
+func (p *Planner) SetTask(t *egretmuxv1.Task, now int64) {
+	j := p.jobs[t.GetId()]
+	if j == nil {
+		if task.Final(t.GetPhase()) {
+			return
 		}
-		plan.Starts = append(plan.Starts, startsOf(t, s.Workers, free)...)
+		j = &job{account: p.account(t.GetSpec().GetCustomer()), live: make(map[uint64]*running), at: -1, delayedAt: -1}
+		p.jobs[t.GetId()] = j
+	}
+	j.task = t
+	p.syncAttempts(j, now)
+	j.waiting = task.Waiting(t)
+	j.notBefore = t.GetNotBeforeUnixMs()
+	if task.Final(t.GetPhase()) {
+		p.finish(j)
+		return
+	}
+	p.requeue(j, now)
+}
+
+// Forget drops a task whatever its phase.
+func (p *Planner) Forget(id uint64) {
+	if j := p.jobs[id]; j != nil {
+		p.finish(j)
 	}
-	return plan
 }
 
-// before orders the queue: urgent work first, then the nearest deadline, then age.
-func before(a, b *egretmuxv1.Task) bool {
-	if a.GetSpec().GetUrgent() != b.GetSpec().GetUrgent() {
-		return a.GetSpec().GetUrgent()
+func (p *Planner) finish(j *job) {
+	for _, r := range j.live {
+		p.release(r)
 	}
-	da, db := a.GetSpec().GetDeadlineUnixMs(), b.GetSpec().GetDeadlineUnixMs()
-	if da != db {
-		return da != 0 && (db == 0 || da < db)
+	j.waiting = nil
+	p.unqueue(j)
+	p.dropClaims(j)
+	if p.hold.job == j {
+		p.dropReservation()
 	}
-	return a.GetId() < b.GetId()
+	delete(p.jobs, j.task.GetId())
+	p.countDeadline(j)
 }
 
-func freeRooms(workers []Worker) []worker.Room {
-	free := make([]worker.Room, len(workers))
-	for i, w := range workers {
-		if w.Record.GetPhase() == egretmuxv1.WorkerPhase_WORKER_PHASE_READY {
-			free[i] = worker.RoomOf(w.Record.GetCapacity()).Minus(w.Committed)
+func (p *Planner) countDeadline(j *job) {
+	deadline := j.task.GetSpec().GetDeadlineUnixMs()
+	switch {
+	case deadline == 0 || j.task.GetPhase() == egretmuxv1.TaskPhase_TASK_PHASE_CANCELLED:
+	case j.task.GetPhase() == egretmuxv1.TaskPhase_TASK_PHASE_SUCCEEDED && j.task.GetEndedUnixMs() <= deadline:
+		j.account.met++
+	default:
+		j.account.missed++
+	}
+}
+
+// syncAttempts brings the hosts in step with the task's attempts.
+func (p *Planner) syncAttempts(j *job, now int64) {
+	for _, a := range j.task.GetAttempts() {
+		r := j.live[a.GetId()]
+		switch {
+		case task.Live(a.GetPhase()) && r == nil:
+			p.hire(j, a)
+		case task.Live(a.GetPhase()):
+			p.update(r, a)
+		case r != nil:
+			p.release(r)
+			p.ended(r, a, now)
 		}
 	}
-	return free
 }
 
-// startsOf places a task's waiting members; a gang only when all of them fit.
-func startsOf(t *egretmuxv1.Task, workers []Worker, free []worker.Room) []*egretmuxv1.PlanStart {
-	need := worker.RoomOf(t.GetSpec().GetResources())
-	waiting := task.Waiting(t)
-	gang := t.GetSpec().GetKind() == egretmuxv1.TaskKind_TASK_KIND_GANG
-	if gang && len(waiting) < int(task.Members(t.GetSpec())) {
-		return nil
+func (p *Planner) hire(j *job, a *egretmuxv1.Attempt) {
+	r := &running{
+		id: a.GetId(), job: j, member: a.GetMember(), host: p.host(a.GetWorker()), phase: a.GetPhase(),
+		held: task.Held(j.task, a), placed: a.GetStartedUnixMs(), began: a.GetConfirmedUnixMs(),
+		saved: task.SavedRun(j.task, a.GetMember()),
+	}
+	j.live[r.id] = r
+	p.running[r.id] = r
+	r.host.live[r.id] = r
+	r.host.held = r.host.held.Plus(r.held)
+	j.account.held = j.account.held.Plus(r.held)
+	if unconfirmed(r.phase) {
+		r.host.starting++
+	}
+	p.reindex(r.host)
+}
+
+func unconfirmed(phase egretmuxv1.AttemptPhase) bool {
+	return phase == egretmuxv1.AttemptPhase_ATTEMPT_PHASE_STARTING
+}
+
+func (p *Planner) update(r *running, a *egretmuxv1.Attempt) {
+	if unconfirmed(r.phase) && !unconfirmed(a.GetPhase()) {
+		r.host.starting--
+	}
+	r.phase = a.GetPhase()
+	r.began = a.GetConfirmedUnixMs()
+	held := task.Held(r.job.task, a)
+	if held != r.held {
+		r.host.held = r.host.held.Minus(r.held).Plus(held)
+		r.job.account.held = r.job.account.held.Minus(r.held).Plus(held)
+		r.held = held
+		p.reindex(r.host)
 	}
-	trial := free
-	if gang {
-		trial = append([]worker.Room(nil), free...)
+}
+
+func (p *Planner) release(r *running) {
+	delete(r.job.live, r.id)
+	delete(p.running, r.id)
+	delete(r.host.live, r.id)
+	r.host.held = r.host.held.Minus(r.held)
+	r.job.account.held = r.job.account.held.Minus(r.held)
+	if unconfirmed(r.phase) {
+		r.host.starting--
 	}
-	var starts []*egretmuxv1.PlanStart
-	for _, m := range waiting {
-		best := bestFit(need, trial)
-		if best < 0 {
-			break
+	p.reindex(r.host)
+}
+
+// ended learns from an attempt that is over.
+func (p *Planner) ended(r *running, a *egretmuxv1.Attempt, now int64) {
+	switch a.GetPhase() {
+	case egretmuxv1.AttemptPhase_ATTEMPT_PHASE_SUCCEEDED:
+		if a.GetConfirmedUnixMs() > 0 && !r.job.service() {
+			p.learn.ran(r.job.task.GetSpec(), r.saved+a.GetEndedUnixMs()-a.GetConfirmedUnixMs())
 		}
-		trial[best] = trial[best].Minus(need)
-		start := &egretmuxv1.PlanStart{Task: t.GetId(), Member: m, Worker: workers[best].Record.GetId(), WorkerEpoch: workers[best].Record.GetEpoch()}
-		if gang {
-			start.Gang = t.GetId()
+		p.noteSuccess(r)
+	case egretmuxv1.AttemptPhase_ATTEMPT_PHASE_FAILED:
+		p.noteFailure(r, now)
+	}
+}
+
+// requeue puts the job where its waiting members belong.
+func (p *Planner) requeue(j *job, now int64) {
+	if len(j.waiting) == 0 {
+		p.unqueue(j)
+		p.dropClaims(j)
+		if p.hold.job == j {
+			p.dropReservation()
 		}
-		starts = append(starts, start)
+		j.since = 0
+		return
+	}
+	if j.since == 0 {
+		j.since = now
+	}
+	need := p.learn.size(j.task.GetSpec())
+	if !p.fitsSome(need) {
+		need = worker.RoomOf(j.task.GetSpec().GetResources())
+	}
+	if need != j.need {
+		p.unqueue(j)
+		j.need = need
+	}
+	if !p.fitsSome(need) {
+		p.unqueue(j)
+		j.parked = true
+		p.parked[j.task.GetId()] = j
+		return
+	}
+	p.rank(j, now)
+}
+
+// rank files a job that some worker could run by its key or by its backoff.
+func (p *Planner) rank(j *job, now int64) {
+	tier, startBy := p.keyOf(j)
+	if j.at >= 0 && (tier != j.tier || startBy != j.startBy) || j.parked || j.delayedAt >= 0 {
+		p.unqueue(j)
+	}
+	if j.at >= 0 {
+		return
 	}
-	if !gang {
-		return starts
+	j.tier, j.startBy = tier, startBy
+	if j.notBefore > now {
+		heap.Push(&p.delayed, j)
+		return
 	}
-	if len(starts) < len(waiting) {
-		return nil
+	j.account.enqueue(j)
+}
+
+func (p *Planner) keyOf(j *job) (tier, int64) {
+	spec := j.task.GetSpec()
+	startBy := j.task.GetSubmittedUnixMs() + noDeadlineMs
+	if spec.GetDeadlineUnixMs() > 0 {
+		startBy = spec.GetDeadlineUnixMs() - p.estimate(j)
+	}
+	switch {
+	case spec.GetUrgent():
+		return tierUrgent, startBy
+	case j.service():
+		return tierService, startBy
+	}
+	return tierBatch, startBy
+}
+
+// estimate returns the run time in milliseconds that one member still needs.
+func (p *Planner) estimate(j *job) int64 {
+	ms, _ := p.learn.estimate(j.task.GetSpec())
+	saved := int64(0)
+	if len(j.waiting) > 0 {
+		saved = task.SavedRun(j.task, j.waiting[0])
+	}
+	return max(ms-saved, ms/20, 1)
+}
+
+func (p *Planner) unqueue(j *job) {
+	j.account.dequeue(j)
+	if j.delayedAt >= 0 {
+		heap.Remove(&p.delayed, j.delayedAt)
+	}
+	if j.parked {
+		j.parked = false
+		delete(p.parked, j.task.GetId())
 	}
-	copy(free, trial)
-	return starts
 }
 
-// bestFit returns the worker with the least room left that still fits, or -1.
-func bestFit(need worker.Room, free []worker.Room) int {
-	best := -1
-	for i, f := range free {
-		if need.Fits(f) && (best < 0 || f.CPUMillis < free[best].CPUMillis) {
-			best = i
+// fitsSome reports whether a worker that is not lost could hold the need when idle.
+func (p *Planner) fitsSome(need worker.Room) bool {
+	if need.Fits(p.lastFit()) {
+		return true
+	}
+	for _, h := range p.hosts {
+		if counts(h.record.GetPhase()) && need.Fits(h.capacity) {
+			p.budget.lastFit = h
+			return true
 		}
 	}
-	return best
+	return false
+}
+
+func (p *Planner) lastFit() worker.Room {
+	if h := p.budget.lastFit; h != nil && counts(h.record.GetPhase()) {
+		return h.capacity
+	}
+	return worker.Room{CPUMillis: -1}
+}
+
+// startBudget bounds the starts per second with a token bucket.
+type startBudget struct {
+	now     int64
+	tokens  float64
+	lastFit *host // a host that fitted the last need looked at
+}
+
+// refill adds the tokens of the time since the last round.
+func (b *startBudget) refill(now int64) int {
+	if b.now == 0 {
+		b.tokens = startsPerRound
+	}
+	if now > b.now {
+		b.tokens = min(startsPerRound, b.tokens+float64(now-b.now)*startsPerSec/1000)
+		b.now = now
+	}
+	return int(b.tokens)
 }
--- /dev/null
+++ b/internal/place/preempt.go
@@ -0,0 +1,177 @@
+package place
+
+import (
+	"sort"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/task"
+)
+
+const (
+	giveBackWait   = 2000 // milliseconds that a customer below its share waits before borrowers are preempted
+	preemptHosts   = 128  // hosts looked at for one preemption once a choice was found
+	preemptsARound = 24   // attempts stopped in one round
+	restartMs      = 2000 // lost by each checkpoint and restart
+	tightLossMs    = 600_000
+	borrowedLossMs = 60_000 // added for victims whose customer is within its share
+	lossPart       = 20     // a checkpoint loses up to this part of what ran since the start
+)
+
+// mayPreempt reports whether the job's wait justifies stopping others.
+func (r *round) mayPreempt(j *job) bool {
+	if j.urgent() || j.service() {
+		return true
+	}
+	after := j.account.held.Plus(j.need).Dominant(r.p.total)
+	return after <= j.account.share && r.now-j.since >= giveBackWait
+}
+
+// victim reports whether the attempt may be stopped in favour of the job.
+func (r *round) victim(j *job, x *running) bool {
+	if x.phase == egretmuxv1.AttemptPhase_ATTEMPT_PHASE_STOPPING || r.stops[x.id] || x.job == j {
+		return false
+	}
+	if x.job.urgent() || x.job.service() || !task.Restartable(x.job.task.GetSpec()) {
+		return false
+	}
+	own := x.job.account == j.account
+	switch {
+	case j.urgent():
+		return own || r.p.overShare(x.job.account) || !r.p.overShare(j.account)
+	case j.service():
+		return own || r.p.overShare(x.job.account)
+	}
+	return !own && r.p.overShare(x.job.account)
+}
+
+// loss estimates in milliseconds what stopping the attempt costs.
+func (r *round) loss(j *job, x *running) int64 {
+	ran := int64(0)
+	if x.began > 0 {
+		ran = r.now - x.began
+	}
+	loss := restartMs + ran/lossPart
+	estimate, _ := r.p.learn.estimate(x.job.task.GetSpec())
+	left := x.left(r.now, estimate)
+	if d := x.job.task.GetSpec().GetDeadlineUnixMs(); d > 0 && r.now+left+2*restartMs > d {
+		loss += tightLossMs
+	}
+	if x.job.account != j.account && !r.p.overShare(x.job.account) {
+		loss += borrowedLossMs
+	}
+	if x.job.gang() {
+		loss *= int64(len(x.job.live))
+	}
+	return loss
+}
+
+// preempt claims room for the job's members and stops what is in the way. A
+// gang gets room for all members or stops nothing. It reports whether the job
+// has all the claims it needs.
+func (r *round) preempt(j *job, members int) bool {
+	from := len(j.claims)
+	var stops []*running
+	for len(j.claims) < members {
+		h, victims := r.roomFor(j)
+		if h == nil || len(r.stops)+len(victims) > preemptsARound {
+			break
+		}
+		r.p.addClaim(j, h, r.now+claimLength)
+		for _, x := range victims {
+			r.stops[x.id] = true
+		}
+		stops = append(stops, victims...)
+	}
+	if j.gang() && len(j.claims) < members {
+		r.giveUp(j, from, stops)
+		return false
+	}
+	for _, x := range stops {
+		r.plan.Commit.Stops = append(r.plan.Commit.Stops, &egretmuxv1.PlanStop{
+			Task: x.job.task.GetId(), Attempt: x.id, Checkpoint: true, Reason: "preempted",
+		})
+	}
+	return len(j.claims) >= members
+}
+
+// giveUp takes back the claims after the first n and the stops for them.
+func (r *round) giveUp(j *job, n int, stops []*running) {
+	for _, x := range stops {
+		delete(r.stops, x.id)
+	}
+	for i := n; i < len(j.claims); i++ {
+		r.p.unclaim(&j.claims[i])
+	}
+	j.claims = j.claims[:n]
+	if n == 0 {
+		delete(r.p.claimants, j)
+	}
+}
+
+// roomFor returns the host where a member finds room at the least loss, and
+// what must stop there.
+func (r *round) roomFor(j *job) (*host, []*running) {
+	var best *host
+	var victims []*running
+	least := int64(0)
+	n := len(r.p.names)
+	for i := range n {
+		if best != nil && i >= preemptHosts {
+			break
+		}
+		h := r.p.hosts[r.p.names[(i+r.p.turn*preemptHosts)%n]]
+		if t := h.takes(); t != Fits || !j.need.Fits(h.capacity) || h.reserved != nil && h.reserved != j {
+			continue
+		}
+		set, loss, ok := r.victimsOn(j, h)
+		if ok && (best == nil || loss < least) {
+			best, victims, least = h, set, loss
+		}
+	}
+	return best, victims
+}
+
+// victimsOn returns what must stop on the host for one more member.
+func (r *round) victimsOn(j *job, h *host) ([]*running, int64, bool) {
+	free := h.free()
+	var able []*running
+	for _, x := range h.live {
+		if x.phase == egretmuxv1.AttemptPhase_ATTEMPT_PHASE_STOPPING || r.stops[x.id] {
+			free = free.Plus(x.held)
+		} else if r.victim(j, x) {
+			able = append(able, x)
+		}
+	}
+	if j.need.Fits(free) {
+		return nil, 0, true
+	}
+	losses := make(map[*running]int64, len(able))
+	for _, x := range able {
+		losses[x] = r.loss(j, x)
+	}
+	sort.Slice(able, func(a, b int) bool {
+		if losses[able[a]] != losses[able[b]] {
+			return losses[able[a]] < losses[able[b]]
+		}
+		return able[a].id < able[b].id
+	})
+	n := 0
+	for n < len(able) && !j.need.Fits(free) {
+		free = free.Plus(able[n].held)
+		n++
+	}
+	if !j.need.Fits(free) {
+		return nil, 0, false
+	}
+	var set []*running
+	total := int64(0)
+	for i := n - 1; i >= 0; i-- {
+		if without := free.Minus(able[i].held); j.need.Fits(without) {
+			free = without
+			continue
+		}
+		set = append(set, able[i])
+		total += losses[able[i]]
+	}
+	return set, total, true
+}
--- a/internal/state/attempts.go
+++ b/internal/state/attempts.go
@@ -3,97 +3,10 @@
 import (
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/task"
-	"github.com/egretmux/egretmux/internal/worker"
 )
 
-// commitPlan re-checks every part of a plan against the state as it is now.
-// The starts of one gang take effect together or not at all.
-func (s *Store) commitPlan(p *egretmuxv1.CommitPlan) *Result {
-	result := &Result{}
-	for _, stop := range p.GetStops() {
-		result.Applied += s.planStop(stop)
-	}
-	gangs := make(map[uint64][]*egretmuxv1.PlanStart)
-	for _, st := range p.GetStarts() {
-		if st.GetGang() != 0 {
-			gangs[st.GetGang()] = append(gangs[st.GetGang()], st)
-		}
-	}
-	for _, st := range p.GetStarts() {
-		group := []*egretmuxv1.PlanStart{st}
-		if st.GetGang() != 0 {
-			group = gangs[st.GetGang()]
-			delete(gangs, st.GetGang())
-		}
-		if len(group) > 0 && s.startable(group) {
-			s.start(group)
-			result.Applied += len(group)
-		}
-	}
-	for _, r := range p.GetRejects() {
-		result.Applied += s.planReject(r)
-	}
-	return result
-}
-
-// startable reports whether all of the starts are still right, taken together.
-func (s *Store) startable(group []*egretmuxv1.PlanStart) bool {
-	added := make(map[string]worker.Room)
-	taken := make(map[uint64]map[int32]bool)
-	for _, st := range group {
-		t := s.tasks.get(st.GetTask())
-		if t == nil || !s.memberWaits(t, st.GetMember()) || t.GetNotBeforeUnixMs() > s.now {
-			return false
-		}
-		if taken[t.GetId()][st.GetMember()] {
-			return false
-		}
-		if taken[t.GetId()] == nil {
-			taken[t.GetId()] = make(map[int32]bool)
-		}
-		taken[t.GetId()][st.GetMember()] = true
-		need := added[st.GetWorker()].Plus(worker.RoomOf(t.GetSpec().GetResources()))
-		if !s.workers.accepts(st.GetWorker(), st.GetWorkerEpoch(), need) {
-			return false
-		}
-		added[st.GetWorker()] = need
-	}
-	return true
-}
-
-func (s *Store) memberWaits(t *egretmuxv1.Task, member int32) bool {
-	for _, m := range task.Waiting(t) {
-		if m == member {
-			return true
-		}
-	}
-	return false
-}
-
-func (s *Store) start(group []*egretmuxv1.PlanStart) {
-	changed := make(map[uint64]*egretmuxv1.Task)
-	var order []uint64
-	for _, st := range group {
-		t := changed[st.GetTask()]
-		if t == nil {
-			t = clone(s.tasks.get(st.GetTask()))
-			changed[st.GetTask()] = t
-			order = append(order, st.GetTask())
-		}
-		s.mu.Lock()
-		s.last.attempt++
-		id := s.last.attempt
-		s.mu.Unlock()
-		t.Reason = ""
-		t.Attempts = append(t.Attempts, &egretmuxv1.Attempt{
-			Id: id, Member: st.GetMember(), Worker: st.GetWorker(),
-			Phase: egretmuxv1.AttemptPhase_ATTEMPT_PHASE_STARTING, StartedUnixMs: s.now,
-		})
-	}
-	for _, id := range order {
-		s.changeTask(changed[id])
-	}
-}
+// lossStep spreads the numbers of consecutive tasks over lossSpread.
+const lossStep = 389
 
 func (s *Store) planStop(p *egretmuxv1.PlanStop) int {
 	t := s.tasks.get(p.GetTask())
@@ -104,7 +17,7 @@
 	next := clone(t)
 	a = task.FindAttempt(next, p.GetAttempt())
 	a.Phase = egretmuxv1.AttemptPhase_ATTEMPT_PHASE_STOPPING
-	a.Preempted = true
+	a.Preempted = p.GetCheckpoint()
 	a.Detail = p.GetReason()
 	s.changeTask(next)
 	return 1
@@ -173,16 +86,36 @@
 		s.attemptLost(t, a)
 	case egretmuxv1.AttemptPhase_ATTEMPT_PHASE_STOPPED:
 		s.attemptStopped(t, a)
+	case egretmuxv1.AttemptPhase_ATTEMPT_PHASE_REFUSED:
+		s.placeAgainAfter(t, refusedDelay)
 	}
-	if t.GetSpec().GetKind() == egretmuxv1.TaskKind_TASK_KIND_GANG && c.GetPhase() != egretmuxv1.AttemptPhase_ATTEMPT_PHASE_SUCCEEDED {
-		// The rest of a gang cannot go on without one of its members.
-		stopLive(t)
+	if c.GetPhase() != egretmuxv1.AttemptPhase_ATTEMPT_PHASE_SUCCEEDED && t.GetSpec().GetKind() == egretmuxv1.TaskKind_TASK_KIND_GANG {
+		s.gangBroken(t)
 	}
 }
 
+// gangBroken stops the rest of a gang, which cannot go on without one of its
+// members. A gang starts again whole, with the members that had succeeded.
+func (s *Store) gangBroken(t *egretmuxv1.Task) {
+	stopLive(t)
+	if t.GetEnding() != egretmuxv1.TaskPhase_TASK_PHASE_UNSPECIFIED || len(t.GetDoneMembers()) == 0 {
+		return
+	}
+	if !task.Restartable(t.GetSpec()) {
+		s.endTask(t, egretmuxv1.TaskPhase_TASK_PHASE_UNKNOWN, "the gang broke after a member had succeeded; look at the task's own records before submitting it again")
+		return
+	}
+	t.DoneMembers = nil
+}
+
+// placeAgainAfter delays the next placement by at least ms.
+func (s *Store) placeAgainAfter(t *egretmuxv1.Task, ms int64) {
+	t.NotBeforeUnixMs = max(t.GetNotBeforeUnixMs(), s.now+ms)
+}
+
 func (s *Store) attemptSucceeded(t *egretmuxv1.Task, a *egretmuxv1.Attempt) {
 	if t.GetSpec().GetKind() == egretmuxv1.TaskKind_TASK_KIND_SERVICE {
-		t.NotBeforeUnixMs = s.now + failureDelay
+		s.placeAgainAfter(t, failureDelay)
 		return
 	}
 	t.DoneMembers = append(t.DoneMembers, a.GetMember())
@@ -205,7 +138,8 @@
 
 // attemptLost runs the member again only if that cannot do harm.
 func (s *Store) attemptLost(t *egretmuxv1.Task, a *egretmuxv1.Attempt) {
-	if t.GetSpec().GetIdempotent() || t.GetSpec().GetKind() == egretmuxv1.TaskKind_TASK_KIND_SERVICE {
+	if task.Restartable(t.GetSpec()) {
+		s.placeAgainAfter(t, int64(t.GetId()*lossStep%lossSpread))
 		return
 	}
 	s.endTask(t, egretmuxv1.TaskPhase_TASK_PHASE_UNKNOWN, "worker "+a.GetWorker()+" was lost while it may have been running; look at the task's own records before submitting it again")
@@ -214,8 +148,7 @@
 // attemptStopped treats a stopped attempt of a task that must not run twice as
 // unknown, unless a checkpoint lets it go on where it stopped.
 func (s *Store) attemptStopped(t *egretmuxv1.Task, a *egretmuxv1.Attempt) {
-	resumable := t.GetSpec().GetIdempotent() || t.GetSpec().GetKind() == egretmuxv1.TaskKind_TASK_KIND_SERVICE ||
-		a.GetCheckpointMs() > 0 || a.GetConfirmedUnixMs() == 0
+	resumable := task.Restartable(t.GetSpec()) || a.GetCheckpointMs() > 0
 	if !resumable && t.GetEnding() == egretmuxv1.TaskPhase_TASK_PHASE_UNSPECIFIED {
 		s.endTask(t, egretmuxv1.TaskPhase_TASK_PHASE_UNKNOWN, "stopped without a checkpoint; look at the task's own records before submitting it again")
 	}
--- /dev/null
+++ b/internal/state/ledger.go
@@ -0,0 +1,74 @@
+package state
+
+import (
+	"sync"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/contract"
+	"github.com/egretmux/egretmux/internal/task"
+	"github.com/egretmux/egretmux/internal/worker"
+)
+
+// ledger sums what each customer holds and how many of its members wait.
+type ledger struct {
+	mu      sync.RWMutex
+	held    map[string]worker.Room
+	waiting map[string]int
+}
+
+func (l *ledger) clear() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held = make(map[string]worker.Room)
+	l.waiting = make(map[string]int)
+}
+
+// account moves a task's part of the sums from its old record to the new one.
+func (l *ledger) account(old, next *egretmuxv1.Task) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if old != nil {
+		name := old.GetSpec().GetCustomer()
+		l.held[name] = l.held[name].Minus(heldBy(old))
+		l.waiting[name] -= len(task.Waiting(old))
+	}
+	name := next.GetSpec().GetCustomer()
+	l.held[name] = l.held[name].Plus(heldBy(next))
+	l.waiting[name] += len(task.Waiting(next))
+}
+
+func heldBy(t *egretmuxv1.Task) worker.Room {
+	var sum worker.Room
+	for _, a := range t.GetAttempts() {
+		if task.Live(a.GetPhase()) {
+			sum = sum.Plus(task.Held(t, a))
+		}
+	}
+	return sum
+}
+
+// Held returns the room that a customer's live attempts hold.
+func (s *Store) Held(customer string) worker.Room {
+	s.ledger.mu.RLock()
+	defer s.ledger.mu.RUnlock()
+	return s.ledger.held[customer]
+}
+
+// WaitingMembers returns how many of a customer's members wait for a worker.
+func (s *Store) WaitingMembers(customer string) int {
+	s.ledger.mu.RLock()
+	defer s.ledger.mu.RUnlock()
+	return s.ledger.waiting[customer]
+}
+
+// withinQuota reports whether an amount held is within a contract's quota.
+func withinQuota(c *contract.Contract, held worker.Room) bool {
+	if c == nil {
+		return false
+	}
+	q := c.Quota
+	return within(held.CPUMillis, q.CPUMillis) && within(held.MemoryMiB, q.MemoryMiB) && within(held.Accelerators, q.Accelerators)
+}
+
+// within reports whether x is at most the limit; a limit of zero is none.
+func within(x, limit int64) bool { return limit == 0 || x <= limit }
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -53,6 +53,7 @@
 	contract contractTable
 	tasks    taskTable
 	workers  workerTable
+	ledger   ledger
 	requests requestTable
 	members  instanceTable
 }
@@ -73,6 +74,7 @@
 	s.contract.clear()
 	s.tasks.clear()
 	s.workers.clear()
+	s.ledger.clear()
 	s.requests.clear()
 	s.members.clear()
 }
--- a/internal/state/tasks.go
+++ b/internal/state/tasks.go
@@ -16,6 +16,8 @@
 	keptAttempts  = 8     // ended attempts kept in a task's record
 	failureDelay  = 1000  // milliseconds before a failed member is tried again
 	maxFailureGap = 60000 // milliseconds
+	refusedDelay  = 200   // milliseconds before a member that a worker refused is placed again
+	lossSpread    = 1000  // milliseconds over which the tasks of lost workers are placed again
 )
 
 // taskTable holds the tasks in shards, each under its own lock.
@@ -90,7 +92,9 @@
 
 // putTask stores a task and keeps the workers' room in step with its attempts.
 func (s *Store) putTask(t *egretmuxv1.Task) {
-	s.workers.account(s.tasks.get(t.GetId()), t)
+	old := s.tasks.get(t.GetId())
+	s.workers.account(old, t)
+	s.ledger.account(old, t)
 	s.tasks.put(t)
 }
 
@@ -114,6 +118,9 @@
 	if err := s.checkSpec(spec); err != nil {
 		return &Result{Err: err}
 	}
+	if r := c.GetRefusal(); r != nil {
+		return &Result{Err: refusal.New(refusal.Kind(r.GetKind()), r.GetRemedy(), "%s", r.GetMessage())}
+	}
 	s.mu.Lock()
 	s.last.task++
 	id := s.last.task
@@ -128,27 +135,6 @@
 	return &Result{Task: t}
 }
 
-func (s *Store) checkSpec(spec *egretmuxv1.TaskSpec) *refusal.Error {
-	c := s.Parsed(spec.GetCustomer())
-	if c == nil {
-		return refusal.New(refusal.Forbidden, "apply a contract first", "customer %s has no contract", spec.GetCustomer())
-	}
-	if spec.GetClass() != "" && c.Class(spec.GetClass()) == nil {
-		return refusal.New(refusal.Invalid, "name a class of the contract", "contract %s has no class %s", c.Customer, spec.GetClass())
-	}
-	if spec.GetKind() == egretmuxv1.TaskKind_TASK_KIND_UNSPECIFIED {
-		return refusal.New(refusal.Invalid, "set kind to service, batch or gang", "the task has no kind")
-	}
-	if spec.GetMembers() < 0 || spec.GetMembers() > maxMembers {
-		return refusal.New(refusal.Invalid, "use 1 to "+strconv.Itoa(maxMembers), "%d members", spec.GetMembers())
-	}
-	r := spec.GetResources()
-	if r.GetCpuMillis() < 0 || r.GetMemoryMib() < 0 || r.GetAccelerators() < 0 || r.GetCpuMillis()+r.GetMemoryMib() == 0 {
-		return refusal.New(refusal.Invalid, "declare processors and memory of one member", "the task's resources are missing or negative")
-	}
-	return nil
-}
-
 // cancelTask stops the live attempts; the task ends when they have stopped.
 func (s *Store) cancelTask(c *egretmuxv1.CancelTask) *Result {
 	t := s.tasks.get(c.GetTask())
--- a/internal/state/workers.go
+++ b/internal/state/workers.go
@@ -71,8 +71,9 @@
 	return out
 }
 
-// accepts reports whether the worker takes new attempts of that size.
-func (t *workerTable) accepts(id string, epoch uint64, need worker.Room) bool {
+// accepts reports whether the worker takes that many new attempts which
+// together hold the given room.
+func (t *workerTable) accepts(id string, epoch uint64, need worker.Room, attempts int) bool {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	e := t.byID[id]
@@ -82,7 +83,7 @@
 	switch e.record.GetPhase() {
 	case egretmuxv1.WorkerPhase_WORKER_PHASE_READY:
 	case egretmuxv1.WorkerPhase_WORKER_PHASE_QUARANTINED:
-		if len(e.attempts) > 0 {
+		if len(e.attempts)+attempts > 1 {
 			return false
 		}
 	default:
@@ -98,14 +99,14 @@
 	for _, a := range old.GetAttempts() {
 		if task.Live(a.GetPhase()) {
 			e := t.entry(a.GetWorker())
-			e.committed = e.committed.Minus(worker.RoomOf(old.GetSpec().GetResources()))
+			e.committed = e.committed.Minus(task.Held(old, a))
 			delete(e.attempts, a.GetId())
 		}
 	}
 	for _, a := range next.GetAttempts() {
 		if task.Live(a.GetPhase()) {
 			e := t.entry(a.GetWorker())
-			e.committed = e.committed.Plus(worker.RoomOf(next.GetSpec().GetResources()))
+			e.committed = e.committed.Plus(task.Held(next, a))
 			e.attempts[a.GetId()] = next.GetId()
 		}
 	}
--- a/internal/task/task.go
+++ b/internal/task/task.go
@@ -1,7 +1,17 @@
 // Package task holds the rules of tasks and their attempts.
 package task
 
-import egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+import (
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/worker"
+)
+
+// The part of its declared size that an attempt holds at least. Processors can
+// be throttled at once when a task wants them back, memory cannot.
+const (
+	cpuFloorPart    = 4
+	memoryFloorPart = 2
+)
 
 // Final reports whether a task in this phase never changes again.
 func Final(p egretmuxv1.TaskPhase) bool {
@@ -93,3 +103,28 @@
 	}
 	return 0
 }
+
+// Held returns the room that an attempt holds on its worker.
+func Held(t *egretmuxv1.Task, a *egretmuxv1.Attempt) worker.Room {
+	if a.GetHeld() != nil {
+		return worker.RoomOf(a.GetHeld())
+	}
+	return worker.RoomOf(t.GetSpec().GetResources())
+}
+
+// Floor returns the least room that an attempt of a member may hold, whatever
+// it was seen to use: a part of its declared processors and memory, and all of
+// its accelerators.
+func Floor(s *egretmuxv1.TaskSpec) worker.Room {
+	declared := worker.RoomOf(s.GetResources())
+	return worker.Room{
+		CPUMillis:    declared.CPUMillis / cpuFloorPart,
+		MemoryMiB:    declared.MemoryMiB / memoryFloorPart,
+		Accelerators: declared.Accelerators,
+	}
+}
+
+// Restartable reports whether an attempt that may have run can be run again.
+func Restartable(s *egretmuxv1.TaskSpec) bool {
+	return s.GetIdempotent() || s.GetKind() == egretmuxv1.TaskKind_TASK_KIND_SERVICE
+}
--- a/internal/worker/resources.go
+++ b/internal/worker/resources.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 )
@@ -61,3 +62,29 @@
 func (r Room) String() string {
 	return fmt.Sprintf("%.3g cores, %d MiB, %d accelerators", float64(r.CPUMillis)/1000, r.MemoryMiB, r.Accelerators)
 }
+
+// Max returns the larger amount in each dimension.
+func (r Room) Max(o Room) Room {
+	return Room{max(r.CPUMillis, o.CPUMillis), max(r.MemoryMiB, o.MemoryMiB), max(r.Accelerators, o.Accelerators)}
+}
+
+// Min returns the smaller amount in each dimension.
+func (r Room) Min(o Room) Room {
+	return Room{min(r.CPUMillis, o.CPUMillis), min(r.MemoryMiB, o.MemoryMiB), min(r.Accelerators, o.Accelerators)}
+}
+
+// Scale returns the processors and memory multiplied by f; accelerators stay.
+func (r Room) Scale(f float64) Room {
+	return Room{int64(float64(r.CPUMillis) * f), int64(float64(r.MemoryMiB) * f), r.Accelerators}
+}
+
+// Count returns how many of r fit into total at a time.
+func (r Room) Count(total Room) int64 {
+	n := int64(math.MaxInt32)
+	for _, d := range [][2]int64{{r.CPUMillis, total.CPUMillis}, {r.MemoryMiB, total.MemoryMiB}, {r.Accelerators, total.Accelerators}} {
+		if d[0] > 0 {
+			n = min(n, d[1]/d[0])
+		}
+	}
+	return max(n, 0)
+}
