Strict files, authenticated commands, limits and serving before the cell forms

Cause: a repeated key, a quoted value or # in a path was read silently as something else; an empty value read as zero; a voter that waited for others answered no health check; commands to workers, /metrics and oversized control messages were neither authenticated nor counted; callers over TLS could negotiate h2, which that listener does not speak; a change without a change id was answered with the first such change. Change: inifile scans each line before the library reads it; settings and contracts check names, wildcard clashes, certificates and secrets; internal/edge limits headers, bodies, messages and calls with typed, counted refusals; commands carry the secret of worker_token_file; the daemon serves first and forms the replica meanwhile, drains also when a part fails, and reads certificates on SIGHUP; every refusal and retry counter exists from the start; the demo needs no curl and is bounded in time.

--- a/cmd/egretmux-standin/main.go
+++ b/cmd/egretmux-standin/main.go
@@ -34,6 +34,7 @@
 	MemoryMiB    int64  `long:"memory-mib" default:"65536"`
 	Accelerators int64  `long:"accelerators" default:"0"`
 	Slots        int32  `long:"slots" description:"slots of endpoints started by service tasks" default:"8"`
+	TokenFile    string `long:"command-token-file" description:"file with the secret that commands must show; empty: none"`
 }
 
 // Execute implements flags.Commander.
@@ -42,6 +43,12 @@
 	if err != nil {
 		return err
 	}
+	var secret []byte
+	if c.TokenFile != "" {
+		if secret, err = os.ReadFile(c.TokenFile); err != nil {
+			return err
+		}
+	}
 	const links = 60
 	w := standin.NewWorker(standin.WorkerConfig{
 		Record: &egretmuxv1.Worker{
@@ -49,6 +56,7 @@
 			Capacity: &egretmuxv1.Resources{CpuMillis: c.CPUMillis, MemoryMib: c.MemoryMiB, Accelerators: c.Accelerators},
 		},
 		Announcer: standin.NewAnnouncer(c.instances(), c.Token), Journal: journal, Slots: c.Slots, Links: links,
+		CommandToken: strings.TrimSpace(string(secret)),
 	})
 	return w.Run(untilSignal())
 }
@@ -112,8 +120,8 @@
 
 func main() {
 	parser := flags.NewNamedParser("egretmux-standin", flags.Default)
-	for name, command := range map[string]any{"worker": &workerCommand{}, "endpoint": &endpointCommand{}, "caller": &callerCommand{}} {
-		if _, err := parser.AddCommand(name, "play a "+name, "Plays a "+name+" until a signal.", command); err != nil {
+	for name, command := range map[string]any{"worker": &workerCommand{}, "endpoint": &endpointCommand{}, "caller": &callerCommand{}, "request": &requestCommand{}} {
+		if _, err := parser.AddCommand(name, "play a "+name, "Plays a "+name+".", command); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
 		}
--- a/cmd/egretmuxd/main.go
+++ b/cmd/egretmuxd/main.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/rs/zerolog"
 
 	"github.com/egretmux/egretmux/internal/daemon"
 	"github.com/egretmux/egretmux/internal/inifile"
@@ -58,8 +59,7 @@
 	return serve(s)
 }
 
-// serve runs the instance. The first signal shuts it down gracefully, the
-// second one at once.
+// serve runs the instance until a signal.
 func serve(s *settings.Settings) int {
 	logger := telemetry.NewLogger(os.Stderr, s.Instance)
 	if _, err := telemetry.SetLevel(s.LogLevel); err != nil {
@@ -74,17 +74,32 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	hurry := make(chan struct{})
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		<-signals
-		cancel()
-		<-signals
-		close(hurry)
-	}()
+	go followSignals(d, logger, cancel, hurry)
 	if err := d.Run(ctx, hurry); err != nil {
 		logger.Error().Err(err).Str("event", "instance_failed").Msg("")
 		return exitFailure
 	}
 	return 0
 }
+
+// followSignals shuts down gracefully at the first SIGTERM or SIGINT and at
+// once at the second. SIGHUP reads changed certificate files.
+func followSignals(d *daemon.Daemon, logger zerolog.Logger, stop func(), hurry chan<- struct{}) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	stops := 0
+	for s := range signals {
+		logger.Info().Str("event", "signal_received").Str("signal", s.String()).Msg("")
+		if s == syscall.SIGHUP {
+			d.ReadCertificates()
+			continue
+		}
+		stops++
+		switch stops {
+		case 1:
+			stop()
+		case 2:
+			close(hurry)
+		}
+	}
+}
--- /dev/null
+++ b/internal/contract/check.go
@@ -0,0 +1,106 @@
+package contract
+
+import (
+	"encoding/hex"
+	"fmt"
+	"regexp"
+	"strings"
+
+	"github.com/egretmux/egretmux/internal/inifile"
+)
+
+// Limits of one contract.
+const (
+	maxClasses     = 64
+	maxPaths       = 256 // of one class
+	maxCredentials = 8
+	maxServices    = 256
+)
+
+var nameRE = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
+
+const nameRemedy = "use lower-case letters, digits and hyphens, beginning with a letter, at most 63"
+
+// ValidName reports whether s may name a customer, class or service.
+func ValidName(s string) bool { return nameRE.MatchString(s) }
+
+// checker looks for faults that no single key shows.
+type checker struct {
+	doc    *inifile.Document
+	faults inifile.Faults
+}
+
+func (c *checker) add(section, key, problem, remedy string) {
+	c.faults = append(c.faults, c.doc.Fault(section, key, problem, remedy))
+}
+
+func check(d *inifile.Document, contract *Contract) inifile.Faults {
+	c := checker{doc: d}
+	if contract.Customer != "" && !ValidName(contract.Customer) {
+		c.add("contract", "customer", fmt.Sprintf("%.80q is not a name", contract.Customer), nameRemedy)
+	}
+	c.checkCredentials(contract.Credentials)
+	c.checkServices(contract.Services)
+	c.checkClasses(contract.Classes)
+	return c.faults
+}
+
+func (c *checker) checkCredentials(hashes []string) {
+	const sha256Bytes = 32
+	seen := make(map[string]bool)
+	for _, h := range hashes {
+		if raw, err := hex.DecodeString(h); err != nil || len(raw) != sha256Bytes {
+			c.add("contract", "credential_sha256", fmt.Sprintf("%.80q is not a SHA-256 in hex", h), "printf %s SECRET | sha256sum prints one")
+		}
+		if seen[h] {
+			c.add("contract", "credential_sha256", "a hash stands twice", "name each credential once")
+		}
+		seen[h] = true
+	}
+	if len(hashes) > maxCredentials {
+		c.add("contract", "credential_sha256", fmt.Sprintf("%d credentials", len(hashes)), fmt.Sprintf("use at most %d", maxCredentials))
+	}
+}
+
+func (c *checker) checkServices(names []string) {
+	for _, name := range names {
+		if !ValidName(name) {
+			c.add("contract", "services", fmt.Sprintf("%.80q is not a name", name), nameRemedy)
+		}
+	}
+	if len(names) > maxServices {
+		c.add("contract", "services", fmt.Sprintf("%d services", len(names)), fmt.Sprintf("use at most %d", maxServices))
+	}
+}
+
+func (c *checker) checkClasses(classes []Class) {
+	owner := make(map[string]string)
+	for _, class := range classes {
+		section := classPrefix + class.Name
+		if !ValidName(class.Name) {
+			c.add(section, "", fmt.Sprintf("%.80q is not a name", class.Name), nameRemedy)
+		}
+		if class.Answer == AtOnce && class.Deadline == 0 {
+			c.add(section, "deadline", "work that answers at once has no deadline", "give the time that its callers wait")
+		}
+		c.checkPaths(section, class, owner)
+	}
+	if len(classes) > maxClasses {
+		c.add(classPrefix+classes[maxClasses].Name, "", fmt.Sprintf("%d classes", len(classes)), fmt.Sprintf("use at most %d", maxClasses))
+	}
+}
+
+func (c *checker) checkPaths(section string, class Class, owner map[string]string) {
+	for _, p := range class.Paths {
+		if !strings.HasPrefix(p, "/") {
+			c.add(section, "paths", fmt.Sprintf("%.80q does not start with /", p), "write the path after /service/NAME")
+		}
+		if other := owner[p]; other != "" {
+			c.add(section, "paths", p+" belongs to class "+other+" already", "give each path to one class")
+		}
+		owner[p] = class.Name
+	}
+	if len(class.Paths) > maxPaths {
+		c.add(section, "paths", fmt.Sprintf("%d paths", len(class.Paths)), fmt.Sprintf("use at most %d", maxPaths))
+	}
+}
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -3,8 +3,6 @@
 package contract
 
 import (
-	"encoding/hex"
-	"regexp"
 	"strings"
 	"time"
 
@@ -50,14 +48,15 @@
 	Quota       Quota
 }
 
+// classPrefix begins the name of a class's section.
+const classPrefix = "class."
+
 const (
 	maxDeadline = 7 * 24 * 3600 // seconds
 	maxCores    = 1e6
 	maxMemory   = 1e6 // GiB
 )
 
-var nameRE = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
-
 // Schema describes a contract file.
 func Schema() []inifile.Section {
 	return []inifile.Section{
@@ -74,7 +73,7 @@
 			{Name: "queued_tasks", Type: inifile.Int, Default: "10000", Min: 0, Max: 1e6, Unit: "tasks", Doc: "tasks waiting at a time"},
 			{Name: "in_flight", Type: inifile.Int, Default: "1024", Min: 0, Max: 1e6, Unit: "requests", Doc: "requests at one instance at a time"},
 		}},
-		{Name: "class.", Required: true, Doc: "A class of work.", Keys: []inifile.Key{
+		{Name: classPrefix, Required: true, Doc: "A class of work.", Keys: []inifile.Key{
 			{Name: "answer", Type: inifile.Choice, Default: "can-wait", Choices: []string{"at-once", "can-wait"}, Doc: "whether somebody waits for it"},
 			{Name: "at_most_once", Type: inifile.Bool, Default: "no", Doc: "never repeat it once it may have run"},
 			{Name: "deadline", Type: inifile.Duration, Default: "30s", Min: 0, Max: maxDeadline, Doc: "for requests that name none; 0s: none"},
@@ -88,9 +87,15 @@
 // Parse checks the text of a contract file and returns every fault at once.
 func Parse(file, text string) (*Contract, error) {
 	doc, faults := inifile.Parse(file, text, Schema())
-	if len(faults) > 0 {
-		return nil, faults.OrNil()
+	c := read(doc)
+	if err := faults.Join(check(doc, c)).OrNil(); err != nil {
+		return nil, err
 	}
+	return c, nil
+}
+
+// read returns the contract of a document; a value that is not valid reads as zero.
+func read(doc *inifile.Document) *Contract {
 	c := &Contract{
 		Customer:    doc.String("contract", "customer"),
 		Share:       doc.Float("contract", "share"),
@@ -98,13 +103,10 @@
 		Services:    doc.List("contract", "services"),
 		Quota:       readQuota(doc),
 	}
-	for _, s := range doc.Sections("class.") {
+	for _, s := range doc.Sections(classPrefix) {
 		c.Classes = append(c.Classes, readClass(doc, s))
 	}
-	if err := check(doc, c).OrNil(); err != nil {
-		return nil, err
-	}
-	return c, nil
+	return c
 }
 
 func readQuota(d *inifile.Document) Quota {
@@ -120,7 +122,7 @@
 
 func readClass(d *inifile.Document, section string) Class {
 	return Class{
-		Name:       strings.TrimPrefix(section, "class."),
+		Name:       strings.TrimPrefix(section, classPrefix),
 		Answer:     Answer(d.String(section, "answer")),
 		AtMostOnce: d.Bool(section, "at_most_once"),
 		Deadline:   d.Duration(section, "deadline"),
@@ -130,35 +132,6 @@
 	}
 }
 
-func check(d *inifile.Document, c *Contract) inifile.Faults {
-	var faults inifile.Faults
-	if !nameRE.MatchString(c.Customer) {
-		faults = append(faults, d.Fault("contract", "customer", "not a name", "use lower-case letters, digits and hyphens, at most 63"))
-	}
-	for _, h := range c.Credentials {
-		if raw, err := hex.DecodeString(h); err != nil || len(raw) != 32 {
-			faults = append(faults, d.Fault("contract", "credential_sha256", h+" is not a SHA-256 in hex", "printf %s SECRET | sha256sum prints one"))
-		}
-	}
-	owner := make(map[string]string)
-	for _, class := range c.Classes {
-		section := "class." + class.Name
-		if !nameRE.MatchString(class.Name) {
-			faults = append(faults, d.Fault(section, "", "not a class name", "use lower-case letters, digits and hyphens"))
-		}
-		for _, p := range class.Paths {
-			if !strings.HasPrefix(p, "/") {
-				faults = append(faults, d.Fault(section, "paths", p+" does not start with /", "write the path after /service/NAME"))
-			}
-			if other := owner[p]; other != "" {
-				faults = append(faults, d.Fault(section, "paths", p+" belongs to class "+other+" already", "give each path to one class"))
-			}
-			owner[p] = class.Name
-		}
-	}
-	return faults
-}
-
 // Class returns the class of that name, or nil.
 func (c *Contract) Class(name string) *Class {
 	for i := range c.Classes {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,17 +4,13 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"sync"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
-	"github.com/egretmux/egretmux/internal/consensus/core"
 	"github.com/egretmux/egretmux/internal/contract"
 	"github.com/egretmux/egretmux/internal/entry"
 	"github.com/egretmux/egretmux/internal/leader"
@@ -24,6 +20,7 @@
 	"github.com/egretmux/egretmux/internal/route"
 	"github.com/egretmux/egretmux/internal/settings"
 	"github.com/egretmux/egretmux/internal/state"
+	"github.com/egretmux/egretmux/internal/telemetry"
 	"github.com/egretmux/egretmux/internal/voter"
 )
 
@@ -47,10 +44,8 @@
 	entry  *entry.Entry
 	leader *leader.Leader
 	voter  *voter.Voter // nil on instances without a data folder
-	store  *state.Store
 
-	listeners map[string]net.Listener
-	servers   map[string]*http.Server
+	listeners []*listener
 	failed    chan error
 	draining  chan struct{} // closed when readiness is dropped
 }
@@ -58,6 +53,7 @@
 // New builds an instance and opens its listeners and data folder.
 func New(s *settings.Settings, logger zerolog.Logger) (*Daemon, error) {
 	d := &Daemon{settings: s, logger: logger, failed: make(chan error, 4), draining: make(chan struct{})}
+	telemetry.Register()
 	var err error
 	if d.dialer, err = peer.NewDialer(s.CellKey, s.CellCA); err != nil {
 		return nil, err
@@ -70,13 +66,17 @@
 	d.book = contract.NewBook()
 	d.routes = route.NewTable(s.Datacentre, s.MaxQueue)
 	d.links = link.NewPool(linkProgress)
-	d.buildRelay()
+	if err := d.buildRelay(); err != nil {
+		return nil, err
+	}
 	d.buildEntry()
 	if err := d.listen(); err != nil {
+		d.closeListeners()
 		return nil, err
 	}
 	if s.IsVoter() {
 		if d.voter, err = voter.Open(s, d.dialer, logger); err != nil {
+			d.closeListeners()
 			return nil, err
 		}
 	}
@@ -91,16 +91,20 @@
 	return out
 }
 
-func (d *Daemon) buildRelay() {
+func (d *Daemon) buildRelay() error {
 	s := d.settings
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}}
+	commands, err := newCommander(s, d.logger)
+	if err != nil {
+		return err
+	}
 	d.relay = relay.New(relay.Config{
 		Instance: &egretmuxv1.Instance{
 			Id: s.Instance, Datacentre: s.Datacentre, CellAddress: s.Cell.Address, ControlAddress: s.Control.Address, Voter: s.IsVoter(),
 		},
 		Leader: d.finder, Book: d.book, Endpoints: d.routes,
-		Commands: relay.NewCommander(client, "http", d.logger), Logger: d.logger,
+		Commands: commands, Logger: d.logger,
 	})
+	return nil
 }
 
 func (d *Daemon) buildEntry() {
@@ -112,167 +116,66 @@
 	})
 }
 
-// listen opens all listeners before anything is served.
-func (d *Daemon) listen() error {
-	d.listeners = make(map[string]net.Listener)
-	d.servers = make(map[string]*http.Server)
-	for name, l := range map[string]settings.Listener{"callers": d.settings.Callers, "control": d.settings.Control, "cell": d.settings.Cell} {
-		opened, err := net.Listen("tcp", l.Address)
-		if err != nil {
-			return errors.Wrapf(err, "[listen] %s: %s cannot be opened; stop the other process or choose another port", name, l.Address)
-		}
-		if opened, err = withTLS(opened, l); err != nil {
-			return errors.Wrapf(err, "[tls] %s", name)
-		}
-		d.listeners[name] = opened
-	}
-	return nil
-}
-
-// Run serves until the context ends, then shuts down gracefully. Once hurry is
-// closed, it no longer waits for requests in flight.
+// Run serves until the context ends or a part fails, then shuts down
+// gracefully. Once hurry is closed, it no longer waits for anything.
 func (d *Daemon) Run(ctx context.Context, hurry <-chan struct{}) error {
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	var loops sync.WaitGroup
 	d.serve("cell", d.cellHandler(), true)
+	d.serve("control", d.controlHandler(), true)
+	d.serve("callers", d.callersHandler(), false)
 	if d.voter != nil {
-		if err := d.startReplica(ctx, background, &loops); err != nil {
-			return err
-		}
+		loops.Go(func() { d.runReplica(background) })
 	}
 	loops.Go(func() { d.relay.Run(background) })
-	d.serve("control", d.controlHandler(), true)
-	d.serve("callers", d.callersHandler(), false)
 	d.logger.Info().Str("event", "instance_started").Str("datacentre", d.settings.Datacentre).Bool("voter", d.voter != nil).Msg("")
 	var err error
 	select {
 	case <-ctx.Done():
 	case err = <-d.failed:
+		d.logger.Error().Err(err).Str("event", "part_failed").Msg("")
 	}
-	if err == nil {
-		d.drain(hurry)
-	}
+	urgent, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		select {
+		case <-hurry:
+			cancel()
+		case <-urgent.Done():
+		}
+	}()
+	d.drain(urgent)
 	stop()
 	loops.Wait()
-	d.close()
+	d.close(urgent)
 	d.logger.Info().Str("event", "instance_stopped").Msg("")
 	return err
 }
 
-func (d *Daemon) startReplica(ctx, background context.Context, loops *sync.WaitGroup) error {
-	d.store = state.New(d.leader)
-	node, err := d.voter.Start(ctx, d.store, func(err error) { d.failed <- err })
-	if err != nil {
-		return err
-	}
-	d.leader.SetNode(node, d.store)
-	loops.Go(func() { d.leader.Run(background) })
-	loops.Go(func() { d.voter.Join(background, d.finder) })
-	return nil
-}
-
-func (d *Daemon) serve(name string, handler http.Handler, http2 bool) {
-	const headerTimeout = 10 * time.Second
-	server := &http.Server{Handler: handler, MaxHeaderBytes: d.settings.MaxHeaderBytes, ReadHeaderTimeout: headerTimeout}
-	server.Protocols = new(http.Protocols)
-	server.Protocols.SetHTTP1(true)
-	if http2 {
-		server.Protocols.SetUnencryptedHTTP2(true)
-		server.Protocols.SetHTTP2(true)
-		server.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: 4096}
-	}
-	d.servers[name] = server
-	go func() {
-		if err := server.Serve(d.listeners[name]); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			d.failed <- errors.Wrapf(err, "listener %s failed", name)
-		}
-	}()
+// runReplica starts the replica, which may have to wait for the other voters,
+// and acts as leader whenever it leads.
+func (d *Daemon) runReplica(ctx context.Context) {
+	store := state.New(d.leader)
+	node, err := d.voter.Start(ctx, store, d.fail)
+	switch {
+	case ctx.Err() != nil:
+		return
+	case err != nil:
+		d.fail(errors.Wrap(err, "the replica cannot start"))
+		return
+	}
+	d.leader.SetNode(node, store)
+	var loops sync.WaitGroup
+	loops.Go(func() { d.leader.Run(ctx) })
+	loops.Go(func() { d.voter.Join(ctx, d.finder) })
+	loops.Wait()
 }
 
-// drain drops readiness, waits for the balancer to notice, refuses new
-// requests, and waits for those in flight.
-func (d *Daemon) drain(hurry <-chan struct{}) {
-	close(d.draining)
-	d.logger.Info().Str("event", "readiness_dropped").Msg("")
-	if d.voter != nil {
-		d.handOver()
-	}
+// fail makes Run end. Only the first failure counts.
+func (d *Daemon) fail(err error) {
 	select {
-	case <-time.After(d.settings.ReadinessWait):
-	case <-hurry:
-	}
-	finished := d.entry.Drain()
-	select {
-	case <-finished:
-	case <-time.After(d.settings.DrainLimit):
-		d.logger.Warn().Str("event", "requests_cut").Int64("in_flight", d.entry.InFlight()).Str("cause", "drain limit").Msg("")
-	case <-hurry:
-		d.logger.Warn().Str("event", "requests_cut").Int64("in_flight", d.entry.InFlight()).Str("cause", "second signal").Msg("")
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	if err := d.relay.Leave(ctx); err != nil {
-		d.logger.Warn().Err(err).Str("event", "leave_not_told").Msg("")
-	}
-}
-
-// handOver passes leadership to the voter that has the most of the log.
-func (d *Daemon) handOver() {
-	node := d.leader.Node()
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	_ = node.Do(ctx, func(c *core.Core) error {
-		status := c.Status()
-		var best, match uint64
-		for _, r := range status.Membership.GetReplicas() {
-			if r.GetId() != status.ID && !r.GetLearner() && (best == 0 || status.Match[r.GetId()] > match) {
-				best, match = r.GetId(), status.Match[r.GetId()]
-			}
-		}
-		if best != 0 && c.TransferLeadership(best) {
-			d.logger.Info().Str("event", "leadership_handed_over").Uint64("to", best).Msg("")
-		}
-		return nil
-	})
-}
-
-func (d *Daemon) close() {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	for name, server := range d.servers {
-		if err := server.Shutdown(ctx); err != nil {
-			d.logger.Debug().Err(err).Str("event", "listener_closed_hard").Str("listener", name).Msg("")
-			_ = server.Close()
-		}
-	}
-	d.links.Close()
-	if d.voter != nil {
-		if err := d.voter.Close(); err != nil {
-			d.logger.Warn().Err(err).Str("event", "data_folder_not_closed").Msg("")
-		}
+	case d.failed <- err:
+	default:
 	}
 }
-
-// attempts implements entry.Attempts by calls to the leader.
-type attempts struct{ leader *peer.Leader }
-
-// Begin implements entry.Attempts.
-func (a *attempts) Begin(ctx context.Context, r *egretmuxv1.RequestRecord) (record *egretmuxv1.RequestRecord, run, conflict bool, err error) {
-	err = a.leader.Call(ctx, func(ctx context.Context, c *peer.Clients) error {
-		resp, err := c.Cell.BeginRequest(ctx, connect.NewRequest(&egretmuxv1.BeginRequestRequest{Request: r}))
-		if err == nil {
-			record, run, conflict = resp.Msg.GetRecord(), resp.Msg.GetRun(), resp.Msg.GetConflict()
-		}
-		return err
-	})
-	return record, run, conflict, err
-}
-
-// End implements entry.Attempts.
-func (a *attempts) End(ctx context.Context, r *egretmuxv1.RequestRecord) error {
-	return a.leader.Call(ctx, func(ctx context.Context, c *peer.Clients) error {
-		_, err := c.Cell.EndRequest(ctx, connect.NewRequest(&egretmuxv1.EndRequestRequest{Request: r}))
-		return err
-	})
-}
--- a/internal/daemon/handlers.go
+++ b/internal/daemon/handlers.go
@@ -2,66 +2,119 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 
 	"connectrpc.com/connect"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/gen/egretmux/v1/egretmuxv1connect"
+	"github.com/egretmux/egretmux/internal/edge"
 	"github.com/egretmux/egretmux/internal/leader"
 	"github.com/egretmux/egretmux/internal/operator"
 	"github.com/egretmux/egretmux/internal/peer"
+	"github.com/egretmux/egretmux/internal/refusal"
 	"github.com/egretmux/egretmux/internal/refusal/refusalrpc"
 	"github.com/egretmux/egretmux/internal/telemetry"
 )
 
-// maxMessageBytes bounds a message on the control and cell listeners.
-const maxMessageBytes = 16 << 20
+// maxCellMessage bounds a message between instances, in bytes.
+const maxCellMessage = 16 << 20
 
 func (d *Daemon) callersHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/service/{name}/{rest...}", d.entry)
-	return mux
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		edge.Refuse(w, r, refusal.New(refusal.NoService, "use /service/NAME/...", "no service has the path %.200q", r.URL.Path))
+	})
+	return edge.CloseAfter(d.draining, d.limited(mux))
+}
+
+// limited applies the limits that every client's request has to keep.
+func (d *Daemon) limited(next http.Handler) http.Handler {
+	return edge.LimitHeader(d.settings.MaxHeaderBytes, edge.TimeBody(d.settings.BodyTimeout, next))
 }
 
 func (d *Daemon) controlHandler() http.Handler {
-	access := &operator.Access{OperatorSHA256: d.settings.Operator, Book: d.book, Open: d.settings.Open}
-	edge := operator.NewEdge(access, d.finder)
-	limit := connect.WithReadMaxBytes(maxMessageBytes)
+	s := d.settings
+	calls := operator.NewEdge(operator.EdgeConfig{
+		Instance: s.Instance, Leader: d.finder, MaxMembers: s.MaxMembers, Logger: d.logger,
+		Access: &operator.Access{OperatorSHA256: s.Operator, Book: d.book, Open: s.Open},
+	})
+	option := connect.WithInterceptors(calls.Interceptor())
+	limit := connect.WithReadMaxBytes(s.MaxMessage)
+	apis := http.NewServeMux()
+	taskPath, tasks := egretmuxv1connect.NewTaskServiceHandler(calls, option, limit)
+	apis.Handle(taskPath, tasks)
+	operatorPath, operators := egretmuxv1connect.NewOperatorServiceHandler(calls, option, limit)
+	apis.Handle(operatorPath, operators)
+	limited := edge.LimitInFlight(s.MaxCalls, edge.LimitMessage(s.MaxMessage, apis))
 	mux := http.NewServeMux()
-	mux.Handle(egretmuxv1connect.NewTaskServiceHandler(edge, connect.WithInterceptors(edge.Interceptor()), limit))
-	mux.Handle(egretmuxv1connect.NewOperatorServiceHandler(edge, connect.WithInterceptors(edge.Interceptor()), limit))
+	mux.Handle(taskPath, limited)
+	mux.Handle(operatorPath, limited)
 	path, announce := egretmuxv1connect.NewAnnounceServiceHandler(d.relay, limit)
-	mux.Handle(path, operator.RequireToken(d.settings.Announcer, announce))
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.Handle(path, operator.RequireToken(s.Open, []string{s.Announcer}, edge.LimitMessage(s.MaxMessage, announce)))
+	mux.HandleFunc("GET /healthz", d.serveHealth)
 	mux.HandleFunc("GET /readyz", d.serveReady)
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { telemetry.WriteMetrics(w) })
-	return mux
+	mux.Handle("GET /metrics", operator.RequireToken(s.Open, []string{s.Operator, s.Metrics}, http.HandlerFunc(serveMetrics)))
+	return d.limited(mux)
+}
+
+func serveMetrics(w http.ResponseWriter, _ *http.Request) { telemetry.WriteMetrics(w) }
+
+// serveHealth tells whether the process runs; its text says what it waits for.
+func (d *Daemon) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	_, _ = fmt.Fprintln(w, "ok: "+d.condition())
 }
 
 // serveReady tells the platform's balancer whether to send requests here.
 func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
+	condition := d.condition()
+	if condition != conditionReady {
+		http.Error(w, condition, http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = fmt.Fprintln(w, condition)
+}
+
+// Conditions of an instance, as /healthz and /readyz report them.
+const (
+	conditionReady    = "ready"
+	conditionDraining = "draining: the instance shuts down"
+	conditionForming  = "no lease: this voter waits for the other voters to form the cell; compare [cell] voters and key_file on all of them"
+	conditionUnheard  = "no lease: no leader was heard since the start; the instance has no contracts"
+	conditionNoLease  = "no lease: the leader is not heard any more"
+)
+
+func (d *Daemon) condition() string {
 	select {
 	case <-d.draining:
-		http.Error(w, "draining", http.StatusServiceUnavailable)
-		return
+		return conditionDraining
 	default:
 	}
-	if !d.relay.Lease().Valid() {
-		http.Error(w, "no lease", http.StatusServiceUnavailable)
-		return
+	if d.relay.Lease().Valid() {
+		return conditionReady
+	}
+	if d.voter != nil && d.leader.Node() == nil {
+		return conditionForming
+	}
+	select {
+	case <-d.relay.Ready():
+		return conditionNoLease
+	default:
+		return conditionUnheard
 	}
-	_, _ = w.Write([]byte("ready\n"))
 }
 
 func (d *Daemon) cellHandler() http.Handler {
+	limit := connect.WithReadMaxBytes(maxCellMessage)
 	mux := http.NewServeMux()
 	if d.voter != nil {
 		server := operator.NewServer(d.leader)
-		mux.Handle(egretmuxv1connect.NewConsensusServiceHandler(d.voter))
-		mux.Handle(egretmuxv1connect.NewCellServiceHandler(&cellService{leader: d.leader}))
-		mux.Handle(egretmuxv1connect.NewTaskServiceHandler(server))
-		mux.Handle(egretmuxv1connect.NewOperatorServiceHandler(server))
+		mux.Handle(egretmuxv1connect.NewConsensusServiceHandler(d.voter, limit))
+		mux.Handle(egretmuxv1connect.NewCellServiceHandler(&cellService{leader: d.leader}, limit))
+		mux.Handle(egretmuxv1connect.NewTaskServiceHandler(server, limit))
+		mux.Handle(egretmuxv1connect.NewOperatorServiceHandler(server, limit))
 	}
 	return peer.RequireKey(d.settings.CellKey, mux)
 }
--- a/internal/inifile/inifile.go
+++ b/internal/inifile/inifile.go
@@ -3,11 +3,9 @@
 package inifile
 
 import (
-	"fmt"
 	"sort"
 	"strconv"
 	"strings"
-	"time"
 
 	"gopkg.in/ini.v1"
 )
@@ -72,6 +70,16 @@
 	return place + ": " + f.Problem + "; " + f.Remedy
 }
 
+func (f Fault) less(g Fault) bool {
+	if f.Line != g.Line {
+		return f.Line < g.Line
+	}
+	if f.Section != g.Section {
+		return f.Section < g.Section
+	}
+	return f.Key < g.Key
+}
+
 // Faults is every fault of a file. It is an error when not empty.
 type Faults []Fault
 
@@ -89,7 +97,23 @@
 	if len(f) == 0 {
 		return nil
 	}
-	sort.SliceStable(f, func(i, j int) bool { return f[i].Line < f[j].Line })
+	sort.SliceStable(f, func(i, j int) bool { return f[i].less(f[j]) })
+	return f
+}
+
+// Join returns the faults with those of more that stand at a key without a
+// fault so far.
+func (f Faults) Join(more Faults) Faults {
+	type place struct{ section, key string }
+	seen := make(map[place]bool)
+	for _, x := range f {
+		seen[place{x.Section, x.Key}] = true
+	}
+	for _, x := range more {
+		if !seen[place{x.Section, x.Key}] {
+			f = append(f, x)
+		}
+	}
 	return f
 }
 
@@ -102,58 +126,45 @@
 	schema   []Section
 }
 
+// byteOrderMark may begin a file that another system wrote.
+const byteOrderMark = "\ufeff"
+
 // Parse reads text against the schema. The document holds the defaults of
 // missing keys; it is usable only when there are no faults.
 func Parse(file, text string, schema []Section) (*Document, Faults) {
 	d := &Document{file: file, schema: schema, values: make(map[string]map[string]string)}
-	var faults Faults
-	d.lines = scanLines(text)
-	options := ini.LoadOptions{AllowNonUniqueSections: true, KeyValueDelimiters: "=", IgnoreInlineComment: false}
-	parsed, err := ini.LoadSources(options, []byte(text))
+	text = strings.ReplaceAll(strings.TrimPrefix(text, byteOrderMark), "\r\n", "\n")
+	if faults := checkText(file, text); len(faults) > 0 {
+		return d, faults
+	}
+	scanned := scanText(file, text)
+	d.lines = scanned.lines
+	faults := scanned.faults
+	parsed, err := ini.LoadSources(iniOptions, []byte(text))
 	if err != nil {
-		return d, Faults{{File: file, Problem: err.Error(), Remedy: "write sections as [name] and keys as key = value"}}
+		return d, append(faults, Fault{File: file, Problem: err.Error(), Remedy: "write sections as [name] and keys as key = value"})
 	}
 	seen := make(map[string]bool)
 	for _, s := range parsed.Sections() {
 		name := s.Name()
-		if name == ini.DefaultSection {
-			for _, k := range s.Keys() {
-				faults = append(faults, d.fault("", k.Name(), "key stands before any section", "move it below a [section]"))
-			}
-			continue
-		}
-		if seen[name] {
-			faults = append(faults, d.fault(name, "", "section stands twice", "merge the two sections"))
-			continue
+		if name == ini.DefaultSection || seen[name] {
+			continue // reported by the scan
 		}
 		seen[name] = true
 		faults = append(faults, d.readSection(s)...)
 	}
-	faults = append(faults, d.fillMissing(seen)...)
-	return d, faults
+	return d, append(faults, d.fillMissing(seen)...)
 }
 
-// scanLines maps "section" and "section\x00key" to their line numbers.
-func scanLines(text string) map[string]int {
-	lines := make(map[string]int)
-	section := ""
-	for i, line := range strings.Split(text, "\n") {
-		line = strings.TrimSpace(line)
-		if strings.HasPrefix(line, "[") && strings.Contains(line, "]") {
-			section = strings.TrimSpace(line[1:strings.Index(line, "]")])
-			lines[section] = i + 1
-			continue
-		}
-		key, _, ok := strings.Cut(line, "=")
-		if ok && !strings.HasPrefix(line, ";") && !strings.HasPrefix(line, "#") {
-			lines[section+"\x00"+strings.TrimSpace(key)] = i + 1
-		}
-	}
-	return lines
+// iniOptions make a value end at a comment only after a space, so that a path
+// may hold # and ;, and leave the reports on malformed lines to the scan.
+var iniOptions = ini.LoadOptions{
+	AllowNonUniqueSections: true, KeyValueDelimiters: "=", SpaceBeforeInlineComment: true,
+	IgnoreContinuation: true, SkipUnrecognizableLines: true,
 }
 
 func (d *Document) fault(section, key, problem, remedy string) Fault {
-	line := d.lines[section+"\x00"+key]
+	line := d.lines[lineKey(section, key)]
 	if line == 0 {
 		line = d.lines[section]
 	}
@@ -231,88 +242,6 @@
 	return faults
 }
 
-func (s *Section) key(name string) *Key {
-	for i := range s.Keys {
-		if s.Keys[i].Name == name {
-			return &s.Keys[i]
-		}
-	}
-	return nil
-}
-
-func (k *Key) example() string {
-	switch {
-	case k.Default != "":
-		return k.Default
-	case len(k.Choices) > 0:
-		return k.Choices[0]
-	case k.Unit != "":
-		return "<" + k.Unit + ">"
-	}
-	return "<value>"
-}
-
-// check returns what is wrong with a value and how to mend it.
-func (k *Key) check(value string) (problem, remedy string) {
-	if value == "" {
-		if k.Required {
-			return "value is empty", "give a value such as " + k.example()
-		}
-		return "", ""
-	}
-	switch k.Type {
-	case Int:
-		n, err := strconv.ParseInt(value, 10, 64)
-		if err != nil {
-			return fmt.Sprintf("%q is not a whole number", value), k.rangeRemedy()
-		}
-		return k.checkRange(float64(n), value)
-	case Float:
-		x, err := strconv.ParseFloat(value, 64)
-		if err != nil {
-			return fmt.Sprintf("%q is not a number", value), k.rangeRemedy()
-		}
-		return k.checkRange(x, value)
-	case Duration:
-		t, err := time.ParseDuration(value)
-		if err != nil {
-			return fmt.Sprintf("%q is not a duration", value), "write a number with its unit, such as 250ms, 2s or 5m"
-		}
-		return k.checkRange(t.Seconds(), value)
-	case Bool:
-		if value != "yes" && value != "no" {
-			return fmt.Sprintf("%q is neither yes nor no", value), "write yes or no"
-		}
-	case Choice:
-		for _, c := range k.Choices {
-			if c == value {
-				return "", ""
-			}
-		}
-		return fmt.Sprintf("%q is not a choice", value), "use one of " + strings.Join(k.Choices, ", ")
-	}
-	return "", ""
-}
-
-func (k *Key) checkRange(x float64, value string) (problem, remedy string) {
-	if k.Min == 0 && k.Max == 0 || x >= k.Min && x <= k.Max {
-		return "", ""
-	}
-	return value + " is out of range", k.rangeRemedy()
-}
-
-func (k *Key) rangeRemedy() string {
-	if k.Min == 0 && k.Max == 0 {
-		return "write a number"
-	}
-	if k.Type == Duration {
-		return "use " + seconds(k.Min).String() + " to " + seconds(k.Max).String()
-	}
-	return fmt.Sprintf("use %v to %v", k.Min, k.Max)
-}
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
 func sectionNames(schema []Section) string {
 	names := make([]string, len(schema))
 	for i, s := range schema {
@@ -331,88 +260,3 @@
 	}
 	return strings.Join(names, ", ")
 }
-
-// Sections returns the names of the file's sections with the prefix, in order.
-func (d *Document) Sections(prefix string) []string {
-	var names []string
-	for _, s := range d.sections {
-		if strings.HasPrefix(s, prefix) {
-			names = append(names, s)
-		}
-	}
-	return names
-}
-
-// String returns a value.
-func (d *Document) String(section, key string) string { return d.values[section][key] }
-
-// Int returns a whole number; zero for an empty value.
-func (d *Document) Int(section, key string) int64 {
-	n, _ := strconv.ParseInt(d.String(section, key), 10, 64)
-	return n
-}
-
-// Float returns a number; zero for an empty value.
-func (d *Document) Float(section, key string) float64 {
-	x, _ := strconv.ParseFloat(d.String(section, key), 64)
-	return x
-}
-
-// Duration returns a duration; zero for an empty value.
-func (d *Document) Duration(section, key string) time.Duration {
-	t, _ := time.ParseDuration(d.String(section, key))
-	return t
-}
-
-// Bool returns whether a value is yes.
-func (d *Document) Bool(section, key string) bool { return d.String(section, key) == "yes" }
-
-// List returns the comma-separated parts of a value, without empty ones.
-func (d *Document) List(section, key string) []string {
-	var parts []string
-	for _, p := range strings.Split(d.String(section, key), ",") {
-		if p = strings.TrimSpace(p); p != "" {
-			parts = append(parts, p)
-		}
-	}
-	return parts
-}
-
-// Defaults writes the schema as a commented file.
-func Defaults(schema []Section) string {
-	var b strings.Builder
-	for i, s := range schema {
-		if i > 0 {
-			b.WriteString("\n")
-		}
-		if s.Doc != "" {
-			fmt.Fprintf(&b, "; %s\n", s.Doc)
-		}
-		name := s.Name
-		if strings.HasSuffix(name, ".") {
-			name += "NAME"
-		}
-		fmt.Fprintf(&b, "[%s]\n", name)
-		for _, k := range s.Keys {
-			b.WriteString(k.describe())
-		}
-	}
-	return b.String()
-}
-
-func (k *Key) describe() string {
-	notes := k.Doc
-	if k.Unit != "" {
-		notes += " (" + k.Unit + ")"
-	}
-	if len(k.Choices) > 0 {
-		notes += "; one of " + strings.Join(k.Choices, ", ")
-	}
-	if k.Min != 0 || k.Max != 0 {
-		notes += "; " + strings.TrimPrefix(k.rangeRemedy(), "use ")
-	}
-	if k.Required {
-		notes += "; required"
-	}
-	return fmt.Sprintf("; %s\n%s = %s\n", notes, k.Name, k.Default)
-}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -64,12 +64,18 @@
 
 // SetNode joins the leader with its replica and state.
 func (l *Leader) SetNode(node *consensus.Node, store *state.Store) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.node = node
 	l.store = store
 }
 
-// Node returns the replica.
-func (l *Leader) Node() *consensus.Node { return l.node }
+// Node returns the replica, or nil before SetNode.
+func (l *Leader) Node() *consensus.Node {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.node
+}
 
 // Run begins and ends tenures until the context ends.
 func (l *Leader) Run(ctx context.Context) {
@@ -130,10 +136,11 @@
 // Address returns the cell address of the leader as the local replica knows
 // it, or "".
 func (l *Leader) Address() string {
-	if l == nil || l.node == nil {
+	node := l.Node()
+	if node == nil {
 		return ""
 	}
-	status, _ := l.node.Status()
+	status, _ := node.Status()
 	for _, r := range status.Membership.GetReplicas() {
 		if r.GetId() == status.Leader {
 			return r.GetAddress()
--- a/internal/operator/forward.go
+++ b/internal/operator/forward.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"github.com/rs/xid"
+	"github.com/rs/zerolog"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/peer"
@@ -19,32 +22,68 @@
 // maxWait is the longest one wait for a task; clients repeat it.
 const maxWait = 30 * time.Second
 
-// Edge serves the control listener of every instance: it authenticates a call
-// and hands it to the leader.
+// requestIDHeader names a control call in answers and logs.
+const requestIDHeader = "Egretmux-Request-Id"
+
+// EdgeConfig holds the parts and limits of an Edge.
+type EdgeConfig struct {
+	Instance   string
+	Access     *Access
+	Leader     *peer.Leader
+	MaxMembers int32 // of one task
+	Logger     zerolog.Logger
+}
+
+// Edge serves the control listener of every instance: it authenticates a call,
+// checks its limits and hands it to the leader.
 type Edge struct {
-	access *Access
-	leader *peer.Leader
+	EdgeConfig
 }
 
 // NewEdge returns an Edge.
-func NewEdge(access *Access, leader *peer.Leader) *Edge {
-	return &Edge{access: access, leader: leader}
-}
+func NewEdge(cfg EdgeConfig) *Edge { return &Edge{cfg} }
 
-// Interceptor authenticates calls on the control listener.
+// Interceptor authenticates, limits and logs calls on the control listener.
 func (e *Edge) Interceptor() connect.UnaryInterceptorFunc {
 	return func(next connect.UnaryFunc) connect.UnaryFunc {
 		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
-			identity, err := e.access.Identify(req.Header())
+			id := xid.New().String()
+			resp, err := e.serve(ctx, req, next)
 			if err != nil {
-				telemetry.CountRefusal(refusal.Of(err))
-				return nil, refusalrpc.Error(err)
+				return nil, e.refuse(req, err, id)
 			}
-			return next(withIdentity(ctx, identity), req)
+			e.Logger.Debug().Str("event", "call_served").Str("request_id", id).Str("procedure", req.Spec().Procedure).Msg("")
+			resp.Header().Set(requestIDHeader, id)
+			return resp, nil
 		}
 	}
 }
 
+func (e *Edge) serve(ctx context.Context, req connect.AnyRequest, next connect.UnaryFunc) (connect.AnyResponse, error) {
+	identity, err := e.Access.Identify(req.Header())
+	if err != nil {
+		return nil, err
+	}
+	if err := check(req.Any(), e.MaxMembers); err != nil {
+		return nil, err
+	}
+	return next(withIdentity(ctx, identity), req)
+}
+
+// refuse counts and logs a refused call and returns the error to answer with.
+func (e *Edge) refuse(req connect.AnyRequest, err error, id string) error {
+	f := refusal.Of(err)
+	telemetry.CountRefusal(f)
+	e.Logger.Info().Err(f).Str("event", "call_refused").Str("request_id", id).Str("procedure", req.Spec().Procedure).
+		Str("kind", string(f.Kind)).Str("ran", string(f.Ran)).Str("from", req.Peer().Addr).Msg("")
+	out := refusalrpc.Error(f)
+	var answer *connect.Error
+	if errors.As(out, &answer) {
+		answer.Meta().Set(requestIDHeader, id)
+	}
+	return out
+}
+
 // call hands a message to the leader with the caller's identity.
 func call[Q, A any](ctx context.Context, e *Edge, req *connect.Request[Q], f func(*peer.Clients) func(context.Context, *connect.Request[Q]) (*connect.Response[A], error)) (*connect.Response[A], error) {
 	if _, ok := ctx.Deadline(); !ok {
@@ -53,7 +92,7 @@
 		defer cancel()
 	}
 	var resp *connect.Response[A]
-	err := e.leader.Call(ctx, func(ctx context.Context, c *peer.Clients) error {
+	err := e.Leader.Call(ctx, func(ctx context.Context, c *peer.Clients) error {
 		out := connect.NewRequest(req.Msg)
 		out.Header().Set(identityHeader, identityFrom(ctx).header())
 		var err error
@@ -61,8 +100,7 @@
 		return err
 	})
 	if err != nil {
-		telemetry.CountRefusal(refusal.Of(err))
-		return nil, refusalrpc.Error(err)
+		return nil, err
 	}
 	return connect.NewResponse(resp.Msg), nil
 }
@@ -193,11 +231,12 @@
 // SetLogLevel implements OperatorService for this instance alone.
 func (e *Edge) SetLogLevel(ctx context.Context, req *connect.Request[egretmuxv1.SetLogLevelRequest]) (*connect.Response[egretmuxv1.SetLogLevelResponse], error) {
 	if err := identityFrom(ctx).requireOperator(); err != nil {
-		return nil, refusalrpc.Error(err)
+		return nil, err
 	}
 	previous, err := telemetry.SetLevel(req.Msg.GetLevel())
 	if err != nil {
-		return nil, refusalrpc.Error(refusal.New(refusal.Invalid, "use debug, info, warn or error", "%v", err))
+		return nil, refusal.New(refusal.Invalid, "use debug, info, warn or error", "%v", err)
 	}
-	return connect.NewResponse(&egretmuxv1.SetLogLevelResponse{Previous: previous}), nil
+	e.Logger.Log().Str("event", "log_level_changed").Str("from", previous).Str("to", req.Msg.GetLevel()).Msg("")
+	return connect.NewResponse(&egretmuxv1.SetLogLevelResponse{Previous: previous, Instance: e.Instance}), nil
 }
--- a/internal/operator/identity.go
+++ b/internal/operator/identity.go
@@ -11,6 +11,7 @@
 	"strings"
 
 	"github.com/egretmux/egretmux/internal/contract"
+	"github.com/egretmux/egretmux/internal/edge"
 	"github.com/egretmux/egretmux/internal/refusal"
 )
 
@@ -54,13 +55,17 @@
 	return sha != "" && subtle.ConstantTimeCompare([]byte(hex.EncodeToString(sum[:])), []byte(strings.ToLower(sha))) == 1
 }
 
-// RequireToken lets only requests with the credential through. An empty hash
-// lets everything through.
-func RequireToken(sha string, next http.Handler) http.Handler {
+// RequireToken lets only requests through that show one of the credentials,
+// given as SHA-256 in hex. Empty hashes match nothing; open lets everything through.
+func RequireToken(open bool, hashes []string, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		if sha != "" && !matches(token, sha) {
-			http.Error(w, "unauthenticated; send the announcers' credential as bearer token", http.StatusUnauthorized)
+		allowed := open
+		for _, h := range hashes {
+			allowed = matches(token, h) || allowed
+		}
+		if !allowed {
+			edge.Refuse(w, r, refusal.New(refusal.Unauthenticated, "send Authorization: Bearer with the credential for "+r.URL.Path, "the credential is not known"))
 			return
 		}
 		next.ServeHTTP(w, r)
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -47,6 +47,17 @@
 	Internal         Kind = "internal"
 )
 
+// Kinds returns every kind.
+func Kinds() []Kind {
+	return []Kind{
+		Unauthenticated, Forbidden, Invalid, TooLarge, NoService, NoEndpoint,
+		QueueFull, Shed, DeadlineTooClose, DeadlinePassed, InFlightFull, Draining,
+		NoLease, NoLeader, KeyConflict, KeyInProgress, OutcomeUnknown, EndpointRefused,
+		LinkFailed, LinkSilent, AnswerCut, AnswerMismatch, Cancelled, VersionConflict,
+		NotFound, NeverRunnable, QuotaExceeded, DeadlineNotMet, Internal,
+	}
+}
+
 // Ran tells whether a refused request was carried out.
 type Ran string
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/subtle"
 	"net"
 	"net/http"
 	"sort"
@@ -24,6 +25,8 @@
 	Journal   *Journal
 	Slots     int32 // of the endpoints that service tasks start
 	Links     int32
+
+	CommandToken string // secret that commands must show; empty: none
 }
 
 // Worker runs attempts as timers. A task's command says how: "run 200ms" ends
@@ -64,7 +67,8 @@
 		return err
 	}
 	mux := http.NewServeMux()
-	mux.Handle(egretmuxv1connect.NewWorkerServiceHandler(w))
+	path, commands := egretmuxv1connect.NewWorkerServiceHandler(w)
+	mux.Handle(path, w.requireToken(commands))
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: announceTimeout}
 	go func() { _ = server.Serve(listener) }()
 	defer func() { _ = server.Close() }()
@@ -83,6 +87,20 @@
 	}
 }
 
+// requireToken lets only commands through that show the secret.
+func (w *Worker) requireToken(next http.Handler) http.Handler {
+	want := []byte("Bearer " + w.cfg.CommandToken)
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		shown := []byte(r.Header.Get("Authorization"))
+		if w.cfg.CommandToken != "" && subtle.ConstantTimeCompare(shown, want) != 1 {
+			w.cfg.Journal.Write(JournalEntry{What: "command_unauthenticated", Who: w.cfg.Record.GetId()})
+			http.Error(rw, "show the secret of [access] worker_token_file", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(rw, r)
+	})
+}
+
 func (w *Worker) wakeUp() {
 	select {
 	case w.wake <- struct{}{}:
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -31,14 +31,32 @@
 	return previous, nil
 }
 
+func refusals(kind refusal.Kind, ran refusal.Ran) *metrics.Counter {
+	return metrics.GetOrCreateCounter(`egretmux_refusals_total{kind="` + string(kind) + `",ran="` + string(ran) + `"}`)
+}
+
+func retries(reason refusal.Kind) *metrics.Counter {
+	return metrics.GetOrCreateCounter(`egretmux_retries_total{reason="` + string(reason) + `"}`)
+}
+
+// Register makes the counters of every kind of refusal and every reason of a
+// retry appear with zero, so that their rates have a first sample.
+func Register() {
+	for _, kind := range refusal.Kinds() {
+		refusals(kind, refusal.No)
+		refusals(kind, refusal.Unknown)
+		retries(kind)
+	}
+}
+
 // CountRefusal counts a refused request by kind and by whether it ran.
 func CountRefusal(e *refusal.Error) {
-	metrics.GetOrCreateCounter(`egretmux_refusals_total{kind="` + string(e.Kind) + `",ran="` + string(e.Ran) + `"}`).Inc()
+	refusals(e.Kind, e.Ran).Inc()
 }
 
 // CountRetry counts a retried attempt by reason.
 func CountRetry(reason refusal.Kind) {
-	metrics.GetOrCreateCounter(`egretmux_retries_total{reason="` + string(reason) + `"}`).Inc()
+	retries(reason).Inc()
 }
 
 // Count adds one to a counter without labels.
