CLI applies folders, shows conflicts, and is tested on an in-process cell

Cause: contract apply took one file, told nothing of the winner of a conflict, and the credential had to stand on the command line; instance log-level could reach another instance; two contracts could hold one credential. The daemon is tested on listeners opened beforehand: forming, contracts, tasks, a stop under load, TLS reload, access and limits. Conclusion: the whole path has an event-driven test.

--- a/internal/cli/cell.go
+++ b/internal/cli/cell.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
@@ -10,6 +11,7 @@
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/gen/egretmux/v1/egretmuxv1connect"
 	"github.com/egretmux/egretmux/internal/consensus/wal"
+	"github.com/egretmux/egretmux/internal/refusal"
 )
 
 type workerList struct{ *app }
@@ -114,20 +116,48 @@
 
 type logLevel struct {
 	*app
-	Args struct {
+	Instance string `long:"instance" description:"whose level to change; default: the first of --server"`
+	Args     struct {
 		Level string `positional-arg-name:"LEVEL" required:"yes"`
 	} `positional-args:"yes"`
 }
 
-// Execute implements flags.Commander.
+// Execute implements flags.Commander. It calls one instance only: another one
+// would change its own level.
 func (c *logLevel) Execute([]string) error {
-	resp, err := call(c.app, func(ctx context.Context, _ egretmuxv1connect.TaskServiceClient, o egretmuxv1connect.OperatorServiceClient) (*connect.Response[egretmuxv1.SetLogLevelResponse], error) {
+	address, err := c.address()
+	if err != nil {
+		return err
+	}
+	one := *c.app
+	one.globals.Server = address
+	resp, err := call(&one, func(ctx context.Context, _ egretmuxv1connect.TaskServiceClient, o egretmuxv1connect.OperatorServiceClient) (*connect.Response[egretmuxv1.SetLogLevelResponse], error) {
 		return o.SetLogLevel(ctx, connect.NewRequest(&egretmuxv1.SetLogLevelRequest{Level: c.Args.Level}))
 	})
 	if err != nil {
 		return err
 	}
-	return c.print(resp, "PREVIOUS NOW", func(add func(...any)) { add(resp.GetPrevious(), c.Args.Level) })
+	return c.print(resp, "INSTANCE PREVIOUS NOW", func(add func(...any)) { add(resp.GetInstance(), resp.GetPrevious(), c.Args.Level) })
+}
+
+// address returns the control address of the instance that is meant.
+func (c *logLevel) address() (string, error) {
+	if c.Instance == "" {
+		first, _, _ := strings.Cut(c.globals.Server, ",")
+		return first, nil
+	}
+	resp, err := call(c.app, func(ctx context.Context, _ egretmuxv1connect.TaskServiceClient, o egretmuxv1connect.OperatorServiceClient) (*connect.Response[egretmuxv1.ListInstancesResponse], error) {
+		return o.ListInstances(ctx, connect.NewRequest(&egretmuxv1.ListInstancesRequest{}))
+	})
+	if err != nil {
+		return "", err
+	}
+	for _, in := range resp.GetInstances() {
+		if in.GetInstance().GetId() == c.Instance {
+			return in.GetInstance().GetControlAddress(), nil
+		}
+	}
+	return "", refusal.New(refusal.NotFound, "list instances with 'egretmux instance list'", "no instance %s", c.Instance)
 }
 
 type status struct{ *app }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -24,16 +24,18 @@
 	ExitRefused  = 5 // invalid, forbidden or over a limit
 	ExitBehind   = 6 // accepted, but not in force everywhere in time
 	ExitTask     = 7 // the task ended other than succeeded, or still runs
+	ExitDiffers  = 8 // contract diff found a difference
 )
 
 // Globals are the options of every command.
 type Globals struct {
-	Server  string        `long:"server" env:"EGRETMUX_SERVER" default:"127.0.0.1:7101" description:"control addresses of instances, separated by commas, tried in turn"`
-	Token   string        `long:"token" env:"EGRETMUX_TOKEN" description:"credential"`
-	TLS     bool          `long:"tls" env:"EGRETMUX_TLS" description:"use TLS"`
-	CA      string        `long:"ca" env:"EGRETMUX_CA" description:"file of the certificates that instances are checked against"`
-	Output  string        `long:"output" short:"o" choice:"table" choice:"json" default:"table" description:"form of the output"`
-	Timeout time.Duration `long:"timeout" default:"30s" description:"longest time for the command"`
+	Server    string        `long:"server" env:"EGRETMUX_SERVER" default:"127.0.0.1:7101" description:"control addresses of instances, separated by commas, tried in turn"`
+	Token     string        `long:"token" env:"EGRETMUX_TOKEN" description:"credential"`
+	TokenFile string        `long:"token-file" env:"EGRETMUX_TOKEN_FILE" description:"file with the credential, to keep it off the command line"`
+	TLS       bool          `long:"tls" env:"EGRETMUX_TLS" description:"use TLS"`
+	CA        string        `long:"ca" env:"EGRETMUX_CA" description:"file of the certificates that instances are checked against"`
+	Output    string        `long:"output" short:"o" choice:"table" choice:"json" default:"table" description:"form of the output"`
+	Timeout   time.Duration `long:"timeout" default:"30s" description:"longest time for the command"`
 }
 
 // app holds what commands need.
@@ -56,7 +58,7 @@
 func Main(args []string, out, errOut io.Writer) int {
 	a := &app{out: out, errOut: errOut}
 	parser := flags.NewNamedParser("egretmux", flags.HelpFlag|flags.PassDoubleDash)
-	parser.LongDescription = "Exit codes: 0 done; 1 no answer or outcome unknown; 2 wrong usage; 3 conflict; 4 not found; 5 refused; 6 not in force everywhere in time; 7 the task did not succeed."
+	parser.LongDescription = "Exit codes: 0 done; 1 no answer or outcome unknown; 2 wrong usage; 3 conflict; 4 not found; 5 refused; 6 not in force everywhere in time; 7 the task did not succeed or still runs; 8 the files differ from what is in force."
 	if _, err := parser.AddGroup("Global options", "", &a.globals); err != nil {
 		return fail(errOut, err)
 	}
@@ -117,13 +119,14 @@
 		subs        []sub
 	}{
 		{"contract", "contracts of customers", []sub{
-			{"apply", "apply a contract file and wait until it is in force everywhere", &contractApply{app: a}},
-			{"diff", "compare a contract file with the version in force", &contractDiff{app: a}},
+			{"apply", "apply the contract files that differ, and wait until they are in force everywhere", &contractApply{app: a}},
+			{"diff", "compare contract files with the versions in force", &contractDiff{app: a}},
 			{"get", "print a contract", &contractGet{app: a}},
 			{"list", "list contracts", &contractList{app: a}},
 			{"history", "list the versions of a contract", &contractHistory{app: a}},
 			{"delete", "delete a contract", &contractDelete{app: a}},
-			{"check", "check a contract file without a cell", &contractCheck{app: a}},
+			{"check", "check contract files without a cell", &contractCheck{app: a}},
+			{"template", "print every key of a contract with its default", &contractTemplate{app: a}},
 		}},
 		{"task", "tasks", []sub{
 			{"submit", "submit a task", &taskSubmit{app: a}},
@@ -142,7 +145,7 @@
 		{"endpoint", "endpoints", []sub{{"list", "list endpoints", &endpointList{app: a}}}},
 		{"instance", "instances", []sub{
 			{"list", "list instances", &instanceList{app: a}},
-			{"log-level", "change the log level of the instance that answers", &logLevel{app: a}},
+			{"log-level", "change the log level of one instance", &logLevel{app: a}},
 		}},
 		{"snapshot", "snapshots of the replicated state", []sub{{"inspect", "summarise the newest snapshot in a data folder", &snapshotInspect{app: a}}}},
 	}
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -3,15 +3,15 @@
 import (
 	"context"
 	"crypto/tls"
-	"crypto/x509"
 	"net/http"
-	"os"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/cockroachdb/errors"
 
 	"github.com/egretmux/egretmux/gen/egretmux/v1/egretmuxv1connect"
+	"github.com/egretmux/egretmux/internal/certs"
+	"github.com/egretmux/egretmux/internal/inifile"
 	"github.com/egretmux/egretmux/internal/refusal"
 	"github.com/egretmux/egretmux/internal/refusal/refusalrpc"
 )
@@ -29,34 +29,58 @@
 }
 
 func (a *app) client() (*client, error) {
-	transport := &http.Transport{}
-	scheme := "http://"
-	if a.globals.TLS || a.globals.CA != "" {
-		scheme = "https://"
-		config := &tls.Config{MinVersion: tls.VersionTLS12}
-		if a.globals.CA != "" {
-			pem, err := os.ReadFile(a.globals.CA)
-			if err != nil {
-				return nil, errors.Wrap(err, "--ca")
-			}
-			config.RootCAs = x509.NewCertPool()
-			config.RootCAs.AppendCertsFromPEM(pem)
-		}
-		transport.TLSClientConfig = config
+	list := servers(a.globals.Server)
+	if len(list) == 0 {
+		return nil, &exitError{ExitUsage, "--server names no instance"}
+	}
+	token, err := a.token()
+	if err != nil {
+		return nil, err
+	}
+	transport, scheme, err := a.transport()
+	if err != nil {
+		return nil, err
 	}
 	c := &client{}
-	option := connect.WithInterceptors(credential(a.globals.Token))
-	for _, address := range servers(a.globals.Server) {
-		h := &http.Client{Transport: transport}
+	option := connect.WithInterceptors(credential(token))
+	h := &http.Client{Transport: transport}
+	for _, address := range list {
 		c.tasks = append(c.tasks, egretmuxv1connect.NewTaskServiceClient(h, scheme+address, option))
 		c.operators = append(c.operators, egretmuxv1connect.NewOperatorServiceClient(h, scheme+address, option))
 	}
-	if len(c.tasks) == 0 {
-		return nil, &exitError{ExitUsage, "--server names no instance"}
-	}
 	return c, nil
 }
 
+// token returns the credential to show.
+func (a *app) token() (string, error) {
+	if a.globals.TokenFile == "" {
+		return a.globals.Token, nil
+	}
+	if a.globals.Token != "" {
+		return "", &exitError{ExitUsage, "--token and --token-file exclude each other; EGRETMUX_TOKEN counts as --token"}
+	}
+	text, err := inifile.ReadFile(a.globals.TokenFile)
+	if err != nil {
+		return "", &exitError{ExitUsage, "--token-file: " + err.Error()}
+	}
+	return strings.TrimSpace(text), nil
+}
+
+func (a *app) transport() (*http.Transport, string, error) {
+	if !a.globals.TLS && a.globals.CA == "" {
+		return &http.Transport{}, "http://", nil
+	}
+	config := &tls.Config{MinVersion: tls.VersionTLS12}
+	if a.globals.CA != "" {
+		pool, err := certs.Pool(a.globals.CA)
+		if err != nil {
+			return nil, "", &exitError{ExitUsage, "--ca: " + err.Error()}
+		}
+		config.RootCAs = pool
+	}
+	return &http.Transport{TLSClientConfig: config}, "https://", nil
+}
+
 func credential(token string) connect.UnaryInterceptorFunc {
 	return func(next connect.UnaryFunc) connect.UnaryFunc {
 		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
--- a/internal/contract/check.go
+++ b/internal/contract/check.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"fmt"
 	"regexp"
+	"slices"
 	"strings"
 
 	"github.com/egretmux/egretmux/internal/inifile"
@@ -24,6 +25,22 @@
 // ValidName reports whether s may name a customer, class or service.
 func ValidName(s string) bool { return nameRE.MatchString(s) }
 
+// SharedCredential returns another customer that owns one of the contract's
+// credentials, or "". A shared one would not tell whose a request is.
+func SharedCredential(c *Contract, others []*Contract) string {
+	for _, other := range others {
+		if other.Customer == c.Customer {
+			continue
+		}
+		for _, h := range other.Credentials {
+			if slices.Contains(c.Credentials, h) {
+				return other.Customer
+			}
+		}
+	}
+	return ""
+}
+
 // checker looks for faults that no single key shows.
 type checker struct {
 	doc    *inifile.Document
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -99,7 +99,7 @@
 	c := &Contract{
 		Customer:    doc.String("contract", "customer"),
 		Share:       doc.Float("contract", "share"),
-		Credentials: doc.List("contract", "credential_sha256"),
+		Credentials: lower(doc.List("contract", "credential_sha256")),
 		Services:    doc.List("contract", "services"),
 		Quota:       readQuota(doc),
 	}
@@ -109,6 +109,13 @@
 	return c
 }
 
+func lower(list []string) []string {
+	for i, s := range list {
+		list[i] = strings.ToLower(s)
+	}
+	return list
+}
+
 func readQuota(d *inifile.Document) Quota {
 	const millis, mib = 1000, 1024
 	return Quota{
--- /dev/null
+++ b/internal/daemon/access_test.go
@@ -0,0 +1,149 @@
+package daemon
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretmux/egretmux/internal/certs"
+	"github.com/egretmux/egretmux/internal/cli"
+)
+
+// writeCertificate makes a certificate for 127.0.0.1 that is its own CA.
+func (c *testCell) writeCertificate(serial int64) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(c.t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: "egretmux test"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	require.NoError(c.t, err)
+	secret, err := x509.MarshalPKCS8PrivateKey(key)
+	require.NoError(c.t, err)
+	c.write("cert.pem", string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})))
+	c.write("key.pem", string(pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: secret})))
+}
+
+func (c *testCell) tlsSettings() string {
+	text := "[tls]\n"
+	for _, l := range []string{"callers", "control", "cell"} {
+		text += l + "_cert = " + c.path("cert.pem") + "\n" + l + "_key = " + c.path("key.pem") + "\n"
+	}
+	return text + "cell_ca = " + c.path("cert.pem") + "\n"
+}
+
+func (c *testCell) tlsClient() *http.Client {
+	pool, err := certs.Pool(c.path("cert.pem"))
+	require.NoError(c.t, err)
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}, ForceAttemptHTTP2: true, DisableKeepAlives: true}}
+}
+
+// TestTLS serves every listener over TLS and takes over changed certificates.
+func TestTLS(t *testing.T) {
+	c := newCell(t, "a1")
+	c.writeCertificate(1)
+	r := c.start("a1", c.tlsSettings())
+	<-r.relay.Ready() // the instance called its own cell listener over TLS
+	c.mustCLI("--ca", c.path("cert.pem"), "status")
+	status, body := get(t, c.tlsClient(), "https://"+c.addresses["a1 callers"]+"/service/lease/lookup", "wrong")
+	require.Equal(t, http.StatusUnauthorized, status)
+	require.Contains(t, body, `"kind":"unauthenticated","ran":"no"`)
+
+	old := c.tlsClient()
+	c.writeCertificate(2)
+	r.ReadCertificates()
+	c.mustCLI("--ca", c.path("cert.pem"), "status")
+	_, err := old.Get("https://" + c.addresses["a1 control"] + "/healthz")
+	require.Error(t, err, "the old certificate is still shown")
+	require.Contains(t, r.log.String(), `"event":"certificate_read"`)
+
+	c.write("cert.pem", "broken")
+	r.ReadCertificates()
+	require.Contains(t, r.log.String(), `"event":"certificate_not_read"`)
+}
+
+// TestAccess shows that nothing but health checks is answered without a credential.
+func TestAccess(t *testing.T) {
+	c := newCell(t, "a1")
+	r := c.start("a1", "")
+	<-r.relay.Ready()
+	control := "http://" + c.addresses["a1 control"]
+	tests := []struct {
+		method, path, token string
+		status              int
+	}{
+		{http.MethodGet, "/healthz", "", http.StatusOK},
+		{http.MethodGet, "/readyz", "", http.StatusOK},
+		{http.MethodGet, "/metrics", "", http.StatusUnauthorized},
+		{http.MethodGet, "/metrics", customerToken, http.StatusUnauthorized},
+		{http.MethodGet, "/metrics", operatorToken, http.StatusOK},
+		{http.MethodPost, "/egretmux.v1.OperatorService/Status", "", http.StatusUnauthorized},
+		{http.MethodPost, "/egretmux.v1.OperatorService/Status", announcerToken, http.StatusUnauthorized},
+		{http.MethodPost, "/egretmux.v1.OperatorService/Status", operatorToken, http.StatusOK},
+		{http.MethodPost, "/egretmux.v1.TaskService/ListTasks", "", http.StatusUnauthorized},
+		{http.MethodPost, "/egretmux.v1.AnnounceService/AnnounceWorker", "", http.StatusUnauthorized},
+		{http.MethodPost, "/egretmux.v1.AnnounceService/AnnounceWorker", operatorToken, http.StatusUnauthorized},
+		{http.MethodPost, "/egretmux.v1.AnnounceService/AnnounceWorker", announcerToken, http.StatusBadRequest},
+	}
+	for _, test := range tests {
+		status := c.send(test.method, control+test.path, test.token, "{}")
+		require.Equal(t, test.status, status, "%s with %q", test.path, test.token)
+	}
+	cell := "http://" + c.addresses["a1 cell"]
+	for _, path := range []string{"/egretmux.v1.CellService/Report", "/egretmux.v1.OperatorService/Status", "/egretmux.v1.ConsensusService/Step"} {
+		require.Equal(t, http.StatusUnauthorized, c.send(http.MethodPost, cell+path, operatorToken, "{}"), "%s without the cell key", path)
+	}
+}
+
+// TestLimits shows that what is too large is refused by kind.
+func TestLimits(t *testing.T) {
+	c := newCell(t, "a1")
+	r := c.start("a1", "[limits]\nmax_message = 65536\nmax_members = 10\nmax_header = 1024\n")
+	<-r.relay.Ready()
+	control := "http://" + c.addresses["a1 control"]
+	require.Equal(t, http.StatusBadRequest, c.send(http.MethodPost, control+"/egretmux.v1.OperatorService/Status", operatorToken, strings.Repeat(" ", 65537)))
+	require.Equal(t, http.StatusRequestEntityTooLarge, c.send(http.MethodGet, "http://"+c.addresses["a1 callers"]+"/service/x/y", strings.Repeat("t", 1100), ""))
+	code, out := c.cli("task", "submit", "--name", "wide", "--customer", "dixie", "--members", "11")
+	require.Equal(t, cli.ExitRefused, code)
+	require.Contains(t, out, "too-large: the task has 11 members; at most 10 are accepted; split the task, or raise [limits] max_members")
+	code, out = c.cli("task", "submit", "--name", strings.Repeat("n", 200), "--customer", "dixie")
+	require.Equal(t, cli.ExitRefused, code)
+	require.Contains(t, out, "spec.name is longer than 128 bytes")
+	require.Equal(t, http.StatusBadRequest, c.send(http.MethodPost, control+"/egretmux.v1.OperatorService/ApplyContract", operatorToken, `{"customer":"dixie"}`), "a change without a change id")
+}
+
+// TestSecondSignal ends at once what waits for the other voters.
+func TestSecondSignal(t *testing.T) {
+	c := newCell(t, "a1", "a2", "a3")
+	r := c.start("a1", "")
+	r.stop()
+	r.hurry()
+	require.NoError(t, r.wait())
+}
+
+func (c *testCell) send(method, url, token, body string) int {
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	require.NoError(c.t, err)
+	req.Header.Set("Content-Type", "application/json")
+	if token != "" {
+		req.Header.Set("Authorization", "Bearer "+token)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(c.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -52,6 +53,14 @@
 
 // New builds an instance and opens its listeners and data folder.
 func New(s *settings.Settings, logger zerolog.Logger) (*Daemon, error) {
+	return NewWith(s, logger, net.Listen)
+}
+
+// Listen opens a listener as net.Listen does.
+type Listen func(network, address string) (net.Listener, error)
+
+// NewWith is New with another way to open listeners.
+func NewWith(s *settings.Settings, logger zerolog.Logger, open Listen) (*Daemon, error) {
 	d := &Daemon{settings: s, logger: logger, failed: make(chan error, 4), draining: make(chan struct{})}
 	telemetry.Register()
 	var err error
@@ -70,7 +79,7 @@
 		return nil, err
 	}
 	d.buildEntry()
-	if err := d.listen(); err != nil {
+	if err := d.listen(open); err != nil {
 		d.closeListeners()
 		return nil, err
 	}
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -21,7 +21,7 @@
 }
 
 // listen opens all listeners before anything is served.
-func (d *Daemon) listen() error {
+func (d *Daemon) listen(open Listen) error {
 	all := []struct {
 		name string
 		settings.Listener
@@ -34,7 +34,7 @@
 				return errors.Wrapf(err, "[tls] %s_cert", l.name)
 			}
 		}
-		if opened.socket, err = net.Listen("tcp", l.Address); err != nil {
+		if opened.socket, err = open("tcp", l.Address); err != nil {
 			return errors.Wrapf(err, "[listen] %s: %s cannot be opened; stop the other process or choose another port", l.name, l.Address)
 		}
 		d.listeners = append(d.listeners, opened)
@@ -61,9 +61,6 @@
 	}
 }
 
-// Address returns the address that a listener is open on.
-func (d *Daemon) Address(name string) string { return d.listener(name).socket.Addr().String() }
-
 func (d *Daemon) listener(name string) *listener {
 	for _, l := range d.listeners {
 		if l.name == name {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,9 @@
 	"github.com/egretmux/egretmux/internal/telemetry"
 )
 
+// rpcPrefix begins the path of every RPC.
+const rpcPrefix = "/egretmux.v1."
+
 // refusalBody is the JSON form of a refusal.
 type refusalBody struct {
 	Kind    string `json:"kind"`
@@ -35,7 +39,7 @@
 		seconds := (f.RetryAfter + time.Second - 1) / time.Second
 		w.Header().Set("Retry-After", strconv.Itoa(int(seconds)))
 	}
-	if rpc := connect.NewErrorWriter(); rpc.IsSupported(r) {
+	if rpc := connect.NewErrorWriter(); strings.HasPrefix(r.URL.Path, rpcPrefix) && rpc.IsSupported(r) {
 		_ = rpc.Write(w, r, refusalrpc.Error(f))
 		return
 	}
--- a/internal/state/contracts.go
+++ b/internal/state/contracts.go
@@ -86,6 +86,9 @@
 		if parsed.Customer != c.GetCustomer() {
 			return &Result{Err: refusal.New(refusal.Invalid, "apply it under its own name", "the file is for customer %s", parsed.Customer)}
 		}
+		if other := contract.SharedCredential(parsed, s.AllParsed()); other != "" {
+			return &Result{Err: refusal.New(refusal.Invalid, "give each customer a credential of its own", "customer %s has the same credential", other)}
+		}
 	}
 	s.mu.Lock()
 	s.last.cellVersion++
