Settings and contract files: each mistake gives one fault with its line

Cause: the checks of files had no test, and several mistakes gave two faults or none ([DEFAULT], a class without a name).

--- a/internal/inifile/inifile.go
+++ b/internal/inifile/inifile.go
@@ -141,13 +141,16 @@
 	d.lines = scanned.lines
 	faults := scanned.faults
 	parsed, err := ini.LoadSources(iniOptions, []byte(text))
+	if err != nil && len(faults) > 0 {
+		return d, faults
+	}
 	if err != nil {
 		return d, append(faults, Fault{File: file, Problem: err.Error(), Remedy: "write sections as [name] and keys as key = value"})
 	}
 	seen := make(map[string]bool)
 	for _, s := range parsed.Sections() {
 		name := s.Name()
-		if name == ini.DefaultSection || seen[name] {
+		if seen[name] || name == ini.DefaultSection && d.lines[name] == 0 {
 			continue // reported by the scan
 		}
 		seen[name] = true
@@ -178,7 +181,8 @@
 
 func (d *Document) schemaOf(name string) *Section {
 	for i, s := range d.schema {
-		if s.Name == name || strings.HasSuffix(s.Name, ".") && strings.HasPrefix(name, s.Name) && len(name) > len(s.Name) {
+		prefixed := strings.HasSuffix(s.Name, ".") && strings.HasPrefix(name, s.Name) && len(name) > len(s.Name)
+		if prefixed || s.Name == name && !strings.HasSuffix(name, ".") {
 			return &d.schema[i]
 		}
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -86,10 +86,12 @@
 func (c *checker) checkVoters() {
 	names := make(map[string]bool)
 	addresses := make(map[string]string)
+	malformed := false
 	for _, part := range c.doc.List("cell", "voters") {
 		id, address, ok := strings.Cut(part, "=")
 		if !ok || !validAddress(address) {
 			c.add("cell", "voters", part+" is not id=IP:port", "write each voter as a1=10.0.0.5:7102")
+			malformed = true
 			continue
 		}
 		if names[id] {
@@ -105,13 +107,21 @@
 		addresses[address] = id
 		c.settings.Voters = append(c.settings.Voters, Voter{Instance: id, Address: address})
 	}
+	if malformed || !nameRE.MatchString(c.settings.Instance) {
+		return
+	}
+	c.checkOwnVote(names[c.settings.Instance])
 	if n := len(c.settings.Voters); n%2 == 0 || n > maxVoters {
 		c.add("cell", "voters", fmt.Sprintf("%d voters", n), "use 3 or 5 voters (1 for trials)")
 	}
-	if names[c.settings.Instance] && c.settings.DataFolder == "" {
+}
+
+// checkOwnVote checks this instance's part in the voters.
+func (c *checker) checkOwnVote(listed bool) {
+	if listed && c.settings.DataFolder == "" {
 		c.add("instance", "data_folder", "this instance is a voter and has no data folder", "set data_folder, or take it out of voters")
 	}
-	if !names[c.settings.Instance] && c.settings.DataFolder != "" {
+	if !listed && c.settings.DataFolder != "" {
 		c.add("instance", "data_folder", "this instance is no voter and needs no data folder", "add it to voters, or clear data_folder")
 	}
 	for _, v := range c.settings.Voters {
