--- a/cmd/egretmuxd/main.go
+++ b/cmd/egretmuxd/main.go
@@ -34,7 +34,12 @@
 
 func run(args []string) int {
 	var opts options
-	if _, err := flags.NewParser(&opts, flags.Default).ParseArgs(args); err != nil {
+	parser := flags.NewNamedParser("egretmuxd", flags.Default)
+	parser.LongDescription = "One instance of an egretmux cell. Exit codes: 0 stopped or checked; 1 failed; 2 wrong usage; 3 settings refused."
+	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
+		return exitUsage
+	}
+	if _, err := parser.ParseArgs(args); err != nil {
 		if flags.WroteHelp(err) {
 			return 0
 		}
