--- a/internal/state/contracts.go
+++ b/internal/state/contracts.go
@@ -139,7 +139,7 @@
 		s.changes.put(s.changeRecord(c, current, true))
 		return &Result{Contract: current, Err: versionConflict(c.GetCustomer(), c.GetBaseVersion(), current)}
 	}
-	if err := checkContract(c); err != nil {
+	if err := s.checkContract(c); err != nil {
 		return &Result{Err: err}
 	}
 	next := &egretmuxv1.ContractVersion{
@@ -163,7 +163,7 @@
 	return nil
 }
 
-func checkContract(c *egretmuxv1.ApplyContract) *refusal.Error {
+func (s *Store) checkContract(c *egretmuxv1.ApplyContract) *refusal.Error {
 	if c.GetDelete() {
 		return nil
 	}
@@ -174,6 +174,9 @@
 	if parsed.Customer != c.GetCustomer() {
 		return refusal.New(refusal.Invalid, "apply it under its own name", "the file is for customer %s", parsed.Customer)
 	}
+	if other := contract.SharedCredential(parsed, s.AllParsed()); other != "" {
+		return refusal.New(refusal.Invalid, "give each customer a credential of its own", "customer %s has the same credential", other)
+	}
 	return nil
 }
 
