--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 	$(GO) build -o bin/ ./cmd/...
 
 test:
-	$(GO) test -race -count=1 ./...
+	GO=$(GO) ./scripts/test
 
 # Runs the random tests of the replicated log: make fuzz SEED=n CHECKS=n
 SEED ?= 1
@@ -28,3 +28,12 @@
 
 generate:
 	./scripts/generate
+
+# SECONDS and SEED may be set: make soak SECONDS=120 SEED=7
+.PHONY: soak
+soak: build
+	SECONDS_LONG=$(or $(SECONDS),90) SEED=$(or $(SEED),1) ./scripts/soak
+
+.PHONY: capacity
+capacity: build
+	./scripts/capacity
--- a/internal/consensus/core/core_test.go
+++ b/internal/consensus/core/core_test.go
@@ -246,6 +246,22 @@
 	require.NoError(t, c.ChangeMembership(voter))
 }
 
+func TestSuccessorAnswersAndHoldsMost(t *testing.T) {
+	c := lead(t)
+	require.Zero(t, c.Successor())
+	ack := message(egretmuxv1.MessageKind_MESSAGE_KIND_APPEND_REPLY, 2, 1, 2)
+	ack.Index = 2
+	c.Step(ack)
+	behind := message(egretmuxv1.MessageKind_MESSAGE_KIND_APPEND_REPLY, 3, 1, 2)
+	c.Step(behind)
+	require.Equal(t, uint64(2), c.Successor())
+	for range electionTicks - 1 {
+		c.Tick()
+	}
+	c.Step(behind)
+	require.Equal(t, uint64(3), c.Successor(), "2 is silent")
+}
+
 func TestOlderDiskIsNoticed(t *testing.T) {
 	c := core.New(config(1), formed(t, 1, 2, 3))
 	c.Step(message(egretmuxv1.MessageKind_MESSAGE_KIND_HEARTBEAT, 2, 1, 2))
--- a/internal/consensus/core/election.go
+++ b/internal/consensus/core/election.go
@@ -288,6 +288,22 @@
 	return true
 }
 
+// Successor returns the voter that answers and holds most of the log, or zero
+// when there is none or this replica does not lead.
+func (c *Core) Successor() uint64 {
+	var best uint64
+	for _, id := range c.peers() {
+		p := c.progress[id]
+		if !c.members.isVoter(id) || !p.heard || p.idle >= c.cfg.ElectionTicks/2 {
+			continue
+		}
+		if best == 0 || p.match > c.progress[best].match {
+			best = id
+		}
+	}
+	return best
+}
+
 func (c *Core) maybeTransfer(id uint64, p *progress) {
 	if c.transferTo == id && p.match == c.log.last() {
 		c.send(&egretmuxv1.Message{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_TIMEOUT_NOW, To: id})
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -43,9 +43,23 @@
 	return d + d/clockDriftPart + margin
 }
 
+// Replica is the local replica of the log.
+type Replica interface {
+	// Status returns the newest status and a channel that is closed when role,
+	// term or leader change.
+	Status() (core.Status, <-chan struct{})
+	// Propose commits a command and returns what applying it returned.
+	Propose(ctx context.Context, data []byte) (any, error)
+	// ConfirmLeader returns once a quorum has confirmed that this replica led
+	// after the call began.
+	ConfirmLeader(ctx context.Context) error
+	// Do runs f between two events of the replica.
+	Do(ctx context.Context, f func(*core.Core) error) error
+}
+
 // Leader plans and keeps leases while the local replica leads.
 type Leader struct {
-	node   *consensus.Node
+	node   Replica
 	store  *state.Store
 	timing Timing
 	logger zerolog.Logger
@@ -63,13 +77,19 @@
 }
 
 // SetNode joins the leader with its replica and state.
-func (l *Leader) SetNode(node *consensus.Node, store *state.Store) {
+func (l *Leader) SetNode(node Replica, store *state.Store) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.node = node
 	l.store = store
 }
 
-// Node returns the replica.
-func (l *Leader) Node() *consensus.Node { return l.node }
+// Node returns the replica, or nil before SetNode.
+func (l *Leader) Node() Replica {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.node
+}
 
 // Run begins and ends tenures until the context ends.
 func (l *Leader) Run(ctx context.Context) {
@@ -130,10 +150,11 @@
 // Address returns the cell address of the leader as the local replica knows
 // it, or "".
 func (l *Leader) Address() string {
-	if l == nil || l.node == nil {
+	node := l.Node()
+	if node == nil {
 		return ""
 	}
-	status, _ := l.node.Status()
+	status, _ := node.Status()
 	for _, r := range status.Membership.GetReplicas() {
 		if r.GetId() == status.Leader {
 			return r.GetAddress()
@@ -185,15 +206,18 @@
 }
 
 // WorkerChanged implements state.Listener.
-func (l *Leader) WorkerChanged(*egretmuxv1.Worker) {
+func (l *Leader) WorkerChanged(w *egretmuxv1.Worker) {
 	if ten, err := l.current(); err == nil {
+		ten.planner.setWorker(w)
 		ten.wakePlanner()
 	}
 }
 
 // ContractChanged implements state.Listener.
-func (l *Leader) ContractChanged(*egretmuxv1.ContractVersion) {
+func (l *Leader) ContractChanged(c *egretmuxv1.ContractVersion) {
 	if ten, err := l.current(); err == nil {
+		ten.planner.setContract(l.store, c.GetCustomer())
+		ten.wakePlanner()
 		ten.wakeAll()
 	}
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/subtle"
 	"net"
 	"net/http"
 	"sort"
@@ -24,6 +25,8 @@
 	Journal   *Journal
 	Slots     int32 // of the endpoints that service tasks start
 	Links     int32
+
+	CommandToken string // secret that commands must show; empty: none
 }
 
 // Worker runs attempts as timers. A task's command says how: "run 200ms" ends
@@ -39,13 +42,14 @@
 	running  map[uint64]*attempt
 	finished map[uint64]*egretmuxv1.AttemptReport // not acknowledged yet
 	fenced   map[uint64]bool                      // never to be started
+	needFull bool                                 // the leader asked for a full report
 }
 
 type attempt struct {
 	start   *egretmuxv1.StartAttempt
 	began   time.Time
 	stop    chan struct{}
-	told    bool // its start was acknowledged
+	told    bool // its start and usage were acknowledged
 	stopped bool
 }
 
@@ -64,10 +68,18 @@
 		return err
 	}
 	mux := http.NewServeMux()
-	mux.Handle(egretmuxv1connect.NewWorkerServiceHandler(w))
+	path, commands := egretmuxv1connect.NewWorkerServiceHandler(w)
+	mux.Handle(path, w.requireToken(commands))
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: announceTimeout}
 	go func() { _ = server.Serve(listener) }()
 	defer func() { _ = server.Close() }()
+	w.RunAnnouncing(ctx)
+	return nil
+}
+
+// RunAnnouncing announces the worker until the context ends. The caller hands
+// it the commands for it.
+func (w *Worker) RunAnnouncing(ctx context.Context) {
 	ticker := time.NewTicker(announcePeriod)
 	defer ticker.Stop()
 	for {
@@ -75,7 +87,7 @@
 		select {
 		case <-ctx.Done():
 			w.stopAll("worker ends")
-			return nil
+			return
 		case <-ticker.C:
 		case <-w.wake:
 		}
@@ -83,6 +95,20 @@
 	}
 }
 
+// requireToken lets only commands through that show the secret.
+func (w *Worker) requireToken(next http.Handler) http.Handler {
+	want := []byte("Bearer " + w.cfg.CommandToken)
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		shown := []byte(r.Header.Get("Authorization"))
+		if w.cfg.CommandToken != "" && subtle.ConstantTimeCompare(shown, want) != 1 {
+			w.cfg.Journal.Write(JournalEntry{What: "command_unauthenticated", Who: w.cfg.Record.GetId()})
+			http.Error(rw, "show the secret of [access] worker_token_file", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(rw, r)
+	})
+}
+
 func (w *Worker) wakeUp() {
 	select {
 	case w.wake <- struct{}{}:
@@ -133,6 +159,10 @@
 		w.wakeUp()
 		return
 	}
+	w.needFull = resp.GetNeedFull()
+	if w.needFull {
+		w.wakeUp()
+	}
 	w.epoch = resp.GetEpoch()
 	w.lease = sent.Add(time.Duration(resp.GetLeaseMs()) * time.Millisecond)
 	w.acknowledge(report)
@@ -157,17 +187,22 @@
 func (w *Worker) report() *egretmuxv1.WorkerReport {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	r := &egretmuxv1.WorkerReport{Worker: w.cfg.Record.GetId(), Epoch: w.epoch, Full: true}
+	r := &egretmuxv1.WorkerReport{Worker: w.cfg.Record.GetId(), Epoch: w.epoch, Full: w.needFull || w.epoch == 0}
 	if w.epoch == 0 {
 		r.Register = w.cfg.Record
 	}
 	for id, a := range w.running {
-		r.Running = append(r.Running, id)
+		if r.GetFull() {
+			r.Running = append(r.Running, id)
+		}
 		if !a.told {
 			r.Attempts = append(r.Attempts, &egretmuxv1.AttemptReport{
 				Task: a.start.GetTask(), Attempt: id, Phase: egretmuxv1.AttemptPhase_ATTEMPT_PHASE_RUNNING,
 			})
 		}
+		if a.told && !r.GetFull() {
+			continue // nothing changed
+		}
 		r.Usage = append(r.Usage, &egretmuxv1.AttemptUsage{Attempt: id, Used: a.start.GetSpec().GetResources()})
 	}
 	for _, f := range w.finished {
