--- a/internal/consensus/core/core_test.go
+++ b/internal/consensus/core/core_test.go
@@ -104,6 +104,18 @@
 	require.Len(t, out.AfterSync, 2)
 }
 
+func TestSplitVoteIsRepeatedSoon(t *testing.T) {
+	c := core.New(config(1), formed(t, 1, 2, 3))
+	c.Step(message(egretmuxv1.MessageKind_MESSAGE_KIND_TIMEOUT_NOW, 2, 1, 1))
+	c.Output()
+	c.Persisted()
+	for range electionTicks / 2 {
+		c.Tick()
+	}
+	require.Equal(t, core.PreCandidate, c.Role())
+	require.Equal(t, uint64(2), c.Term())
+}
+
 func TestLoneVoterLeadsOnlyAfterItsVoteIsPersisted(t *testing.T) {
 	c := core.New(config(1), formed(t, 1))
 	for range electionTicks {
--- a/internal/consensus/core/election.go
+++ b/internal/consensus/core/election.go
@@ -73,8 +73,8 @@
 	c.electionTimeout = c.cfg.ElectionTicks + c.cfg.Rand(c.cfg.ElectionTicks)
 }
 
-// minPreVoteTicks is the least time between two rounds of pre-votes.
-const minPreVoteTicks = 2
+// minRetryTicks is the least time between two rounds of votes.
+const minRetryTicks = 2
 
 // campaign asks for pre-votes. They change no replica's term, so a replica
 // that was cut off does not disturb the leader when it comes back.
@@ -89,7 +89,7 @@
 	c.resetElection()
 	// A pre-vote asked for too early, while others still believed in the leader,
 	// is repeated soon.
-	c.electionTimeout = max(minPreVoteTicks, c.cfg.ElectionTicks/4) + c.cfg.Rand(max(1, c.cfg.ElectionTicks/4))
+	c.electionTimeout = c.retryTicks(4)
 	if c.members.quorum(c.granted) {
 		c.elect(false)
 		return
@@ -97,13 +97,21 @@
 	c.requestVotes(egretmuxv1.MessageKind_MESSAGE_KIND_PRE_VOTE, c.term+1, false)
 }
 
+// retryTicks returns a random time between one and two of the given part of the
+// election timeout.
+func (c *Core) retryTicks(part int) int {
+	ticks := max(minRetryTicks, c.cfg.ElectionTicks/part)
+	return ticks + c.cfg.Rand(ticks)
+}
+
 func (c *Core) elect(transfer bool) {
 	c.role = Candidate
 	c.leader = 0
 	c.term++
 	c.vote = c.cfg.ID
 	c.votes = make(map[uint64]bool) // its own vote counts once it is persisted
-	c.resetElection()
+	c.electionElapsed = 0
+	c.electionTimeout = c.retryTicks(2) // a split vote is not waited out for long
 	c.requestVotes(egretmuxv1.MessageKind_MESSAGE_KIND_VOTE, c.term, transfer)
 }
 
