The test of a restored backup waits for what the others remember

What nobody was told of may be forgotten, so this was a fault of the test only.

Change: it waits until another voter remembers more than the backup holds.

--- a/internal/voter/restart_test.go
+++ b/internal/voter/restart_test.go
@@ -28,6 +28,7 @@
 	}
 	s, old := restored.voter.settings, restored.voter.id
 	restored.close()
+	saved, _ := restored.node.Status()
 	backup := t.TempDir()
 	require.NoError(t, os.CopyFS(backup, os.DirFS(s.DataFolder)))
 	open := func() {
@@ -40,7 +41,16 @@
 	require.Equal(t, old, restored.voter.id, "a current data folder goes on")
 	_, err := awaitLeader(t, cell).node.Propose(t.Context(), []byte("after the backup"))
 	require.NoError(t, err)
-	require.Eventually(t, func() bool { return restored.machine.count.Load() == 1 }, time.Minute, time.Millisecond)
+	told := func() bool {
+		for _, in := range cell {
+			p := in.voter.witness.of(old)
+			if p.term > saved.Term || p.term == saved.Term && p.index > saved.Last {
+				return true
+			}
+		}
+		return false
+	}
+	require.Eventually(t, told, time.Minute, time.Millisecond)
 
 	restored.close()
 	folder := t.TempDir()
