--- a/cmd/egretmux-standin/soak.go
+++ b/cmd/egretmux-standin/soak.go
@@ -99,6 +99,7 @@
 	broken := check.Run()
 	fmt.Printf("whole=%d not_run=%d unknown=%d cut_by_kill=%d unsent=%d never_known=%d tasks=%d attempts=%d broken=%d\n",
 		check.Whole, check.NotRun, check.Unknown, check.Cut, check.Unsent, check.Lost, check.Tasks, check.Attempts, len(broken))
+	fmt.Println("refusals:", check.Refusals)
 	const shown = 20
 	for i, b := range broken {
 		if i == shown {
--- a/internal/standin/check.go
+++ b/internal/standin/check.go
@@ -16,6 +16,8 @@
 	kills   []JournalEntry // "killed": Who names the process, Instance its callers address
 	faults  []JournalEntry // kills, and "fault" for pauses and link faults
 
+	Refusals map[string]int // not run or unknown, by kind
+
 	Whole, NotRun, Unknown, Cut, Unsent, Lost, Tasks, Attempts int
 }
 
@@ -30,7 +32,7 @@
 
 // ReadJournals reads the files.
 func ReadJournals(names []string) (*Check, error) {
-	c := &Check{}
+	c := &Check{Refusals: make(map[string]int)}
 	for _, name := range names {
 		if err := c.read(name); err != nil {
 			return nil, err
@@ -134,11 +136,13 @@
 		}
 	case OutcomeNotRun:
 		c.NotRun++
+		c.Refusals["not_run/"+e.Detail]++
 		if runs[e.Request] > 0 {
 			return []string{fmt.Sprintf("wrong: request %s was reported as not run (%s) but ran", e.Request, e.Detail)}
 		}
 	case OutcomeUnknown:
 		c.Unknown++
+		c.Refusals["unknown/"+e.Detail]++
 		since := e
 		if f, ok := first[e.Key]; ok {
 			since.Began = f.Began
