The test of a change without a change id could not fail

Cause: the planted fault showed that the call was refused for its empty text. Change: the call carries a valid contract. Figures: with the check taken out TestLimits falls; with it, it passes. Conclusion: the check is covered.

--- a/internal/daemon/access_test.go
+++ b/internal/daemon/access_test.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
+	"encoding/json"
 	"encoding/pem"
 	"math/big"
 	"net"
@@ -123,7 +124,9 @@
 	code, out = c.cli("task", "submit", "--name", strings.Repeat("n", 200), "--customer", "dixie")
 	require.Equal(t, cli.ExitRefused, code)
 	require.Contains(t, out, "spec.name is longer than 128 bytes")
-	require.Equal(t, http.StatusBadRequest, c.send(http.MethodPost, control+"/egretmux.v1.OperatorService/ApplyContract", operatorToken, `{"customer":"dixie"}`), "a change without a change id")
+	nameless, err := json.Marshal(map[string]string{"customer": "dixie", "text": contractText(1)})
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadRequest, c.send(http.MethodPost, control+"/egretmux.v1.OperatorService/ApplyContract", operatorToken, string(nameless)), "a change without a change id")
 }
 
 // TestSecondSignal ends at once what waits for the other voters.
