--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"log"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -10,6 +11,7 @@
 
 	"github.com/egretmux/egretmux/internal/relay"
 	"github.com/egretmux/egretmux/internal/settings"
+	"github.com/egretmux/egretmux/internal/telemetry"
 )
 
 // idleWorkerConnection is how long a connection to a worker is kept without a
@@ -27,7 +29,10 @@
 	if config != nil {
 		scheme = "https"
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: idleWorkerConnection, TLSClientConfig: config}
+	transport := &http.Transport{
+		DialContext:         telemetry.CountDial((&net.Dialer{}).DialContext, "commands"),
+		MaxIdleConnsPerHost: 2, IdleConnTimeout: idleWorkerConnection, TLSClientConfig: config,
+	}
 	client := &http.Client{Transport: &bearer{token: s.WorkerKey, next: transport}}
 	return relay.NewCommander(client, scheme, logger), nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -111,7 +111,7 @@
 			Id: s.Instance, Datacentre: s.Datacentre, CellAddress: s.Cell.Address, ControlAddress: s.Control.Address, Voter: s.IsVoter(),
 		},
 		Leader: d.finder, Book: d.book, Endpoints: d.routes,
-		Commands: commands, Logger: d.logger,
+		Commands: commands, EndpointSilent: s.EndpointSilent, Logger: d.logger,
 	})
 	return nil
 }
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -10,6 +10,7 @@
 
 	"github.com/egretmux/egretmux/internal/certs"
 	"github.com/egretmux/egretmux/internal/settings"
+	"github.com/egretmux/egretmux/internal/telemetry"
 )
 
 // listener is one open listening address with its server.
@@ -37,6 +38,9 @@
 		if opened.socket, err = open("tcp", l.Address); err != nil {
 			return errors.Wrapf(err, "[listen] %s: %s cannot be opened; stop the other process or choose another port", l.name, l.Address)
 		}
+		if l.name != "callers" {
+			opened.socket = telemetry.CountListener(opened.socket, l.name)
+		}
 		d.listeners = append(d.listeners, opened)
 	}
 	return nil
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -42,13 +42,14 @@
 	running  map[uint64]*attempt
 	finished map[uint64]*egretmuxv1.AttemptReport // not acknowledged yet
 	fenced   map[uint64]bool                      // never to be started
+	needFull bool                                 // the leader asked for a full report
 }
 
 type attempt struct {
 	start   *egretmuxv1.StartAttempt
 	began   time.Time
 	stop    chan struct{}
-	told    bool // its start was acknowledged
+	told    bool // its start and usage were acknowledged
 	stopped bool
 }
 
@@ -72,6 +73,13 @@
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: announceTimeout}
 	go func() { _ = server.Serve(listener) }()
 	defer func() { _ = server.Close() }()
+	w.RunAnnouncing(ctx)
+	return nil
+}
+
+// RunAnnouncing announces the worker until the context ends. The caller hands
+// it the commands for it.
+func (w *Worker) RunAnnouncing(ctx context.Context) {
 	ticker := time.NewTicker(announcePeriod)
 	defer ticker.Stop()
 	for {
@@ -79,7 +87,7 @@
 		select {
 		case <-ctx.Done():
 			w.stopAll("worker ends")
-			return nil
+			return
 		case <-ticker.C:
 		case <-w.wake:
 		}
@@ -151,6 +159,10 @@
 		w.wakeUp()
 		return
 	}
+	w.needFull = resp.GetNeedFull()
+	if w.needFull {
+		w.wakeUp()
+	}
 	w.epoch = resp.GetEpoch()
 	w.lease = sent.Add(time.Duration(resp.GetLeaseMs()) * time.Millisecond)
 	w.acknowledge(report)
@@ -175,17 +187,22 @@
 func (w *Worker) report() *egretmuxv1.WorkerReport {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	r := &egretmuxv1.WorkerReport{Worker: w.cfg.Record.GetId(), Epoch: w.epoch, Full: true}
+	r := &egretmuxv1.WorkerReport{Worker: w.cfg.Record.GetId(), Epoch: w.epoch, Full: w.needFull || w.epoch == 0}
 	if w.epoch == 0 {
 		r.Register = w.cfg.Record
 	}
 	for id, a := range w.running {
-		r.Running = append(r.Running, id)
+		if r.GetFull() {
+			r.Running = append(r.Running, id)
+		}
 		if !a.told {
 			r.Attempts = append(r.Attempts, &egretmuxv1.AttemptReport{
 				Task: a.start.GetTask(), Attempt: id, Phase: egretmuxv1.AttemptPhase_ATTEMPT_PHASE_RUNNING,
 			})
 		}
+		if a.told && !r.GetFull() {
+			continue // nothing changed
+		}
 		r.Usage = append(r.Usage, &egretmuxv1.AttemptUsage{Attempt: id, Used: a.start.GetSpec().GetResources()})
 	}
 	for _, f := range w.finished {
