The capacity sampler shows the operators' credential for /metrics

Cause: /metrics now asks for a credential; the sampler would have read the refusal as zeros. Conclusion: a refused scrape can't pass for a measurement.

--- a/cmd/egretmux-standin/capacity.go
+++ b/cmd/egretmux-standin/capacity.go
@@ -77,7 +77,7 @@
 	}
 	var targets []capacity.Target
 	for _, s := range resp.Msg.GetInstances() {
-		targets = append(targets, capacity.Target{Name: s.GetInstance().GetId(), Role: s.GetRole(), Address: s.GetInstance().GetControlAddress()})
+		targets = append(targets, capacity.Target{Name: s.GetInstance().GetId(), Role: s.GetRole(), Address: s.GetInstance().GetControlAddress(), Token: c.Token})
 	}
 	for _, f := range strings.Split(c.Fleets, ",") {
 		if f != "" {
--- a/internal/capacity/sample.go
+++ b/internal/capacity/sample.go
@@ -23,6 +23,7 @@
 	Name    string
 	Role    string // leader, voter, entry or fleet
 	Address string
+	Token   string // shown with the request for metrics
 }
 
 // Quantity is something measured of a process.
@@ -52,17 +53,21 @@
 	cpuSeconds, resident, nextGC, traffic, messages float64
 }
 
-func read(ctx context.Context, address string) (reading, error) {
+func read(ctx context.Context, t Target) (reading, error) {
 	r := reading{at: time.Now()}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/metrics", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.Address+"/metrics", nil)
 	if err != nil {
 		return r, err
 	}
+	req.Header.Set("Authorization", "Bearer "+t.Token)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return r, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return r, errors.Newf("/metrics answered %s", resp.Status)
+	}
 	lines := bufio.NewScanner(resp.Body)
 	for lines.Scan() {
 		name, text, ok := strings.Cut(lines.Text(), " ")
@@ -98,7 +103,7 @@
 	before := make([]reading, len(targets))
 	for i, t := range targets {
 		var err error
-		if before[i], err = read(ctx, t.Address); err != nil {
+		if before[i], err = read(ctx, t); err != nil {
 			return nil, errors.Wrapf(err, "%s", t.Name)
 		}
 	}
@@ -110,7 +115,7 @@
 	sums := make(map[string]map[Quantity]float64)
 	counts := make(map[string]float64)
 	for i, t := range targets {
-		after, err := read(ctx, t.Address)
+		after, err := read(ctx, t)
 		if err != nil {
 			return nil, errors.Wrapf(err, "%s", t.Name)
 		}
