Fence a tenure to its term, and void grants with the lease; models of both

Change: proposals name the term they are made in and confirmations are checked against the tenure's. An entry drops its grants with its lease; the leader gives a returning entry no lease while it holds more than its grants.

Conclusion: what a leader knows of leases belongs to one term.

--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -68,6 +68,7 @@
 )
 
 type proposal struct {
+	term uint64 // that the proposer leads; zero: any
 	data []byte
 	done chan result
 }
@@ -223,6 +224,9 @@
 		}
 		break
 	}
+	if batch = n.ofThisTerm(batch); len(batch) == 0 {
+		return
+	}
 	data := make([][]byte, len(batch))
 	for i, p := range batch {
 		data[i] = p.data
@@ -237,6 +241,19 @@
 	}
 }
 
+// ofThisTerm refuses the proposals that were made for another term.
+func (n *Node) ofThisTerm(batch []proposal) []proposal {
+	kept := batch[:0]
+	for _, p := range batch {
+		if p.term != 0 && p.term != n.core.Term() {
+			p.done <- result{err: ErrNotLeader}
+			continue
+		}
+		kept = append(kept, p)
+	}
+	return kept
+}
+
 func (n *Node) read(first readWaiter) {
 	tokens := []uint64{n.addRead(first)}
 	for len(tokens) < maxBatch {
@@ -474,7 +491,13 @@
 // applied here. After ErrOutcomeUnknown or an ended context the command may
 // still be applied.
 func (n *Node) Propose(ctx context.Context, data []byte) (any, error) {
-	p := proposal{data: data, done: make(chan result, 1)}
+	return n.ProposeIn(ctx, 0, data)
+}
+
+// ProposeIn is Propose for a leader of the given term only: what it decided in
+// that term does not enter the log in a later one.
+func (n *Node) ProposeIn(ctx context.Context, term uint64, data []byte) (any, error) {
+	p := proposal{term: term, data: data, done: make(chan result, 1)}
 	select {
 	case n.proposals <- p:
 	case <-ctx.Done():
--- a/internal/endpoint/table.go
+++ b/internal/endpoint/table.go
@@ -138,6 +138,16 @@
 // RemoveEntry takes them back.
 func (t *Table) RetireEntry(entry string) { delete(t.entries, entry) }
 
+// Exceeds reports whether an entry holds more of any endpoint than it is granted.
+func (t *Table) Exceeds(entry string) bool {
+	for _, e := range t.byID {
+		if g := e.grants[entry]; g != nil && g.held > g.target {
+			return true
+		}
+	}
+	return false
+}
+
 // Hold records what an entry confirmed to hold and to want.
 func (t *Table) Hold(entry string, h *egretmuxv1.GrantHolding) {
 	g := t.grantOf(h.GetEndpoint(), entry)
--- /dev/null
+++ b/internal/leader/cluster_test.go
@@ -0,0 +1,447 @@
+package leader_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rs/zerolog"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/gen/egretmux/v1/egretmuxv1connect"
+	"github.com/egretmux/egretmux/internal/consensus"
+	"github.com/egretmux/egretmux/internal/consensus/core"
+	"github.com/egretmux/egretmux/internal/contract"
+	"github.com/egretmux/egretmux/internal/leader"
+	"github.com/egretmux/egretmux/internal/peer"
+	"github.com/egretmux/egretmux/internal/refusal"
+	"github.com/egretmux/egretmux/internal/refusal/refusalrpc"
+	"github.com/egretmux/egretmux/internal/relay"
+	"github.com/egretmux/egretmux/internal/state"
+)
+
+const (
+	voterCount    = 3
+	instanceCount = 5
+	slotCount     = 8
+)
+
+var timing = leader.Timing{
+	EntryLease: 8 * time.Second, WorkerLease: 6 * time.Second, EndpointSilent: 1500 * time.Millisecond,
+	RequestLimit: 30 * time.Second, TaskKeep: time.Hour, RequestKeep: time.Hour,
+}
+
+// cluster stands in for the replicated log and the network between instances.
+// The log itself never fails; leaders, links and processes do.
+type cluster struct {
+	ctx context.Context
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	faulty   bool // messages are delayed and dropped
+	term     uint64
+	lead     int
+	index    uint64
+	ref      *state.Store // the committed state
+	log      [][]byte
+	voters   []*voter
+	entries  [instanceCount]*process
+	ever     []*process
+	isolated [instanceCount]bool
+	forced   uint64 // greatest version reported to be in force everywhere
+	worker   *fakeWorker
+}
+
+// voter is a replica of the stand-in log. A deposed one believes that it leads
+// until it is told.
+type voter struct {
+	cluster *cluster
+	id      int
+	store   *state.Store
+	leader  *leader.Leader
+	applied int
+	term    uint64 // that it believes to lead; zero: none
+	changed chan struct{}
+	pause   time.Duration // taken after the next confirmation
+	commit  time.Duration // taken after the next commit
+}
+
+// process is one process of an instance.
+type process struct {
+	id        int
+	relay     *relay.Relay
+	book      *contract.Book
+	endpoints *fakeEndpoints
+	cancel    context.CancelFunc
+}
+
+func newCluster(ctx context.Context, seed uint64) *cluster {
+	c := &cluster{ctx: ctx, rng: rand.New(rand.NewPCG(seed, 1)), ref: state.New(nil), lead: -1}
+	for i := range voterCount {
+		l := leader.New(timing, zerolog.Nop())
+		v := &voter{cluster: c, id: i, leader: l, store: state.New(l), changed: make(chan struct{})}
+		l.SetNode(v, v.store)
+		c.voters = append(c.voters, v)
+	}
+	c.elect(0)
+	for _, v := range c.voters {
+		go v.leader.Run(ctx)
+	}
+	for i := range instanceCount {
+		c.start(i)
+	}
+	return c
+}
+
+// start begins a new process of an instance; the earlier one stays paused.
+func (c *cluster) start(id int) {
+	if old := c.entries[id]; old != nil {
+		old.cancel()
+	}
+	p := &process{id: id, book: contract.NewBook(), endpoints: &fakeEndpoints{held: make(map[string]int32)}}
+	ctx, cancel := context.WithCancel(c.ctx)
+	p.cancel = cancel
+	p.relay = relay.New(relay.Config{
+		Instance: &egretmuxv1.Instance{Id: instanceName(id), CellAddress: instanceName(id), Voter: id < voterCount},
+		Leader:   &caller{cluster: c, from: id}, Book: p.book, Endpoints: p.endpoints,
+		Commands: relay.NewCommander(nil, "http", zerolog.Nop()), EndpointSilent: timing.EndpointSilent, Logger: zerolog.Nop(),
+	})
+	c.mu.Lock()
+	c.entries[id] = p
+	c.ever = append(c.ever, p)
+	c.mu.Unlock()
+	go p.relay.Run(ctx)
+}
+
+func instanceName(id int) string { return fmt.Sprintf("a%d", id+1) }
+
+// elect makes a voter the leader of a new term. The one before is not told.
+func (c *cluster) elect(id int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	v := c.voters[id]
+	c.term++
+	c.lead = id
+	v.catchUp()
+	v.setTerm(c.term)
+}
+
+// depose tells every voter who leads.
+func (c *cluster) depose() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, v := range c.voters {
+		if v.id != c.lead && v.term != 0 {
+			v.setTerm(0)
+		}
+	}
+}
+
+func (v *voter) setTerm(term uint64) {
+	v.term = term
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+// catchUp applies the whole log. The caller holds the lock.
+func (v *voter) catchUp() {
+	for ; v.applied < len(v.cluster.log); v.applied++ {
+		v.store.Apply(uint64(v.applied+1), v.cluster.log[v.applied])
+	}
+}
+
+// Status implements leader.Replica.
+func (v *voter) Status() (core.Status, <-chan struct{}) {
+	v.cluster.mu.Lock()
+	defer v.cluster.mu.Unlock()
+	s := core.Status{ID: uint64(v.id + 1), Term: v.term, Role: core.Follower}
+	if v.term != 0 {
+		s.Role = core.Leader
+	}
+	return s, v.changed
+}
+
+// await returns with the lock held once the voter leads and reaches a quorum.
+func (v *voter) await(ctx context.Context) error {
+	c := v.cluster
+	for {
+		c.mu.Lock()
+		changed := v.changed
+		switch {
+		case v.term == 0:
+			c.mu.Unlock()
+			return consensus.ErrNotLeader
+		case c.lead == v.id && !c.isolated[v.id]:
+			return nil
+		}
+		c.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+			return consensus.ErrOutcomeUnknown
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// ProposeIn implements leader.Replica.
+func (v *voter) ProposeIn(ctx context.Context, term uint64, data []byte) (any, error) {
+	if err := v.await(ctx); err != nil {
+		return nil, err
+	}
+	c := v.cluster
+	if v.term != term {
+		c.mu.Unlock()
+		return nil, consensus.ErrNotLeader
+	}
+	v.catchUp()
+	c.log = append(c.log, data)
+	c.ref.Apply(uint64(len(c.log)), data)
+	v.applied++
+	value := v.store.Apply(uint64(len(c.log)), data)
+	pause := v.commit
+	v.commit = 0
+	c.mu.Unlock()
+	time.Sleep(pause)
+	return value, nil
+}
+
+// ConfirmLeader implements leader.Replica. As after ProposeIn, a pause may follow.
+func (v *voter) ConfirmLeader(ctx context.Context) error {
+	if err := v.await(ctx); err != nil {
+		return err
+	}
+	v.catchUp()
+	pause := v.pause
+	v.pause = 0
+	v.cluster.mu.Unlock()
+	time.Sleep(pause)
+	return nil
+}
+
+// Do implements leader.Replica.
+func (v *voter) Do(context.Context, func(*core.Core) error) error { return consensus.ErrNotLeader }
+
+// hop is one message's way: its delay and whether it arrives.
+func (c *cluster) hop(from, to int) (delay time.Duration, arrives bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delay = time.Duration(c.rng.IntN(3)) * time.Millisecond
+	if from != to && (c.isolated[from] || c.isolated[to]) {
+		return delay, false
+	}
+	if !c.faulty {
+		return delay, true
+	}
+	if c.rng.IntN(10) == 0 {
+		delay = time.Duration(c.rng.IntN(9000)) * time.Millisecond
+	}
+	return delay, c.rng.IntN(20) != 0
+}
+
+// caller implements relay.Caller over the stand-in network.
+type caller struct {
+	cluster *cluster
+	from    int
+	next    int
+	mu      sync.Mutex
+}
+
+func (l *caller) Call(ctx context.Context, f func(context.Context, *peer.Clients) error) error {
+	for {
+		l.mu.Lock()
+		to := l.next % voterCount
+		l.mu.Unlock()
+		err := f(ctx, &peer.Clients{Cell: &cellClient{cluster: l.cluster, from: l.from, to: to}})
+		if err == nil {
+			return nil
+		}
+		r, _ := refusalrpc.From(err)
+		if r.Kind != refusal.NoLeader && r.Kind != refusal.OutcomeUnknown {
+			return r
+		}
+		l.mu.Lock()
+		l.next = to + 1
+		l.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return r
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+type cellClient struct {
+	egretmuxv1connect.CellServiceClient
+	cluster  *cluster
+	from, to int
+}
+
+// exchange carries a request there and its answer back. The receiver goes on
+// when the sender has given up.
+func exchange[A any](ctx context.Context, c *cellClient, serve func(context.Context, *leader.Leader) (*A, error)) (*connect.Response[A], error) {
+	type answer struct {
+		msg *A
+		err error
+	}
+	done := make(chan answer, 1)
+	go func() {
+		delay, arrives := c.cluster.hop(c.from, c.to)
+		time.Sleep(delay)
+		if !arrives {
+			return
+		}
+		server, cancel := context.WithTimeout(c.cluster.ctx, 20*time.Second)
+		defer cancel()
+		msg, err := serve(server, c.cluster.voters[c.to].leader)
+		delay, arrives = c.cluster.hop(c.to, c.from)
+		time.Sleep(delay)
+		if arrives {
+			done <- answer{msg, err}
+		}
+	}()
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(3 * time.Second): // a silent connection is closed
+		return nil, errors.New("connection closed")
+	case a := <-done:
+		if a.err != nil {
+			return nil, refusalrpc.Error(a.err)
+		}
+		return connect.NewResponse(a.msg), nil
+	}
+}
+
+// slow is a lease as counted by a clock that runs 5% slow.
+func slow(ms int64) int64 { return ms + ms/20 }
+
+func (c *cellClient) Report(ctx context.Context, req *connect.Request[egretmuxv1.ReportRequest]) (*connect.Response[egretmuxv1.ReportResponse], error) {
+	resp, err := exchange(ctx, c, func(ctx context.Context, l *leader.Leader) (*egretmuxv1.ReportResponse, error) {
+		return l.Report(ctx, cloneOf(req.Msg))
+	})
+	if err == nil {
+		resp.Msg.EntryLeaseMs = slow(resp.Msg.GetEntryLeaseMs())
+		resp.Msg.WorkerLeaseMs = slow(resp.Msg.GetWorkerLeaseMs())
+	}
+	return resp, err
+}
+
+func (c *cellClient) Watch(ctx context.Context, req *connect.Request[egretmuxv1.WatchRequest]) (*connect.Response[egretmuxv1.WatchResponse], error) {
+	msg := cloneOf(req.Msg)
+	return exchange(ctx, c, func(ctx context.Context, l *leader.Leader) (*egretmuxv1.WatchResponse, error) {
+		return l.Watch(ctx, msg)
+	})
+}
+
+func (c *cellClient) Leave(ctx context.Context, req *connect.Request[egretmuxv1.LeaveRequest]) (*connect.Response[egretmuxv1.LeaveResponse], error) {
+	return exchange(ctx, c, func(ctx context.Context, l *leader.Leader) (*egretmuxv1.LeaveResponse, error) {
+		return &egretmuxv1.LeaveResponse{}, l.Leave(ctx, req.Msg)
+	})
+}
+
+// fakeEndpoints holds grants as the router does.
+type fakeEndpoints struct {
+	mu   sync.Mutex
+	held map[string]int32
+	gone map[string]bool
+}
+
+func (e *fakeEndpoints) Update(states []*egretmuxv1.EndpointState) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range states {
+		if s.GetSlots() >= 0 {
+			e.held[s.GetId()] = s.GetSlots()
+		}
+		if e.gone == nil {
+			e.gone = make(map[string]bool)
+		}
+		e.gone[s.GetId()] = s.GetLeaving()
+	}
+}
+
+func (e *fakeEndpoints) Holdings(bool) []*egretmuxv1.GrantHolding {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []*egretmuxv1.GrantHolding
+	for id, n := range e.held {
+		out = append(out, &egretmuxv1.GrantHolding{Endpoint: id, Held: n, Wanted: n})
+	}
+	return out
+}
+
+func (e *fakeEndpoints) slots(id string) int32 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.held[id]
+}
+
+// fakeWorker keeps a lease through whichever instance answers.
+type fakeWorker struct {
+	mu    sync.Mutex
+	epoch uint64
+	until time.Time
+}
+
+func (w *fakeWorker) run(c *cluster) {
+	record := &egretmuxv1.Worker{Id: "w1", Address: "w1", Capacity: &egretmuxv1.Resources{CpuMillis: 1000, MemoryMib: 1000}}
+	for at := 0; c.ctx.Err() == nil; at++ {
+		w.mu.Lock()
+		report := &egretmuxv1.WorkerReport{Worker: "w1", Epoch: w.epoch}
+		if w.epoch == 0 || time.Now().After(w.until) {
+			w.epoch = 0
+			report.Epoch, report.Register, report.Full = 0, record, true
+		}
+		w.mu.Unlock()
+		for w.announce(c, at%instanceCount, report) {
+			time.Sleep(500 * time.Millisecond)
+			w.mu.Lock()
+			report = &egretmuxv1.WorkerReport{Worker: "w1", Epoch: w.epoch}
+			w.mu.Unlock()
+		}
+	}
+}
+
+func (w *fakeWorker) announce(c *cluster, through int, report *egretmuxv1.WorkerReport) bool {
+	c.mu.Lock()
+	p := c.entries[through]
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(c.ctx, 2*time.Second)
+	defer cancel()
+	sent := time.Now()
+	resp, err := p.relay.AnnounceWorker(ctx, connect.NewRequest(&egretmuxv1.AnnounceWorkerRequest{Report: report}))
+	if err != nil {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if resp.Msg.GetRegister() {
+		w.epoch = 0
+		return false
+	}
+	w.epoch = resp.Msg.GetEpoch()
+	w.until = sent.Add(time.Duration(resp.Msg.GetLeaseMs()) * time.Millisecond)
+	return true
+}
+
+// announceEndpoint announces an endpoint through one instance until the context ends.
+func (c *cluster) announceEndpoint(ctx context.Context, id string, through int) {
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		p := c.entries[through]
+		c.mu.Unlock()
+		_, _ = p.relay.AnnounceEndpoint(ctx, connect.NewRequest(&egretmuxv1.AnnounceEndpointRequest{Report: &egretmuxv1.EndpointReport{
+			Id: id, Service: "lease", Address: id, Slots: slotCount, Links: 60, Epoch: 1,
+		}}))
+		select {
+		case <-ctx.Done():
+		case <-time.After(500 * time.Millisecond):
+		}
+	}
+}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -48,8 +48,9 @@
 	// Status returns the newest status and a channel that is closed when role,
 	// term or leader change.
 	Status() (core.Status, <-chan struct{})
-	// Propose commits a command and returns what applying it returned.
-	Propose(ctx context.Context, data []byte) (any, error)
+	// ProposeIn commits a command and returns what applying it returned. It is
+	// refused in any term but the given one.
+	ProposeIn(ctx context.Context, term uint64, data []byte) (any, error)
 	// ConfirmLeader returns once a quorum has confirmed that this replica led
 	// after the call began.
 	ConfirmLeader(ctx context.Context) error
@@ -114,6 +115,9 @@
 	if err := l.node.ConfirmLeader(ctx); err != nil {
 		return
 	}
+	if status, _ := l.node.Status(); status.Role != core.Leader || status.Term != term {
+		return
+	}
 	t := newTenure(l, term)
 	l.mu.Lock()
 	l.tenure = t
@@ -156,14 +160,20 @@
 	return ""
 }
 
-// propose commits a command and returns its result.
+// propose commits a command of the running tenure and returns its result. A
+// tenure that has ended without noticing commits nothing: what it knows of
+// leases is out of date, even if its replica leads again.
 func (l *Leader) propose(ctx context.Context, cmd *egretmuxv1.Command) (*state.Result, error) {
+	t, err := l.current()
+	if err != nil {
+		return nil, err
+	}
 	cmd.NowUnixMs = time.Now().UnixMilli()
 	data, err := proto.Marshal(cmd)
 	if err != nil {
 		return nil, refusal.New(refusal.Internal, "report it", "command cannot be encoded").Because(err)
 	}
-	value, err := l.node.Propose(ctx, data)
+	value, err := l.node.ProposeIn(ctx, t.term, data)
 	switch {
 	case err == nil:
 	case errors.Is(err, consensus.ErrNotLeader), errors.Is(err, consensus.ErrStopped):
@@ -178,7 +188,8 @@
 	return result, nil
 }
 
-// confirm returns once a quorum has confirmed this leader.
+// confirm returns the tenure once a quorum has confirmed that it still leads.
+// A replica that was deposed and leads again may confirm a later term.
 func (l *Leader) confirm(ctx context.Context) (*tenure, error) {
 	t, err := l.current()
 	if err != nil {
@@ -187,6 +198,9 @@
 	if err := l.node.ConfirmLeader(ctx); err != nil {
 		return nil, noLeader().Because(err)
 	}
+	if status, _ := l.node.Status(); status.Role != core.Leader || status.Term != t.term {
+		return nil, noLeader()
+	}
 	return t, nil
 }
 
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -29,6 +29,7 @@
 	contractVersion uint64
 	formerVersion   uint64 // oldest that its predecessors may use; the greatest number when it has none
 	complete        bool   // its holdings are fully known
+	returning       bool   // its holdings became known after others were given them
 	left            bool   // it has stopped serving by itself
 	commands        []*egretmuxv1.WorkerCommand
 	sequence        uint64        // of the last command pushed
@@ -242,12 +243,17 @@
 	}
 	s.contractVersion = max(s.contractVersion, req.GetContractVersion())
 	// Holdings count only once the instance takes no grants of older terms.
-	s.complete = s.complete || req.GetFull() && req.GetTerm() == t.term
+	if !s.complete && req.GetFull() && req.GetTerm() == t.term {
+		s.complete = true
+		s.returning = !t.endpoints.Recovering
+	}
 	resp.NeedFull = !s.complete
 	if s.complete {
-		resp.EntryLeaseMs = t.leader.timing.EntryLease.Milliseconds()
 		t.takeHoldings(s, req)
 	}
+	if s.mayHaveLease(t) {
+		resp.EntryLeaseMs = t.leader.timing.EntryLease.Milliseconds()
+	}
 	if t.takeEndpoints(s, req, now) {
 		t.endpoints.Rebalance()
 		t.wakeSessions()
@@ -255,6 +261,14 @@
 	return nil
 }
 
+// mayHaveLease reports whether the entry's holdings are known and its own. An
+// entry that returns after its lease has run out gives back first what others
+// may hold since.
+func (s *session) mayHaveLease(t *tenure) bool {
+	s.returning = s.returning && t.endpoints.Exceeds(s.entry)
+	return s.complete && !s.returning
+}
+
 // takeHoldings records what the entry holds and shares out what it gave back.
 func (t *tenure) takeHoldings(s *session, req *egretmuxv1.ReportRequest) {
 	for _, h := range req.GetHoldings() {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -65,7 +65,9 @@
 	term        uint64 // of the newest leader heard; older ones change no grants
 	workers     []announcement
 	endpoints   attachedEndpoints
-	full        bool // the next report must be complete
+	granted     map[string]*egretmuxv1.EndpointState // as last taken in
+	rewatch     context.CancelFunc                   // ends the Watch under way
+	full        bool                                 // the next report must be complete
 	sequence    uint64
 	hadLease    bool
 	confirmed   chan struct{} // closed after the first lease
@@ -77,6 +79,7 @@
 		cfg: cfg, lease: NewLease(), incarnation: newIncarnation(),
 		urgent: make(chan struct{}, 1), heartbeat: make(chan struct{}, 1),
 		endpoints: newAttachedEndpoints(cfg.EndpointSilent), full: true, confirmed: make(chan struct{}),
+		granted: make(map[string]*egretmuxv1.EndpointState), rewatch: func() {},
 	}
 }
 
@@ -176,6 +179,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sequence++
+	r.dropGrants()
 	req := &egretmuxv1.ReportRequest{
 		Instance: r.cfg.Instance, Incarnation: r.incarnation, Sequence: r.sequence, Term: r.term,
 		ContractVersion: r.cfg.Book.Version(), Full: r.full, Holdings: r.cfg.Endpoints.Holdings(r.full),
@@ -190,6 +194,24 @@
 	return req, waiting
 }
 
+// dropGrants gives all grants back once the lease has run out: the leader may
+// have given them to others. The leader sends new ones.
+func (r *Relay) dropGrants() {
+	if len(r.granted) == 0 || r.lease.Valid() {
+		return
+	}
+	dropped := make([]*egretmuxv1.EndpointState, 0, len(r.granted))
+	for _, s := range r.granted {
+		s.Slots, s.Links = 0, 0
+		dropped = append(dropped, s)
+	}
+	r.cfg.Endpoints.Update(dropped)
+	clear(r.granted)
+	r.full = true
+	r.rewatch()
+	telemetry.Count("relay_grants_dropped_total")
+}
+
 // reportFailed makes the next report complete, since the leader may not have
 // heard this one.
 func (r *Relay) reportFailed(waiting []announcement, err error) {
