--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,19 @@
 # Targets for developers. README.md explains each.
 GO ?= go
 
-.PHONY: build test lint demo generate
+.PHONY: build test lint demo generate fuzz
 build:
 	$(GO) build -o bin/ ./cmd/...
 
 test:
 	$(GO) test -race -count=1 ./...
 
+# Runs the random tests of the replicated log: make fuzz SEED=n CHECKS=n
+SEED ?= 1
+CHECKS ?= 1000
+fuzz:
+	$(GO) test -count=1 -v -timeout=0 -run=Faults ./internal/consensus -rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
+
 lint:
 	./scripts/lint
 
@@ -16,3 +22,12 @@
 
 generate:
 	./scripts/generate
+
+# SECONDS and SEED may be set: make soak SECONDS=120 SEED=7
+.PHONY: soak
+soak: build
+	SECONDS_LONG=$(or $(SECONDS),90) SEED=$(or $(SEED),1) ./scripts/soak
+
+.PHONY: capacity
+capacity: build
+	./scripts/capacity
--- a/internal/leader/cluster_test.go
+++ b/internal/leader/cluster_test.go
@@ -45,7 +45,6 @@
 	faulty   bool // messages are delayed and dropped
 	term     uint64
 	lead     int
-	index    uint64
 	ref      *state.Store // the committed state
 	log      [][]byte
 	voters   []*voter
