--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -79,12 +79,18 @@
 
 // SetNode joins the leader with its replica and state.
 func (l *Leader) SetNode(node Replica, store *state.Store) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.node = node
 	l.store = store
 }
 
-// Node returns the replica.
-func (l *Leader) Node() Replica { return l.node }
+// Node returns the replica, or nil before SetNode.
+func (l *Leader) Node() Replica {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.node
+}
 
 // Run begins and ends tenures until the context ends.
 func (l *Leader) Run(ctx context.Context) {
@@ -148,10 +154,11 @@
 // Address returns the cell address of the leader as the local replica knows
 // it, or "".
 func (l *Leader) Address() string {
-	if l == nil || l.node == nil {
+	node := l.Node()
+	if node == nil {
 		return ""
 	}
-	status, _ := l.node.Status()
+	status, _ := node.Status()
 	for _, r := range status.Membership.GetReplicas() {
 		if r.GetId() == status.Leader {
 			return r.GetAddress()
@@ -213,15 +220,18 @@
 }
 
 // WorkerChanged implements state.Listener.
-func (l *Leader) WorkerChanged(*egretmuxv1.Worker) {
+func (l *Leader) WorkerChanged(w *egretmuxv1.Worker) {
 	if ten, err := l.current(); err == nil {
+		ten.planner.setWorker(w)
 		ten.wakePlanner()
 	}
 }
 
 // ContractChanged implements state.Listener.
-func (l *Leader) ContractChanged(*egretmuxv1.ContractVersion) {
+func (l *Leader) ContractChanged(c *egretmuxv1.ContractVersion) {
 	if ten, err := l.current(); err == nil {
+		ten.planner.setContract(l.store, c.GetCustomer())
+		ten.wakePlanner()
 		ten.wakeAll()
 	}
 }
--- a/internal/leader/workers.go
+++ b/internal/leader/workers.go
@@ -22,6 +22,10 @@
 			changes = append(changes, attemptChanges(r)...)
 		}
 	}
+	return t.commitChanges(ctx, changes)
+}
+
+func (t *tenure) commitChanges(ctx context.Context, changes []*egretmuxv1.AttemptChange) error {
 	if len(changes) == 0 {
 		return nil
 	}
@@ -58,6 +62,10 @@
 		reply.StopAttempts = unknown
 		return reply, nil
 	}
+	// What has ended must not count as lost with the old epoch.
+	if err := t.commitChanges(ctx, attemptChanges(r)); err != nil {
+		return nil, err
+	}
 	result, err := t.leader.propose(ctx, &egretmuxv1.Command{Body: &egretmuxv1.Command_RegisterWorker{RegisterWorker: &egretmuxv1.RegisterWorker{
 		Worker: r.GetRegister(), Running: r.GetRunning(),
 	}}})
@@ -90,6 +98,7 @@
 
 // heard notes a worker's report, unless the worker's loss is being decided.
 func (t *tenure) heard(r *egretmuxv1.WorkerReport, instance string, now time.Time, reply *egretmuxv1.WorkerReply) bool {
+	t.planner.setUsage(r.GetWorker(), r.GetUsage(), now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	v := t.view(r.GetWorker())
