--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -58,15 +58,8 @@
 	ctx, cancel := context.WithTimeout(urgent, closeTimeout)
 	defer cancel()
 	_ = node.Do(ctx, func(c *core.Core) error {
-		status := c.Status()
-		var best, match uint64
-		for _, r := range status.Membership.GetReplicas() {
-			if r.GetId() != status.ID && !r.GetLearner() && (best == 0 || status.Match[r.GetId()] > match) {
-				best, match = r.GetId(), status.Match[r.GetId()]
-			}
-		}
-		if best != 0 && c.TransferLeadership(best) {
-			d.logger.Info().Str("event", "leadership_handed_over").Uint64("to", best).Msg("")
+		if to := c.Successor(); to != 0 && c.TransferLeadership(to) {
+			d.logger.Info().Str("event", "leadership_handed_over").Uint64("to", to).Msg("")
 		}
 		return nil
 	})
@@ -75,6 +68,9 @@
 func (d *Daemon) close(urgent context.Context) {
 	ctx, cancel := context.WithTimeout(urgent, closeTimeout)
 	defer cancel()
+	if d.voter != nil {
+		d.voter.EndStreams()
+	}
 	d.closeServers(ctx)
 	d.links.Close()
 	if d.voter != nil {
