--- a/internal/place/account.go
+++ b/internal/place/account.go
@@ -21,7 +21,11 @@
 }
 
 func (a *account) withinQuota(extra worker.Room) bool {
-	sum := a.held.Plus(extra)
+	return a.allows(a.held.Plus(extra))
+}
+
+// allows reports whether an amount is within the quota.
+func (a *account) allows(sum worker.Room) bool {
 	return (a.quota.CPUMillis == 0 || sum.CPUMillis <= a.quota.CPUMillis) &&
 		(a.quota.MemoryMiB == 0 || sum.MemoryMiB <= a.quota.MemoryMiB) &&
 		(a.quota.Accelerators == 0 || sum.Accelerators <= a.quota.Accelerators)
@@ -64,6 +68,7 @@
 func (j *job) members() int32            { return task.Members(j.task.GetSpec()) }
 func (j *job) urgent() bool              { return j.task.GetSpec().GetUrgent() }
 func (j *job) gang() bool                { return j.kind() == egretmuxv1.TaskKind_TASK_KIND_GANG }
+func (j *job) batch() bool               { return j.kind() == egretmuxv1.TaskKind_TASK_KIND_BATCH }
 func (j *job) service() bool             { return j.kind() == egretmuxv1.TaskKind_TASK_KIND_SERVICE }
 
 func (j *job) key() learnKey {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -192,8 +192,12 @@
 
 // syncAttempts brings the hosts in step with the task's attempts.
 func (p *Planner) syncAttempts(j *job, now int64) {
+	live := 0
 	for _, a := range j.task.GetAttempts() {
 		r := j.live[a.GetId()]
+		if task.Live(a.GetPhase()) {
+			live++
+		}
 		switch {
 		case task.Live(a.GetPhase()) && r == nil:
 			p.hire(j, a)
@@ -204,6 +208,18 @@
 			p.ended(r, a, now)
 		}
 	}
+	if len(j.live) > live {
+		p.releaseGone(j)
+	}
+}
+
+// releaseGone releases attempts that the task's record no longer names.
+func (p *Planner) releaseGone(j *job) {
+	for id, r := range j.live {
+		if a := task.FindAttempt(j.task, id); a == nil || !task.Live(a.GetPhase()) {
+			p.release(r)
+		}
+	}
 }
 
 func (p *Planner) hire(j *job, a *egretmuxv1.Attempt) {
@@ -281,10 +297,7 @@
 	if j.since == 0 {
 		j.since = now
 	}
-	need := p.learn.size(j.task.GetSpec())
-	if !p.fitsSome(need) {
-		need = worker.RoomOf(j.task.GetSpec().GetResources())
-	}
+	need := p.sizeOf(j)
 	if need != j.need {
 		p.unqueue(j)
 		j.need = need
@@ -298,6 +311,37 @@
 	p.rank(j, now)
 }
 
+// sizeOf returns what a member of the job holds when it starts: what its like was
+// seen to use where that leaves the job runnable, or else what it declared.
+func (p *Planner) sizeOf(j *job) worker.Room {
+	declared := worker.RoomOf(j.task.GetSpec().GetResources())
+	learned := p.learn.size(j.task.GetSpec())
+	if learned == declared {
+		return declared
+	}
+	together := int64(1)
+	if !j.batch() {
+		together = int64(j.members())
+	}
+	if !j.account.allows(learned.Times(together)) || !p.fitsTogether(learned, together) {
+		return declared
+	}
+	return learned
+}
+
+// fitsTogether reports whether the cell's workers could hold n of the need when idle.
+func (p *Planner) fitsTogether(need worker.Room, n int64) bool {
+	for _, h := range p.hosts {
+		if n <= 0 {
+			break
+		}
+		if counts(h.record.GetPhase()) {
+			n -= need.Count(h.capacity)
+		}
+	}
+	return n <= 0
+}
+
 // rank files a job that some worker could run by its key or by its backoff.
 func (p *Planner) rank(j *job, now int64) {
 	tier, startBy := p.keyOf(j)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -27,7 +28,8 @@
 }
 
 // Worker runs attempts as timers. A task's command says how: "run 200ms" ends
-// well after that time, "fail 10ms" fails after it, and service tasks serve an
+// well after that time, "fail 10ms" fails after it, "run 2s use 0.5" is seen to
+// use half of its declared size, and service tasks serve an
 // endpoint until they are stopped.
 type Worker struct {
 	cfg  WorkerConfig
@@ -47,6 +49,7 @@
 	stop    chan struct{}
 	told    bool // its start was acknowledged
 	stopped bool
+	limit   int64 // thousandths of a core; 0: not throttled
 }
 
 // NewWorker returns a worker that Run starts.
@@ -168,7 +171,7 @@
 				Task: a.start.GetTask(), Attempt: id, Phase: egretmuxv1.AttemptPhase_ATTEMPT_PHASE_RUNNING,
 			})
 		}
-		r.Usage = append(r.Usage, &egretmuxv1.AttemptUsage{Attempt: id, Used: a.start.GetSpec().GetResources()})
+		r.Usage = append(r.Usage, &egretmuxv1.AttemptUsage{Attempt: id, Used: a.used()})
 	}
 	for _, f := range w.finished {
 		r.Attempts = append(r.Attempts, f)
@@ -192,21 +195,26 @@
 			}
 		}
 		if s := c.GetStop(); s != nil {
-			w.stop(s)
+			w.stop(s, c.GetWorkerEpoch())
+		}
+		if s := c.GetThrottle(); s != nil {
+			w.throttle(s)
 		}
 	}
 	w.wakeUp()
 	return connect.NewResponse(resp), nil
 }
 
-// start begins an attempt once. It refuses one of another epoch or after the
-// lease has ended.
+// start begins an attempt once. It refuses one after the lease has ended. A
+// command of another epoch is left without an answer: an earlier process of this
+// worker may have run the attempt, and the next registration settles its fate.
 func (w *Worker) start(c *egretmuxv1.WorkerCommand, s *egretmuxv1.StartAttempt) *egretmuxv1.AttemptReport {
 	id := s.GetAttempt()
-	if w.running[id] != nil || w.finished[id] != nil {
+	if w.running[id] != nil || w.finished[id] != nil || w.fenced[id] || c.GetWorkerEpoch() != w.epoch {
 		return nil
 	}
-	if w.fenced[id] || c.GetWorkerEpoch() != w.epoch || time.Now().After(w.lease) {
+	if time.Now().After(w.lease) {
+		w.fenced[id] = true
 		return &egretmuxv1.AttemptReport{Task: s.GetTask(), Attempt: id, Phase: egretmuxv1.AttemptPhase_ATTEMPT_PHASE_REFUSED}
 	}
 	w.fenced[id] = true
@@ -217,8 +225,10 @@
 	return nil
 }
 
-func (w *Worker) stop(s *egretmuxv1.StopAttempt) {
+// stop ends an attempt, or proves that this process never started it.
+func (w *Worker) stop(s *egretmuxv1.StopAttempt, epoch uint64) {
 	id := s.GetAttempt()
+	fenced := w.fenced[id]
 	w.fenced[id] = true
 	if a := w.running[id]; a != nil {
 		w.end(id, a, egretmuxv1.AttemptPhase_ATTEMPT_PHASE_STOPPED, "stopped by command")
@@ -227,11 +237,37 @@
 		}
 		return
 	}
-	if w.finished[id] == nil {
+	if w.finished[id] == nil && !fenced && epoch == w.epoch {
 		w.finished[id] = &egretmuxv1.AttemptReport{Task: s.GetTask(), Attempt: id, Phase: egretmuxv1.AttemptPhase_ATTEMPT_PHASE_REFUSED, Detail: "never started here"}
 	}
 }
 
+// throttle bounds the processors that the attempt is seen to use.
+func (w *Worker) throttle(s *egretmuxv1.ThrottleAttempt) {
+	if a := w.running[s.GetAttempt()]; a != nil {
+		a.limit = s.GetCpuMillis()
+	}
+}
+
+// used returns the declared size, multiplied by what a command that ends in
+// "use 2.5" says, within the attempt's throttle.
+func (a *attempt) used() *egretmuxv1.Resources {
+	spec := a.start.GetSpec()
+	out := &egretmuxv1.Resources{
+		CpuMillis: spec.GetResources().GetCpuMillis(), MemoryMib: spec.GetResources().GetMemoryMib(), Accelerators: spec.GetResources().GetAccelerators(),
+	}
+	if _, parts, ok := strings.Cut(spec.GetCommand(), " use "); ok {
+		if f, err := strconv.ParseFloat(parts, 64); err == nil {
+			out.CpuMillis = int64(float64(out.CpuMillis) * f)
+			out.MemoryMib = int64(float64(out.MemoryMib) * f)
+		}
+	}
+	if a.limit > 0 {
+		out.CpuMillis = min(out.CpuMillis, a.limit)
+	}
+	return out
+}
+
 // end records an attempt's end. The caller holds the lock.
 func (w *Worker) end(id uint64, a *attempt, phase egretmuxv1.AttemptPhase, detail string) {
 	if a.stopped {
@@ -258,7 +294,8 @@
 		w.serve(a)
 		return
 	}
-	verb, rest, _ := strings.Cut(spec.GetCommand(), " ")
+	command, _, _ := strings.Cut(spec.GetCommand(), " use ")
+	verb, rest, _ := strings.Cut(command, " ")
 	length, err := time.ParseDuration(rest)
 	if err != nil {
 		length = 0
--- a/internal/state/attempts.go
+++ b/internal/state/attempts.go
@@ -19,6 +19,9 @@
 	a.Phase = egretmuxv1.AttemptPhase_ATTEMPT_PHASE_STOPPING
 	a.Preempted = p.GetCheckpoint()
 	a.Detail = p.GetReason()
+	if next.GetSpec().GetKind() == egretmuxv1.TaskKind_TASK_KIND_GANG {
+		s.gangBroken(next)
+	}
 	s.changeTask(next)
 	return 1
 }
@@ -95,17 +98,27 @@
 }
 
 // gangBroken stops the rest of a gang, which cannot go on without one of its
-// members. A gang starts again whole, with the members that had succeeded.
+// members, and saves what it ran.
 func (s *Store) gangBroken(t *egretmuxv1.Task) {
-	stopLive(t)
-	if t.GetEnding() != egretmuxv1.TaskPhase_TASK_PHASE_UNSPECIFIED || len(t.GetDoneMembers()) == 0 {
+	for _, a := range t.GetAttempts() {
+		if task.Live(a.GetPhase()) {
+			a.Phase = egretmuxv1.AttemptPhase_ATTEMPT_PHASE_STOPPING
+			a.Preempted = true
+		}
+	}
+}
+
+// restartGang lets a gang that broke start again whole once nothing of it is
+// live, with the members that had succeeded.
+func (s *Store) restartGang(t *egretmuxv1.Task) {
+	if len(t.GetDoneMembers()) == 0 {
 		return
 	}
-	if !task.Restartable(t.GetSpec()) {
-		s.endTask(t, egretmuxv1.TaskPhase_TASK_PHASE_UNKNOWN, "the gang broke after a member had succeeded; look at the task's own records before submitting it again")
+	if task.Restartable(t.GetSpec()) {
+		t.DoneMembers = nil
 		return
 	}
-	t.DoneMembers = nil
+	s.endTask(t, egretmuxv1.TaskPhase_TASK_PHASE_UNKNOWN, "the gang broke after a member had succeeded; look at the task's own records before submitting it again")
 }
 
 // placeAgainAfter delays the next placement by at least ms.
--- a/internal/state/tasks.go
+++ b/internal/state/tasks.go
@@ -173,6 +173,9 @@
 		}
 	}
 	waiting := len(task.Waiting(t))
+	if live == 0 && waiting > 0 && t.GetSpec().GetKind() == egretmuxv1.TaskKind_TASK_KIND_GANG {
+		s.restartGang(t)
+	}
 	switch {
 	case t.GetEnding() != egretmuxv1.TaskPhase_TASK_PHASE_UNSPECIFIED:
 		if live == 0 {
@@ -187,11 +190,12 @@
 	default:
 		t.Phase = egretmuxv1.TaskPhase_TASK_PHASE_RUNNING
 	}
-	trimAttempts(t)
+	s.trimAttempts(t)
 }
 
-// trimAttempts keeps the live attempts and the newest ended ones.
-func trimAttempts(t *egretmuxv1.Task) {
+// trimAttempts keeps the live attempts and the newest ended ones. What ended just
+// now stays, so that listeners see its end.
+func (s *Store) trimAttempts(t *egretmuxv1.Task) {
 	ended := 0
 	for _, a := range t.GetAttempts() {
 		if !task.Live(a.GetPhase()) {
@@ -204,7 +208,7 @@
 	}
 	kept := t.Attempts[:0]
 	for _, a := range t.GetAttempts() {
-		if !task.Live(a.GetPhase()) && ended > limit {
+		if !task.Live(a.GetPhase()) && ended > limit && a.GetEndedUnixMs() != s.now {
 			ended--
 			continue
 		}
