--- a/internal/place/cell_test.go
+++ b/internal/place/cell_test.go
@@ -1,6 +1,7 @@
 package place_test
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"sort"
 
@@ -122,7 +123,7 @@
 }
 
 func (c *cell) contract(customer string, share float64, quota string) {
-	text := fmt.Sprintf("[contract]\ncustomer = %s\nshare = %g\ncredential_sha256 = 24c4d007ee3f27d97dbce7386487ffefd30e8a2bab33f2290aa00b6db0653ba1\n[quota]\n%s\n[class.work]\nurgent = yes\n", customer, share, quota)
+	text := fmt.Sprintf("[contract]\ncustomer = %s\nshare = %g\ncredential_sha256 = %x\n[quota]\n%s\n[class.work]\nurgent = yes\n", customer, share, sha256.Sum256([]byte(customer)), quota)
 	r := c.apply(&egretmuxv1.Command{Body: &egretmuxv1.Command_ApplyContract{ApplyContract: &egretmuxv1.ApplyContract{
 		Customer: customer, ChangeId: customer, Text: text, Author: "test",
 	}}})
