An instance that has heard no contracts calls no credential unknown

Change: a credential that is not known is refused as no-lease unless the instance holds its lease, which it gets only with the newest contracts.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -201,6 +201,8 @@
 	status, body = get(t, http.DefaultClient, "http://"+c.addresses["a1 control"]+"/readyz", "")
 	require.Equal(t, http.StatusServiceUnavailable, status)
 	require.Equal(t, conditionForming+"\n", body)
+	require.Equal(t, http.StatusServiceUnavailable, c.send(http.MethodPost, "http://"+c.addresses["a1 control"]+"/egretmux.v1.TaskService/ListTasks", customerToken, "{}"),
+		"an instance without contracts does not call a credential unknown")
 
 	all := []*running{first, c.start("a2", ""), c.start("a3", "")}
 	for _, r := range all {
--- a/internal/daemon/handlers.go
+++ b/internal/daemon/handlers.go
@@ -39,7 +39,7 @@
 	s := d.settings
 	calls := operator.NewEdge(operator.EdgeConfig{
 		Instance: s.Instance, Leader: d.finder, MaxMembers: s.MaxMembers, Logger: d.logger,
-		Access: &operator.Access{OperatorSHA256: s.Operator, Book: d.book, Open: s.Open},
+		Access: &operator.Access{OperatorSHA256: s.Operator, Book: d.book, Lease: d.relay.Lease(), Open: s.Open},
 	})
 	option := connect.WithInterceptors(calls.Interceptor())
 	limit := connect.WithReadMaxBytes(s.MaxMessage)
--- a/internal/operator/identity.go
+++ b/internal/operator/identity.go
@@ -9,6 +9,7 @@
 	"encoding/hex"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/egretmux/egretmux/internal/contract"
 	"github.com/egretmux/egretmux/internal/edge"
@@ -32,7 +33,13 @@
 type Access struct {
 	OperatorSHA256 string
 	Book           *contract.Book
-	Open           bool // everybody is an operator
+	Lease          Lease // while it holds, the book is the newest
+	Open           bool  // everybody is an operator
+}
+
+// Lease tells whether the instance hears from the leader.
+type Lease interface {
+	Valid() bool
 }
 
 // Identify returns who shows the credential in the header.
@@ -41,12 +48,16 @@
 	if matches(token, a.OperatorSHA256) {
 		return Identity{Operator: true}, nil
 	}
-	if c := a.Book.ByCredential(token); c != nil {
+	heard := a.Lease.Valid()
+	if c := a.Book.ByCredential(token); c != nil && heard {
 		return Identity{Customer: c.Customer}, nil
 	}
 	if a.Open {
 		return Identity{Operator: true}, nil
 	}
+	if !heard {
+		return Identity{}, refusal.New(refusal.NoLease, "send it to another instance", "this instance does not hear from the leader and may lack the contract").After(time.Second)
+	}
 	return Identity{}, refusal.New(refusal.Unauthenticated, "send Authorization: Bearer with an operator's or customer's credential", "the credential is not known")
 }
 
