--- a/Makefile
+++ b/Makefile
@@ -8,10 +8,13 @@
 test:
 	GO=$(GO) ./scripts/test
 
-# Runs the random tests of the replicated log: make fuzz SEED=n CHECKS=n
+# Runs the random tests of the replicated log and all models on any seed:
+# make fuzz SEED=n CHECKS=n
 SEED ?= 1
 CHECKS ?= 1000
+MODELS = $(addprefix ./,$(sort $(dir $(shell grep -rl --include='*_test.go' 'pgregory.net/rapid' internal))))
 fuzz:
+	$(GO) test -count=1 -timeout=0 -run='^TestModel' $(MODELS) -rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
 	$(GO) test -count=1 -v -timeout=0 -run=Faults ./internal/consensus -rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
 
 lint:
--- a/internal/leader/cluster_test.go
+++ b/internal/leader/cluster_test.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/gen/egretmux/v1/egretmuxv1connect"
@@ -67,6 +68,8 @@
 	changed chan struct{}
 	pause   time.Duration // taken after the next confirmation
 	commit  time.Duration // taken after the next commit
+
+	slowLoss time.Duration // taken before the loss of a worker is committed
 }
 
 // process is one process of an instance.
@@ -190,6 +193,12 @@
 
 // ProposeIn implements leader.Replica.
 func (v *voter) ProposeIn(ctx context.Context, term uint64, data []byte) (any, error) {
+	delay, _ := v.cluster.hop(v.id, v.id) // the time that a commit takes
+	time.Sleep(min(delay, time.Second))
+	cmd := &egretmuxv1.Command{}
+	if err := proto.Unmarshal(data, cmd); err == nil && cmd.GetSetWorkerPhase() != nil {
+		time.Sleep(v.slowLoss)
+	}
 	if err := v.await(ctx); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/leader/lease_test.go
@@ -0,0 +1,73 @@
+package leader_test
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/leader"
+	"github.com/egretmux/egretmux/internal/settings"
+)
+
+// TestLossIsDecidedBeforeRenewal sends a worker's heartbeat while the loss of
+// the worker is being committed: it must not renew the lease.
+func TestLossIsDecidedBeforeRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := newCluster(ctx, 1)
+		c.worker = &fakeWorker{}
+		time.Sleep(2 * time.Second)
+		l := c.voters[0].leader
+		send := func(r *egretmuxv1.WorkerReport, sequence uint64) *egretmuxv1.WorkerReply {
+			resp, err := l.Report(ctx, &egretmuxv1.ReportRequest{
+				Instance: &egretmuxv1.Instance{Id: "probe"}, Incarnation: 1, Sequence: sequence, Full: true, Workers: []*egretmuxv1.WorkerReport{r},
+			})
+			require.NoError(t, err)
+			return resp.GetWorkers()[0]
+		}
+		epoch := send(&egretmuxv1.WorkerReport{Worker: "w1", Register: &egretmuxv1.Worker{Id: "w1"}, Full: true}, 1).GetEpoch()
+		require.NotZero(t, epoch)
+		c.mu.Lock()
+		c.voters[0].slowLoss = time.Second
+		c.mu.Unlock()
+		time.Sleep(6800 * time.Millisecond) // its loss is decided after 6.4 s and committed a second later
+		reply := send(&egretmuxv1.WorkerReport{Worker: "w1", Epoch: epoch}, 2)
+		require.True(t, reply.GetRegister())
+		require.Zero(t, reply.GetEpoch())
+		time.Sleep(time.Second)
+		require.Equal(t, egretmuxv1.WorkerPhase_WORKER_PHASE_LOST, c.ref.Worker("w1").GetPhase())
+		again := send(&egretmuxv1.WorkerReport{Worker: "w1", Register: &egretmuxv1.Worker{Id: "w1"}, Full: true}, 3)
+		require.Greater(t, again.GetEpoch(), epoch)
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestForceBound works out, from the default settings, the longest time until
+// a version is in force everywhere while an instance is isolated, the leader
+// included.
+func TestForceBound(t *testing.T) {
+	key := filepath.Join(t.TempDir(), "key")
+	require.NoError(t, os.WriteFile(key, []byte("0123456789abcdef"), 0o600))
+	s, err := settings.Parse("test", `[instance]
+id = a1
+datacentre = se-atl
+[listen]
+callers = 127.0.0.1:22001
+control = 127.0.0.1:22002
+cell = 127.0.0.1:22003
+[cell]
+voters = a2=127.0.0.1:22005
+key_file = `+key+`
+[access]
+accept_unauthenticated = accept everything from everyone
+`)
+	require.NoError(t, err)
+	require.LessOrEqual(t, leader.ForceBound(s.EntryLease, time.Duration(s.ElectionTicks)*s.Tick), leader.ForceLimit)
+}
--- a/internal/state/model_test.go
+++ b/internal/state/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"flag"
 	"fmt"
 	"testing"
@@ -21,11 +22,10 @@
 	_ = flag.Set("rapid.nofailfile", "true")
 }
 
-const credential = "credential_sha256 = 2cf24dba5fb0a30e26e83b2ac5b9e29e1b161e5c1fa7425e73043362938b9824\n"
-
 // contractText returns a valid contract; different queues make different texts.
 func contractText(customer string, queue int) string {
-	return fmt.Sprintf("[contract]\ncustomer = %s\nshare = 0.5\n%s\n[class.lookup]\nqueue = %d\n", customer, credential, queue)
+	return fmt.Sprintf("[contract]\ncustomer = %s\nshare = 0.5\ncredential_sha256 = %x\n\n[class.lookup]\nqueue = %d\n",
+		customer, sha256.Sum256([]byte(customer)), queue)
 }
 
 func capture(t require.TestingT, s *state.Store) []byte {
