--- a/internal/daemon/handlers.go
+++ b/internal/daemon/handlers.go
@@ -111,7 +111,7 @@
 	mux := http.NewServeMux()
 	if d.voter != nil {
 		server := operator.NewServer(d.leader)
-		mux.Handle(egretmuxv1connect.NewConsensusServiceHandler(d.voter, limit))
+		mux.Handle(d.voter.Handler())
 		mux.Handle(egretmuxv1connect.NewCellServiceHandler(&cellService{leader: d.leader}, limit))
 		mux.Handle(egretmuxv1connect.NewTaskServiceHandler(server, limit))
 		mux.Handle(egretmuxv1connect.NewOperatorServiceHandler(server, limit))
