--- a/internal/state/model_test.go
+++ b/internal/state/model_test.go
@@ -22,13 +22,10 @@
 	_ = flag.Set("rapid.nofailfile", "true")
 }
 
-func credential(customer string) string {
-	return fmt.Sprintf("credential_sha256 = %x\n", sha256.Sum256([]byte(customer)))
-}
-
 // contractText returns a valid contract; different queues make different texts.
 func contractText(customer string, queue int) string {
-	return fmt.Sprintf("[contract]\ncustomer = %s\nshare = 0.5\n%s\n[class.lookup]\nqueue = %d\n", customer, credential(customer), queue)
+	return fmt.Sprintf("[contract]\ncustomer = %s\nshare = 0.5\ncredential_sha256 = %x\n\n[class.lookup]\nqueue = %d\n",
+		customer, sha256.Sum256([]byte(customer)), queue)
 }
 
 func capture(t require.TestingT, s *state.Store) []byte {
