--- a/internal/place/forecast.go
+++ b/internal/place/forecast.go
@@ -140,7 +140,7 @@
 
 // endOf predicts the end of a task all of whose members run.
 func (p *Planner) endOf(j *job, now int64) int64 {
-	ms, _ := p.learn.estimate(j.task.GetSpec())
+	ms := p.learn.estimate(j.task.GetSpec()).likely
 	end := now
 	for _, x := range j.live {
 		end = max(end, now+x.left(now, ms))
@@ -244,12 +244,13 @@
 	if deadline == 0 || spec.GetKind() == egretmuxv1.TaskKind_TASK_KIND_SERVICE {
 		return nil, nil
 	}
-	estimate, sure := p.learn.estimate(spec)
-	if !sure && spec.GetDeclaredRunMs() == 0 {
-		estimate = 0
+	learned := p.learn.estimate(spec)
+	estimate := learned.likely
+	if !learned.sure {
+		estimate = min(estimate, spec.GetDeclaredRunMs())
 	}
 	basis := "its declared run time"
-	if sure {
+	if learned.sure {
 		basis = "the run times of its like"
 	}
 	if now+estimate > deadline {
--- a/internal/place/gang.go
+++ b/internal/place/gang.go
@@ -1,6 +1,8 @@
 package place
 
 import (
+	"maps"
+	"slices"
 	"sort"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
@@ -36,7 +38,7 @@
 // tryGang places all members or none.
 func (r *round) tryGang(j *job) bool {
 	members := int(j.members())
-	if len(j.waiting) < members || !j.account.withinQuota(j.need.Times(int64(members))) {
+	if len(j.waiting) < members || !j.account.withinQuota(j.need.Times(int64(members))) || !r.leavesHeadroom(j, int64(members)) {
 		return false
 	}
 	mark, starts := len(r.placed), len(r.plan.Commit.Starts)
@@ -119,14 +121,14 @@
 		room worker.Room
 	}
 	ends := []release{{r.now, worker.Room{}}}
-	for _, x := range h.live {
+	for _, x := range h.attempts() {
 		if x.job.service() {
 			continue
 		}
-		ms, _ := r.p.learn.estimate(x.job.task.GetSpec())
+		ms := r.p.learn.estimate(x.job.task.GetSpec()).likely
 		ends = append(ends, release{r.now + x.left(r.now, ms), x.held})
 	}
-	sort.Slice(ends, func(a, b int) bool { return ends[a].at < ends[b].at })
+	sort.SliceStable(ends, func(a, b int) bool { return ends[a].at < ends[b].at })
 	var slots []slot
 	free := h.free()
 	for _, e := range ends {
@@ -165,7 +167,8 @@
 		j.retryGang = r.now + reserveAgain
 		r.p.dropReservation()
 	}
-	for j := range r.p.claimants {
+	for _, id := range slices.Sorted(maps.Keys(r.p.claimants)) {
+		j := r.p.claimants[id]
 		if r.now > j.claims[0].until {
 			r.p.dropClaims(j)
 		}
@@ -174,7 +177,7 @@
 
 func (p *Planner) addClaim(j *job, h *host, until int64) {
 	j.claims = append(j.claims, claim{host: h, room: j.need, until: until})
-	p.claimants[j] = true
+	p.claimants[j.task.GetId()] = j
 	h.claimed = h.claimed.Plus(j.need)
 	p.reindex(h)
 }
@@ -185,7 +188,7 @@
 		p.unclaim(&j.claims[i])
 	}
 	j.claims = nil
-	delete(p.claimants, j)
+	delete(p.claimants, j.task.GetId())
 }
 
 func (p *Planner) unclaim(c *claim) {
@@ -219,7 +222,7 @@
 	j.claims = kept
 	if len(kept) == 0 {
 		j.claims = nil
-		delete(r.p.claimants, j)
+		delete(r.p.claimants, j.task.GetId())
 	}
 }
 
--- a/internal/place/health.go
+++ b/internal/place/health.go
@@ -62,6 +62,9 @@
 }
 
 func (p *Planner) noteFailure(r *running, now int64) {
+	if r.host.outOfMemory(r) {
+		return // neither the worker nor the work is to blame
+	}
 	f := failure{r.job.task.GetId(), r.member, r.job.key()}
 	if len(p.blame.hosts) > maxBlamedKeys {
 		p.blame = newBlame()
--- a/internal/place/host.go
+++ b/internal/place/host.go
@@ -25,6 +25,16 @@
 // free returns the room that new attempts may take.
 func (h *host) free() worker.Room { return h.capacity.Minus(h.held).Minus(h.claimed) }
 
+// hasService reports whether a replica of a service runs on the host.
+func (h *host) hasService() bool {
+	for _, x := range h.live {
+		if x.job.service() {
+			return true
+		}
+	}
+	return false
+}
+
 // takes returns why the host takes no attempts at all, or Fits.
 func (h *host) takes() Reason {
 	switch h.record.GetPhase() {
--- a/internal/place/learn.go
+++ b/internal/place/learn.go
@@ -4,6 +4,7 @@
 	"math"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/task"
 	"github.com/egretmux/egretmux/internal/worker"
 )
 
@@ -14,6 +15,7 @@
 	cautionFactor   = 0.8  // standard deviations added to the mean
 	maxLearnedKeys  = 20000
 	sizeHeadroom    = 1.25 // on what an attempt was seen to use
+	sureSizes       = 5    // attempts seen before less than the declared size is held from the start
 	maxSizeMultiple = 8    // of the declared size that a learned size may reach
 )
 
@@ -23,9 +25,9 @@
 // learner keeps run times and sizes of ended work by customer and task name,
 // and by customer how far declared run times are off.
 type learner struct {
-	runs      map[learnKey]*logMean
+	runs      map[learnKey]*runTimes
 	ratios    map[string]*logMean
-	sizes     map[learnKey]worker.Room // largest use seen, fading
+	sizes     map[learnKey]*sizeSeen
 	succeeded map[learnKey]bool
 }
 
@@ -50,8 +52,8 @@
 
 func newLearner() *learner {
 	return &learner{
-		runs: make(map[learnKey]*logMean), ratios: make(map[string]*logMean),
-		sizes: make(map[learnKey]worker.Room), succeeded: make(map[learnKey]bool),
+		runs: make(map[learnKey]*runTimes), ratios: make(map[string]*logMean),
+		sizes: make(map[learnKey]*sizeSeen), succeeded: make(map[learnKey]bool),
 	}
 }
 
@@ -63,10 +65,10 @@
 	}
 	m := l.runs[k]
 	if m == nil {
-		m = &logMean{}
+		m = &runTimes{}
 		l.runs[k] = m
 	}
-	m.add(float64(ms))
+	m.absolute.add(float64(ms))
 	l.succeeded[k] = true
 	if spec.GetDeclaredRunMs() > 0 {
 		r := l.ratios[k.customer]
@@ -74,39 +76,85 @@
 			r = &logMean{}
 			l.ratios[k.customer] = r
 		}
-		r.add(float64(ms) / float64(spec.GetDeclaredRunMs()))
+		ratio := float64(ms) / float64(spec.GetDeclaredRunMs())
+		r.add(ratio)
+		m.ratio.add(ratio)
 	}
 }
 
-// estimate returns the run time in milliseconds to plan with. sure tells that
-// it rests on runs of the same task.
-func (l *learner) estimate(spec *egretmuxv1.TaskSpec) (ms int64, sure bool) {
-	if m := l.runs[learnKey{spec.GetCustomer(), spec.GetName()}]; m != nil && m.n >= sureRuns {
-		return max(1, int64(m.cautious())), true
-	}
+// runTimes is what was learned of one name: its run times as such, and as
+// multiples of the declared ones.
+type runTimes struct{ absolute, ratio logMean }
+
+// estimate is a predicted run time in milliseconds.
+type estimate struct {
+	likely   int64
+	cautious int64 // seldom exceeded
+	sure     bool  // it rests on runs of the same name
+}
+
+// estimate predicts the run time of a member by whichever of the learned run
+// times and the learned ratio to the declared ones scatters less.
+func (l *learner) estimate(spec *egretmuxv1.TaskSpec) estimate {
 	declared := float64(spec.GetDeclaredRunMs())
+	if m := l.runs[learnKey{spec.GetCustomer(), spec.GetName()}]; m != nil && m.absolute.n >= sureRuns {
+		if declared > 0 && m.ratio.n >= sureRuns && m.ratio.sq < m.absolute.sq {
+			return newEstimate(declared*m.ratio.value(), declared*m.ratio.cautious(), true)
+		}
+		return newEstimate(m.absolute.value(), m.absolute.cautious(), true)
+	}
 	if declared <= 0 {
-		return defaultRunMs, false
+		return newEstimate(defaultRunMs, defaultRunMs, false)
 	}
 	if r := l.ratios[spec.GetCustomer()]; r != nil && r.n >= sureRuns {
 		declared *= r.value()
 	}
-	return max(1, int64(declared)), false
+	return newEstimate(declared, declared, false)
+}
+
+func newEstimate(likely, cautious float64, sure bool) estimate {
+	return estimate{likely: max(1, int64(likely)), cautious: max(1, int64(cautious)), sure: sure}
 }
 
-// saw takes in what an attempt used.
-func (l *learner) saw(k learnKey, used worker.Room) {
-	l.sizes[k] = l.sizes[k].Max(used)
+// sizeSeen is the largest use seen of a name's attempts, as parts of what they
+// declared.
+type sizeSeen struct {
+	cpu, memory float64
+	attempts    int
 }
 
-// size returns what a member holds when it starts: what it declared, or what
-// its like was seen to use if that is more.
+// saw takes in what an attempt used; first tells that it is its first report.
+func (l *learner) saw(spec *egretmuxv1.TaskSpec, used worker.Room, first bool) {
+	k := learnKey{spec.GetCustomer(), spec.GetName()}
+	s := l.sizes[k]
+	if s == nil {
+		s = &sizeSeen{}
+		l.sizes[k] = s
+	}
+	s.cpu = max(s.cpu, share(used.CPUMillis, spec.GetResources().GetCpuMillis()))
+	s.memory = max(s.memory, share(used.MemoryMiB, spec.GetResources().GetMemoryMib()))
+	if first {
+		s.attempts++
+	}
+}
+
+// size returns what a member holds when it starts: what it declared; what its
+// like was seen to use if that is more; or, once enough of its like were seen to
+// use less, that with headroom, within the floor of the declared size.
 func (l *learner) size(spec *egretmuxv1.TaskSpec) worker.Room {
 	declared := worker.RoomOf(spec.GetResources())
-	seen, ok := l.sizes[learnKey{spec.GetCustomer(), spec.GetName()}]
-	if !ok {
+	s := l.sizes[learnKey{spec.GetCustomer(), spec.GetName()}]
+	if s == nil {
 		return declared
 	}
-	seen.Accelerators = declared.Accelerators
-	return declared.Max(seen.Min(declared.Times(maxSizeMultiple)))
+	cpu, memory := s.cpu*sizeHeadroom, s.memory*sizeHeadroom
+	if s.attempts < sureSizes {
+		cpu, memory = max(1, s.cpu), max(1, s.memory)
+	}
+	size := worker.Room{
+		CPUMillis:    int64(float64(declared.CPUMillis) * min(cpu, maxSizeMultiple)),
+		MemoryMiB:    int64(float64(declared.MemoryMiB) * min(memory, maxSizeMultiple)),
+		Accelerators: declared.Accelerators,
+	}
+	return size.Max(task.Floor(spec))
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -7,6 +7,8 @@
 
 import (
 	"container/heap"
+	"maps"
+	"slices"
 	"sort"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
@@ -42,10 +44,12 @@
 	sick      map[*host]bool // quarantined
 	failing   map[*host]bool // with failures since the last success
 	recovered []*host        // whose probe succeeded
-	claimants map[*job]bool
+	claimants map[uint64]*job
 	hold      reservation
 	turn      int
 	budget    startBudget
+	urgent    headroom
+	giveBack  giveBackBudget
 }
 
 // New returns a Planner that knows nothing yet.
@@ -54,7 +58,7 @@
 		hosts: make(map[string]*host), index: newIndex(), accounts: make(map[string]*account),
 		jobs: make(map[uint64]*job), running: make(map[uint64]*running), parked: make(map[uint64]*job),
 		learn: newLearner(), blame: newBlame(), dirty: make(map[*host]bool), sick: make(map[*host]bool),
-		failing: make(map[*host]bool), claimants: make(map[*job]bool),
+		failing: make(map[*host]bool), claimants: make(map[uint64]*job),
 	}
 }
 
@@ -132,8 +136,8 @@
 
 // unpark looks again at the jobs that no worker was large enough for.
 func (p *Planner) unpark(now int64) {
-	for _, j := range p.parked {
-		p.requeue(j, now)
+	for _, id := range slices.Sorted(maps.Keys(p.parked)) {
+		p.requeue(p.parked[id], now)
 	}
 }
 
@@ -166,8 +170,8 @@
 }
 
 func (p *Planner) finish(j *job) {
-	for _, r := range j.live {
-		p.release(r)
+	for _, id := range slices.Sorted(maps.Keys(j.live)) {
+		p.release(j.live[id])
 	}
 	j.waiting = nil
 	p.unqueue(j)
@@ -215,9 +219,9 @@
 
 // releaseGone releases attempts that the task's record no longer names.
 func (p *Planner) releaseGone(j *job) {
-	for id, r := range j.live {
+	for _, id := range slices.Sorted(maps.Keys(j.live)) {
 		if a := task.FindAttempt(j.task, id); a == nil || !task.Live(a.GetPhase()) {
-			p.release(r)
+			p.release(j.live[id])
 		}
 	}
 }
@@ -231,14 +235,22 @@
 	j.live[r.id] = r
 	p.running[r.id] = r
 	r.host.live[r.id] = r
-	r.host.held = r.host.held.Plus(r.held)
-	j.account.held = j.account.held.Plus(r.held)
+	p.addHeld(r, r.held)
 	if unconfirmed(r.phase) {
 		r.host.starting++
 	}
 	p.reindex(r.host)
 }
 
+// addHeld adds to what the attempt's host, customer and urgent work hold.
+func (p *Planner) addHeld(r *running, room worker.Room) {
+	r.host.held = r.host.held.Plus(room)
+	r.job.account.held = r.job.account.held.Plus(room)
+	if r.job.urgent() {
+		p.urgent.held = p.urgent.held.Plus(room)
+	}
+}
+
 func unconfirmed(phase egretmuxv1.AttemptPhase) bool {
 	return phase == egretmuxv1.AttemptPhase_ATTEMPT_PHASE_STARTING
 }
@@ -251,8 +263,7 @@
 	r.began = a.GetConfirmedUnixMs()
 	held := task.Held(r.job.task, a)
 	if held != r.held {
-		r.host.held = r.host.held.Minus(r.held).Plus(held)
-		r.job.account.held = r.job.account.held.Minus(r.held).Plus(held)
+		p.addHeld(r, held.Minus(r.held))
 		r.held = held
 		p.reindex(r.host)
 	}
@@ -262,8 +273,7 @@
 	delete(r.job.live, r.id)
 	delete(p.running, r.id)
 	delete(r.host.live, r.id)
-	r.host.held = r.host.held.Minus(r.held)
-	r.job.account.held = r.job.account.held.Minus(r.held)
+	p.addHeld(r, worker.Room{}.Minus(r.held))
 	if unconfirmed(r.phase) {
 		r.host.starting--
 	}
@@ -315,7 +325,7 @@
 // seen to use where that leaves the job runnable, or else what it declared.
 func (p *Planner) sizeOf(j *job) worker.Room {
 	declared := worker.RoomOf(j.task.GetSpec().GetResources())
-	learned := p.learn.size(j.task.GetSpec())
+	learned := p.learn.size(j.task.GetSpec()).Min(p.largestFor(declared))
 	if learned == declared {
 		return declared
 	}
@@ -329,6 +339,17 @@
 	return learned
 }
 
+// largestFor returns the capacity of the largest worker that could hold the need.
+func (p *Planner) largestFor(need worker.Room) worker.Room {
+	var largest worker.Room
+	for _, h := range p.hosts {
+		if need.Fits(h.capacity) && counts(h.record.GetPhase()) && h.capacity.CPUMillis > largest.CPUMillis {
+			largest = h.capacity
+		}
+	}
+	return largest.Max(need)
+}
+
 // fitsTogether reports whether the cell's workers could hold n of the need when idle.
 func (p *Planner) fitsTogether(need worker.Room, n int64) bool {
 	for _, h := range p.hosts {
@@ -376,7 +397,7 @@
 
 // estimate returns the run time in milliseconds that one member still needs.
 func (p *Planner) estimate(j *job) int64 {
-	ms, _ := p.learn.estimate(j.task.GetSpec())
+	ms := p.learn.estimate(j.task.GetSpec()).cautious
 	saved := int64(0)
 	if len(j.waiting) > 0 {
 		saved = task.SavedRun(j.task, j.waiting[0])
@@ -384,6 +405,15 @@
 	return max(ms-saved, ms/20, 1)
 }
 
+// likely returns the run time in milliseconds that one member probably still needs.
+func (p *Planner) likely(j *job) int64 {
+	e := p.learn.estimate(j.task.GetSpec())
+	if !e.sure {
+		return min(e.likely, j.task.GetSpec().GetDeclaredRunMs()) / 2
+	}
+	return max(e.likely-task.SavedRun(j.task, j.waiting[0]), 1)
+}
+
 func (p *Planner) unqueue(j *job) {
 	j.account.dequeue(j)
 	if j.delayedAt >= 0 {
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -8,7 +8,10 @@
 )
 
 const (
-	giveBackWait   = 2000 // milliseconds that a customer below its share waits before borrowers are preempted
+	giveBackWait   = 5000 // milliseconds that a customer below its share waits before borrowers are preempted
+	giveBackTime   = 30   // seconds in which borrowers can be made to give everything back
+	giveBackBurst  = 4    // attempts of borrowers stopped at once
+	borrowerRuns   = 5000 // milliseconds that a borrower runs before it is stopped
 	preemptHosts   = 128  // hosts looked at for one preemption once a choice was found
 	preemptsARound = 24   // attempts stopped in one round
 	restartMs      = 2000 // lost by each checkpoint and restart
@@ -22,6 +25,9 @@
 	if j.urgent() || j.service() {
 		return true
 	}
+	if r.p.giveBack.left(r.now, len(r.p.running)) < 1 {
+		return false
+	}
 	after := j.account.held.Plus(j.need).Dominant(r.p.total)
 	return after <= j.account.share && r.now-j.since >= giveBackWait
 }
@@ -41,7 +47,7 @@
 	case j.service():
 		return own || r.p.overShare(x.job.account)
 	}
-	return !own && r.p.overShare(x.job.account)
+	return !own && r.p.overShare(x.job.account) && x.began > 0 && r.now-x.began >= borrowerRuns
 }
 
 // loss estimates in milliseconds what stopping the attempt costs.
@@ -51,8 +57,7 @@
 		ran = r.now - x.began
 	}
 	loss := restartMs + ran/lossPart
-	estimate, _ := r.p.learn.estimate(x.job.task.GetSpec())
-	left := x.left(r.now, estimate)
+	left := x.left(r.now, r.p.learn.estimate(x.job.task.GetSpec()).likely)
 	if d := x.job.task.GetSpec().GetDeadlineUnixMs(); d > 0 && r.now+left+2*restartMs > d {
 		loss += tightLossMs
 	}
@@ -76,6 +81,9 @@
 		if h == nil || len(r.stops)+len(victims) > preemptsARound {
 			break
 		}
+		if !j.urgent() && !j.service() && len(victims) > 0 && !r.p.giveBack.take(len(victims)) {
+			break
+		}
 		r.p.addClaim(j, h, r.now+claimLength)
 		for _, x := range victims {
 			r.stops[x.id] = true
@@ -88,7 +96,7 @@
 	}
 	for _, x := range stops {
 		r.plan.Commit.Stops = append(r.plan.Commit.Stops, &egretmuxv1.PlanStop{
-			Task: x.job.task.GetId(), Attempt: x.id, Checkpoint: true, Reason: "preempted",
+			Task: x.job.task.GetId(), Attempt: x.id, Checkpoint: true, Reason: reasonOf(j),
 		})
 	}
 	return len(j.claims) >= members
@@ -104,7 +112,7 @@
 	}
 	j.claims = j.claims[:n]
 	if n == 0 {
-		delete(r.p.claimants, j)
+		delete(r.p.claimants, j.task.GetId())
 	}
 }
 
@@ -175,3 +183,40 @@
 	}
 	return set, total, true
 }
+
+// reasonOf tells for whom an attempt is stopped.
+func reasonOf(j *job) string {
+	switch {
+	case j.urgent():
+		return "preempted for urgent work"
+	case j.service():
+		return "preempted for a service"
+	}
+	return "preempted for a customer below its share"
+}
+
+// giveBackBudget bounds how fast the attempts of borrowers are stopped, since
+// much of what they hold comes free by itself.
+type giveBackBudget struct {
+	tokens float64
+	at     int64
+}
+
+// left refills the budget and returns how many attempts may be stopped.
+func (b *giveBackBudget) left(now int64, running int) float64 {
+	burst := max(giveBackBurst, float64(running)/giveBackTime)
+	if now > b.at {
+		b.tokens = min(burst, b.tokens+float64(now-b.at)/1000*float64(running)/giveBackTime)
+		b.at = now
+	}
+	return b.tokens
+}
+
+// take spends the budget on n attempts; a gang may overdraw it once.
+func (b *giveBackBudget) take(n int) bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens -= float64(n)
+	return true
+}
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -23,7 +23,7 @@
 // hopeless reports whether the job ends after its deadline even if it starts now.
 func (p *Planner) hopeless(j *job, now int64) bool {
 	deadline := j.task.GetSpec().GetDeadlineUnixMs()
-	return deadline > 0 && now+p.estimate(j)/2 > deadline
+	return deadline > 0 && now+p.likely(j) > deadline
 }
 
 // nextAccount returns the customer whose head is placed next, or nil.
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -48,12 +48,15 @@
 	stops  map[uint64]bool        // attempts that this round stops
 	sought map[*job]bool          // jobs that this round has sought room for
 	parts  map[*account]*position // cached key of an account
+	keep   worker.Room            // kept free for urgent work
+	free   worker.Room            // of the cell
 }
 
 type placement struct {
-	job  *job
-	host *host
-	room worker.Room
+	job    *job
+	host   *host
+	room   worker.Room
+	resize bool // of a live attempt, by room
 }
 
 // Decide returns the plan of one round at a time in Unix milliseconds.
@@ -66,6 +69,7 @@
 	p.turn++
 	r.wakeDelayed()
 	r.expire()
+	r.startHeadroom()
 	r.observe()
 	r.tendQuarantine()
 	r.placeQueues()
@@ -134,7 +138,7 @@
 	if j.gang() {
 		return r.tryGang(j)
 	}
-	if !j.account.withinQuota(j.need) {
+	if !j.account.withinQuota(j.need) || !r.leavesHeadroom(j, 1) {
 		return false
 	}
 	if h := r.pick(j); h != nil {
@@ -164,6 +168,7 @@
 	r.placed = append(r.placed, placement{job: j, host: h, room: j.need})
 	h.held = h.held.Plus(j.need)
 	h.starting++
+	r.free = r.free.Minus(j.need)
 	j.account.held = j.account.held.Plus(j.need)
 	r.p.reindex(h)
 	if s := r.spread[j]; s != nil {
@@ -175,11 +180,15 @@
 func (r *round) takeBack(n int) {
 	for i := len(r.placed) - 1; i >= n; i-- {
 		x := r.placed[i]
-		r.taken[x.job]--
 		x.host.held = x.host.held.Minus(x.room)
-		x.host.starting--
+		r.free = r.free.Plus(x.room)
 		x.job.account.held = x.job.account.held.Minus(x.room)
 		r.p.reindex(x.host)
+		if x.resize {
+			continue
+		}
+		r.taken[x.job]--
+		x.host.starting--
 		if s := r.spread[x.job]; s != nil {
 			s.add(x.host, -1)
 		}
--- a/internal/place/score.go
+++ b/internal/place/score.go
@@ -19,9 +19,9 @@
 	weightSuspect   = 0.7 // each recent failure of the host
 	weightFailedOn  = 4.0 // the job has failed on the host
 	weightSameHost  = 4.0 // each replica of the service there
+	weightNoService = 2.0 // the first service on a host: services share hosts, so that others stay whole
 	weightSameRack  = 1.0
 	weightSameDC    = 0.3
-	reservedForSelf = -10.0
 )
 
 // pick returns the best host for the job's next member, or nil.
@@ -74,6 +74,9 @@
 	}
 	if j.service() {
 		s += r.spreadOf(j).cost(h)
+		if !h.hasService() {
+			s += weightNoService
+		}
 	}
 	return s
 }
--- a/internal/place/usage.go
+++ b/internal/place/usage.go
@@ -40,7 +40,7 @@
 		o.peak = o.peak.Scale(1 - agePart).Max(o.used)
 		o.at = now - u.GetAgeMs()
 		o.reports++
-		p.learn.saw(r.job.key(), o.used)
+		p.learn.saw(r.job.task.GetSpec(), o.used, o.reports == 1)
 		p.dirty[r.host] = true
 	}
 }
@@ -94,6 +94,10 @@
 		return
 	}
 	o.resized = r.now
+	r.placed = append(r.placed, placement{job: x.job, host: x.host, room: target.Minus(x.held), resize: true})
+	x.host.held = x.host.held.Plus(target).Minus(x.held)
+	x.job.account.held = x.job.account.held.Plus(target).Minus(x.held)
+	r.p.reindex(x.host)
 	r.plan.Commit.Resizes = append(r.plan.Commit.Resizes, &egretmuxv1.PlanResize{
 		Task: x.job.task.GetId(), Attempt: x.id, Held: target.Resources(),
 	})
@@ -110,9 +114,7 @@
 func (r *round) relieve(h *host) {
 	var used worker.Room
 	for _, x := range h.live {
-		if x.observed.reports > 0 {
-			used = used.Plus(x.observed.used)
-		}
+		used = used.Plus(x.observed.used)
 	}
 	if float64(used.MemoryMiB) > memoryFullPart*float64(h.capacity.MemoryMiB) {
 		r.stopOverUser(h, memoryExcess, "used more memory than it declared on a full worker")
@@ -139,6 +141,16 @@
 	}
 }
 
+// outOfMemory reports whether the host's attempts, the one that just ended
+// included, were seen to use its memory up.
+func (h *host) outOfMemory(ended *running) bool {
+	used := ended.observed.used.MemoryMiB
+	for _, x := range h.live {
+		used += x.observed.used.MemoryMiB
+	}
+	return float64(used) > memoryFullPart*float64(h.capacity.MemoryMiB)
+}
+
 func cpuExcess(x *running) float64 {
 	return share(x.observed.used.CPUMillis, x.job.task.GetSpec().GetResources().GetCpuMillis())
 }
--- a/internal/state/plan.go
+++ b/internal/state/plan.go
@@ -103,9 +103,13 @@
 	return true
 }
 
-// heldAtStart is at least the declared need.
+// heldAtStart is what the plan says, never below the floor of the declared
+// size; a plan that says nothing means the declared size.
 func heldAtStart(t *egretmuxv1.Task, st *egretmuxv1.PlanStart) worker.Room {
-	return worker.RoomOf(t.GetSpec().GetResources()).Max(worker.RoomOf(st.GetHeld()))
+	if st.GetHeld() == nil {
+		return worker.RoomOf(t.GetSpec().GetResources())
+	}
+	return worker.RoomOf(st.GetHeld()).Max(task.Floor(t.GetSpec()))
 }
 
 func (s *Store) start(t *egretmuxv1.Task, starts []*egretmuxv1.PlanStart) {
