--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -141,8 +142,13 @@
 			synctest.Wait()
 		}
 		require.Zero(t, time.Since(began), "Run waited")
+		mu.Lock()
 		require.Len(t, got["good"], rounds)
+		mu.Unlock()
 		time.Sleep(time.Minute)
+		synctest.Wait()
+		mu.Lock()
+		defer mu.Unlock()
 		require.Empty(t, c.backlog)
 		for address, sequences := range got {
 			require.Len(t, sequences, rounds)
@@ -154,16 +160,17 @@
 // TestBacklogIsBounded floods one worker.
 func TestBacklogIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		sent := 0
+		var sent atomic.Int64
 		c := NewCommander(nil, "http", zerolog.Nop())
 		c.send = func(_ string, group []*egretmuxv1.WorkerCommand) {
 			time.Sleep(commandTimeout)
-			sent += len(group)
+			sent.Add(int64(len(group)))
 		}
 		for range 5 * maxWorkerBacklog {
 			c.Run([]*egretmuxv1.WorkerCommand{{Address: "w1"}})
 		}
 		time.Sleep(time.Minute)
-		require.LessOrEqual(t, sent, 2*maxWorkerBacklog)
+		synctest.Wait()
+		require.LessOrEqual(t, sent.Load(), int64(2*maxWorkerBacklog))
 	})
 }
