--- a/internal/leader/cluster_test.go
+++ b/internal/leader/cluster_test.go
@@ -239,7 +239,7 @@
 func (c *cluster) hop(from, to int) (delay time.Duration, arrives bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delay = time.Duration(c.rng.IntN(3)) * time.Millisecond
+	delay = time.Duration(1+c.rng.IntN(3)) * time.Millisecond // never none, so that broken sees one moment
 	if from != to && (c.isolated[from] || c.isolated[to]) {
 		return delay, false
 	}
--- a/internal/leader/tasks.go
+++ b/internal/leader/tasks.go
@@ -120,17 +120,19 @@
 		limit = defaultPage
 	}
 	var page []*egretmuxv1.Task
-	for _, t := range l.store.Tasks() {
-		if t.GetId() <= after || customer != "" && t.GetSpec().GetCustomer() != customer ||
-			phase != egretmuxv1.TaskPhase_TASK_PHASE_UNSPECIFIED && t.GetPhase() != phase {
-			continue
+	var next uint64
+	l.store.EachTask(after, func(t *egretmuxv1.Task) bool {
+		if customer != "" && t.GetSpec().GetCustomer() != customer || phase != egretmuxv1.TaskPhase_TASK_PHASE_UNSPECIFIED && t.GetPhase() != phase {
+			return true
 		}
 		if len(page) == limit {
-			return page, page[limit-1].GetId(), nil
+			next = page[limit-1].GetId()
+			return false
 		}
 		page = append(page, t)
-	}
-	return page, 0, nil
+		return true
+	})
+	return page, next, nil
 }
 
 // BeginRequest commits the attempt of a non-idempotent request. run tells
--- a/internal/leader/tenure.go
+++ b/internal/leader/tenure.go
@@ -84,7 +84,7 @@
 // run does the leader's work until the context ends.
 func (t *tenure) run(ctx context.Context) {
 	t.loadPlanner()
-	for _, x := range t.store.Tasks() {
+	for _, x := range t.store.LiveTasks() {
 		t.taskLoaded(x.GetId())
 	}
 	var loops sync.WaitGroup
--- a/internal/state/changes.go
+++ b/internal/state/changes.go
@@ -20,16 +20,19 @@
 
 func (t *changeTable) put(r *egretmuxv1.ChangeRecord) { t.byID[r.GetChangeId()] = r }
 
-// all returns the records by change id.
+// all returns the records in no order.
 func (t *changeTable) all() []*egretmuxv1.ChangeRecord {
 	out := make([]*egretmuxv1.ChangeRecord, 0, len(t.byID))
 	for _, r := range t.byID {
 		out = append(out, r)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].GetChangeId() < out[j].GetChangeId() })
 	return out
 }
 
+func sortChanges(list []*egretmuxv1.ChangeRecord) {
+	sort.Slice(list, func(i, j int) bool { return list[i].GetChangeId() < list[j].GetChangeId() })
+}
+
 // collect drops the records of changes answered before the given time, Unix
 // milliseconds. A change resent after that meets its own version as a conflict.
 func (t *changeTable) collect(before int64) {
--- a/internal/state/requests.go
+++ b/internal/state/requests.go
@@ -62,6 +62,7 @@
 	return n
 }
 
+// all returns the records in no order.
 func (t *requestTable) all() []*egretmuxv1.RequestRecord {
 	var out []*egretmuxv1.RequestRecord
 	for i := range t.shards {
@@ -71,13 +72,16 @@
 		}
 		t.shards[i].mu.RUnlock()
 	}
+	return out
+}
+
+func sortRequests(out []*egretmuxv1.RequestRecord) {
 	sort.Slice(out, func(i, j int) bool {
 		if out[i].GetCustomer() != out[j].GetCustomer() {
 			return out[i].GetCustomer() < out[j].GetCustomer()
 		}
 		return out[i].GetKey() < out[j].GetKey()
 	})
-	return out
 }
 
 func (t *requestTable) collect(before int64) int {
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -9,11 +9,9 @@
 package state
 
 import (
-	"io"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
@@ -44,7 +42,7 @@
 type Store struct {
 	applyMu  sync.Mutex // held by the applying goroutine
 	listener Listener
-	now      int64 // time of the command being applied, Unix milliseconds
+	now      int64 // time of the command being applied, Unix milliseconds; never goes back
 
 	mu       sync.RWMutex // guards the counters below
 	applied  uint64
@@ -87,7 +85,7 @@
 	if err := proto.Unmarshal(data, cmd); err != nil {
 		return &Result{Err: refusal.New(refusal.Internal, "report it", "command %d cannot be decoded: %v", index, err)}
 	}
-	s.now = cmd.GetNowUnixMs()
+	s.now = max(s.now, cmd.GetNowUnixMs()) // leaders' clocks differ
 	result := s.applyCommand(cmd)
 	s.mu.Lock()
 	s.applied = index
@@ -132,62 +130,6 @@
 	return s.applied
 }
 
-// Capture implements consensus.StateMachine.
-func (s *Store) Capture() func(io.Writer) error {
-	s.applyMu.Lock()
-	defer s.applyMu.Unlock()
-	snap := &egretmuxv1.StateSnapshot{
-		AppliedIndex: s.applied, LastTask: s.last.task, LastAttempt: s.last.attempt,
-		CellVersion: s.contract.version(), LastWorkerEpoch: s.last.workerEpoch,
-		Contracts: s.contract.all(), Tasks: s.tasks.all(), Workers: s.workers.all(),
-		Instances: s.members.all(), Requests: s.requests.all(),
-		Changes: s.changes.all(),
-	}
-	return func(w io.Writer) error {
-		data, err := proto.Marshal(snap)
-		if err != nil {
-			return err
-		}
-		_, err = w.Write(data)
-		return err
-	}
-}
-
-// Restore implements consensus.StateMachine.
-func (s *Store) Restore(data []byte) error {
-	snap := &egretmuxv1.StateSnapshot{}
-	if err := proto.Unmarshal(data, snap); err != nil {
-		return errors.Wrap(err, "snapshot of the state cannot be decoded")
-	}
-	s.applyMu.Lock()
-	defer s.applyMu.Unlock()
-	s.clear()
-	s.mu.Lock()
-	s.applied = snap.GetAppliedIndex()
-	s.last = counters{snap.GetLastTask(), snap.GetLastAttempt(), snap.GetLastWorkerEpoch()}
-	s.mu.Unlock()
-	s.contract.replace(snap.GetCellVersion(), snap.GetContracts())
-	for _, w := range snap.GetWorkers() {
-		s.workers.put(w)
-	}
-	for _, t := range snap.GetTasks() {
-		s.putTask(t)
-	}
-	for _, m := range snap.GetInstances() {
-		s.members.put(m)
-	}
-	for _, r := range snap.GetRequests() {
-		s.requests.put(r)
-	}
-	for _, c := range snap.GetChanges() {
-		s.changes.put(c)
-	}
-	if s.listener != nil {
-		s.listener.Restored()
-	}
-	return nil
-}
-
 func hashChange(customer, id string) uint64 { return xxhash.Sum64String(customer + "\x00" + id) }
 
 // Counts is a summary for status reports.
--- a/internal/state/tasks.go
+++ b/internal/state/tasks.go
@@ -1,9 +1,7 @@
 package state
 
 import (
-	"sort"
 	"strconv"
-	"sync"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/refusal"
@@ -11,7 +9,6 @@
 )
 
 const (
-	taskShards    = 16
 	maxMembers    = 10000 // members of one task
 	keptAttempts  = 8     // ended attempts kept in a task's record
 	failureDelay  = 1000  // milliseconds before a failed member is tried again
@@ -20,76 +17,6 @@
 	lossSpread    = 1000  // milliseconds over which the tasks of lost workers are placed again
 )
 
-// taskTable holds the tasks in shards, each under its own lock.
-type taskTable struct {
-	shards  [taskShards]taskShard
-	changes sync.Map // hash of customer and change id -> task number
-}
-
-type taskShard struct {
-	mu   sync.RWMutex
-	byID map[uint64]*egretmuxv1.Task
-}
-
-func (t *taskTable) clear() {
-	for i := range t.shards {
-		t.shards[i].mu.Lock()
-		t.shards[i].byID = make(map[uint64]*egretmuxv1.Task)
-		t.shards[i].mu.Unlock()
-	}
-	t.changes.Clear()
-}
-
-func (t *taskTable) shard(id uint64) *taskShard { return &t.shards[id%taskShards] }
-
-func (t *taskTable) get(id uint64) *egretmuxv1.Task {
-	s := t.shard(id)
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	return s.byID[id]
-}
-
-func (t *taskTable) put(x *egretmuxv1.Task) {
-	s := t.shard(x.GetId())
-	s.mu.Lock()
-	s.byID[x.GetId()] = x
-	s.mu.Unlock()
-	if x.GetChangeIdHash() != 0 {
-		t.changes.Store(x.GetChangeIdHash(), x.GetId())
-	}
-}
-
-func (t *taskTable) remove(x *egretmuxv1.Task) {
-	s := t.shard(x.GetId())
-	s.mu.Lock()
-	delete(s.byID, x.GetId())
-	s.mu.Unlock()
-	t.changes.Delete(x.GetChangeIdHash())
-}
-
-func (t *taskTable) len() int {
-	n := 0
-	for i := range t.shards {
-		t.shards[i].mu.RLock()
-		n += len(t.shards[i].byID)
-		t.shards[i].mu.RUnlock()
-	}
-	return n
-}
-
-func (t *taskTable) all() []*egretmuxv1.Task {
-	out := make([]*egretmuxv1.Task, 0, t.len())
-	for i := range t.shards {
-		t.shards[i].mu.RLock()
-		for _, x := range t.shards[i].byID {
-			out = append(out, x)
-		}
-		t.shards[i].mu.RUnlock()
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].GetId() < out[j].GetId() })
-	return out
-}
-
 // putTask stores a task and keeps the workers' room in step with its attempts.
 func (s *Store) putTask(t *egretmuxv1.Task) {
 	old := s.tasks.get(t.GetId())
@@ -111,8 +38,8 @@
 	spec := c.GetSpec()
 	hash := hashChange(spec.GetCustomer(), c.GetChangeId())
 	if c.GetChangeId() != "" {
-		if id, ok := s.tasks.changes.Load(hash); ok {
-			return &Result{Task: s.tasks.get(id.(uint64))}
+		if id, ok := s.tasks.changes[hash]; ok {
+			return &Result{Task: s.tasks.get(id)}
 		}
 	}
 	if err := s.checkSpec(spec); err != nil {
@@ -214,13 +141,7 @@
 }
 
 func (s *Store) collectGarbage(c *egretmuxv1.CollectGarbage) *Result {
-	n := 0
-	for _, t := range s.tasks.all() {
-		if task.Final(t.GetPhase()) && t.GetEndedUnixMs() < c.GetTasksEndedBeforeUnixMs() {
-			s.tasks.remove(t)
-			n++
-		}
-	}
+	n := s.tasks.collect(c.GetTasksEndedBeforeUnixMs())
 	n += s.requests.giveUp(c.GetRequestsBegunBeforeUnixMs(), s.now)
 	n += s.requests.collect(c.GetRequestsEndedBeforeUnixMs())
 	s.changes.collect(c.GetTasksEndedBeforeUnixMs())
@@ -230,7 +151,17 @@
 // Task returns a task or nil. The record must not be changed.
 func (s *Store) Task(id uint64) *egretmuxv1.Task { return s.tasks.get(id) }
 
-// Tasks returns all tasks in order of their numbers.
-func (s *Store) Tasks() []*egretmuxv1.Task { return s.tasks.all() }
+// LiveTasks returns the tasks that are not final, in order of their numbers.
+func (s *Store) LiveTasks() []*egretmuxv1.Task { return s.tasks.liveTasks() }
+
+// EachTask calls f with each task whose number is greater than the given one,
+// in order of their numbers, until f returns false.
+func (s *Store) EachTask(after uint64, f func(*egretmuxv1.Task) bool) {
+	for _, id := range s.tasks.ids(after) {
+		if t := s.tasks.get(id); t != nil && !f(t) {
+			return
+		}
+	}
+}
 
 func uintName(n uint64) string { return strconv.FormatUint(n, 10) }
