--- a/internal/state/tasks.go
+++ b/internal/state/tasks.go
@@ -100,6 +100,9 @@
 		}
 	}
 	waiting := len(task.Waiting(t))
+	if live == 0 && waiting > 0 && t.GetSpec().GetKind() == egretmuxv1.TaskKind_TASK_KIND_GANG {
+		s.restartGang(t)
+	}
 	switch {
 	case t.GetEnding() != egretmuxv1.TaskPhase_TASK_PHASE_UNSPECIFIED:
 		if live == 0 {
@@ -114,11 +117,12 @@
 	default:
 		t.Phase = egretmuxv1.TaskPhase_TASK_PHASE_RUNNING
 	}
-	trimAttempts(t)
+	s.trimAttempts(t)
 }
 
-// trimAttempts keeps the live attempts and the newest ended ones.
-func trimAttempts(t *egretmuxv1.Task) {
+// trimAttempts keeps the live attempts and the newest ended ones. What ended just
+// now stays, so that listeners see its end.
+func (s *Store) trimAttempts(t *egretmuxv1.Task) {
 	ended := 0
 	for _, a := range t.GetAttempts() {
 		if !task.Live(a.GetPhase()) {
@@ -131,7 +135,7 @@
 	}
 	kept := t.Attempts[:0]
 	for _, a := range t.GetAttempts() {
-		if !task.Live(a.GetPhase()) && ended > limit {
+		if !task.Live(a.GetPhase()) && ended > limit && a.GetEndedUnixMs() != s.now {
 			ended--
 			continue
 		}
@@ -151,6 +155,16 @@
 // Task returns a task or nil. The record must not be changed.
 func (s *Store) Task(id uint64) *egretmuxv1.Task { return s.tasks.get(id) }
 
+// Tasks returns all tasks in order of their numbers. It decodes every ended one.
+func (s *Store) Tasks() []*egretmuxv1.Task {
+	out := make([]*egretmuxv1.Task, 0, s.tasks.len())
+	s.EachTask(0, func(t *egretmuxv1.Task) bool {
+		out = append(out, t)
+		return true
+	})
+	return out
+}
+
 // LiveTasks returns the tasks that are not final, in order of their numbers.
 func (s *Store) LiveTasks() []*egretmuxv1.Task { return s.tasks.liveTasks() }
 
