Bad inputs tried by hand: paths, declared sizes, repeated sections

Change: each gets its one answer; callers' paths reach the entry as they are. Figures: TestCallerPaths, TestLimits and TestFaults cover them. Conclusion: a bad input gets one typed refusal.

--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -107,7 +107,12 @@
 	}
 	_, _ = fmt.Fprintf(a.errOut, "conflict: contract %s is at version %d, applied by %s at %s (change %s); this change started from version %d\n",
 		current.GetCustomer(), current.GetVersion(), orDash(current.GetAuthor()), timeName(current.GetAppliedUnixMs()), current.GetChangeId(), req.GetBaseVersion())
-	if text, err := diffText(current, req.GetText(), "this change"); err == nil {
+	text, err := diffText(current, req.GetText(), "this change")
+	switch {
+	case err != nil:
+	case text == "":
+		_, _ = fmt.Fprintln(a.errOut, "its text is the same as this change's")
+	default:
 		_, _ = fmt.Fprint(a.errOut, text)
 	}
 }
--- a/internal/cli/task.go
+++ b/internal/cli/task.go
@@ -62,6 +62,9 @@
 
 // Execute implements flags.Commander.
 func (c *taskSubmit) Execute([]string) error {
+	if c.Deadline < 0 || c.RunTime < 0 {
+		return &exitError{ExitUsage, "--deadline and --run-time are times from now on, such as 90s"}
+	}
 	if c.ChangeID == "" {
 		c.ChangeID = xid.New().String()
 	}
--- a/internal/daemon/access_test.go
+++ b/internal/daemon/access_test.go
@@ -12,6 +12,7 @@
 	"math/big"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -118,6 +119,12 @@
 	control := "http://" + c.addresses["a1 control"]
 	require.Equal(t, http.StatusBadRequest, c.send(http.MethodPost, control+"/egretmux.v1.OperatorService/Status", operatorToken, strings.Repeat(" ", 65537)))
 	require.Equal(t, http.StatusRequestEntityTooLarge, c.send(http.MethodGet, "http://"+c.addresses["a1 callers"]+"/service/x/y", strings.Repeat("t", 1100), ""))
+	long, err := http.NewRequest(http.MethodPost, "http://"+c.addresses["a1 callers"]+"/service/x/y", strings.NewReader("x"))
+	require.NoError(t, err)
+	w := httptest.NewRecorder()
+	long.ContentLength = r.settings.MaxBodyBytes + 1
+	r.callersHandler().ServeHTTP(w, long)
+	require.Equal(t, http.StatusRequestEntityTooLarge, w.Code, "a body that is declared too large is not read")
 	code, out := c.cli("task", "submit", "--name", "wide", "--customer", "dixie", "--members", "11")
 	require.Equal(t, cli.ExitRefused, code)
 	require.Contains(t, out, "too-large: the task has 11 members; at most 10 are accepted; split the task, or raise [limits] max_members")
@@ -150,3 +157,23 @@
 	defer func() { _ = resp.Body.Close() }()
 	return resp.StatusCode
 }
+
+// TestCallerPaths passes every path of a service to the entry as it is.
+func TestCallerPaths(t *testing.T) {
+	c := newCell(t, "a1")
+	r := c.start("a1", "")
+	<-r.relay.Ready()
+	for path, status := range map[string]int{
+		"/service/lease/x":       http.StatusUnauthorized,
+		"/service/lease//x/../y": http.StatusUnauthorized,
+		"/service/lease":         http.StatusUnauthorized,
+		"/service/":              http.StatusNotFound,
+		"/service":               http.StatusNotFound,
+		"/":                      http.StatusNotFound,
+		"/healthz":               http.StatusNotFound,
+	} {
+		w := httptest.NewRecorder()
+		r.callersHandler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+		require.Equal(t, status, w.Code, path)
+	}
+}
--- a/internal/daemon/handlers.go
+++ b/internal/daemon/handlers.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 
 	"connectrpc.com/connect"
 
@@ -22,12 +23,25 @@
 const maxCellMessage = 16 << 20
 
 func (d *Daemon) callersHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("/service/{name}/{rest...}", d.entry)
-	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+	body := edge.LimitBody(d.settings.MaxBodyBytes, http.HandlerFunc(d.serveCaller))
+	return edge.CloseAfter(d.draining, d.limited(body))
+}
+
+// servicePrefix begins the path of callers' requests.
+const servicePrefix = "/service/"
+
+// serveCaller hands a request to the entry. It does without a mux, which
+// would redirect paths with // or .. that belong to the service.
+func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
+	path, found := strings.CutPrefix(r.URL.Path, servicePrefix)
+	name, rest, _ := strings.Cut(path, "/")
+	if !found || name == "" {
 		edge.Refuse(w, r, refusal.New(refusal.NoService, "use /service/NAME/...", "no service has the path %.200q", r.URL.Path))
-	})
-	return edge.CloseAfter(d.draining, d.limited(mux))
+		return
+	}
+	r.SetPathValue("name", name)
+	r.SetPathValue("rest", rest)
+	d.entry.ServeHTTP(w, r)
 }
 
 // limited applies the limits that every client's request has to keep.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -72,6 +72,19 @@
 	return size
 }
 
+// LimitBody refuses requests that declare a body larger than limit bytes,
+// before any of it is read.
+func LimitBody(limit int64, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength > limit {
+			w.Header().Set("Connection", "close")
+			Refuse(w, r, refusal.New(refusal.TooLarge, "send less, or raise [limits] max_body", "the body is larger than %d bytes", limit))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // TimeBody bounds the time that a client takes to send its request's body. It
 // leaves requests alone whose body has arrived.
 func TimeBody(limit time.Duration, next http.Handler) http.Handler {
--- a/internal/inifile/inifile.go
+++ b/internal/inifile/inifile.go
@@ -122,6 +122,7 @@
 	file     string
 	lines    map[string]int
 	values   map[string]map[string]string
+	repeated map[string]bool // sections that stand twice
 	sections []string
 	schema   []Section
 }
@@ -138,7 +139,7 @@
 		return d, faults
 	}
 	scanned := scanText(file, text)
-	d.lines = scanned.lines
+	d.lines, d.repeated = scanned.lines, scanned.repeated
 	faults := scanned.faults
 	parsed, err := ini.LoadSources(iniOptions, []byte(text))
 	if err != nil && len(faults) > 0 {
@@ -237,7 +238,7 @@
 			if _, ok := values[k.Name]; ok {
 				continue
 			}
-			if k.Required && seen[name] {
+			if k.Required && seen[name] && !d.repeated[name] {
 				faults = append(faults, d.fault(name, k.Name, "key is missing", "add "+k.Name+" = "+k.example()))
 			}
 			values[k.Name] = k.Default
--- a/internal/inifile/inifile_test.go
+++ b/internal/inifile/inifile_test.go
@@ -36,6 +36,7 @@
 		{"empty required", "[main]\nname =\n", "f:2: [main] name: value is empty"},
 		{"empty typed", "[main]\nname = a\nsize =\n", "f:3: [main] size: value is empty; give a value, or delete the line for the default 5"},
 		{"two sections", "[main]\nname = a\n[item.a]\n[main]\n", "f:4: [main]: section stands twice, first on line 1; merge the two sections"},
+		{"two sections, the first empty", "[main]\n[main]\nname = a\n", "f:2: [main]: section stands twice, first on line 1"},
 		{"two keys", "[main]\nname = a\nname = b\n", "f:3: [main] name: key stands twice, first on line 2; keep one of them"},
 		{"no section", "name = a\n[main]\nname = a\n", "f:1 name: key stands before any section"},
 		{"DEFAULT", "[main]\nname = a\n[DEFAULT]\nx = 1\n", "f:3: [DEFAULT]: section is not known"},
--- a/internal/inifile/scan.go
+++ b/internal/inifile/scan.go
@@ -18,12 +18,14 @@
 	lines   map[string]int // by section, or section and key as lineKey joins them
 	section string
 	faults  Faults
+
+	repeated map[string]bool // sections that stand twice
 }
 
 func lineKey(section, key string) string { return section + "\x00" + key }
 
 func scanText(file, text string) *scan {
-	s := &scan{file: file, lines: make(map[string]int)}
+	s := &scan{file: file, lines: make(map[string]int), repeated: make(map[string]bool)}
 	for i, line := range strings.Split(text, "\n") {
 		s.readLine(i+1, strings.TrimSpace(line))
 	}
@@ -57,6 +59,7 @@
 		s.add(number, "", "text stands after the section header", "write it on a line of its own")
 	case s.lines[s.section] != 0:
 		s.add(number, "", "section stands twice, first on line "+strconv.Itoa(s.lines[s.section]), "merge the two sections")
+		s.repeated[s.section] = true
 		return
 	}
 	s.lines[s.section] = number
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -25,7 +25,7 @@
 	previous := zerolog.GlobalLevel().String()
 	level, err := zerolog.ParseLevel(name)
 	if err != nil || name == "" {
-		return previous, errors.Newf("%q is not a log level; use debug, info, warn or error", name)
+		return previous, errors.Newf("%q is not a log level", name)
 	}
 	zerolog.SetGlobalLevel(level)
 	return previous, nil
