Work about to miss a deadline goes before work with time to spare

Change: across customers, a head about to miss its deadline passes one that has a deadline and time to spare; it may stop work that can wait. Headroom on learned sizes is 1.02 for processors, which can be throttled, and 1.1 for memory.

--- a/internal/measure/result.go
+++ b/internal/measure/result.go
@@ -104,6 +104,8 @@
 		x.deadlines++
 		if j.ended == 0 || j.ended > d {
 			x.missed++
+			x.reasons["missed "+classNames[j.class]]++
+			x.reasons["missed "+j.task.GetSpec().GetCustomer()]++
 		}
 	}
 	x.fairness = 1
@@ -201,7 +203,9 @@
 		return fmt.Sprintf("%d, %d, %d", x.preempted, x.killed, x.quarantined)
 	})
 	if debug {
-		row("reasons", "", func(x *Result) string { return fmt.Sprint(x.reasons) })
+		for i, x := range results {
+			fmt.Fprintln(os.Stderr, i, x.reasons)
+		}
 	}
 	row("starts that did not fit", "0", func(x *Result) string { return fmt.Sprint(x.overfull) })
 	row("round p50/p99 us", "", func(x *Result) string {
--- a/internal/place/learn.go
+++ b/internal/place/learn.go
@@ -14,9 +14,10 @@
 	sureRuns        = 3    // runs after which a learned time replaces the declared one
 	cautionFactor   = 0.8  // standard deviations added to the mean
 	maxLearnedKeys  = 20000
-	sizeHeadroom    = 1.25 // on what an attempt was seen to use
-	sureSizes       = 5    // attempts seen before less than the declared size is held from the start
-	maxSizeMultiple = 8    // of the declared size that a learned size may reach
+	cpuHeadroom     = 1.02 // on the highest use seen; processors can be throttled
+	memoryHeadroom  = 1.1
+	sureSizes       = 5 // attempts seen before less than the declared size is held from the start
+	maxSizeMultiple = 8 // of the declared size that a learned size may reach
 )
 
 // learnKey names tasks that resemble each other.
@@ -147,7 +148,7 @@
 	if s == nil {
 		return declared
 	}
-	cpu, memory := s.cpu*sizeHeadroom, s.memory*sizeHeadroom
+	cpu, memory := s.cpu*cpuHeadroom, s.memory*memoryHeadroom
 	if s.attempts < sureSizes {
 		cpu, memory = max(1, s.cpu), max(1, s.memory)
 	}
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -25,6 +25,9 @@
 	if j.urgent() || j.service() {
 		return true
 	}
+	if r.rescues(j) {
+		return true
+	}
 	if r.p.giveBack.left(r.now, len(r.p.running)) < 1 {
 		return false
 	}
@@ -32,6 +35,19 @@
 	return after <= j.account.share && r.now-j.since >= giveBackWait
 }
 
+// rescueSlack is how close to its latest start a job may stop work that can wait.
+const rescueSlack = 3000
+
+// rescues reports whether the job is about to miss its deadline.
+func (r *round) rescues(j *job) bool { return r.slack(j) < rescueSlack }
+
+// canWait reports whether stopping the attempt costs its job no deadline.
+func (r *round) canWait(x *running) bool {
+	d := x.job.task.GetSpec().GetDeadlineUnixMs()
+	left := x.left(r.now, r.p.learn.estimate(x.job.task.GetSpec()).cautious)
+	return (d == 0 || d-r.now-left > 2*easySlack) && x.began > 0 && r.now-x.began >= borrowerRuns
+}
+
 // victim reports whether the attempt may be stopped in favour of the job.
 func (r *round) victim(j *job, x *running) bool {
 	if x.phase == egretmuxv1.AttemptPhase_ATTEMPT_PHASE_STOPPING || r.stops[x.id] || x.job == j {
@@ -47,7 +63,10 @@
 	case j.service():
 		return own || r.p.overShare(x.job.account)
 	}
-	return !own && r.p.overShare(x.job.account) && x.began > 0 && r.now-x.began >= borrowerRuns
+	if r.rescues(j) && (own || r.p.overShare(x.job.account)) && r.canWait(x) {
+		return own || !r.p.overShare(j.account)
+	}
+	return !own && !r.p.overShare(j.account) && r.p.overShare(x.job.account) && x.began > 0 && r.now-x.began >= borrowerRuns
 }
 
 // loss estimates in milliseconds what stopping the attempt costs.
--- a/internal/place/usage.go
+++ b/internal/place/usage.go
@@ -85,7 +85,7 @@
 	target := x.held.Max(o.used)
 	settled := o.reports >= shrinkReports && x.began > 0 && r.now-max(x.began, o.resized) >= shrinkAfter
 	if settled && target == x.held {
-		wanted := o.peak.Scale(sizeHeadroom).Max(task.Floor(x.job.task.GetSpec()))
+		wanted := withHeadroom(o.peak).Max(task.Floor(x.job.task.GetSpec()))
 		if shrinks(x.held, wanted) {
 			target = wanted.Min(x.held)
 		}
@@ -103,6 +103,12 @@
 	})
 }
 
+func withHeadroom(r worker.Room) worker.Room {
+	r.CPUMillis = int64(float64(r.CPUMillis) * cpuHeadroom)
+	r.MemoryMiB = int64(float64(r.MemoryMiB) * memoryHeadroom)
+	return r
+}
+
 func shrinks(held, wanted worker.Room) bool {
 	return float64(wanted.CPUMillis) < shrinkPart*float64(held.CPUMillis) ||
 		float64(wanted.MemoryMiB) < shrinkPart*float64(held.MemoryMiB)
