--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -187,7 +187,9 @@
 	}
 	var used worker.Room
 	for _, x := range n.live {
-		used = used.Plus(x.job.use)
+		if x.attempt.GetConfirmedUnixMs() > 0 {
+			used = used.Plus(x.job.use)
+		}
 	}
 	if used.MemoryMiB > n.capacity.MemoryMiB {
 		r.kill(n)
@@ -228,6 +230,9 @@
 func (r *run) kill(n *node) {
 	var worst *execution
 	for _, x := range n.live {
+		if x.attempt.GetConfirmedUnixMs() == 0 {
+			continue
+		}
 		if worst == nil || excess(x) > excess(worst) || excess(x) == excess(worst) && x.attempt.GetId() < worst.attempt.GetId() {
 			worst = x
 		}
