--- a/Makefile
+++ b/Makefile
@@ -8,10 +8,13 @@
 test:
 	GO=$(GO) ./scripts/test
 
-# Runs the random tests of the replicated log: make fuzz SEED=n CHECKS=n
+# Runs the random tests of the replicated log and all models on any seed:
+# make fuzz SEED=n CHECKS=n
 SEED ?= 1
 CHECKS ?= 1000
+MODELS = $(addprefix ./,$(sort $(dir $(shell grep -rl --include='*_test.go' 'pgregory.net/rapid' internal))))
 fuzz:
+	$(GO) test -count=1 -timeout=0 -run='^TestModel' $(MODELS) -rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
 	$(GO) test -count=1 -v -timeout=0 -run=Faults ./internal/consensus -rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
 
 # Measures the replicated log: three voters on loopback with real syncs.
@@ -33,8 +36,13 @@
 # SECONDS and SEED may be set: make soak SECONDS=120 SEED=7
 .PHONY: soak
 soak: build
-	SECONDS_LONG=$(or $(SECONDS),90) SEED=$(or $(SEED),1) ./scripts/soak
+	SECONDS_LONG=$(or $(SECONDS),90) SEED=$(SEED) ./scripts/soak
 
 .PHONY: capacity
 capacity: build
 	./scripts/capacity
+
+# Placement policies compared in virtual time: make measure SEED=n
+.PHONY: measure
+measure:
+	$(GO) run ./cmd/egretmux-measure --seed $(SEED)
--- a/internal/place/usage.go
+++ b/internal/place/usage.go
@@ -40,7 +40,7 @@
 		o.peak = o.peak.Scale(1 - agePart).Max(o.used)
 		o.at = now - u.GetAgeMs()
 		o.reports++
-		p.learn.saw(r.job.key(), o.used)
+		p.learn.saw(r.job.task.GetSpec(), o.used, o.reports == 1)
 		p.dirty[r.host] = true
 	}
 }
@@ -85,7 +85,7 @@
 	target := x.held.Max(o.used)
 	settled := o.reports >= shrinkReports && x.began > 0 && r.now-max(x.began, o.resized) >= shrinkAfter
 	if settled && target == x.held {
-		wanted := o.peak.Scale(sizeHeadroom).Max(task.Floor(x.job.task.GetSpec()))
+		wanted := withHeadroom(o.peak).Max(task.Floor(x.job.task.GetSpec()))
 		if shrinks(x.held, wanted) {
 			target = wanted.Min(x.held)
 		}
@@ -94,11 +94,21 @@
 		return
 	}
 	o.resized = r.now
+	r.placed = append(r.placed, placement{job: x.job, host: x.host, room: target.Minus(x.held), resize: true})
+	x.host.held = x.host.held.Plus(target).Minus(x.held)
+	x.job.account.held = x.job.account.held.Plus(target).Minus(x.held)
+	r.p.reindex(x.host)
 	r.plan.Commit.Resizes = append(r.plan.Commit.Resizes, &egretmuxv1.PlanResize{
 		Task: x.job.task.GetId(), Attempt: x.id, Held: target.Resources(),
 	})
 }
 
+func withHeadroom(r worker.Room) worker.Room {
+	r.CPUMillis = int64(float64(r.CPUMillis) * cpuHeadroom)
+	r.MemoryMiB = int64(float64(r.MemoryMiB) * memoryHeadroom)
+	return r
+}
+
 func shrinks(held, wanted worker.Room) bool {
 	return float64(wanted.CPUMillis) < shrinkPart*float64(held.CPUMillis) ||
 		float64(wanted.MemoryMiB) < shrinkPart*float64(held.MemoryMiB)
@@ -110,9 +120,7 @@
 func (r *round) relieve(h *host) {
 	var used worker.Room
 	for _, x := range h.live {
-		if x.observed.reports > 0 {
-			used = used.Plus(x.observed.used)
-		}
+		used = used.Plus(x.observed.used)
 	}
 	if float64(used.MemoryMiB) > memoryFullPart*float64(h.capacity.MemoryMiB) {
 		r.stopOverUser(h, memoryExcess, "used more memory than it declared on a full worker")
@@ -139,6 +147,16 @@
 	}
 }
 
+// outOfMemory reports whether the host's attempts, the one that just ended
+// included, were seen to use its memory up.
+func (h *host) outOfMemory(ended *running) bool {
+	used := ended.observed.used.MemoryMiB
+	for _, x := range h.live {
+		used += x.observed.used.MemoryMiB
+	}
+	return float64(used) > memoryFullPart*float64(h.capacity.MemoryMiB)
+}
+
 func cpuExcess(x *running) float64 {
 	return share(x.observed.used.CPUMillis, x.job.task.GetSpec().GetResources().GetCpuMillis())
 }
