A voter whose address changed joins again; limits under test

Cause: a voter found in the membership never told its new address, so that the others went on sending to the old one.

Change: Join returns only once the membership has the present address.

--- a/internal/consensus/core/core_test.go
+++ b/internal/consensus/core/core_test.go
@@ -290,6 +290,32 @@
 	require.Equal(t, uint64(3), c.Successor(), "2 is silent")
 }
 
+func TestCompactKeepsWhatALiveReplicaNeeds(t *testing.T) {
+	c := lead(t)
+	ack := message(egretmuxv1.MessageKind_MESSAGE_KIND_APPEND_REPLY, 2, 1, 2)
+	commit := func(count int) *egretmuxv1.SnapshotMeta {
+		for range count {
+			c.Propose([]byte("command"))
+		}
+		c.Output()
+		c.Persisted()
+		ack.Index = c.Status().Last
+		c.Step(ack)
+		c.Output()
+		return &egretmuxv1.SnapshotMeta{Index: c.Status().Commit, Term: 2}
+	}
+	behind := message(egretmuxv1.MessageKind_MESSAGE_KIND_APPEND_REPLY, 3, 1, 2)
+	behind.Index = 2
+	c.Step(behind)
+	meta := commit(50)
+	require.Equal(t, uint64(3), c.Compact(meta, meta.GetIndex()), "replica 3 holds entries up to 2")
+	for range electionTicks {
+		c.Tick()
+		c.Step(ack)
+	}
+	require.Equal(t, meta.GetIndex(), c.Compact(meta, meta.GetIndex()), "replica 3 is silent")
+}
+
 func TestOlderDiskIsNoticed(t *testing.T) {
 	c := core.New(config(1), formed(t, 1, 2, 3))
 	c.Step(message(egretmuxv1.MessageKind_MESSAGE_KIND_HEARTBEAT, 2, 1, 2))
--- a/internal/consensus/wal/damage_test.go
+++ b/internal/consensus/wal/damage_test.go
@@ -48,6 +48,27 @@
 	require.ErrorIs(t, log.Append(nil, []*egretmuxv1.Entry{entry(1, 1)}), wal.ErrStopped)
 }
 
+// TestSnapshotBeingSentIsKept saves newer snapshots while a replica reads one.
+func TestSnapshotBeingSentIsKept(t *testing.T) {
+	disk := standin.NewDisk()
+	log, _, err := wal.Open(disk)
+	require.NoError(t, err)
+	meta := func(index uint64) *egretmuxv1.SnapshotMeta { return &egretmuxv1.SnapshotMeta{Index: index, Term: 1} }
+	require.NoError(t, log.SaveSnapshot(meta(1), payload))
+	for i := uint64(2); i < 8; i++ {
+		_, _, err := log.ReadChunk(meta(1), 0, 4)
+		require.NoError(t, err)
+		require.NoError(t, log.SaveSnapshot(meta(i), payload))
+	}
+	require.NoError(t, log.SaveSnapshot(meta(8), payload))
+	require.NoError(t, log.SaveSnapshot(meta(9), payload))
+	_, _, err = log.ReadChunk(meta(1), 0, 4)
+	require.ErrorIs(t, err, wal.ErrNoSnapshot)
+	names, err := disk.List()
+	require.NoError(t, err)
+	require.Len(t, names, 3, "one segment and two snapshots")
+}
+
 // writeBatches writes one entry in each batch.
 func writeBatches(t *testing.T, d *datadriven.TestData, disk *standin.Disk) string {
 	t.Helper()
--- a/internal/voter/form_test.go
+++ b/internal/voter/form_test.go
@@ -198,3 +198,11 @@
 	require.Equal(t, promise{term: 4, vote: 1}, w.of(2))
 	require.Equal(t, promise{term: 4}, w.of(3))
 }
+
+func TestReplicaJoinsAgainUnderANewAddress(t *testing.T) {
+	m := &egretmuxv1.Membership{Replicas: []*egretmuxv1.Replica{{Id: 1, Address: "a"}, {Id: 2, Address: "b", Learner: true}}}
+	require.True(t, isVoter(m, &egretmuxv1.Replica{Id: 1, Address: "a"}))
+	require.False(t, isVoter(m, &egretmuxv1.Replica{Id: 1, Address: "c"}))
+	require.False(t, isVoter(m, &egretmuxv1.Replica{Id: 2, Address: "b"}))
+	require.False(t, isVoter(m, &egretmuxv1.Replica{Id: 3, Address: "a"}))
+}
--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -133,14 +133,14 @@
 	return &egretmuxv1.Replica{Id: v.id, Instance: v.settings.Instance, Address: v.settings.Cell.Address}
 }
 
-// Join makes the replica a voter if it is not one yet. It returns when the
-// replica votes, or when the context ends.
+// Join makes the replica a voter at its present address if it is not one yet.
+// It returns when it is, or when the context ends.
 func (v *Voter) Join(ctx context.Context, leader *peer.Leader) {
 	for ctx.Err() == nil {
-		if v.votes() {
+		if v.joined() {
 			return
 		}
-		if err := v.joinOnce(ctx, leader); err == nil && v.votes() {
+		if err := v.joinOnce(ctx, leader); err == nil && v.joined() {
 			v.logger.Info().Str("event", "replica_joined").Msg("")
 			return
 		}
@@ -151,11 +151,16 @@
 	}
 }
 
-func (v *Voter) votes() bool {
+func (v *Voter) joined() bool {
 	status, _ := v.node.Load().Status()
-	for _, r := range status.Membership.GetReplicas() {
-		if r.GetId() == v.id && !r.GetLearner() {
-			return true
+	return isVoter(status.Membership, v.replica())
+}
+
+// isVoter reports whether a membership has the replica as a voter at its address.
+func isVoter(m *egretmuxv1.Membership, self *egretmuxv1.Replica) bool {
+	for _, r := range m.GetReplicas() {
+		if r.GetId() == self.GetId() {
+			return !r.GetLearner() && r.GetAddress() == self.GetAddress()
 		}
 	}
 	return false
