Older disks in the random test

Cause: only scripted cases covered a disk that comes back older.

Change: the record of what other replicas promised is consensus.Witness, used by the voter and by the bench. The random test copies a disk and brings it back while the others have run ever since and can be asked.

--- a/internal/consensus/bench_test.go
+++ b/internal/consensus/bench_test.go
@@ -33,17 +33,21 @@
 
 // slot is one instance: a disk and the replica that runs on it, if any.
 type slot struct {
-	number   int
-	disk     *standin.Disk
-	node     *Node // nil when down
-	machine  *list
-	id       uint64
-	paused   bool
-	rate     int // tenths of a tick in each tick of the bench
-	credit   int
-	dying    bool  // the machine dies at a disk operation to come
-	failure  error // why the replica stopped by itself
-	observed core.Status
+	number                int
+	disk                  *standin.Disk
+	node                  *Node // nil when down
+	machine               *list
+	id                    uint64
+	paused                bool
+	rate                  int // tenths of a tick in each tick of the bench
+	credit                int
+	dying                 bool  // the machine dies at a disk operation to come
+	failure               error // why the replica stopped by itself
+	observed              core.Status
+	witness               *Witness // of the running process
+	backup                *standin.Disk
+	backupOf              uint64 // replica that the backup holds
+	savedAt, witnessSince int    // in starts of any replica
 }
 
 func (s *slot) instance() string { return fmt.Sprintf("i%d", s.number) }
@@ -64,6 +68,7 @@
 	reads   []pendingReadCheck
 	rng     *rand.Rand
 	served  int // reads answered
+	starts  int // of any replica
 }
 
 func newBench(t testT, voters int, seed uint64) *bench {
@@ -119,6 +124,14 @@
 		s.failure = err
 		return
 	}
+	if b.forgot(s, rec) {
+		b.loseDisk(s) // the data folder is set aside
+		b.start(s)
+		return
+	}
+	b.starts++
+	s.witness = NewWitness()
+	s.witnessSince = b.starts
 	log.SetSegmentBytes(benchSegment)
 	s.machine = &list{bench: b, Answers: make(map[string]int), applied: rec.Snapshot.GetIndex()}
 	node, err := NewNode(Config{
@@ -131,6 +144,45 @@
 	b.process(s)
 }
 
+// forgot asks the replicas that run and can be reached what they remember of
+// the one that starts.
+func (b *bench) forgot(s *slot, rec *wal.Recovered) bool {
+	for _, o := range b.slots {
+		reached := o.node != nil && !o.paused && !b.blocked[[2]int{s.number, o.number}] && !b.blocked[[2]int{o.number, s.number}]
+		if o != s && reached && o.witness.Of(s.id).Exceeds(rec) {
+			return true
+		}
+	}
+	return false
+}
+
+// save takes a copy of a slot's disk.
+func (b *bench) save(s *slot) {
+	s.backup = s.disk.Clone()
+	s.backupOf = s.id
+	s.savedAt = b.starts
+}
+
+// restore brings a copy of the disk back while all others run, can be reached
+// and have run ever since the copy was taken: they can tell that it is older.
+func (b *bench) restore(s *slot) {
+	if s.backup == nil || s.backupOf != s.id || !b.whole() {
+		return
+	}
+	for _, o := range b.slots {
+		if o == s {
+			continue
+		}
+		if o.node == nil || o.paused || o.witnessSince > s.savedAt || b.blocked[[2]int{s.number, o.number}] || b.blocked[[2]int{o.number, s.number}] {
+			return
+		}
+	}
+	b.stop(s)
+	s.dying = false
+	s.disk = s.backup.Clone()
+	b.start(s)
+}
+
 // stop ends the process; its disk keeps what was written, synced or not.
 func (b *bench) stop(s *slot) {
 	if s.node == nil {
@@ -242,6 +294,7 @@
 	if to.paused {
 		return true
 	}
+	to.witness.Observe([]*egretmuxv1.Message{p.message})
 	to.node.stepAll([]*egretmuxv1.Message{p.message})
 	b.process(to)
 	return false
@@ -264,6 +317,7 @@
 	}
 	for _, s := range b.slots {
 		if s.node != nil && len(groups[s]) > 0 {
+			s.witness.Observe(groups[s])
 			s.node.stepAll(groups[s])
 			b.process(s)
 		}
--- a/internal/consensus/fuzz_test.go
+++ b/internal/consensus/fuzz_test.go
@@ -61,6 +61,8 @@
 		{"disk fault", 1, f.diskFault},
 		{"die", 3, f.die},
 		{"contest", 3, f.contest},
+		{"save", 3, func(t *rapid.T) { f.b.save(f.slot(t)) }},
+		{"restore", 3, f.restore},
 		{"restart", 6, f.restart},
 		{"lose disk", 1, f.loseDisk},
 		{"clock", 1, f.clock},
@@ -204,6 +206,22 @@
 	}
 }
 
+// restore brings back a copy of a disk, taken earlier or a moment ago.
+func (f *faults) restore(t *rapid.T) {
+	s := f.slot(t)
+	if rapid.Bool().Draw(t, "recent") {
+		f.b.save(s)
+		f.propose(t)
+		f.contest(t)
+		f.run(t)
+	}
+	old := s.id
+	f.b.restore(s)
+	if s.id != old {
+		tally.restored++
+	}
+}
+
 // contest makes two replicas stand for election at the same time, in the same
 // term if they can.
 func (f *faults) contest(t *rapid.T) {
@@ -229,4 +247,4 @@
 }
 
 // tally counts what the random tests did, so that a run tells how much it tried.
-var tally struct{ checks, changes, reads, terms, losses, installs, snapshots, failures int }
+var tally struct{ checks, changes, reads, terms, losses, restored, installs, snapshots, failures int }
--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/consensus/core"
 )
 
@@ -35,3 +36,19 @@
 	require.NotContains(t, b.oracle.answers, mine.change)
 	require.Len(t, old.machine.Changes, 2)
 }
+
+func TestWitnessTakesOnlyPromises(t *testing.T) {
+	w := NewWitness()
+	w.Observe([]*egretmuxv1.Message{
+		{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_PRE_VOTE, From: 1, Term: 9},
+		{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY, From: 1, Term: 9},
+		{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_APPEND_REPLY, From: 1, Term: 3, Index: 7},
+		{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_APPEND_REPLY, From: 1, Term: 3, Index: 99, Reject: true},
+		{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_APPEND_REPLY, From: 1, Term: 2, Index: 50},
+		{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_VOTE_REPLY, From: 2, To: 1, Term: 4},
+		{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_VOTE_REPLY, From: 3, To: 1, Term: 4, Reject: true},
+	})
+	require.Equal(t, Promise{Term: 3, Index: 7}, w.Of(1))
+	require.Equal(t, Promise{Term: 4, Vote: 1}, w.Of(2))
+	require.Equal(t, Promise{Term: 4}, w.Of(3))
+}
--- a/internal/consensus/scenario_test.go
+++ b/internal/consensus/scenario_test.go
@@ -9,18 +9,16 @@
 	"github.com/cockroachdb/datadriven"
 
 	"github.com/egretmux/egretmux/internal/consensus/core"
-	"github.com/egretmux/egretmux/internal/standin"
 )
 
 // scenario runs the commands of one scenario file. Slots are named by their
 // number, "leader", or "follower" and "other" for the two that followed when
 // the cell was formed.
 type scenario struct {
-	b       *bench
-	names   map[string]*slot
-	backups map[int]*standin.Disk
-	next    int
-	mark    core.Status // of the leader, taken by the command mark
+	b     *bench
+	names map[string]*slot
+	next  int
+	mark  core.Status // of the leader, taken by the command mark
 }
 
 func TestScenarios(t *testing.T) {
@@ -70,11 +68,14 @@
 		s.b.loseDisk(at())
 	case "deliver-together":
 		s.b.deliverTogether()
-	case "backup":
-		s.backups[at().number] = at().disk.Clone()
+	case "save":
+		s.b.save(at())
 	case "restore":
+		s.b.restore(at())
+	case "restore-unasked":
 		s.b.stop(at())
-		at().disk = s.backups[at().number].Clone()
+		at().disk = at().backup.Clone()
+		s.b.start(at())
 	case "fill-disk":
 		at().disk.SetFree(intArg(t, d, "free"))
 	case "fail-syncs":
@@ -111,7 +112,6 @@
 
 func (s *scenario) form(t *testing.T, d *datadriven.TestData) string {
 	s.b = newBench(t, intArg(t, d, "voters"), uint64(intArg(t, d, "seed")))
-	s.backups = make(map[int]*standin.Disk)
 	s.next = 0
 	s.b.run(3 * benchElectionTicks)
 	s.names = map[string]*slot{"leader": s.b.leader()}
--- a/internal/voter/form.go
+++ b/internal/voter/form.go
@@ -131,17 +131,12 @@
 // data folder holds, as after a restored backup. Voters that do not answer, or
 // were restarted since, cannot tell.
 func (v *Voter) forgot(ctx context.Context) bool {
-	term, vote, last := v.recovered.Position()
 	for _, a := range v.askOthers(ctx) {
 		if a.err != nil {
 			continue
 		}
-		known := a.probe
-		switch {
-		case known.GetKnownTerm() > term:
-			return true
-		case known.GetKnownTerm() < term:
-		case known.GetKnownIndex() > last, known.GetKnownVote() != 0 && known.GetKnownVote() != vote:
+		promised := consensus.Promise{Term: a.probe.GetKnownTerm(), Index: a.probe.GetKnownIndex(), Vote: a.probe.GetKnownVote()}
+		if promised.Exceeds(v.recovered) {
 			return true
 		}
 	}
--- a/internal/voter/form_test.go
+++ b/internal/voter/form_test.go
@@ -183,22 +183,6 @@
 	return "set aside, new identity, joins"
 }
 
-func TestWitnessTakesOnlyPromises(t *testing.T) {
-	w := newWitness()
-	w.observe([]*egretmuxv1.Message{
-		{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_PRE_VOTE, From: 1, Term: 9},
-		{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY, From: 1, Term: 9},
-		{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_APPEND_REPLY, From: 1, Term: 3, Index: 7},
-		{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_APPEND_REPLY, From: 1, Term: 3, Index: 99, Reject: true},
-		{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_APPEND_REPLY, From: 1, Term: 2, Index: 50},
-		{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_VOTE_REPLY, From: 2, To: 1, Term: 4},
-		{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_VOTE_REPLY, From: 3, To: 1, Term: 4, Reject: true},
-	})
-	require.Equal(t, promise{term: 3, index: 7}, w.of(1))
-	require.Equal(t, promise{term: 4, vote: 1}, w.of(2))
-	require.Equal(t, promise{term: 4}, w.of(3))
-}
-
 func TestReplicaJoinsAgainUnderANewAddress(t *testing.T) {
 	m := &egretmuxv1.Membership{Replicas: []*egretmuxv1.Replica{{Id: 1, Address: "a"}, {Id: 2, Address: "b", Learner: true}}}
 	require.True(t, isVoter(m, &egretmuxv1.Replica{Id: 1, Address: "a"}))
--- a/internal/voter/restart_test.go
+++ b/internal/voter/restart_test.go
@@ -43,8 +43,8 @@
 	require.NoError(t, err)
 	told := func() bool {
 		for _, in := range cell {
-			p := in.voter.witness.of(old)
-			if p.term > saved.Term || p.term == saved.Term && p.index > saved.Last {
+			p := in.voter.witness.Of(old)
+			if p.Term > saved.Term || p.Term == saved.Term && p.Index > saved.Last {
 				return true
 			}
 		}
--- a/internal/voter/server.go
+++ b/internal/voter/server.go
@@ -33,11 +33,11 @@
 
 // Probe implements ConsensusService.
 func (v *Voter) Probe(_ context.Context, req *connect.Request[egretmuxv1.ProbeRequest]) (*connect.Response[egretmuxv1.ProbeResponse], error) {
-	known := v.witness.of(req.Msg.GetReplica())
+	known := v.witness.Of(req.Msg.GetReplica())
 	v.mu.Lock()
 	resp := &egretmuxv1.ProbeResponse{
 		Instance: v.settings.Instance, Replica: v.id, Empty: v.empty, Voters: v.voterAddresses(),
-		KnownTerm: known.term, KnownIndex: known.index, KnownVote: known.vote,
+		KnownTerm: known.Term, KnownIndex: known.Index, KnownVote: known.Vote,
 	}
 	v.mu.Unlock()
 	if node := v.node.Load(); node != nil {
@@ -64,7 +64,7 @@
 }
 
 func (v *Voter) receive(batch *egretmuxv1.StepRequest) {
-	v.witness.observe(batch.GetMessages())
+	v.witness.Observe(batch.GetMessages())
 	node := v.node.Load()
 	if node == nil {
 		return
--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -37,7 +37,7 @@
 	folder    *wal.Folder
 	log       *wal.Log
 	recovered *wal.Recovered
-	witness   *witness
+	witness   *consensus.Witness
 	ask       askFunc
 	node      atomic.Pointer[consensus.Node]
 	streams   streamSet
@@ -50,7 +50,7 @@
 
 // Open opens the data folder. Probe answers from then on; Start begins the replica.
 func Open(s *settings.Settings, d *peer.Dialer, logger zerolog.Logger) (*Voter, error) {
-	v := &Voter{settings: s, dialer: d, logger: logger, witness: newWitness()}
+	v := &Voter{settings: s, dialer: d, logger: logger, witness: consensus.NewWitness()}
 	v.ask = v.probe
 	var err error
 	if v.folder, err = wal.OpenFolder(s.DataFolder); err != nil {
