request path: grants follow demand, links have limits, honest retries

Cause: slots were a static split, connections had no limit per endpoint, a grant could be raised and lowered before the entry confirmed it, an entry whose lease had ended kept its grants, a retried request could be refused with "ran: no" after an earlier attempt may have run, and a cut answer of a keyed request lost its outcome.

Change: numbered grants that entries confirm; demand by service; max-min shares, moved through free slots only; late reporters and ended processes keep their part. Core decides per service without clock or I/O: levels, customers by weight, deadlines, shedding, ejection, retry budget. Links: limit by address, probes by OPTIONS *, questions about a request that stalls, and settling of slots whose request was given up. Entry: own headers stripped, upgrades refused, bodies share bounded memory, quota of requests in flight, outcome of keyed requests committed on every way out.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,9 +27,6 @@
 	"github.com/egretmux/egretmux/internal/voter"
 )
 
-// linkProgress is how long an exchange with an endpoint may make no progress.
-const linkProgress = 10 * time.Second
-
 // closeTimeout bounds the closing of each listener.
 const closeTimeout = 2 * time.Second
 
@@ -68,8 +65,11 @@
 	}, logger)
 	d.finder = peer.NewLeader(d.dialer, voterAddresses(s), d.leader.Address)
 	d.book = contract.NewBook()
-	d.routes = route.NewTable(s.Datacentre, s.MaxQueue)
-	d.links = link.NewPool(linkProgress)
+	d.links = link.NewPool(link.Dial)
+	d.routes = route.NewTable(route.Config{
+		Datacentre: s.Datacentre, Limit: s.MaxQueue, Links: d.links, Logger: logger,
+		Leased: func() bool { return d.relay.Lease().Valid() }, Wake: func() { d.relay.Wake() },
+	})
 	d.buildRelay()
 	d.buildEntry()
 	if err := d.listen(); err != nil {
@@ -142,6 +142,7 @@
 		}
 	}
 	loops.Go(func() { d.relay.Run(background) })
+	loops.Go(func() { d.links.Run(background) })
 	d.serve("control", d.controlHandler(), true)
 	d.serve("callers", d.callersHandler(), false)
 	d.logger.Info().Str("event", "instance_started").Str("datacentre", d.settings.Datacentre).Bool("voter", d.voter != nil).Msg("")
@@ -194,6 +195,7 @@
 // requests, and waits for those in flight.
 func (d *Daemon) drain(hurry <-chan struct{}) {
 	close(d.draining)
+	d.entry.Close()
 	d.logger.Info().Str("event", "readiness_dropped").Msg("")
 	if d.voter != nil {
 		d.handOver()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/xid"
 	"github.com/rs/zerolog"
 
@@ -51,9 +52,12 @@
 type Entry struct {
 	cfg      Config
 	inFlight atomic.Int64
+	bodies   atomic.Int64 // bytes of request bodies in memory
+	closing  atomic.Bool  // callers are told to close their connections
 	draining atomic.Bool
 	active   sync.WaitGroup
 	drainMu  sync.Mutex
+	quotas   sync.Map // of *atomic.Int64: requests in flight by customer
 }
 
 // New returns an Entry.
@@ -70,12 +74,17 @@
 	idempotent bool
 	key        string
 	body       []byte
+	sent       bool // a byte of it may have reached an endpoint
 }
 
 // ServeHTTP handles /service/{name}/...
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := xid.New().String()
 	w.Header().Set(link.RequestIDHeader, id)
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) // of the connection's last request
+	if e.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	if !e.enter() {
 		e.refuse(w, id, refusal.New(refusal.Draining, "send it to another instance", "this instance is shutting down").After(time.Second))
 		return
@@ -84,7 +93,12 @@
 	began := time.Now()
 	err := e.serve(w, r, id)
 	telemetry.ObserveSeconds("request", time.Since(began))
-	if err != nil {
+	var cut *cutError
+	switch {
+	case errors.As(err, &cut):
+		e.count(id, refusal.Of(err))
+		panic(http.ErrAbortHandler) // ends the connection, so that the caller sees the cut
+	case err != nil:
 		e.refuse(w, id, err)
 	}
 }
@@ -109,10 +123,14 @@
 // InFlight returns the number of requests being served.
 func (e *Entry) InFlight() int64 { return e.inFlight.Load() }
 
+// Close tells callers with each answer to close their connections.
+func (e *Entry) Close() { e.closing.Store(true) }
+
 // Drain refuses new requests and returns a channel that is closed when those
 // in flight have ended.
 func (e *Entry) Drain() <-chan struct{} {
 	e.drainMu.Lock()
+	e.closing.Store(true)
 	e.draining.Store(true)
 	e.drainMu.Unlock()
 	done := make(chan struct{})
@@ -134,17 +152,48 @@
 	if err != nil {
 		return err
 	}
-	if err := readBody(w, r, c, e.cfg.MaxBodyBytes); err != nil {
+	done, err := e.useQuota(c)
+	if err != nil {
+		return err
+	}
+	defer done()
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(c.deadline)
+	_ = control.SetWriteDeadline(c.deadline.Add(writeGrace))
+	if err := e.readBody(w, r, c); err != nil {
 		return err
 	}
+	defer e.bodies.Add(-int64(len(c.body)))
+	_ = control.SetReadDeadline(time.Time{})
 	if !c.idempotent && c.key != "" {
 		return e.serveOnce(w, r, c)
 	}
 	return e.forward(w, r, c)
 }
 
+// writeGrace is how long after a request's deadline its answer may be written.
+const writeGrace = 5 * time.Second
+
+// useQuota counts a request against its customer's quota of requests in flight.
+func (e *Entry) useQuota(c *call) (done func(), err error) {
+	v, ok := e.quotas.Load(c.customer.Customer)
+	if !ok {
+		v, _ = e.quotas.LoadOrStore(c.customer.Customer, new(atomic.Int64))
+	}
+	used := v.(*atomic.Int64)
+	limit := c.customer.Quota.InFlight
+	if n := used.Add(1); limit > 0 && n > int64(limit) {
+		used.Add(-1)
+		return nil, refusal.New(refusal.InFlightFull, "retry later, or raise in_flight in the contract", "customer %s has %d requests in flight here", c.customer.Customer, limit).After(time.Second)
+	}
+	return func() { used.Add(-1) }, nil
+}
+
 // admit checks the request against the customer's contract.
 func (e *Entry) admit(r *http.Request, id string) (*call, error) {
+	if r.Header.Get("Upgrade") != "" || r.Method == http.MethodConnect {
+		return nil, refusal.New(refusal.Invalid, "send plain HTTP requests", "connections cannot be upgraded or tunnelled")
+	}
 	token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	customer := e.cfg.Book.ByCredential(token)
 	if customer == nil {
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -9,16 +9,21 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/link"
 	"github.com/egretmux/egretmux/internal/refusal"
+	"github.com/egretmux/egretmux/internal/telemetry"
 )
 
 // Limits of requests that run at most once.
 const (
 	keptAnswerBytes = 16 << 10
 	endTimeout      = 5 * time.Second
+	endRetries      = 12
+	endPause        = 500 * time.Millisecond
 	maxKeyBytes     = 256
 )
 
@@ -46,7 +51,7 @@
 	defer cancel()
 	record := &egretmuxv1.RequestRecord{
 		Customer: c.customer.Customer, Key: c.key, BodyHash: hashCall(r, c), Instance: e.cfg.Instance,
-		Attempt: xxhash.Sum64String(c.id), Service: c.service,
+		Attempt: xxhash.Sum64String(c.id), Service: c.service, LimitMs: time.Until(c.deadline).Milliseconds(),
 	}
 	found, run, conflict, err := e.cfg.Attempts.Begin(ctx, record)
 	switch {
@@ -76,33 +81,80 @@
 
 // runOnce sends the request, then commits the outcome before the caller gets it.
 func (e *Entry) runOnce(w http.ResponseWriter, r *http.Request, c *call, record *egretmuxv1.RequestRecord) error {
-	answer := &recorder{header: make(http.Header)}
-	err := e.forward(answer, r, c)
-	record.Phase = egretmuxv1.RequestPhase_REQUEST_PHASE_DONE
-	switch {
-	case err != nil && refusal.Of(err).Ran == refusal.No:
-		record.Phase = egretmuxv1.RequestPhase_REQUEST_PHASE_NOT_RUN
-	case err != nil:
-		record.Phase = egretmuxv1.RequestPhase_REQUEST_PHASE_UNKNOWN
-	default:
-		record.Status = int32(answer.status)
-		if answer.body.Len() <= keptAnswerBytes {
-			record.Answer, _ = json.Marshal(keptAnswer{Header: answer.header, Body: answer.body.Bytes()})
-			record.AnswerKept = true
+	answer := &recorder{header: make(http.Header), to: w}
+	record.Phase = egretmuxv1.RequestPhase_REQUEST_PHASE_UNKNOWN // also when a panic ends the attempt
+	ended := false
+	end := func() {
+		if !ended {
+			ended = true
+			e.end(r.Context(), c, record)
 		}
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), endTimeout)
-	defer cancel()
-	if endErr := e.cfg.Attempts.End(ctx, record); endErr != nil {
-		e.cfg.Logger.Warn().Err(endErr).Str("event", "outcome_not_recorded").Str("request_id", c.id).Msg("")
+	defer end()
+	answer.overflow = func() {
+		record.Phase = egretmuxv1.RequestPhase_REQUEST_PHASE_DONE
+		record.Status = int32(answer.status)
+		end()
+	}
+	err := e.forward(answer, r, c)
+	if answer.passing {
+		return err
+	}
+	var cut *cutError
+	if errors.As(err, &cut) {
+		err = cut.cause // the caller has got nothing yet
 	}
+	record.Phase = outcomeOf(err)
 	if err != nil {
+		end()
 		return err
 	}
-	answer.replay(w)
+	record.Status = int32(answer.status)
+	record.Answer, _ = json.Marshal(keptAnswer{Header: answer.header, Body: answer.body.Bytes()})
+	record.AnswerKept = true
+	end()
+	answer.replay()
 	return nil
 }
 
+func outcomeOf(err error) egretmuxv1.RequestPhase {
+	switch {
+	case err == nil:
+		return egretmuxv1.RequestPhase_REQUEST_PHASE_DONE
+	case refusal.Of(err).Ran == refusal.No:
+		return egretmuxv1.RequestPhase_REQUEST_PHASE_NOT_RUN
+	}
+	return egretmuxv1.RequestPhase_REQUEST_PHASE_UNKNOWN
+}
+
+// end commits an outcome. When the leader cannot be reached in time, it goes
+// on trying in the background; until then the key reads as in progress.
+func (e *Entry) end(ctx context.Context, c *call, record *egretmuxv1.RequestRecord) {
+	if e.tryEnd(ctx, c, record) {
+		return
+	}
+	record = proto.CloneOf(record)
+	go func() {
+		for range endRetries {
+			time.Sleep(endPause)
+			if e.tryEnd(context.Background(), c, record) {
+				return
+			}
+		}
+	}()
+}
+
+func (e *Entry) tryEnd(ctx context.Context, c *call, record *egretmuxv1.RequestRecord) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
+	defer cancel()
+	err := e.cfg.Attempts.End(ctx, record)
+	if err != nil {
+		telemetry.Count("outcomes_not_recorded_total")
+		e.cfg.Logger.Warn().Err(err).Str("event", "outcome_not_recorded").Str("request_id", c.id).Msg("")
+	}
+	return err == nil
+}
+
 // repeatAnswer gives the first outcome again.
 func (e *Entry) repeatAnswer(w http.ResponseWriter, record *egretmuxv1.RequestRecord) error {
 	switch record.GetPhase() {
@@ -126,28 +178,55 @@
 	return refusal.NewUnknown(refusal.OutcomeUnknown, "ask the service whether it ran; use a new key only if it did not", "the request may have run and its answer is lost")
 }
 
-// recorder holds an answer until its outcome is committed.
+// recorder holds an answer until its outcome is committed. One that is too
+// long to keep is passed on after overflow has committed that it ran.
 type recorder struct {
-	header http.Header
-	status int
-	body   bytes.Buffer
+	header   http.Header
+	status   int
+	body     bytes.Buffer
+	to       http.ResponseWriter
+	overflow func()
+	passing  bool
 }
 
 // Header implements http.ResponseWriter.
-func (r *recorder) Header() http.Header { return r.header }
+func (r *recorder) Header() http.Header {
+	if r.passing {
+		return r.to.Header() // for trailers
+	}
+	return r.header
+}
 
 // WriteHeader implements http.ResponseWriter.
 func (r *recorder) WriteHeader(status int) { r.status = status }
 
 // Write implements http.ResponseWriter.
-func (r *recorder) Write(p []byte) (int, error) { return r.body.Write(p) }
+func (r *recorder) Write(p []byte) (int, error) {
+	if r.passing {
+		return r.to.Write(p)
+	}
+	if r.body.Len()+len(p) <= keptAnswerBytes {
+		return r.body.Write(p)
+	}
+	r.overflow()
+	r.replay()
+	r.passing = true
+	return r.to.Write(p)
+}
+
+// Flush implements http.Flusher.
+func (r *recorder) Flush() {
+	if r.passing {
+		_ = http.NewResponseController(r.to).Flush()
+	}
+}
 
-func (r *recorder) replay(w http.ResponseWriter) {
+func (r *recorder) replay() {
 	for name, values := range r.header {
 		if name != link.RequestIDHeader {
-			w.Header()[name] = values
+			r.to.Header()[name] = values
 		}
 	}
-	w.WriteHeader(r.status)
-	_, _ = w.Write(r.body.Bytes())
+	r.to.WriteHeader(r.status)
+	_, _ = r.to.Write(r.body.Bytes())
 }
--- a/internal/entry/refuse.go
+++ b/internal/entry/refuse.go
@@ -22,8 +22,7 @@
 // refuse answers with a typed refusal and counts it.
 func (e *Entry) refuse(w http.ResponseWriter, id string, err error) {
 	f := refusal.Of(err)
-	telemetry.CountRefusal(f)
-	e.cfg.Logger.Info().Err(f).Str("event", "request_refused").Str("request_id", id).Str("kind", string(f.Kind)).Str("ran", string(f.Ran)).Msg("")
+	e.count(id, f)
 	if f.RetryAfter > 0 {
 		seconds := (f.RetryAfter + time.Second - 1) / time.Second
 		w.Header().Set("Retry-After", strconv.Itoa(int(seconds)))
@@ -34,3 +33,18 @@
 		Kind: string(f.Kind), Ran: string(f.Ran), Message: f.Message, Remedy: f.Remedy, RequestID: id,
 	})
 }
+
+// count counts and logs a refusal.
+func (e *Entry) count(id string, f *refusal.Error) {
+	telemetry.CountRefusal(f)
+	e.cfg.Logger.Info().Err(f).Str("event", "request_refused").Str("request_id", id).Str("kind", string(f.Kind)).Str("ran", string(f.Ran)).Msg("")
+}
+
+// cutError is a failure after the first byte of the answer went to the caller.
+type cutError struct{ cause error }
+
+// Error implements error.
+func (c *cutError) Error() string { return "answer cut: " + c.cause.Error() }
+
+// Unwrap returns the refusal that tells why.
+func (c *cutError) Unwrap() error { return c.cause }
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -83,7 +83,10 @@
 func (t *tenure) entriesKnown(now time.Time) bool {
 	for _, in := range t.store.Instances() {
 		s := t.sessions[in.GetId()]
-		if (s == nil || !s.complete) && t.leaseMayHold(in.GetId(), now) {
+		if s == nil && now.Sub(t.started) <= outlast(t.leader.timing.EntryLease)+t.leader.timing.RequestLimit {
+			return false
+		}
+		if s != nil && !s.complete && t.leaseMayHold(in.GetId(), now) {
 			return false
 		}
 	}
@@ -139,6 +142,7 @@
 	if s == nil || s.incarnation != req.GetIncarnation() {
 		if s != nil {
 			s.wakeUp()
+			t.endpoints.Restart(id, now.Add(t.leader.timing.RequestLimit))
 		}
 		s = newSession(req.GetInstance(), req.GetIncarnation())
 		t.sessions[id] = s
@@ -153,7 +157,7 @@
 	if req.GetLeaving() {
 		return nil
 	}
-	t.endpoints.AddEntry(id)
+	t.endpoints.AddEntry(id, req.GetInstance().GetDatacentre())
 	changed := false
 	for _, e := range req.GetEndpoints() {
 		changed = t.endpoints.Announce(e, now) || changed
--- a/internal/leader/tenure.go
+++ b/internal/leader/tenure.go
@@ -65,7 +65,7 @@
 		queue:     make(map[uint64]*egretmuxv1.Task),
 		commands:  make(map[uint64]*command),
 	}
-	t.endpoints.Recovering = true
+	t.endpoints.Term, t.endpoints.Recovering = term, true
 	return t
 }
 
@@ -241,9 +241,8 @@
 	}
 	t.expireEntries(now)
 	changed := false
-	if t.endpoints.Recovering && t.entriesKnown(now) {
-		t.endpoints.Recovering = false
-		changed = true
+	if t.endpoints.Recovering {
+		changed = t.recoverGrants(now)
 	}
 	changed = t.endpoints.Expire(now) || changed
 	changed = t.endpoints.Rebalance() || changed
@@ -259,6 +258,25 @@
 	}
 }
 
+// grantRecovery is how long a new leader waits for all entries to report
+// before it shares out the part of the slots that it knows of.
+const grantRecovery = 2 * time.Second
+
+// recoverGrants starts the sharing of slots once the entries' holdings are
+// known. What entries that have not reported may hold stays theirs.
+func (t *tenure) recoverGrants(now time.Time) bool {
+	switch {
+	case t.entriesKnown(now):
+		t.endpoints.Recovered(time.Time{})
+	case now.Sub(t.started) > grantRecovery:
+		timing := t.leader.timing
+		t.endpoints.Recovered(t.started.Add(outlast(timing.EntryLease) + timing.RequestLimit))
+	default:
+		return false
+	}
+	return true
+}
+
 // silentWorkers returns the workers whose leases have certainly ended.
 func (t *tenure) silentWorkers(now time.Time) []*egretmuxv1.Worker {
 	var lost []*egretmuxv1.Worker
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -1,238 +1,191 @@
 // Package route chooses the endpoint of each request and decides who waits.
+// Core makes the decisions for one service; Table keeps one for each service
+// and adds locks, clocks and the exchange of grants with the leader.
 package route
 
 import (
 	"context"
-	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/rs/zerolog"
+
 	"github.com/egretmux/egretmux/internal/refusal"
+	"github.com/egretmux/egretmux/internal/telemetry"
 )
 
-// Endpoint is one endpoint and this instance's grant on it.
-type Endpoint struct {
-	ID         string
-	Service    string
-	Address    string
-	Datacentre string
-	Epoch      uint64
-
-	slots   int32 // granted
-	links   int32
-	busy    int32
-	leaving bool
-	told    int32 // held as last reported
-	wanted  int32
+// Links limits the connections to endpoints.
+type Links interface {
+	// Limit sets how many connections may be open to an address and closes idle ones beyond it.
+	Limit(address string, limit int32)
+	// Open returns how many connections to an address are or may still be open.
+	Open(address string) int32
 }
 
-// Slot is the right to send one request to an endpoint.
-type Slot struct {
-	Endpoint *Endpoint
-	Links    int32 // connections this instance may have open to it
-	table    *Table
+// Config holds the parts and limits of a Table.
+type Config struct {
+	Datacentre string
+	Limit      int // waiting requests of a service
+	Links      Links
+	Leased     func() bool // whether the instance's lease holds; nil: always
+	Wake       func()      // asks for a report to the leader at once; may be nil
+	Logger     zerolog.Logger
 }
 
 // Table holds the endpoints of all services as this instance may use them.
 type Table struct {
-	datacentre string
-	limit      int // waiting requests
+	cfg Config
 
-	mu       sync.Mutex
+	mu       sync.RWMutex // of the maps and the exchange with the leader
+	services map[string]*shard
 	byID     map[string]*Endpoint
-	services map[string][]*Endpoint
-	waiting  map[string][]*waiter
-	queued   int
-	next     int
+	term     uint64 // newest term of a grant
+	revision uint64
 }
 
-type waiter struct {
-	atOnce bool
-	ready  chan *Slot
+// shard is one service under its own lock.
+type shard struct {
+	mu     sync.Mutex
+	core   *Core
+	told   int32 // demand as last reported
+	wanted atomic.Bool
 }
 
-// NewTable returns an empty table of an instance in the given data centre
-// that lets at most limit requests wait.
-func NewTable(datacentre string, limit int) *Table {
-	return &Table{
-		datacentre: datacentre, limit: limit, byID: make(map[string]*Endpoint),
-		services: make(map[string][]*Endpoint), waiting: make(map[string][]*waiter),
-	}
+// NewTable returns an empty table.
+func NewTable(cfg Config) *Table {
+	return &Table{cfg: cfg, services: make(map[string]*shard), byID: make(map[string]*Endpoint)}
 }
 
-// Update implements relay.Endpoints.
-func (t *Table) Update(states []*egretmuxv1.EndpointState) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	changed := make(map[string]bool)
-	for _, s := range states {
-		e := t.byID[s.GetId()]
-		if e == nil {
-			e = &Endpoint{ID: s.GetId(), told: -1}
-			t.byID[s.GetId()] = e
-			t.services[s.GetService()] = append(t.services[s.GetService()], e)
-		}
-		e.Service, e.Address, e.Datacentre, e.Epoch = s.GetService(), s.GetAddress(), s.GetDatacentre(), s.GetEpoch()
-		e.leaving = s.GetLeaving()
-		if s.GetSlots() >= 0 {
-			e.slots, e.links = s.GetSlots(), s.GetLinks()
-			e.told = -1 // the leader waits for a confirmation
-		}
-		changed[e.Service] = true
-	}
-	for service := range changed {
-		t.hand(service)
-	}
-}
-
-// Holdings implements relay.Endpoints.
-func (t *Table) Holdings(full bool) []*egretmuxv1.GrantHolding {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []*egretmuxv1.GrantHolding
-	for _, e := range t.byID {
-		held := max(e.slots, e.busy)
-		wanted := e.busy + int32(len(t.waiting[e.Service]))
-		if !full && held == e.told && (wanted > 0) == (e.wanted > 0) {
-			continue
-		}
-		e.told, e.wanted = held, wanted
-		out = append(out, &egretmuxv1.GrantHolding{Endpoint: e.ID, EndpointEpoch: e.Epoch, Held: held, Wanted: wanted})
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].GetEndpoint() < out[j].GetEndpoint() })
-	return out
+// Slot is the right to send one request to an endpoint.
+type Slot struct {
+	Endpoint *Endpoint
+	shard    *shard
+	table    *Table
+	atOnce   bool
+	since    time.Time
+	released atomic.Bool
 }
 
-// Request is what the choice of an endpoint depends on.
-type Request struct {
-	Service  string
-	AtOnce   bool
-	Deadline time.Time
-	Avoid    []string // endpoints that this request was tried on before
+func (t *Table) shard(service string) *shard {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.services[service]
 }
 
 // Acquire returns a slot, waiting for one until the deadline.
 func (t *Table) Acquire(ctx context.Context, r Request) (*Slot, error) {
-	t.mu.Lock()
-	if len(t.services[r.Service]) == 0 {
-		t.mu.Unlock()
-		return nil, refusal.New(refusal.NoService, "check the name, or wait for its endpoints to announce themselves", "no endpoint of service %s is known", r.Service)
+	s := t.shard(r.Service)
+	if s == nil {
+		return nil, refusal.New(refusal.NoService, "check the name, or wait for its endpoints to announce themselves", "no endpoint of service %s is known", r.Service).After(minRetryAfter)
 	}
-	if e := t.choose(r.Service, r.Avoid); e != nil {
-		defer t.mu.Unlock()
-		return t.take(e), nil
+	now := time.Now()
+	s.mu.Lock()
+	e, w, err := s.core.Acquire(now, &r)
+	short := w != nil || s.core.demand() > s.told && s.core.demand()*headroom > s.core.slots()*(headroom-1)
+	s.mu.Unlock()
+	if short && !s.wanted.Swap(true) {
+		t.wake()
 	}
-	if t.queued >= t.limit {
-		t.mu.Unlock()
-		return nil, refusal.New(refusal.QueueFull, "retry later or spread the load", "too many requests wait at this instance").After(time.Second)
+	switch {
+	case err != nil:
+		return nil, err
+	case e != nil:
+		return t.slot(s, e, &r, now), nil
 	}
-	w := &waiter{atOnce: r.AtOnce, ready: make(chan *Slot, 1)}
-	t.waiting[r.Service] = append(t.waiting[r.Service], w)
-	t.queued++
-	t.mu.Unlock()
-	return t.await(ctx, r, w)
+	return t.await(ctx, s, &r, w)
 }
 
-func (t *Table) await(ctx context.Context, r Request, w *waiter) (*Slot, error) {
+// headroom: more slots are asked for when one in this many is left.
+const headroom = 8
+
+func (t *Table) wake() {
+	if t.cfg.Wake != nil {
+		t.cfg.Wake()
+	}
+}
+
+func (t *Table) slot(s *shard, e *Endpoint, r *Request, now time.Time) *Slot {
+	return &Slot{Endpoint: e, shard: s, table: t, atOnce: r.AtOnce, since: now}
+}
+
+func (t *Table) await(ctx context.Context, s *shard, r *Request, w *Waiter) (*Slot, error) {
 	timer := time.NewTimer(time.Until(r.Deadline))
 	defer timer.Stop()
 	select {
-	case s := <-w.ready:
-		return s, nil
+	case o := <-w.ready:
+		return t.granted(s, r, o)
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	t.mu.Lock()
-	if !t.withdraw(r.Service, w) {
-		t.mu.Unlock()
-		(<-w.ready).Release()
-	} else {
-		t.mu.Unlock()
+	s.mu.Lock()
+	withdrawn := s.core.Withdraw(w)
+	s.mu.Unlock()
+	if !withdrawn {
+		if slot, err := t.granted(s, r, <-w.ready); err == nil {
+			slot.Release(Neutral)
+		}
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil && time.Now().Before(r.Deadline) {
 		return nil, refusal.New(refusal.Cancelled, "", "the caller gave up").Because(ctx.Err())
 	}
-	return nil, refusal.New(refusal.DeadlinePassed, "allow more time or retry later", "no endpoint of %s was free before the deadline", r.Service).After(time.Second)
+	return nil, refusal.New(refusal.DeadlinePassed, "allow more time or retry later", "no endpoint of %s was free before the deadline", r.Service).After(minRetryAfter)
 }
 
-func (t *Table) withdraw(service string, w *waiter) bool {
-	list := t.waiting[service]
-	for i, x := range list {
-		if x == w {
-			t.waiting[service] = append(list[:i:i], list[i+1:]...)
-			t.queued--
-			return true
-		}
-	}
-	return false
-}
-
-// choose returns the endpoint with the most free slots, near ones first.
-func (t *Table) choose(service string, avoid []string) *Endpoint {
-	var best *Endpoint
-	list := t.services[service]
-	t.next++
-	for i := range list {
-		e := list[(i+t.next)%len(list)]
-		if e.leaving || e.busy >= e.slots || contains(avoid, e.ID) {
-			continue
-		}
-		if best == nil || t.better(e, best) {
-			best = e
-		}
+func (t *Table) granted(s *shard, r *Request, o outcome) (*Slot, error) {
+	if o.err != nil {
+		return nil, o.err
 	}
-	return best
+	return t.slot(s, o.endpoint, r, time.Now()), nil
 }
 
-func (t *Table) better(a, b *Endpoint) bool {
-	nearA, nearB := a.Datacentre == t.datacentre, b.Datacentre == t.datacentre
-	if nearA != nearB {
-		return nearA
+// Release gives the slot back. It must be called only when the endpoint does
+// not work on the request any more.
+func (s *Slot) Release(r Result) {
+	if s.released.Swap(true) {
+		return
 	}
-	return a.slots-a.busy > b.slots-b.busy
-}
-
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
+	now := time.Now()
+	used := now.Sub(s.since)
+	c := s.shard.core
+	s.shard.mu.Lock()
+	c.Release(s.Endpoint, s.atOnce, used)
+	c.note(now, s.Endpoint, r, used, s.atOnce)
+	c.Dispatch(now)
+	events := c.events
+	c.events = nil
+	s.shard.mu.Unlock()
+	s.table.report(events)
+}
+
+// Released reports whether the slot was given back.
+func (s *Slot) Released() bool { return s.released.Load() }
+
+// Note records the result of an attempt whose slot is still in use.
+func (s *Slot) Note(r Result) {
+	now := time.Now()
+	s.shard.mu.Lock()
+	s.shard.core.note(now, s.Endpoint, r, now.Sub(s.since), s.atOnce)
+	events := s.shard.core.events
+	s.shard.core.events = nil
+	s.shard.mu.Unlock()
+	s.table.report(events)
+}
+
+func (t *Table) report(events []Event) {
+	for _, ev := range events {
+		telemetry.Count(ev.Name + "_total")
+		t.cfg.Logger.Info().Str("event", ev.Name).Str("endpoint", ev.Endpoint).Msg("")
 	}
-	return false
-}
-
-func (t *Table) take(e *Endpoint) *Slot {
-	e.busy++
-	return &Slot{Endpoint: e, Links: e.links, table: t}
 }
 
-// hand gives free slots to those who wait, at-once work first.
-func (t *Table) hand(service string) {
-	for len(t.waiting[service]) > 0 {
-		e := t.choose(service, nil)
-		if e == nil {
-			return
-		}
-		list := t.waiting[service]
-		pick := 0
-		for i, w := range list {
-			if w.atOnce {
-				pick = i
-				break
-			}
-		}
-		w := list[pick]
-		t.waiting[service] = append(list[:pick:pick], list[pick+1:]...)
-		t.queued--
-		w.ready <- t.take(e)
+// MayRetry takes one retry off the service's budget and reports whether there was one.
+func (t *Table) MayRetry(service string) bool {
+	s := t.shard(service)
+	if s == nil {
+		return false
 	}
-}
-
-// Release gives the slot back.
-func (s *Slot) Release() {
-	s.table.mu.Lock()
-	defer s.table.mu.Unlock()
-	s.Endpoint.busy--
-	s.table.hand(s.Endpoint.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.spendRetry()
 }
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -34,6 +34,7 @@
 	busy     atomic.Int32
 	peak     atomic.Int32
 	active   sync.WaitGroup
+	running  sync.Map // ids of requests being worked on
 	Requests atomic.Int64
 }
 
@@ -63,7 +64,7 @@
 		return err
 	}
 	e.cfg.Address = listener.Addr().String()
-	server := &http.Server{Handler: e, ReadHeaderTimeout: announceTimeout}
+	server := &http.Server{Handler: e, ReadHeaderTimeout: announceTimeout, DisableGeneralOptionsHandler: true}
 	go func() { _ = server.Serve(listener) }()
 	defer func() { _ = server.Close() }()
 	ticker := time.NewTicker(announcePeriod)
@@ -100,6 +101,12 @@
 	defer e.active.Done()
 	id := r.Header.Get(link.RequestIDHeader)
 	w.Header().Set(link.RequestIDHeader, id)
+	if r.Method == http.MethodOptions && r.RequestURI == "*" {
+		e.answerProbe(w, r)
+		return
+	}
+	e.running.Store(id, true)
+	defer e.running.Delete(id)
 	busy := e.busy.Add(1)
 	defer e.busy.Add(-1)
 	if busy > e.cfg.Slots {
@@ -129,6 +136,15 @@
 	_ = json.NewEncoder(w).Encode(echo)
 }
 
+// answerProbe tells whether a request is being worked on.
+func (e *Endpoint) answerProbe(w http.ResponseWriter, r *http.Request) {
+	state := "no"
+	if _, ok := e.running.Load(r.Header.Get(link.QueryHeader)); ok {
+		state = "yes"
+	}
+	w.Header().Set(link.RunningHeader, state)
+}
+
 func (e *Endpoint) notePeak(busy int32) {
 	for {
 		old := e.peak.Load()
--- a/internal/state/requests.go
+++ b/internal/state/requests.go
@@ -106,6 +106,12 @@
 		return &Result{Request: old, Err: refusal.New(refusal.KeyConflict, "use a new Idempotency-Key for another request",
 			"key %s was used for another request", r.GetKey())}
 	}
+	if old != nil && s.abandoned(old) {
+		old = clone(old)
+		old.Phase = egretmuxv1.RequestPhase_REQUEST_PHASE_UNKNOWN
+		old.EndedUnixMs = s.now
+		s.requests.put(old)
+	}
 	if old != nil && old.GetPhase() != egretmuxv1.RequestPhase_REQUEST_PHASE_NOT_RUN {
 		// The same attempt again is an answer to the entry that lost the first one.
 		return &Result{Request: old, Run: old.GetPhase() == egretmuxv1.RequestPhase_REQUEST_PHASE_BEGUN && old.GetAttempt() == r.GetAttempt()}
@@ -117,6 +123,15 @@
 	return &Result{Request: next, Run: true}
 }
 
+// endGraceMs is how long after a request's deadline its entry may still commit the outcome.
+const endGraceMs = 30_000
+
+// abandoned reports whether the entry that began a request must have ended
+// without committing an outcome. Its request may have run.
+func (s *Store) abandoned(r *egretmuxv1.RequestRecord) bool {
+	return r.GetPhase() == egretmuxv1.RequestPhase_REQUEST_PHASE_BEGUN && s.now > r.GetBegunUnixMs()+r.GetLimitMs()+endGraceMs
+}
+
 // endRequest records the outcome of an attempt; the first outcome stays.
 func (s *Store) endRequest(c *egretmuxv1.EndRequest) *Result {
 	old := s.requests.get(requestKey{c.GetCustomer(), c.GetKey()})
