grants: seal endpoints after a leader change; model of grants against lost and late messages

Cause: the model found that a new leader adopted stale reports, that requests of ended processes were forgotten on a leader change, that an entry whose lease had ended could get an old grant by a watch answered late, and that lowering slots could raise connections.

Change: numbers of grants seal an endpoint per entry before its slots move; slots nobody reported stay taken until old requests have ended, or until the endpoint tells how many are in use; a watch without a lease is refused. TestModelGrantsAreNeverOversold runs the leader's and entries' real tables.

Conclusion: slots and connections stay within limits through restarts, ended leases and leader changes, as far as the model reaches.

--- a/internal/endpoint/grant.go
+++ b/internal/endpoint/grant.go
@@ -22,6 +22,7 @@
 	highLinks int32
 	sequence  uint64 // number of the newest target
 	version   uint64 // of the table when the target last changed
+	sealed    bool   // the entry has applied a number of this term, so it accepts no older grant
 }
 
 // possible returns the most slots that the entry may be using.
@@ -55,19 +56,19 @@
 		en.demand[h.GetService()] = h.GetWanted()
 		return
 	}
-	if !en.fenced && h.GetGrant()>>termShift >= t.Term {
-		en.fenced = true
-		en.fencedBy = h.GetRevision()
-	}
+	e := t.byID[h.GetEndpoint()]
 	g := t.grantOf(h.GetEndpoint(), name)
-	t.explain(h.GetEndpoint(), h.GetHeld()-g.held, h.GetLinks()-g.heldLinks)
 	g.held, g.heldLinks = h.GetHeld(), h.GetLinks()
 	if h.GetGrant() >= g.sequence {
 		g.high, g.highLinks = 0, 0
 	}
 	switch {
-	case t.Recovering || !en.fenced || en.fencedBy == h.GetRevision():
+	case !g.sealed && !en.fresh:
+		g.sealed = h.GetGrant()>>termShift >= t.Term
 		g.target, g.links = g.held, g.heldLinks
+		if e != nil && t.sealed(e) {
+			t.reserveUnknown(e)
+		}
 	case h.GetGrant() >= g.sequence && g.held < g.target:
 		t.renew(g) // the entry gave its grant up when its lease ended
 	}
@@ -84,41 +85,54 @@
 const unknownEntries = "/unknown"
 
 // Recovered ends the recovery. Slots that no entry has reported stay taken
-// until the given time, because entries that have not reported may use them;
-// the zero time tells that all have.
-func (t *Table) Recovered(unknownUntil time.Time) {
+// until requestsEnd, because entries that have not reported, or processes that
+// ended under an earlier leader, may still use them. After leasesEnd no entry
+// begins anything with them, so endpoints that tell how many slots are in use
+// free the others. A zero requestsEnd tells that the cell is new.
+func (t *Table) Recovered(leasesEnd, requestsEnd time.Time) {
 	t.Recovering = false
-	for _, e := range t.byID {
-		t.touch(e)
+	if !requestsEnd.IsZero() {
+		t.past = append(t.past, past{name: unknownEntries, until: requestsEnd})
 	}
-	if unknownUntil.IsZero() {
-		return
-	}
-	t.past = append(t.past, past{name: unknownEntries, until: unknownUntil})
+	t.leasesEnd = leasesEnd
 	for _, e := range t.byID {
+		t.touch(e)
 		t.reserveUnknown(e)
 	}
 }
 
 // reserveUnknown takes the slots of an endpoint that no entry has reported
-// while there may be entries that have not reported.
+// while somebody unknown may use them.
 func (t *Table) reserveUnknown(e *Endpoint) {
 	if t.Recovering || !t.incomplete() {
 		return
 	}
+	old := e.grants[unknownEntries]
+	if !t.sealed(e) {
+		if old == nil {
+			e.grants[unknownEntries] = &grant{held: e.capacity(), heldLinks: e.Report.GetLinks()}
+		}
+		return
+	}
+	delete(e.grants, unknownEntries)
 	slots, links := e.free()
-	e.grants[unknownEntries] = &grant{held: max(0, slots), heldLinks: max(0, links)}
+	g := &grant{held: max(0, slots), heldLinks: max(0, links)}
+	if old != nil {
+		g.held, g.heldLinks = min(g.held, old.held), min(g.heldLinks, old.heldLinks)
+	}
+	e.grants[unknownEntries] = g
 }
 
-// explain takes what an entry reported late off the unknown part.
-func (t *Table) explain(id string, slots, links int32) {
-	e := t.byID[id]
-	if e == nil || e.grants[unknownEntries] == nil {
-		return
-	}
+// freeUnknown frees the slots of unknown entries that the endpoint says are
+// not in use. It returns whether there were any.
+func (t *Table) freeUnknown(e *Endpoint, now time.Time) bool {
 	g := e.grants[unknownEntries]
-	g.held = max(0, g.held-max(0, slots))
-	g.heldLinks = max(0, g.heldLinks-max(0, links))
+	if g == nil || !e.Report.GetTellsBusy() || !now.After(t.leasesEnd) || g.held <= e.Report.GetBusy() {
+		return false
+	}
+	g.held = e.Report.GetBusy()
+	g.heldLinks = g.held
+	return true
 }
 
 // incomplete reports whether there may be entries that have not reported yet.
@@ -131,10 +145,11 @@
 	return t.Recovering
 }
 
-// allFenced reports whether no entry can still apply a grant of an older term.
-func (t *Table) allFenced() bool {
-	for _, en := range t.entries {
-		if en.member && !en.fenced {
+// sealed reports whether no entry can still apply a grant of an older term to
+// the endpoint. Until then its grants stay as they are.
+func (t *Table) sealed(e *Endpoint) bool {
+	for name, en := range t.entries {
+		if en.member && !en.fresh && !e.grant(name).sealed {
 			return false
 		}
 	}
--- a/internal/endpoint/share.go
+++ b/internal/endpoint/share.go
@@ -25,13 +25,16 @@
 // It returns whether any target changed.
 func (t *Table) Rebalance() bool {
 	entries := t.members()
-	if len(entries) == 0 || t.Recovering || !t.allFenced() {
+	if len(entries) == 0 || t.Recovering {
 		return false
 	}
 	before := t.version
 	services := make(map[string][]*Endpoint)
 	for _, id := range t.ids() {
 		e := t.byID[id]
+		if !t.sealed(e) {
+			continue
+		}
 		if e.Leaving {
 			t.withdraw(e)
 			continue
@@ -153,7 +156,7 @@
 
 func (s *share) lower(e *Endpoint, name string, less int32) {
 	g := e.grant(name)
-	s.table.set(e, g, g.target-less, (g.target-less)*e.linksPerSlot())
+	s.table.set(e, g, g.target-less, min(g.links, (g.target-less)*e.linksPerSlot()))
 	s.current[name] -= less
 }
 
--- a/internal/endpoint/table.go
+++ b/internal/endpoint/table.go
@@ -40,13 +40,14 @@
 	places  map[string]string            // datacentre by entry
 	past    []past
 	version uint64
+
+	leasesEnd time.Time // after it no entry uses a grant that this leader does not know of
 }
 
 // entry is what the leader knows of one entry.
 type entry struct {
-	member   bool   // may get new grants
-	fenced   bool   // has applied a grant of this term, so it accepts no older one
-	fencedBy uint64 // revision of the report that told so
+	member   bool // may get new grants
+	fresh    bool // joined when no grant of an older term could be valid
 	revision uint64
 	demand   map[string]int32 // by service
 }
@@ -87,9 +88,10 @@
 		}
 		delete(t.orphans, r.GetId())
 		t.byID[r.GetId()] = e
-		defer t.reserveUnknown(e)
+		e.Report = r
+		t.reserveUnknown(e)
 	}
-	changed := e.Report == nil || e.Leaving != r.GetLeaving() || e.Report.GetAddress() != r.GetAddress() ||
+	changed := e.version == 0 || e.Leaving != r.GetLeaving() || e.Report.GetAddress() != r.GetAddress() ||
 		e.Report.GetSlots() != r.GetSlots() || e.Report.GetLinks() != r.GetLinks() || e.Report.GetEpoch() != r.GetEpoch()
 	e.Report = r
 	e.LastHeard = now
@@ -97,7 +99,7 @@
 	if changed {
 		t.touch(e)
 	}
-	return changed
+	return t.freeUnknown(e, now) || changed
 }
 
 // Expire marks the endpoints that have been silent too long as leaving and
@@ -145,7 +147,7 @@
 	t.places[name] = datacentre
 	en := t.entry(name)
 	if !en.member && !t.incomplete() {
-		en.fenced = true
+		en.fresh = true
 	}
 	en.member = true
 }
@@ -204,7 +206,7 @@
 	}
 	g := e.grant(name)
 	s.Grant = max(g.sequence, t.Term<<termShift)
-	if t.Recovering || !t.allFenced() {
+	if t.Recovering || !t.sealed(e) {
 		s.Slots, s.Links = KeepSlots, KeepSlots
 		return s
 	}
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -210,7 +210,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.sessions[req.GetInstance()]
-	if s == nil || s.incarnation != req.GetIncarnation() {
+	if s == nil || s.incarnation != req.GetIncarnation() || !t.leaseMayHold(req.GetInstance(), time.Now()) {
 		return nil, nil, refusal.New(refusal.NoLease, "report first", "no session of instance %s", req.GetInstance())
 	}
 	endpointsFrom := req.GetEndpointVersion()
--- a/internal/leader/tenure.go
+++ b/internal/leader/tenure.go
@@ -34,6 +34,7 @@
 	sessions  map[string]*session
 	workers   map[string]*workerView
 	endpoints *endpoint.Table
+	first     bool // no instance was known when the tenure began
 	queue     map[uint64]*egretmuxv1.Task
 	commands  map[uint64]*command // by attempt
 	floor     time.Time           // silence before this time does not count
@@ -66,6 +67,7 @@
 		commands:  make(map[uint64]*command),
 	}
 	t.endpoints.Term, t.endpoints.Recovering = term, true
+	t.first = len(l.store.Instances()) == 0
 	return t
 }
 
@@ -265,12 +267,15 @@
 // recoverGrants starts the sharing of slots once the entries' holdings are
 // known. What entries that have not reported may hold stays theirs.
 func (t *tenure) recoverGrants(now time.Time) bool {
+	timing := t.leader.timing
+	leasesEnd := t.started.Add(outlast(timing.EntryLease))
 	switch {
+	case t.first:
+		t.endpoints.Recovered(now, time.Time{})
 	case t.entriesKnown(now):
-		t.endpoints.Recovered(time.Time{})
+		t.endpoints.Recovered(now, now.Add(timing.RequestLimit))
 	case now.Sub(t.started) > grantRecovery:
-		timing := t.leader.timing
-		t.endpoints.Recovered(t.started.Add(outlast(timing.EntryLease) + timing.RequestLimit))
+		t.endpoints.Recovered(leasesEnd, leasesEnd.Add(timing.RequestLimit))
 	default:
 		return false
 	}
--- /dev/null
+++ b/internal/route/model_grants_test.go
@@ -0,0 +1,407 @@
+package route
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/endpoint"
+)
+
+const (
+	modelLease   = 8 * time.Second
+	modelRequest = 30 * time.Second // longest request
+	modelSlots   = 4
+	modelLinks   = 13
+)
+
+// fakeLinks counts the connections of a modelled entry.
+type fakeLinks struct {
+	limit, open map[string]int32
+	busy        func(string) int32
+}
+
+func (f *fakeLinks) Limit(a string, n int32) {
+	f.limit[a] = n // connections beyond it are closed later
+	if n == 0 {
+		f.open[a] = min(f.open[a], f.busy(a))
+	}
+}
+func (f *fakeLinks) Open(a string) int32 { return f.open[a] }
+
+type use struct {
+	slot *Slot
+	at   time.Time
+}
+
+// process is one life of an entry.
+type process struct {
+	name        string
+	incarnation int
+	table       *Table
+	links       *fakeLinks
+	lease       time.Time
+	used        []use
+	full        bool
+	inbox       []*egretmuxv1.EndpointState // a watch's answer on its way
+	version     uint64
+	term        uint64
+	dead        bool
+}
+
+type report struct {
+	from     *process
+	holdings []*egretmuxv1.GrantHolding
+	full     bool
+	at       time.Time
+}
+
+type modelSession struct {
+	incarnation int
+	confirmed   time.Time
+	complete    bool
+}
+
+// grantsModel runs the leader's and the entries' tables against lost, late and
+// reordered messages, restarts, ended leases and new leaders.
+type grantsModel struct {
+	now      time.Time
+	term     uint64
+	started  time.Time
+	leader   *endpoint.Table
+	deposed  *endpoint.Table // goes on answering watches
+	sessions map[string]*modelSession
+	former   map[string]*modelSession // of the deposed leader
+	procs    []*process               // living ones, by name
+	dead     []*process
+	reports  []*report
+}
+
+func modelEndpoints() []string { return []string{"e0", "e1", "e2"} }
+
+func newGrantsModel() *grantsModel {
+	m := &grantsModel{now: time.Unix(1000, 0)}
+	for i := range 3 {
+		m.procs = append(m.procs, m.newProcess(fmt.Sprintf("i%d", i), 1))
+	}
+	m.newLeader()
+	return m
+}
+
+func (m *grantsModel) newProcess(name string, incarnation int) *process {
+	p := &process{name: name, incarnation: incarnation, full: true, links: &fakeLinks{limit: map[string]int32{}, open: map[string]int32{}}}
+	p.links.busy = func(a string) int32 { return p.table.byID[a].busy }
+	p.table = NewTable(Config{Limit: 100, Links: p.links, Leased: func() bool { return m.now.Before(p.lease) }})
+	return p
+}
+
+func (m *grantsModel) newLeader() {
+	m.term++
+	m.deposed = m.leader
+	m.leader = endpoint.NewTable(time.Hour)
+	m.leader.Term, m.leader.Recovering = m.term, true
+	m.started = m.now
+	m.former = m.sessions
+	m.sessions = make(map[string]*modelSession)
+}
+
+func (m *grantsModel) announce(t *rapid.T) {
+	id := rapid.SampledFrom(modelEndpoints()).Draw(t, "endpoint")
+	m.leader.Announce(&egretmuxv1.EndpointReport{Id: id, Service: "s", Address: id, Slots: modelSlots, Links: modelLinks, Epoch: 1, TellsBusy: rapid.Bool().Draw(t, "tells"), Busy: m.busy(id)}, m.now)
+}
+
+// busy returns the slots in use as the endpoint sees it.
+func (m *grantsModel) busy(id string) int32 {
+	var n int32
+	for _, p := range append(slices.Clone(m.procs), m.dead...) {
+		for _, u := range p.used {
+			if u.slot.Endpoint.ID == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (m *grantsModel) pick(t *rapid.T) *process { return rapid.SampledFrom(m.procs).Draw(t, "process") }
+
+func (m *grantsModel) acquire(t *rapid.T) {
+	p := m.pick(t)
+	if !m.now.Before(p.lease) {
+		return
+	}
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range rapid.IntRange(1, 6).Draw(t, "requests") {
+		slot, err := p.table.Acquire(gone, Request{Service: "s", Customer: "c", AtOnce: true, Deadline: time.Now().Add(time.Hour)})
+		if err == nil {
+			p.used = append(p.used, use{slot, m.now})
+			a := slot.Endpoint.Address
+			p.links.open[a] = max(p.links.open[a], slot.Endpoint.busy)
+		}
+	}
+}
+
+func (m *grantsModel) openLinks(t *rapid.T) {
+	p := m.pick(t)
+	a := rapid.SampledFrom(modelEndpoints()).Draw(t, "endpoint")
+	p.links.open[a] = max(p.links.open[a], p.links.limit[a])
+}
+
+// end ends a request. A connection beyond the limit is closed with it.
+func (p *process) end(u use) {
+	u.slot.Release(Neutral)
+	if a := u.slot.Endpoint.Address; p.links.limit[a] == 0 {
+		p.links.Limit(a, 0)
+	}
+}
+
+func (m *grantsModel) closeLinks(t *rapid.T) {
+	p := m.pick(t)
+	for a, n := range p.links.open {
+		p.links.open[a] = min(n, p.links.limit[a])
+	}
+}
+
+func (m *grantsModel) release(t *rapid.T) {
+	all := append(slices.Clone(m.procs), m.dead...)
+	p := rapid.SampledFrom(all).Draw(t, "process")
+	if len(p.used) > 0 {
+		i := rapid.IntRange(0, len(p.used)-1).Draw(t, "request")
+		p.end(p.used[i])
+		p.used = slices.Delete(p.used, i, i+1)
+	}
+}
+
+func (m *grantsModel) report(t *rapid.T) {
+	p := m.pick(t)
+	m.reports = append(m.reports, &report{from: p, holdings: p.table.Holdings(p.full), full: p.full, at: m.now})
+	p.full = false
+	if rapid.IntRange(0, 5).Draw(t, "lost") == 0 {
+		m.reports = m.reports[:len(m.reports)-1]
+		p.full = true
+	}
+}
+
+func (m *grantsModel) deliverReport(t *rapid.T) {
+	if len(m.reports) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.reports)-1).Draw(t, "report")
+	r := m.reports[i]
+	m.reports = slices.Delete(m.reports, i, i+1)
+	m.take(r)
+	if rapid.IntRange(0, 5).Draw(t, "answer lost") == 0 {
+		r.from.full = true
+	} else if until := r.at.Add(modelLease); until.After(r.from.lease) {
+		r.from.lease = until
+	}
+}
+
+func (m *grantsModel) take(r *report) {
+	s := m.sessions[r.from.name]
+	if s != nil && r.from.incarnation < s.incarnation || m.now.Sub(r.at) > 2*time.Second {
+		r.from.full = true // timed out
+		return
+	}
+	if s == nil || s.incarnation != r.from.incarnation {
+		if s != nil {
+			m.leader.Restart(r.from.name, m.now.Add(modelRequest))
+		}
+		s = &modelSession{incarnation: r.from.incarnation}
+		m.sessions[r.from.name] = s
+	}
+	s.confirmed = m.now
+	s.complete = s.complete || r.full
+	for _, h := range r.holdings {
+		m.leader.Hold(r.from.name, h)
+	}
+	m.leader.AddEntry(r.from.name, "")
+	m.leader.Rebalance()
+	if !s.complete {
+		r.from.full = true
+	}
+}
+
+func (m *grantsModel) watch(t *rapid.T) {
+	p := m.pick(t)
+	if p.inbox != nil {
+		return
+	}
+	if m.now.Sub(m.started) > modelLease/2 {
+		m.deposed = nil // check-quorum has ended its tenure
+	}
+	if m.deposed != nil && rapid.IntRange(0, 3).Draw(t, "deposed") == 0 {
+		m.ask(p, m.deposed, m.term-1)
+		return
+	}
+	m.ask(p, m.leader, m.term)
+}
+
+func (m *grantsModel) ask(p *process, leader *endpoint.Table, term uint64) {
+	sessions := m.sessions
+	if term != m.term {
+		sessions = m.former
+	}
+	if p.term != term {
+		p.version = 0
+	}
+	if s := sessions[p.name]; s == nil || s.incarnation != p.incarnation || m.now.Sub(s.confirmed) > modelLease {
+		return
+	}
+	p.inbox, p.version, p.term = leader.Since(p.name, p.version), leader.Version(), term
+}
+
+func (m *grantsModel) deliverWatch(t *rapid.T) {
+	p := m.pick(t)
+	if p.inbox != nil {
+		p.table.Update(p.inbox)
+		p.inbox = nil
+	}
+}
+
+func (m *grantsModel) upkeep(*rapid.T) {
+	if m.leader.Recovering {
+		m.recoverGrants()
+	}
+	m.leader.Expire(m.now)
+	for name, s := range m.sessions {
+		if m.now.Sub(s.confirmed) > modelLease+modelRequest {
+			m.leader.RemoveEntry(name)
+			delete(m.sessions, name)
+		}
+	}
+	m.leader.Rebalance()
+	if m.deposed != nil {
+		m.deposed.Rebalance()
+	}
+}
+
+func (m *grantsModel) recoverGrants() {
+	known := true
+	for _, p := range m.procs {
+		s := m.sessions[p.name]
+		known = known && s != nil && s.complete
+	}
+	leasesEnd := m.started.Add(modelLease)
+	switch {
+	case m.term == 1:
+		m.leader.Recovered(m.now, time.Time{})
+	case known:
+		m.leader.Recovered(m.now, m.now.Add(modelRequest))
+	case m.now.Sub(m.started) > 2*time.Second:
+		m.leader.Recovered(leasesEnd, leasesEnd.Add(modelRequest))
+	}
+}
+
+// settle lets all processes but one exchange reports and grants without faults.
+func (m *grantsModel) settle(t *rapid.T) {
+	left := rapid.IntRange(0, len(m.procs)).Draw(t, "isolated")
+	for range 4 {
+		for i, p := range m.procs {
+			if i == left {
+				continue
+			}
+			r := &report{from: p, holdings: p.table.Holdings(p.full), full: p.full, at: m.now}
+			p.full = false
+			m.take(r)
+			p.lease = m.now.Add(modelLease)
+			if p.inbox == nil {
+				m.ask(p, m.leader, m.term)
+			}
+			p.table.Update(p.inbox)
+			p.inbox = nil
+		}
+		m.upkeep(t)
+	}
+}
+
+func (m *grantsModel) advance(t *rapid.T) {
+	m.pass(rapid.IntRange(1, 4000).Draw(t, "ms"))
+}
+
+// advanceLong lets leases and grants of silent processes end.
+func (m *grantsModel) advanceLong(t *rapid.T) {
+	for range rapid.IntRange(5, 45).Draw(t, "s") {
+		m.pass(1000)
+		m.upkeep(t)
+	}
+}
+
+func (m *grantsModel) pass(ms int) {
+	m.now = m.now.Add(time.Duration(ms) * time.Millisecond)
+	for _, p := range append(slices.Clone(m.procs), m.dead...) {
+		p.used = slices.DeleteFunc(p.used, func(u use) bool {
+			if m.now.Sub(u.at) < modelRequest {
+				return false
+			}
+			p.end(u)
+			return true
+		})
+		if !p.dead && m.now.After(p.lease) {
+			if m.now.Sub(p.lease) > modelRequest {
+				clear(p.links.open)
+			}
+			p.table.Holdings(false) // each report period; this one is lost
+			p.full = true
+			p.inbox = nil // older than the watch timeout by the time it would come
+		}
+	}
+}
+
+func (m *grantsModel) restart(t *rapid.T) {
+	i := rapid.IntRange(0, len(m.procs)-1).Draw(t, "process")
+	p := m.procs[i]
+	p.dead = true
+	m.dead = append(m.dead, p)
+	m.procs[i] = m.newProcess(p.name, p.incarnation+1)
+}
+
+func (m *grantsModel) check(t *rapid.T) {
+	slots, links := make(map[string]int32), make(map[string]int32)
+	for _, p := range m.procs {
+		for id, e := range p.table.byID {
+			slots[id] += e.busy
+			links[id] += p.links.open[id]
+			if m.now.Before(p.lease) {
+				slots[id] += max(0, e.slots-e.busy)
+				links[id] += max(0, e.links-p.links.open[id])
+			}
+		}
+	}
+	for _, p := range m.dead {
+		for _, u := range p.used {
+			slots[u.slot.Endpoint.ID]++
+		}
+	}
+	for id, n := range slots {
+		if n > modelSlots || links[id] > modelLinks {
+			t.Fatalf("endpoint %s: %d slots, %d connections may be in use", id, n, links[id])
+		}
+	}
+}
+
+func TestModelGrantsAreNeverOversold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newGrantsModel()
+		rare := func(f func(*rapid.T)) func(*rapid.T) {
+			return func(t *rapid.T) {
+				if rapid.IntRange(0, 9).Draw(t, "rare") == 0 {
+					f(t)
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"announce": m.announce, "acquire": m.acquire, "release": m.release, "links": m.openLinks, "close links": m.closeLinks,
+			"report": m.report, "report2": m.report, "deliver report": m.deliverReport, "deliver report2": m.deliverReport,
+			"watch": m.watch, "watch2": m.watch, "deliver watch": m.deliverWatch, "deliver watch2": m.deliverWatch, "upkeep": m.upkeep,
+			"advance": rare(m.advance), "settle": m.settle, "advance long": rare(m.advanceLong), "restart": rare(m.restart), "leader": rare(func(*rapid.T) { m.newLeader() }),
+			"": m.check,
+		})
+	})
+}
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -89,6 +89,7 @@
 	return &egretmuxv1.EndpointReport{
 		Id: e.cfg.ID, Service: e.cfg.Service, Address: e.cfg.Address, Datacentre: e.cfg.Datacentre,
 		Slots: e.cfg.Slots, Links: e.cfg.Links, Leaving: e.leaving.Load(), Epoch: e.epoch,
+		TellsBusy: true, Busy: min(e.busy.Load(), e.cfg.Slots),
 	}
 }
 
