--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -40,7 +40,7 @@
 					return
 				}
 				_, _ = io.Copy(io.Discard, req.Body)
-				if _, err := io.WriteString(conn, answer); err != nil {
+				if _, err := io.WriteString(conn, answer); err != nil || strings.Contains(answer, "Connection: close") {
 					return
 				}
 			}
@@ -119,7 +119,7 @@
 		"crossed":      {strings.Replace(wholeAnswer, "r1", "r2", 1), refusal.AnswerMismatch},
 		"no id":        {strings.Replace(wholeAnswer, "Egretmux-Request-Id: r1\r\n", "", 1), refusal.AnswerMismatch},
 		"two ids":      {strings.Replace(wholeAnswer, "r1\r\n", "r1\r\nEgretmux-Request-Id: r2\r\n", 1), refusal.AnswerMismatch},
-		"no end":       {head + "\r\nhello", refusal.AnswerCut},
+		"no end":       {head + "Connection: close\r\n\r\nhello", refusal.AnswerCut},
 		"upgrade":      {"HTTP/1.1 101 Switching Protocols\r\nEgretmux-Request-Id: r1\r\n\r\n", refusal.AnswerMismatch},
 		"only interim": {strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 20), refusal.AnswerMismatch},
 		"endless head": {head + "X: " + strings.Repeat("x", 2<<20) + "\r\n\r\n", refusal.LinkFailed},
