--- a/internal/entry/stall.go
+++ b/internal/entry/stall.go
@@ -17,7 +17,8 @@
 	bodyProgress    = 10 * time.Second
 	lateAnswer      = 50 * time.Millisecond // for an answer that crosses the question
 	settlePeriod    = 100 * time.Millisecond
-	unansweredLimit = 2 // questions without an answer before a request that must not run twice is given up
+	settleGrace     = time.Second // after the deadline, for an endpoint to stop
+	unansweredLimit = 2           // questions without an answer before a request that must not run twice is given up
 )
 
 // limits bounds an exchange. When the answer does not begin in time, the
@@ -68,19 +69,21 @@
 }
 
 // settle keeps the slot of a request that was given up until the endpoint
-// says that it does not work on it any more, or its deadline has passed.
+// says that it does not work on it any more. An endpoint that gives no answer
+// to the question is taken to have stopped soon after the request's deadline.
+// The first question follows after a pause, because the request may arrive at
+// the endpoint later than the question on another connection.
 func (e *Entry) settle(slot *route.Slot, id string, deadline time.Time) {
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
 	telemetry.Count("slots_settled_total")
-	for ctx.Err() == nil {
-		if state, err := e.cfg.Links.Query(ctx, slot.Endpoint.Address, id); err == nil && state == link.RunningNo {
-			break
+	for {
+		time.Sleep(settlePeriod)
+		state, err := e.cfg.Links.Query(context.Background(), slot.Endpoint.Address, id)
+		if err != nil {
+			state = link.RunningUnknown
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(settlePeriod):
+		if state == link.RunningNo || state == link.RunningUnknown && time.Since(deadline) > settleGrace {
+			slot.Release(route.Neutral)
+			return
 		}
 	}
-	slot.Release(route.Neutral)
 }
