--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,27 @@
 # Targets for developers. README.md explains each.
 GO ?= go
 
-.PHONY: build test lint demo generate
+.PHONY: build test lint demo generate fuzz bench
 build:
 	$(GO) build -o bin/ ./cmd/...
 
 test:
-	$(GO) test -race -count=1 ./...
+	GO=$(GO) ./scripts/test
+
+# Runs the random tests of the replicated log and all models on any seed:
+# make fuzz SEED=n CHECKS=n
+SEED ?= 1
+CHECKS ?= 1000
+MODELS = $(addprefix ./,$(sort $(dir $(shell grep -rl --include='*_test.go' 'pgregory.net/rapid' internal))))
+fuzz:
+	$(GO) test -count=1 -timeout=0 -run='^TestModel' $(MODELS) -rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
+	$(GO) test -count=1 -v -timeout=0 -run=Faults ./internal/consensus -rapid.seed=$(SEED) -rapid.checks=$(CHECKS)
+
+# Measures the replicated log: three voters on loopback with real syncs.
+bench:
+	$(GO) test -run=NONE -bench='Commit$$' -benchtime=100000x ./internal/voter
+	$(GO) test -run=NONE -bench=CommitLatency -benchtime=6400x ./internal/voter
+	$(GO) test -run=NONE -bench=LeaderLoss -benchtime=10x ./internal/voter
 
 lint:
 	./scripts/lint
@@ -16,3 +31,17 @@
 
 generate:
 	./scripts/generate
+
+# SECONDS and SEED may be set: make soak SECONDS=120 SEED=7
+.PHONY: soak
+soak: build
+	SECONDS_LONG=$(or $(SECONDS),90) SEED=$(SEED) ./scripts/soak
+
+.PHONY: capacity
+capacity: build
+	./scripts/capacity
+
+# Placement policies compared in virtual time: make measure SEED=n
+.PHONY: measure
+measure:
+	$(GO) run ./cmd/egretmux-measure --seed $(SEED)
--- a/internal/consensus/core/election.go
+++ b/internal/consensus/core/election.go
@@ -4,6 +4,9 @@
 
 // Tick advances the core's time by one tick.
 func (c *Core) Tick() {
+	if c.stale {
+		return
+	}
 	c.electionElapsed++
 	if c.role == Leader {
 		c.tickLeader()
@@ -30,25 +33,25 @@
 			return
 		}
 	}
+	for _, p := range c.progress {
+		p.idle++
+	}
 	if c.heartbeatElapsed >= c.cfg.HeartbeatTicks {
 		for _, p := range c.progress {
 			p.stalled++
 		}
+		copy(c.recentCommit[1:], c.recentCommit[:])
+		c.recentCommit[0] = c.commit
 		c.broadcastHeartbeat()
 	}
 }
 
-// quorumActive reports whether a quorum answered since the last call.
+// quorumActive reports whether a quorum answered within the election timeout.
 func (c *Core) quorumActive() bool {
-	active := func(id uint64) bool {
+	return c.members.quorum(func(id uint64) bool {
 		p := c.progress[id]
-		return id == c.cfg.ID || (p != nil && p.active)
-	}
-	ok := c.members.quorum(active)
-	for _, p := range c.progress {
-		p.active = false
-	}
-	return ok
+		return id == c.cfg.ID || (p != nil && p.idle < c.cfg.ElectionTicks)
+	})
 }
 
 func (c *Core) becomeFollower(term, leader uint64) {
@@ -70,16 +73,23 @@
 	c.electionTimeout = c.cfg.ElectionTicks + c.cfg.Rand(c.cfg.ElectionTicks)
 }
 
+// minPreVoteTicks is the least time between two rounds of pre-votes.
+const minPreVoteTicks = 2
+
 // campaign asks for pre-votes. They change no replica's term, so a replica
 // that was cut off does not disturb the leader when it comes back.
 func (c *Core) campaign() {
 	if !c.members.isVoter(c.cfg.ID) {
+		c.leader = 0
 		return
 	}
 	c.role = PreCandidate
 	c.leader = 0
 	c.votes = map[uint64]bool{c.cfg.ID: true}
 	c.resetElection()
+	// A pre-vote asked for too early, while others still believed in the leader,
+	// is repeated soon.
+	c.electionTimeout = max(minPreVoteTicks, c.cfg.ElectionTicks/4) + c.cfg.Rand(max(1, c.cfg.ElectionTicks/4))
 	if c.members.quorum(c.granted) {
 		c.elect(false)
 		return
@@ -92,12 +102,8 @@
 	c.leader = 0
 	c.term++
 	c.vote = c.cfg.ID
-	c.votes = map[uint64]bool{c.cfg.ID: true}
+	c.votes = make(map[uint64]bool) // its own vote counts once it is persisted
 	c.resetElection()
-	if c.members.quorum(c.granted) {
-		c.becomeLeader()
-		return
-	}
 	c.requestVotes(egretmuxv1.MessageKind_MESSAGE_KIND_VOTE, c.term, transfer)
 }
 
@@ -123,7 +129,7 @@
 
 // Step handles one message.
 func (c *Core) Step(m *egretmuxv1.Message) {
-	if m.GetTo() != c.cfg.ID {
+	if m.GetTo() != c.cfg.ID || c.stale {
 		return
 	}
 	switch {
@@ -237,10 +243,14 @@
 	if role == PreCandidate && !m.GetReject() && m.GetTerm() != c.term+1 {
 		return
 	}
-	c.votes[m.GetFrom()] = !m.GetReject()
+	c.countVote(m.GetFrom(), !m.GetReject())
+}
+
+func (c *Core) countVote(from uint64, granted bool) {
+	c.votes[from] = granted
 	switch {
 	case c.members.quorum(c.granted):
-		if role == PreCandidate {
+		if c.role == PreCandidate {
 			c.elect(false)
 		} else {
 			c.becomeLeader()
@@ -259,9 +269,7 @@
 	c.transferTo = 0
 	c.progress = make(map[uint64]*progress)
 	c.syncProgress()
-	for _, p := range c.progress {
-		p.active = true
-	}
+	c.recentCommit = [recentHeartbeats]uint64{c.log.last(), c.log.last(), c.log.last()}
 	c.progress[c.cfg.ID].match = c.persisted
 	// An entry of its own term lets the leader commit those of earlier terms.
 	c.appendEntries(&egretmuxv1.Entry{Kind: egretmuxv1.EntryKind_ENTRY_KIND_COMMAND})
@@ -280,6 +288,22 @@
 	return true
 }
 
+// Successor returns the voter that answers and holds most of the log, or zero
+// when there is none or this replica does not lead.
+func (c *Core) Successor() uint64 {
+	var best uint64
+	for _, id := range c.peers() {
+		p := c.progress[id]
+		if !c.members.isVoter(id) || !p.heard || p.idle >= c.cfg.ElectionTicks/2 {
+			continue
+		}
+		if best == 0 || p.match > c.progress[best].match {
+			best = id
+		}
+	}
+	return best
+}
+
 func (c *Core) maybeTransfer(id uint64, p *progress) {
 	if c.transferTo == id && p.match == c.log.last() {
 		c.send(&egretmuxv1.Message{Kind: egretmuxv1.MessageKind_MESSAGE_KIND_TIMEOUT_NOW, To: id})
--- a/internal/consensus/wal/identity.go
+++ b/internal/consensus/wal/identity.go
@@ -1,8 +1,7 @@
 package wal
 
 import (
-	"crypto/rand"
-	"encoding/binary"
+	"fmt"
 	"strconv"
 	"strings"
 
@@ -15,24 +14,28 @@
 )
 
 // Identity returns the replica identity of the data folder, creating a random
-// one in an empty folder. A folder that lost its content therefore never
-// speaks with the identity that voted before.
-func Identity(disk Disk) (uint64, error) {
+// one in a folder without a log. A folder that lost its content therefore
+// never speaks with the identity that voted before. random returns uniformly
+// distributed numbers that no other replica draws.
+func Identity(disk Disk, random func() uint64) (uint64, error) {
 	names, err := disk.List()
 	if err != nil {
 		return 0, errors.Wrap(err, "data folder cannot be listed")
 	}
+	known, segments, snapshots := false, false, false
 	for _, n := range names {
-		if n == identityName {
-			return readIdentity(disk)
-		}
+		known = known || n == identityName
+		segments = segments || strings.HasPrefix(n, "log-")
+		snapshots = snapshots || strings.HasPrefix(n, "snapshot-0")
 	}
-	for _, n := range names {
-		if strings.HasPrefix(n, "log-") || strings.HasPrefix(n, "snapshot-") {
-			return 0, &CorruptionError{File: identityName, Detail: "the file is missing although the folder holds a log"}
-		}
+	switch {
+	case known && segments:
+		return readIdentity(disk)
+	case segments || snapshots:
+		return 0, &CorruptionError{File: identityName, Detail: "the folder holds only a part of identity, log and snapshot"}
+	default:
+		return createIdentity(disk, random)
 	}
-	return createIdentity(disk)
 }
 
 func readIdentity(disk Disk) (uint64, error) {
@@ -47,12 +50,8 @@
 	return id, nil
 }
 
-func createIdentity(disk Disk) (uint64, error) {
-	var raw [8]byte
-	if _, err := rand.Read(raw[:]); err != nil {
-		return 0, err
-	}
-	id := binary.LittleEndian.Uint64(raw[:]) | 1
+func createIdentity(disk Disk, random func() uint64) (uint64, error) {
+	id := random() | 1
 	file, err := disk.Create(identityTemp)
 	if err != nil {
 		return 0, err
@@ -69,3 +68,22 @@
 	}
 	return id, disk.SyncDir()
 }
+
+// SetAside renames the files of a replica that must not run again, so that the
+// folder counts as empty. A crash in between leaves a folder without a part of
+// its files: Identity or Open then names the remedy, or the replica joins anew.
+func SetAside(disk Disk, id uint64) error {
+	names, err := disk.List()
+	if err != nil {
+		return err
+	}
+	for _, n := range names {
+		if n != identityName && !strings.HasPrefix(n, "log-") && !strings.HasPrefix(n, "snapshot-") {
+			continue
+		}
+		if err := disk.Rename(n, fmt.Sprintf("aside-%016x-%s", id, n)); err != nil {
+			return err
+		}
+	}
+	return disk.SyncDir()
+}
--- a/internal/endpoint/grant.go
+++ b/internal/endpoint/grant.go
@@ -1,7 +1,6 @@
 package endpoint
 
 import (
-	"strconv"
 	"time"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
@@ -91,10 +90,7 @@
 // free the others. A zero requestsEnd tells that the cell is new.
 func (t *Table) Recovered(leasesEnd, requestsEnd time.Time) {
 	t.Recovering = false
-	if !requestsEnd.IsZero() {
-		t.past = append(t.past, past{name: unknownEntries, until: requestsEnd})
-	}
-	t.leasesEnd = leasesEnd
+	t.leasesEnd, t.unknownUntil = leasesEnd, requestsEnd
 	for _, e := range t.byID {
 		t.touch(e)
 		t.reserveUnknown(e)
@@ -136,14 +132,7 @@
 }
 
 // incomplete reports whether there may be entries that have not reported yet.
-func (t *Table) incomplete() bool {
-	for _, p := range t.past {
-		if p.name == unknownEntries {
-			return true
-		}
-	}
-	return t.Recovering
-}
+func (t *Table) incomplete() bool { return t.Recovering || !t.unknownUntil.IsZero() }
 
 // sealed reports whether no entry can still apply a grant of an older term to
 // the endpoint. Until then its grants stay as they are.
@@ -180,41 +169,13 @@
 	return g
 }
 
-// Restart tells that an entry's process was replaced by a new one, which holds
-// nothing. What the old process may still be using stays taken until the given time.
-func (t *Table) Restart(name string, until time.Time) {
-	old := name + "/ended-" + strconv.FormatUint(t.version, 10) + "-" + strconv.Itoa(len(t.past))
-	for _, e := range t.byID {
-		moveGrant(e.grants, name, old)
-	}
-	for _, held := range t.orphans {
-		moveGrant(held, name, old)
-	}
-	delete(t.entries, name)
-	t.past = append(t.past, past{name: old, until: until})
-}
-
-func moveGrant(grants map[string]*grant, from, to string) {
-	g := grants[from]
-	if g == nil {
-		return
-	}
-	delete(grants, from)
-	if g.possible() > 0 || g.possibleLinks() > 0 {
-		grants[to] = &grant{held: g.possible(), heldLinks: g.possibleLinks()}
-	}
-}
-
-func (t *Table) expirePast(now time.Time) bool {
-	kept := t.past[:0]
-	for _, p := range t.past {
-		if now.After(p.until) {
-			t.RemoveEntry(p.name)
-			continue
-		}
-		kept = append(kept, p)
+// expireUnknown frees what unknown entries may have been using once all their
+// requests have ended.
+func (t *Table) expireUnknown(now time.Time) bool {
+	if t.unknownUntil.IsZero() || !now.After(t.unknownUntil) {
+		return false
 	}
-	changed := len(kept) != len(t.past)
-	t.past = kept
-	return changed
+	t.unknownUntil = time.Time{}
+	t.RemoveEntry(unknownEntries)
+	return true
 }
--- a/internal/endpoint/table.go
+++ b/internal/endpoint/table.go
@@ -38,10 +38,10 @@
 	entries map[string]*entry
 	orphans map[string]map[string]*grant // by endpoint and entry; held before the endpoint announced itself here
 	places  map[string]string            // datacentre by entry
-	past    []past
 	version uint64
 
-	leasesEnd time.Time // after it no entry uses a grant that this leader does not know of
+	unknownUntil time.Time // requests of entries that have not reported have ended then; zero: there are none
+	leasesEnd    time.Time // after it no entry uses a grant that this leader does not know of
 }
 
 // entry is what the leader knows of one entry.
@@ -52,12 +52,6 @@
 	demand   map[string]int32 // by service
 }
 
-// past is an ended process of an entry whose requests may still be running.
-type past struct {
-	name  string
-	until time.Time
-}
-
 // NewTable returns an empty table; an endpoint silent for longer than the
 // given time gets no new work.
 func NewTable(silent time.Duration) *Table {
@@ -103,10 +97,9 @@
 }
 
 // Expire marks the endpoints that have been silent too long as leaving and
-// forgets those that no entry uses any more. It drops the grants of ended
-// processes whose requests have ended.
+// forgets those that no entry uses any more.
 func (t *Table) Expire(now time.Time) bool {
-	changed := t.expirePast(now)
+	changed := t.expireUnknown(now)
 	for id, e := range t.byID {
 		if now.Sub(e.LastHeard) <= t.silent {
 			continue
@@ -165,6 +158,24 @@
 	}
 }
 
+// RetireEntry gives an entry no new grants. Those it has stay out until
+// RemoveEntry takes them back.
+func (t *Table) RetireEntry(name string) {
+	if en := t.entries[name]; en != nil {
+		en.member = false
+	}
+}
+
+// Exceeds reports whether an entry holds more of any endpoint than it is granted.
+func (t *Table) Exceeds(name string) bool {
+	for _, e := range t.byID {
+		if g := e.grants[name]; g != nil && g.held > g.target {
+			return true
+		}
+	}
+	return false
+}
+
 func (t *Table) members() []string {
 	names := make([]string, 0, len(t.entries))
 	for n, en := range t.entries {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -43,9 +43,24 @@
 	return d + d/clockDriftPart + margin
 }
 
+// Replica is the local replica of the log.
+type Replica interface {
+	// Status returns the newest status and a channel that is closed when role,
+	// term or leader change.
+	Status() (core.Status, <-chan struct{})
+	// ProposeIn commits a command and returns what applying it returned. It is
+	// refused in any term but the given one.
+	ProposeIn(ctx context.Context, term uint64, data []byte) (any, error)
+	// ConfirmLeader returns once a quorum has confirmed that this replica led
+	// after the call began.
+	ConfirmLeader(ctx context.Context) error
+	// Do runs f between two events of the replica.
+	Do(ctx context.Context, f func(*core.Core) error) error
+}
+
 // Leader plans and keeps leases while the local replica leads.
 type Leader struct {
-	node   *consensus.Node
+	node   Replica
 	store  *state.Store
 	timing Timing
 	logger zerolog.Logger
@@ -63,13 +78,19 @@
 }
 
 // SetNode joins the leader with its replica and state.
-func (l *Leader) SetNode(node *consensus.Node, store *state.Store) {
+func (l *Leader) SetNode(node Replica, store *state.Store) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.node = node
 	l.store = store
 }
 
-// Node returns the replica.
-func (l *Leader) Node() *consensus.Node { return l.node }
+// Node returns the replica, or nil before SetNode.
+func (l *Leader) Node() Replica {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.node
+}
 
 // Run begins and ends tenures until the context ends.
 func (l *Leader) Run(ctx context.Context) {
@@ -100,6 +121,9 @@
 	if err := l.node.ConfirmLeader(ctx); err != nil {
 		return
 	}
+	if status, _ := l.node.Status(); status.Role != core.Leader || status.Term != term {
+		return
+	}
 	t := newTenure(l, term)
 	l.mu.Lock()
 	l.tenure = t
@@ -130,10 +154,11 @@
 // Address returns the cell address of the leader as the local replica knows
 // it, or "".
 func (l *Leader) Address() string {
-	if l == nil || l.node == nil {
+	node := l.Node()
+	if node == nil {
 		return ""
 	}
-	status, _ := l.node.Status()
+	status, _ := node.Status()
 	for _, r := range status.Membership.GetReplicas() {
 		if r.GetId() == status.Leader {
 			return r.GetAddress()
@@ -142,14 +167,20 @@
 	return ""
 }
 
-// propose commits a command and returns its result.
+// propose commits a command of the running tenure and returns its result. A
+// tenure that has ended without noticing commits nothing: what it knows of
+// leases is out of date, even if its replica leads again.
 func (l *Leader) propose(ctx context.Context, cmd *egretmuxv1.Command) (*state.Result, error) {
+	t, err := l.current()
+	if err != nil {
+		return nil, err
+	}
 	cmd.NowUnixMs = time.Now().UnixMilli()
 	data, err := proto.Marshal(cmd)
 	if err != nil {
 		return nil, refusal.New(refusal.Internal, "report it", "command cannot be encoded").Because(err)
 	}
-	value, err := l.node.Propose(ctx, data)
+	value, err := l.node.ProposeIn(ctx, t.term, data)
 	switch {
 	case err == nil:
 	case errors.Is(err, consensus.ErrNotLeader), errors.Is(err, consensus.ErrStopped):
@@ -164,7 +195,8 @@
 	return result, nil
 }
 
-// confirm returns once a quorum has confirmed this leader.
+// confirm returns the tenure once a quorum has confirmed that it still leads.
+// A replica that was deposed and leads again may confirm a later term.
 func (l *Leader) confirm(ctx context.Context) (*tenure, error) {
 	t, err := l.current()
 	if err != nil {
@@ -173,6 +205,9 @@
 	if err := l.node.ConfirmLeader(ctx); err != nil {
 		return nil, noLeader().Because(err)
 	}
+	if status, _ := l.node.Status(); status.Role != core.Leader || status.Term != t.term {
+		return nil, noLeader()
+	}
 	return t, nil
 }
 
@@ -185,15 +220,18 @@
 }
 
 // WorkerChanged implements state.Listener.
-func (l *Leader) WorkerChanged(*egretmuxv1.Worker) {
+func (l *Leader) WorkerChanged(w *egretmuxv1.Worker) {
 	if ten, err := l.current(); err == nil {
+		ten.planner.setWorker(w)
 		ten.wakePlanner()
 	}
 }
 
 // ContractChanged implements state.Listener.
-func (l *Leader) ContractChanged(*egretmuxv1.ContractVersion) {
+func (l *Leader) ContractChanged(c *egretmuxv1.ContractVersion) {
 	if ten, err := l.current(); err == nil {
+		ten.planner.setContract(l.store, c.GetCustomer())
+		ten.wakePlanner()
 		ten.wakeAll()
 	}
 }
--- a/internal/leader/tenure.go
+++ b/internal/leader/tenure.go
@@ -7,7 +7,6 @@
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/endpoint"
-	"github.com/egretmux/egretmux/internal/place"
 	"github.com/egretmux/egretmux/internal/state"
 	"github.com/egretmux/egretmux/internal/task"
 )
@@ -18,6 +17,8 @@
 	garbagePeriod = time.Minute
 	resendAfter   = 300 * time.Millisecond // a command not confirmed by then is sent again
 	planPeriod    = 250 * time.Millisecond // planning without a change, for backoffs that end
+	requestGiveUp = 15 * time.Minute       // a request without an outcome is unknown; longer than any may take
+	checkpointMax = 3 * time.Second        // a checkpoint that takes longer is given up for a plain stop
 	pauseLimit    = time.Second            // a longer gap between upkeeps means this process was paused
 )
 
@@ -28,16 +29,21 @@
 	term    uint64
 	started time.Time
 
-	plan chan struct{}
+	plan    chan struct{}
+	planner planner
 
-	mu        sync.Mutex
-	sessions  map[string]*session
-	workers   map[string]*workerView
-	endpoints *endpoint.Table
-	first     bool // no instance was known when the tenure began
-	queue     map[uint64]*egretmuxv1.Task
-	commands  map[uint64]*command // by attempt
-	floor     time.Time           // silence before this time does not count
+	mu           sync.Mutex
+	sessions     map[string]*session // by instance
+	departures   []departure
+	removing     map[string]bool      // instances whose removal is being committed
+	closed       map[string]time.Time // when an instance's last session ended
+	lastSequence uint64               // of commands, over closed sessions
+	attached     *attachments
+	workers      map[string]*workerView
+	endpoints    *endpoint.Table
+	first        bool                // no instance was known when the tenure began
+	commands     map[uint64]*command // by attempt
+	floor        time.Time           // silence before this time does not count
 }
 
 // workerView is what the leader has heard of a worker.
@@ -45,6 +51,8 @@
 	heard    time.Time
 	instance string // that the worker announces itself through
 	usage    map[uint64]*egretmuxv1.AttemptUsage
+	losing   bool // its loss is being committed; it gets no lease until that is decided
+	complete bool // its running attempts and usage are fully known
 }
 
 // command is an instruction that a worker has not confirmed yet.
@@ -52,7 +60,8 @@
 	task   uint64
 	worker string
 	stop   bool
-	sent   time.Time
+	first  time.Time // first sent
+	sent   time.Time // last sent
 }
 
 func newTenure(l *Leader, term uint64) *tenure {
@@ -62,36 +71,49 @@
 		plan:      make(chan struct{}, 1),
 		sessions:  make(map[string]*session),
 		workers:   make(map[string]*workerView),
+		removing:  make(map[string]bool),
+		closed:    make(map[string]time.Time),
+		attached:  newAttachments(),
 		endpoints: endpoint.NewTable(l.timing.EndpointSilent),
-		queue:     make(map[uint64]*egretmuxv1.Task),
 		commands:  make(map[uint64]*command),
 	}
 	t.endpoints.Term, t.endpoints.Recovering = term, true
 	t.first = len(l.store.Instances()) == 0
+	t.planner.init()
 	return t
 }
 
 // run does the leader's work until the context ends.
 func (t *tenure) run(ctx context.Context) {
+	t.loadPlanner()
 	for _, x := range t.store.Tasks() {
-		t.taskChanged(x)
+		t.taskLoaded(x.GetId())
 	}
 	var loops sync.WaitGroup
 	loops.Go(func() { t.runPlanner(ctx) })
 	loops.Go(func() { t.runUpkeep(ctx) })
 	loops.Go(func() { t.runGarbage(ctx) })
+	loops.Go(func() { t.runMembers(ctx) })
 	loops.Wait()
 }
 
-// taskChanged updates the queue and the commands to workers.
-func (t *tenure) taskChanged(x *egretmuxv1.Task) {
+// taskLoaded takes in a task that existed when the tenure began. It reads the
+// record under the lock, so that a newer one that taskChanged brings stays.
+func (t *tenure) taskLoaded(id uint64) {
+	t.planner.loadTask(t.store, id)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(task.Waiting(x)) > 0 {
-		t.queue[x.GetId()] = x
-	} else {
-		delete(t.queue, x.GetId())
+	x := t.store.Task(id)
+	for _, a := range x.GetAttempts() {
+		t.noteAttempt(x, a)
 	}
+}
+
+// taskChanged updates the planner and the commands to workers.
+func (t *tenure) taskChanged(x *egretmuxv1.Task) {
+	t.planner.setTask(x)
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	for _, a := range x.GetAttempts() {
 		t.noteAttempt(x, a)
 	}
@@ -135,14 +157,18 @@
 		return
 	}
 	c.sent = now
-	s.push(buildCommand(w, x, a, c.stop))
+	if c.first.IsZero() {
+		c.first = now
+	}
+	checkpoint := a.GetPreempted() && now.Sub(c.first) < checkpointMax
+	s.push(buildCommand(w, x, a, c.stop, checkpoint))
 }
 
-func buildCommand(w *egretmuxv1.Worker, x *egretmuxv1.Task, a *egretmuxv1.Attempt, stop bool) *egretmuxv1.WorkerCommand {
+func buildCommand(w *egretmuxv1.Worker, x *egretmuxv1.Task, a *egretmuxv1.Attempt, stop, checkpoint bool) *egretmuxv1.WorkerCommand {
 	out := &egretmuxv1.WorkerCommand{Worker: w.GetId(), Address: w.GetAddress(), WorkerEpoch: w.GetEpoch()}
 	if stop {
 		out.Body = &egretmuxv1.WorkerCommand_Stop{Stop: &egretmuxv1.StopAttempt{
-			Task: x.GetId(), Attempt: a.GetId(), Checkpoint: a.GetPreempted(),
+			Task: x.GetId(), Attempt: a.GetId(), Checkpoint: checkpoint,
 		}}
 		return out
 	}
@@ -167,52 +193,6 @@
 	}
 }
 
-// runPlanner plans whenever something changed and commits what was decided.
-func (t *tenure) runPlanner(ctx context.Context) {
-	ticker := time.NewTicker(planPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.plan:
-		case <-ticker.C:
-		}
-		t.planOnce(ctx)
-	}
-}
-
-func (t *tenure) planOnce(ctx context.Context) {
-	snapshot := t.snapshot()
-	if len(snapshot.Queue) == 0 {
-		return
-	}
-	plan := place.Decide(snapshot)
-	if len(plan.GetStarts())+len(plan.GetStops())+len(plan.GetRejects()) == 0 {
-		return
-	}
-	result, err := t.leader.propose(ctx, &egretmuxv1.Command{Body: &egretmuxv1.Command_CommitPlan{CommitPlan: plan}})
-	if err != nil {
-		t.leader.logger.Warn().Err(err).Str("event", "plan_not_committed").Msg("")
-		return
-	}
-	t.leader.logger.Debug().Str("event", "plan_committed").Int("applied", result.Applied).Int("starts", len(plan.GetStarts())).Msg("")
-}
-
-func (t *tenure) snapshot() *place.Snapshot {
-	s := &place.Snapshot{Now: time.Now().UnixMilli()}
-	t.mu.Lock()
-	for _, x := range t.queue {
-		s.Queue = append(s.Queue, x)
-	}
-	t.mu.Unlock()
-	for _, w := range t.store.Workers() {
-		committed, n := t.store.Committed(w.GetId())
-		s.Workers = append(s.Workers, place.Worker{Record: w, Committed: committed, Attempts: n})
-	}
-	return s
-}
-
 // runUpkeep expires leases and repeats commands.
 func (t *tenure) runUpkeep(ctx context.Context) {
 	ticker := time.NewTicker(upkeepPeriod)
@@ -255,6 +235,7 @@
 	}
 	lost := t.silentWorkers(now)
 	t.mu.Unlock()
+	t.forecast(now)
 	for _, w := range lost {
 		t.loseWorker(ctx, w)
 	}
@@ -282,7 +263,8 @@
 	return true
 }
 
-// silentWorkers returns the workers whose leases have certainly ended.
+// silentWorkers returns the workers whose leases have certainly ended. Until
+// their loss is decided their reports renew nothing.
 func (t *tenure) silentWorkers(now time.Time) []*egretmuxv1.Worker {
 	var lost []*egretmuxv1.Worker
 	for _, w := range t.store.Workers() {
@@ -294,6 +276,7 @@
 			heard = v.heard
 		}
 		if now.Sub(heard) > outlast(t.leader.timing.WorkerLease) {
+			t.view(w.GetId()).losing = true
 			lost = append(lost, w)
 		}
 	}
@@ -305,6 +288,12 @@
 		Worker: w.GetId(), Epoch: w.GetEpoch(), Phase: egretmuxv1.WorkerPhase_WORKER_PHASE_LOST, Reason: "silent for longer than its lease",
 	}}})
 	t.leader.logger.Warn().AnErr("error", err).Str("event", "worker_lost").Str("worker", w.GetId()).Msg("")
+	if err != nil {
+		return // the outcome is unknown and the tenure over
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.view(w.GetId()).losing = false
 }
 
 // runGarbage drops old records now and then.
@@ -321,6 +310,7 @@
 		_, err := t.leader.propose(ctx, &egretmuxv1.Command{Body: &egretmuxv1.Command_CollectGarbage{CollectGarbage: &egretmuxv1.CollectGarbage{
 			TasksEndedBeforeUnixMs:    now.Add(-t.leader.timing.TaskKeep).UnixMilli(),
 			RequestsEndedBeforeUnixMs: now.Add(-t.leader.timing.RequestKeep).UnixMilli(),
+			RequestsBegunBeforeUnixMs: now.Add(-requestGiveUp).UnixMilli(),
 		}}})
 		if err != nil {
 			t.leader.logger.Warn().Err(err).Str("event", "garbage_not_collected").Msg("")
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -47,6 +47,17 @@
 	Internal         Kind = "internal"
 )
 
+// Kinds returns every kind.
+func Kinds() []Kind {
+	return []Kind{
+		Unauthenticated, Forbidden, Invalid, TooLarge, NoService, NoEndpoint,
+		QueueFull, Shed, DeadlineTooClose, DeadlinePassed, InFlightFull, Draining,
+		NoLease, NoLeader, KeyConflict, KeyInProgress, OutcomeUnknown, EndpointRefused,
+		LinkFailed, LinkSilent, AnswerCut, AnswerMismatch, Cancelled, VersionConflict,
+		NotFound, NeverRunnable, QuotaExceeded, DeadlineNotMet, Internal,
+	}
+}
+
 // Ran tells whether a refused request was carried out.
 type Ran string
 
@@ -63,6 +74,7 @@
 	Message    string
 	Remedy     string
 	RetryAfter time.Duration // zero: retrying does not help, or at once
+	Difference string        // unified diff from what is in force to what was refused; with VersionConflict
 	cause      error
 }
 
--- a/internal/route/model_grants_test.go
+++ b/internal/route/model_grants_test.go
@@ -76,12 +76,15 @@
 	leader   *endpoint.Table
 	deposed  *endpoint.Table // goes on answering watches
 	sessions map[string]*modelSession
+	departed map[string]time.Time     // entries of ended processes, until their requests have ended
 	former   map[string]*modelSession // of the deposed leader
 	procs    []*process               // living ones, by name
 	dead     []*process
 	reports  []*report
 }
 
+func entryName(name string, incarnation int) string { return fmt.Sprintf("%s/%d", name, incarnation) }
+
 func modelEndpoints() []string { return []string{"e0", "e1", "e2"} }
 
 func newGrantsModel() *grantsModel {
@@ -108,6 +111,7 @@
 	m.started = m.now
 	m.former = m.sessions
 	m.sessions = make(map[string]*modelSession)
+	m.departed = make(map[string]time.Time)
 }
 
 func (m *grantsModel) announce(t *rapid.T) {
@@ -211,7 +215,8 @@
 	}
 	if s == nil || s.incarnation != r.from.incarnation {
 		if s != nil {
-			m.leader.Restart(r.from.name, m.now.Add(modelRequest))
+			m.leader.RetireEntry(entryName(r.from.name, s.incarnation))
+			m.departed[entryName(r.from.name, s.incarnation)] = s.confirmed.Add(modelLease + modelRequest)
 		}
 		s = &modelSession{incarnation: r.from.incarnation}
 		m.sessions[r.from.name] = s
@@ -219,9 +224,9 @@
 	s.confirmed = m.now
 	s.complete = s.complete || r.full
 	for _, h := range r.holdings {
-		m.leader.Hold(r.from.name, h)
+		m.leader.Hold(entryName(r.from.name, r.from.incarnation), h)
 	}
-	m.leader.AddEntry(r.from.name, "")
+	m.leader.AddEntry(entryName(r.from.name, r.from.incarnation), "")
 	m.leader.Rebalance()
 	if !s.complete {
 		r.from.full = true
@@ -254,7 +259,7 @@
 	if s := sessions[p.name]; s == nil || s.incarnation != p.incarnation || m.now.Sub(s.confirmed) > modelLease {
 		return
 	}
-	p.inbox, p.version, p.term = leader.Since(p.name, p.version), leader.Version(), term
+	p.inbox, p.version, p.term = leader.Since(entryName(p.name, p.incarnation), p.version), leader.Version(), term
 }
 
 func (m *grantsModel) deliverWatch(t *rapid.T) {
@@ -272,10 +277,16 @@
 	m.leader.Expire(m.now)
 	for name, s := range m.sessions {
 		if m.now.Sub(s.confirmed) > modelLease+modelRequest {
-			m.leader.RemoveEntry(name)
+			m.leader.RemoveEntry(entryName(name, s.incarnation))
 			delete(m.sessions, name)
 		}
 	}
+	for name, over := range m.departed {
+		if m.now.After(over) {
+			m.leader.RemoveEntry(name)
+			delete(m.departed, name)
+		}
+	}
 	m.leader.Rebalance()
 	if m.deposed != nil {
 		m.deposed.Rebalance()
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"crypto/subtle"
 	"net"
 	"net/http"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -24,10 +26,13 @@
 	Journal   *Journal
 	Slots     int32 // of the endpoints that service tasks start
 	Links     int32
+
+	CommandToken string // secret that commands must show; empty: none
 }
 
 // Worker runs attempts as timers. A task's command says how: "run 200ms" ends
-// well after that time, "fail 10ms" fails after it, and service tasks serve an
+// well after that time, "fail 10ms" fails after it, "run 2s use 0.5" is seen to
+// use half of its declared size, and service tasks serve an
 // endpoint until they are stopped.
 type Worker struct {
 	cfg  WorkerConfig
@@ -39,14 +44,16 @@
 	running  map[uint64]*attempt
 	finished map[uint64]*egretmuxv1.AttemptReport // not acknowledged yet
 	fenced   map[uint64]bool                      // never to be started
+	needFull bool                                 // the leader asked for a full report
 }
 
 type attempt struct {
 	start   *egretmuxv1.StartAttempt
 	began   time.Time
 	stop    chan struct{}
-	told    bool // its start was acknowledged
+	told    bool // its start and usage were acknowledged
 	stopped bool
+	limit   int64 // thousandths of a core; 0: not throttled
 }
 
 // NewWorker returns a worker that Run starts.
@@ -64,10 +71,18 @@
 		return err
 	}
 	mux := http.NewServeMux()
-	mux.Handle(egretmuxv1connect.NewWorkerServiceHandler(w))
+	path, commands := egretmuxv1connect.NewWorkerServiceHandler(w)
+	mux.Handle(path, w.requireToken(commands))
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: announceTimeout}
 	go func() { _ = server.Serve(listener) }()
 	defer func() { _ = server.Close() }()
+	w.RunAnnouncing(ctx)
+	return nil
+}
+
+// RunAnnouncing announces the worker until the context ends. The caller hands
+// it the commands for it.
+func (w *Worker) RunAnnouncing(ctx context.Context) {
 	ticker := time.NewTicker(announcePeriod)
 	defer ticker.Stop()
 	for {
@@ -75,7 +90,7 @@
 		select {
 		case <-ctx.Done():
 			w.stopAll("worker ends")
-			return nil
+			return
 		case <-ticker.C:
 		case <-w.wake:
 		}
@@ -83,6 +98,20 @@
 	}
 }
 
+// requireToken lets only commands through that show the secret.
+func (w *Worker) requireToken(next http.Handler) http.Handler {
+	want := []byte("Bearer " + w.cfg.CommandToken)
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		shown := []byte(r.Header.Get("Authorization"))
+		if w.cfg.CommandToken != "" && subtle.ConstantTimeCompare(shown, want) != 1 {
+			w.cfg.Journal.Write(JournalEntry{What: "command_unauthenticated", Who: w.cfg.Record.GetId()})
+			http.Error(rw, "show the secret of [access] worker_token_file", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(rw, r)
+	})
+}
+
 func (w *Worker) wakeUp() {
 	select {
 	case w.wake <- struct{}{}:
@@ -133,6 +162,10 @@
 		w.wakeUp()
 		return
 	}
+	w.needFull = resp.GetNeedFull()
+	if w.needFull {
+		w.wakeUp()
+	}
 	w.epoch = resp.GetEpoch()
 	w.lease = sent.Add(time.Duration(resp.GetLeaseMs()) * time.Millisecond)
 	w.acknowledge(report)
@@ -157,18 +190,23 @@
 func (w *Worker) report() *egretmuxv1.WorkerReport {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	r := &egretmuxv1.WorkerReport{Worker: w.cfg.Record.GetId(), Epoch: w.epoch, Full: true}
+	r := &egretmuxv1.WorkerReport{Worker: w.cfg.Record.GetId(), Epoch: w.epoch, Full: w.needFull || w.epoch == 0}
 	if w.epoch == 0 {
 		r.Register = w.cfg.Record
 	}
 	for id, a := range w.running {
-		r.Running = append(r.Running, id)
+		if r.GetFull() {
+			r.Running = append(r.Running, id)
+		}
 		if !a.told {
 			r.Attempts = append(r.Attempts, &egretmuxv1.AttemptReport{
 				Task: a.start.GetTask(), Attempt: id, Phase: egretmuxv1.AttemptPhase_ATTEMPT_PHASE_RUNNING,
 			})
 		}
-		r.Usage = append(r.Usage, &egretmuxv1.AttemptUsage{Attempt: id, Used: a.start.GetSpec().GetResources()})
+		if a.told && !r.GetFull() {
+			continue // nothing changed
+		}
+		r.Usage = append(r.Usage, &egretmuxv1.AttemptUsage{Attempt: id, Used: a.used()})
 	}
 	for _, f := range w.finished {
 		r.Attempts = append(r.Attempts, f)
@@ -192,21 +230,26 @@
 			}
 		}
 		if s := c.GetStop(); s != nil {
-			w.stop(s)
+			w.stop(s, c.GetWorkerEpoch())
+		}
+		if s := c.GetThrottle(); s != nil {
+			w.throttle(s)
 		}
 	}
 	w.wakeUp()
 	return connect.NewResponse(resp), nil
 }
 
-// start begins an attempt once. It refuses one of another epoch or after the
-// lease has ended.
+// start begins an attempt once. It refuses one after the lease has ended. A
+// command of another epoch is left without an answer: an earlier process of this
+// worker may have run the attempt, and the next registration settles its fate.
 func (w *Worker) start(c *egretmuxv1.WorkerCommand, s *egretmuxv1.StartAttempt) *egretmuxv1.AttemptReport {
 	id := s.GetAttempt()
-	if w.running[id] != nil || w.finished[id] != nil {
+	if w.running[id] != nil || w.finished[id] != nil || w.fenced[id] || c.GetWorkerEpoch() != w.epoch {
 		return nil
 	}
-	if w.fenced[id] || c.GetWorkerEpoch() != w.epoch || time.Now().After(w.lease) {
+	if time.Now().After(w.lease) {
+		w.fenced[id] = true
 		return &egretmuxv1.AttemptReport{Task: s.GetTask(), Attempt: id, Phase: egretmuxv1.AttemptPhase_ATTEMPT_PHASE_REFUSED}
 	}
 	w.fenced[id] = true
@@ -217,8 +260,10 @@
 	return nil
 }
 
-func (w *Worker) stop(s *egretmuxv1.StopAttempt) {
+// stop ends an attempt, or proves that this process never started it.
+func (w *Worker) stop(s *egretmuxv1.StopAttempt, epoch uint64) {
 	id := s.GetAttempt()
+	fenced := w.fenced[id]
 	w.fenced[id] = true
 	if a := w.running[id]; a != nil {
 		w.end(id, a, egretmuxv1.AttemptPhase_ATTEMPT_PHASE_STOPPED, "stopped by command")
@@ -227,11 +272,38 @@
 		}
 		return
 	}
-	if w.finished[id] == nil {
+	if w.finished[id] == nil && !fenced && epoch == w.epoch {
 		w.finished[id] = &egretmuxv1.AttemptReport{Task: s.GetTask(), Attempt: id, Phase: egretmuxv1.AttemptPhase_ATTEMPT_PHASE_REFUSED, Detail: "never started here"}
 	}
 }
 
+// throttle bounds the processors that the attempt is seen to use.
+func (w *Worker) throttle(s *egretmuxv1.ThrottleAttempt) {
+	if a := w.running[s.GetAttempt()]; a != nil {
+		a.limit = s.GetCpuMillis()
+		a.told = false // its usage changed
+	}
+}
+
+// used returns the declared size, multiplied by what a command that ends in
+// "use 2.5" says, within the attempt's throttle.
+func (a *attempt) used() *egretmuxv1.Resources {
+	spec := a.start.GetSpec()
+	out := &egretmuxv1.Resources{
+		CpuMillis: spec.GetResources().GetCpuMillis(), MemoryMib: spec.GetResources().GetMemoryMib(), Accelerators: spec.GetResources().GetAccelerators(),
+	}
+	if _, parts, ok := strings.Cut(spec.GetCommand(), " use "); ok {
+		if f, err := strconv.ParseFloat(parts, 64); err == nil {
+			out.CpuMillis = int64(float64(out.CpuMillis) * f)
+			out.MemoryMib = int64(float64(out.MemoryMib) * f)
+		}
+	}
+	if a.limit > 0 {
+		out.CpuMillis = min(out.CpuMillis, a.limit)
+	}
+	return out
+}
+
 // end records an attempt's end. The caller holds the lock.
 func (w *Worker) end(id uint64, a *attempt, phase egretmuxv1.AttemptPhase, detail string) {
 	if a.stopped {
@@ -258,7 +330,8 @@
 		w.serve(a)
 		return
 	}
-	verb, rest, _ := strings.Cut(spec.GetCommand(), " ")
+	command, _, _ := strings.Cut(spec.GetCommand(), " use ")
+	verb, rest, _ := strings.Cut(command, " ")
 	length, err := time.ParseDuration(rest)
 	if err != nil {
 		length = 0
