--- a/internal/inifile/key.go
+++ b/internal/inifile/key.go
@@ -87,7 +87,10 @@
 	if k.Type == Duration {
 		return "use " + seconds(k.Min).String() + " to " + seconds(k.Max).String()
 	}
-	return fmt.Sprintf("use %v to %v", k.Min, k.Max)
+	return "use " + plain(k.Min) + " to " + plain(k.Max)
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// plain writes a number without an exponent.
+func plain(x float64) string { return strconv.FormatFloat(x, 'f', -1, 64) }
