Answers that begin during a drain close their connection

Cause: a request that came before the drain left its connection open, so the caller's next request met a closing instance. Change: the header is set when the answer begins. Tests: a failing part drains and cuts nothing, a second signal cuts and tells it, workers' commands go over TLS with the secret and to no worker whose certificate is unknown. Conclusion: the shutdown is covered on its three ways.

--- /dev/null
+++ b/internal/daemon/shutdown_test.go
@@ -0,0 +1,92 @@
+package daemon
+
+import (
+	"bufio"
+	"encoding/pem"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/settings"
+)
+
+// hold starts a request whose body is not complete and returns its connection
+// once the instance has it in flight.
+func (c *testCell) hold(r *running, name string) net.Conn {
+	<-r.relay.Ready()
+	c.write("dixie.ini", contractText(1))
+	c.mustCLI("contract", "apply", c.path("dixie.ini"))
+	conn, err := net.Dial("tcp", c.addresses[name+" callers"])
+	require.NoError(c.t, err)
+	c.t.Cleanup(func() { _ = conn.Close() })
+	_, err = io.WriteString(conn, "POST /service/lease/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+customerToken+"\r\nContent-Length: 4\r\n\r\nhe")
+	require.NoError(c.t, err)
+	require.Eventually(c.t, func() bool { return r.entry.InFlight() == 1 }, time.Minute, time.Millisecond)
+	return conn
+}
+
+// A failing part, such as a disk, ends the instance, but cuts no request.
+func TestFailingPartDrains(t *testing.T) {
+	c := newCell(t, "a1")
+	r := c.start("a1", "")
+	conn := c.hold(r, "a1")
+	r.fail(errors.New("disk failed"))
+	<-r.draining
+	_, err := io.WriteString(conn, "ld")
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusNotFound, resp.StatusCode, "%s", body)
+	require.True(t, resp.Close, "the connection is not used again")
+	require.ErrorContains(t, r.wait(), "disk failed")
+	require.NotContains(t, r.log.String(), "requests_cut")
+	require.Contains(t, r.log.String(), `"event":"part_failed"`)
+}
+
+// The second signal ends at once and tells what was cut.
+func TestSecondSignalCuts(t *testing.T) {
+	c := newCell(t, "a1")
+	r := c.start("a1", "")
+	conn := c.hold(r, "a1")
+	r.stop()
+	r.hurry()
+	require.NoError(t, r.wait())
+	_, err := io.ReadAll(conn)
+	require.NoError(t, err, "the connection is closed")
+	require.Contains(t, r.log.String(), `"event":"requests_cut","in_flight":1,"cause":"second signal"`)
+}
+
+// TestCommandsOverTLS shows workers the secret over TLS, and only those whose
+// certificate is known.
+func TestCommandsOverTLS(t *testing.T) {
+	c := newCell(t)
+	shown := make(chan string, 1)
+	worker := httptest.NewTLSServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { shown <- r.Header.Get("Authorization") }))
+	defer worker.Close()
+	c.write("ca.pem", string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: worker.Certificate().Raw})))
+	commands := []*egretmuxv1.WorkerCommand{{Worker: "w1", Address: strings.TrimPrefix(worker.URL, "https://")}}
+
+	known, err := newCommander(&settings.Settings{WorkerCA: c.path("ca.pem"), WorkerKey: workerToken}, zerolog.Nop())
+	require.NoError(t, err)
+	known.Run(commands)
+	require.Equal(t, "Bearer "+workerToken, <-shown)
+
+	c.writeCertificate(1)
+	log := &safeBuffer{}
+	unknown, err := newCommander(&settings.Settings{WorkerCA: c.path("cert.pem"), WorkerKey: workerToken}, zerolog.New(log))
+	require.NoError(t, err)
+	unknown.Run(commands)
+	require.Eventually(t, func() bool { return strings.Contains(log.String(), "command_not_delivered") }, time.Minute, time.Millisecond)
+	require.Empty(t, shown)
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -159,15 +159,39 @@
 	})
 }
 
-// CloseAfter tells clients, once done is closed, to use no connection for
-// another request.
+// CloseAfter tells clients, in every answer that begins once done is closed, to
+// use the connection for no other request.
 func CloseAfter(done <-chan struct{}, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		select {
-		case <-done:
-			w.Header().Set("Connection", "close")
-		default:
-		}
-		next.ServeHTTP(w, r)
+		next.ServeHTTP(&closingWriter{ResponseWriter: w, done: done}, r)
 	})
 }
+
+// closingWriter adds the header when the answer begins.
+type closingWriter struct {
+	http.ResponseWriter
+	done  <-chan struct{}
+	began bool
+}
+
+// Unwrap lets http.ResponseController find the server's writer.
+func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *closingWriter) WriteHeader(status int) {
+	w.began = true
+	select {
+	case <-w.done:
+		w.Header().Set("Connection", "close")
+	default:
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *closingWriter) Write(p []byte) (int, error) {
+	if !w.began {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(p)
+}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -76,17 +76,20 @@
 	<-done
 }
 
+// An answer that begins after the drain has begun closes its connection, also
+// when its request came before.
 func TestCloseAfter(t *testing.T) {
 	done := make(chan struct{})
-	handler := CloseAfter(done, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
-	for _, want := range []string{"", "close"} {
-		w := httptest.NewRecorder()
-		handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", nil))
-		require.Equal(t, want, w.Header().Get("Connection"))
-		if want == "" {
-			close(done)
-		}
-	}
+	before := httptest.NewRecorder()
+	CloseAfter(done, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "x") })).
+		ServeHTTP(before, httptest.NewRequest(http.MethodGet, "/", nil))
+	require.Empty(t, before.Header().Get("Connection"))
+	during := httptest.NewRecorder()
+	CloseAfter(done, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(done)
+		_, _ = io.WriteString(w, "x")
+	})).ServeHTTP(during, httptest.NewRequest(http.MethodGet, "/", nil))
+	require.Equal(t, "close", during.Header().Get("Connection"))
 }
 
 func TestLimitMessageOfUnknownLength(t *testing.T) {
