The body's time limit leaves room for a nearer deadline of the handler

Cause: the limit was set at the first read, after a handler's own deadline, and would have replaced it by a later one. Change: it is set before the handler runs.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -85,31 +85,28 @@
 	})
 }
 
-// TimeBody bounds the time that a client takes to send its request's body. It
-// leaves requests alone whose body has arrived.
+// TimeBody bounds the time that a client takes to send its request's body; the
+// next handler may set a nearer read deadline. It leaves requests alone whose
+// body has arrived.
 func TimeBody(limit time.Duration, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Body != nil && r.Body != http.NoBody {
-			r.Body = &timedBody{ReadCloser: r.Body, control: http.NewResponseController(w), limit: limit}
+			control := http.NewResponseController(w)
+			_ = control.SetReadDeadline(time.Now().Add(limit))
+			r.Body = &timedBody{ReadCloser: r.Body, control: control}
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
-// timedBody sets a read deadline at its first read and takes it back at its end.
+// timedBody takes the read deadline back at its end.
 type timedBody struct {
 	io.ReadCloser
 	control *http.ResponseController
-	limit   time.Duration
-	began   bool
 }
 
 // Read implements io.Reader.
 func (b *timedBody) Read(p []byte) (int, error) {
-	if !b.began {
-		b.began = true
-		_ = b.control.SetReadDeadline(time.Now().Add(b.limit))
-	}
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
 		_ = b.control.SetReadDeadline(time.Time{})
