--- a/cmd/egretmux-standin/main.go
+++ b/cmd/egretmux-standin/main.go
@@ -34,6 +34,7 @@
 	MemoryMiB    int64  `long:"memory-mib" default:"65536"`
 	Accelerators int64  `long:"accelerators" default:"0"`
 	Slots        int32  `long:"slots" description:"slots of endpoints started by service tasks" default:"8"`
+	TokenFile    string `long:"command-token-file" description:"file with the secret that commands must show; empty: none"`
 }
 
 // Execute implements flags.Commander.
@@ -42,6 +43,12 @@
 	if err != nil {
 		return err
 	}
+	var secret []byte
+	if c.TokenFile != "" {
+		if secret, err = os.ReadFile(c.TokenFile); err != nil {
+			return err
+		}
+	}
 	const links = 60
 	w := standin.NewWorker(standin.WorkerConfig{
 		Record: &egretmuxv1.Worker{
@@ -49,6 +56,7 @@
 			Capacity: &egretmuxv1.Resources{CpuMillis: c.CPUMillis, MemoryMib: c.MemoryMiB, Accelerators: c.Accelerators},
 		},
 		Announcer: standin.NewAnnouncer(c.instances(), c.Token), Journal: journal, Slots: c.Slots, Links: links,
+		CommandToken: strings.TrimSpace(string(secret)),
 	})
 	return w.Run(untilSignal())
 }
@@ -61,6 +69,7 @@
 	Datacentre string `long:"datacentre" required:"yes"`
 	Slots      int32  `long:"slots" default:"8"`
 	Links      int32  `long:"links" default:"60"`
+	Advertise  string `long:"advertise" description:"address to announce, when a link stands before the endpoint"`
 }
 
 // Execute implements flags.Commander.
@@ -71,7 +80,7 @@
 	}
 	e := standin.NewEndpoint(standin.EndpointConfig{
 		ID: c.ID, Service: c.Service, Address: c.Address, Datacentre: c.Datacentre, Slots: c.Slots, Links: c.Links,
-		Announcer: standin.NewAnnouncer(c.instances(), c.Token), Journal: journal,
+		Advertise: c.Advertise, Announcer: standin.NewAnnouncer(c.instances(), c.Token), Journal: journal,
 	})
 	return e.Run(untilSignal())
 }
@@ -112,8 +121,12 @@
 
 func main() {
 	parser := flags.NewNamedParser("egretmux-standin", flags.Default)
-	for name, command := range map[string]any{"worker": &workerCommand{}, "endpoint": &endpointCommand{}, "caller": &callerCommand{}} {
-		if _, err := parser.AddCommand(name, "play a "+name, "Plays a "+name+" until a signal.", command); err != nil {
+	for name, command := range map[string]any{
+		"worker": &workerCommand{}, "endpoint": &endpointCommand{}, "caller": &callerCommand{},
+		"request": &requestCommand{}, "link": &linkCommand{}, "load": &loadCommand{}, "check": &checkCommand{}, "note": &noteCommand{},
+		"fleet": &fleetCommand{}, "sample": &sampleCommand{}, "fit": &fitCommand{}, "starts": &startsCommand{},
+	} {
+		if _, err := parser.AddCommand(name, "play a "+name, "Plays a "+name+".", command); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
 		}
--- a/internal/leader/status.go
+++ b/internal/leader/status.go
@@ -26,7 +26,7 @@
 		heard := t.started
 		if v := t.workers[w.GetId()]; v != nil {
 			heard = v.heard
-			s.Used = v.used.Resources()
+			s.Used = v.used().Resources()
 		}
 		s.SilentMs = now.Sub(heard).Milliseconds()
 		out = append(out, s)
@@ -34,9 +34,10 @@
 	return out, nil
 }
 
-func sumUsage(usage []*egretmuxv1.AttemptUsage) worker.Room {
+// used sums the newest usage reports.
+func (v *workerView) used() worker.Room {
 	var sum worker.Room
-	for _, u := range usage {
+	for _, u := range v.usage {
 		sum = sum.Plus(worker.RoomOf(u.GetUsed()))
 	}
 	return sum
--- a/internal/leader/tenure.go
+++ b/internal/leader/tenure.go
@@ -9,7 +9,6 @@
 	"github.com/egretmux/egretmux/internal/endpoint"
 	"github.com/egretmux/egretmux/internal/state"
 	"github.com/egretmux/egretmux/internal/task"
-	"github.com/egretmux/egretmux/internal/worker"
 )
 
 // Periods of the leader's loops.
@@ -18,6 +17,7 @@
 	garbagePeriod = time.Minute
 	resendAfter   = 300 * time.Millisecond // a command not confirmed by then is sent again
 	planPeriod    = 250 * time.Millisecond // planning without a change, for backoffs that end
+	requestGiveUp = 15 * time.Minute       // a request without an outcome is unknown; longer than any may take
 	checkpointMax = 3 * time.Second        // a checkpoint that takes longer is given up for a plain stop
 	pauseLimit    = time.Second            // a longer gap between upkeeps means this process was paused
 )
@@ -32,19 +32,26 @@
 	plan    chan struct{}
 	planner planner
 
-	mu        sync.Mutex
-	sessions  map[string]*session
-	workers   map[string]*workerView
-	endpoints *endpoint.Table
-	commands  map[uint64]*command // by attempt
-	floor     time.Time           // silence before this time does not count
+	mu           sync.Mutex
+	sessions     map[string]*session // by instance
+	departures   []departure
+	removing     map[string]bool      // instances whose removal is being committed
+	closed       map[string]time.Time // when an instance's last session ended
+	lastSequence uint64               // of commands, over closed sessions
+	attached     *attachments
+	workers      map[string]*workerView
+	endpoints    *endpoint.Table
+	commands     map[uint64]*command // by attempt
+	floor        time.Time           // silence before this time does not count
 }
 
 // workerView is what the leader has heard of a worker.
 type workerView struct {
 	heard    time.Time
 	instance string // that the worker announces itself through
-	used     worker.Room
+	usage    map[uint64]*egretmuxv1.AttemptUsage
+	losing   bool // its loss is being committed; it gets no lease until that is decided
+	complete bool // its running attempts and usage are fully known
 }
 
 // command is an instruction that a worker has not confirmed yet.
@@ -63,6 +70,9 @@
 		plan:      make(chan struct{}, 1),
 		sessions:  make(map[string]*session),
 		workers:   make(map[string]*workerView),
+		removing:  make(map[string]bool),
+		closed:    make(map[string]time.Time),
+		attached:  newAttachments(),
 		endpoints: endpoint.NewTable(l.timing.EndpointSilent),
 		commands:  make(map[uint64]*command),
 	}
@@ -74,13 +84,14 @@
 // run does the leader's work until the context ends.
 func (t *tenure) run(ctx context.Context) {
 	t.loadPlanner()
-	for _, x := range t.store.Tasks() {
+	for _, x := range t.store.LiveTasks() {
 		t.taskLoaded(x.GetId())
 	}
 	var loops sync.WaitGroup
 	loops.Go(func() { t.runPlanner(ctx) })
 	loops.Go(func() { t.runUpkeep(ctx) })
 	loops.Go(func() { t.runGarbage(ctx) })
+	loops.Go(func() { t.runMembers(ctx) })
 	loops.Wait()
 }
 
@@ -229,7 +240,8 @@
 	}
 }
 
-// silentWorkers returns the workers whose leases have certainly ended.
+// silentWorkers returns the workers whose leases have certainly ended. Until
+// their loss is decided their reports renew nothing.
 func (t *tenure) silentWorkers(now time.Time) []*egretmuxv1.Worker {
 	var lost []*egretmuxv1.Worker
 	for _, w := range t.store.Workers() {
@@ -241,6 +253,7 @@
 			heard = v.heard
 		}
 		if now.Sub(heard) > outlast(t.leader.timing.WorkerLease) {
+			t.view(w.GetId()).losing = true
 			lost = append(lost, w)
 		}
 	}
@@ -252,6 +265,12 @@
 		Worker: w.GetId(), Epoch: w.GetEpoch(), Phase: egretmuxv1.WorkerPhase_WORKER_PHASE_LOST, Reason: "silent for longer than its lease",
 	}}})
 	t.leader.logger.Warn().AnErr("error", err).Str("event", "worker_lost").Str("worker", w.GetId()).Msg("")
+	if err != nil {
+		return // the outcome is unknown and the tenure over
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.view(w.GetId()).losing = false
 }
 
 // runGarbage drops old records now and then.
@@ -268,6 +287,7 @@
 		_, err := t.leader.propose(ctx, &egretmuxv1.Command{Body: &egretmuxv1.Command_CollectGarbage{CollectGarbage: &egretmuxv1.CollectGarbage{
 			TasksEndedBeforeUnixMs:    now.Add(-t.leader.timing.TaskKeep).UnixMilli(),
 			RequestsEndedBeforeUnixMs: now.Add(-t.leader.timing.RequestKeep).UnixMilli(),
+			RequestsBegunBeforeUnixMs: now.Add(-requestGiveUp).UnixMilli(),
 		}}})
 		if err != nil {
 			t.leader.logger.Warn().Err(err).Str("event", "garbage_not_collected").Msg("")
--- a/internal/operator/identity.go
+++ b/internal/operator/identity.go
@@ -9,8 +9,10 @@
 	"encoding/hex"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/egretmux/egretmux/internal/contract"
+	"github.com/egretmux/egretmux/internal/edge"
 	"github.com/egretmux/egretmux/internal/refusal"
 )
 
@@ -31,7 +33,13 @@
 type Access struct {
 	OperatorSHA256 string
 	Book           *contract.Book
-	Open           bool // everybody is an operator
+	Lease          Lease // while it holds, the book is the newest
+	Open           bool  // everybody is an operator
+}
+
+// Lease tells whether the instance hears from the leader.
+type Lease interface {
+	Valid() bool
 }
 
 // Identify returns who shows the credential in the header.
@@ -40,12 +48,16 @@
 	if matches(token, a.OperatorSHA256) {
 		return Identity{Operator: true}, nil
 	}
-	if c := a.Book.ByCredential(token); c != nil {
+	heard := a.Lease.Valid()
+	if c := a.Book.ByCredential(token); c != nil && heard {
 		return Identity{Customer: c.Customer}, nil
 	}
 	if a.Open {
 		return Identity{Operator: true}, nil
 	}
+	if !heard {
+		return Identity{}, refusal.New(refusal.NoLease, "send it to another instance", "this instance does not hear from the leader and may lack the contract").After(time.Second)
+	}
 	return Identity{}, refusal.New(refusal.Unauthenticated, "send Authorization: Bearer with an operator's or customer's credential", "the credential is not known")
 }
 
@@ -54,13 +66,17 @@
 	return sha != "" && subtle.ConstantTimeCompare([]byte(hex.EncodeToString(sum[:])), []byte(strings.ToLower(sha))) == 1
 }
 
-// RequireToken lets only requests with the credential through. An empty hash
-// lets everything through.
-func RequireToken(sha string, next http.Handler) http.Handler {
+// RequireToken lets only requests through that show one of the credentials,
+// given as SHA-256 in hex. Empty hashes match nothing; open lets everything through.
+func RequireToken(open bool, hashes []string, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		if sha != "" && !matches(token, sha) {
-			http.Error(w, "unauthenticated; send the announcers' credential as bearer token", http.StatusUnauthorized)
+		allowed := open
+		for _, h := range hashes {
+			allowed = matches(token, h) || allowed
+		}
+		if !allowed {
+			edge.Refuse(w, r, refusal.New(refusal.Unauthenticated, "send Authorization: Bearer with the credential for "+r.URL.Path, "the credential is not known"))
 			return
 		}
 		next.ServeHTTP(w, r)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -18,6 +18,7 @@
 	"github.com/egretmux/egretmux/gen/egretmux/v1/egretmuxv1connect"
 	"github.com/egretmux/egretmux/internal/refusal"
 	"github.com/egretmux/egretmux/internal/refusal/refusalrpc"
+	"github.com/egretmux/egretmux/internal/telemetry"
 )
 
 // Times of connections between instances. A connection that stays silent is
@@ -43,7 +44,7 @@
 // certificates it uses TLS.
 func NewDialer(key, caFile string) (*Dialer, error) {
 	transport := &http.Transport{
-		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:     telemetry.CountDial((&net.Dialer{Timeout: dialTimeout}).DialContext, "peers"),
 		IdleConnTimeout: idleTimeout,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 		Protocols:       new(http.Protocols),
@@ -67,6 +68,14 @@
 	return d, nil
 }
 
+// separate returns a dialer that shares no connection with this one, so that
+// bulk calls do not delay those made over it.
+func (d *Dialer) separate() *Dialer {
+	copied := *d
+	copied.client = &http.Client{Transport: d.client.Transport.(*http.Transport).Clone()}
+	return &copied
+}
+
 // Key returns the cell key.
 func (d *Dialer) Key() string { return d.key }
 
@@ -156,8 +165,10 @@
 
 // Call runs f against the leader. While no leader answers, or the outcome is
 // unknown, it tries again until the context ends, so f must be safe to repeat.
+// When one of the tries may have been carried out, so may the whole call.
 func (l *Leader) Call(ctx context.Context, f func(context.Context, *Clients) error) error {
 	pause := retryPause
+	var unknown *refusal.Error
 	for {
 		c := l.pick()
 		err := f(ctx, c)
@@ -168,17 +179,32 @@
 		r, leader := refusalrpc.From(err)
 		if r.Kind != refusal.NoLeader && r.Kind != refusal.OutcomeUnknown {
 			l.learn(c.Address, "", true)
+			if unknown != nil && !definite(r.Kind) {
+				r.Ran = refusal.Unknown
+			}
 			return r
 		}
+		if r.Ran == refusal.Unknown {
+			unknown = r
+		}
 		l.learn(c.Address, leader, false)
 		if leader != "" && leader != c.Address {
 			pause = retryPause
 		}
 		select {
 		case <-ctx.Done():
+			if unknown != nil {
+				return unknown
+			}
 			return r
 		case <-time.After(pause):
 		}
 		pause = min(2*pause, maxRetryWait)
 	}
 }
+
+// definite reports whether a refusal of this kind also tells what became of
+// earlier tries with the same change id.
+func definite(k refusal.Kind) bool {
+	return k == refusal.VersionConflict || k == refusal.KeyConflict
+}
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -9,11 +9,9 @@
 package state
 
 import (
-	"io"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
@@ -44,12 +42,12 @@
 type Store struct {
 	applyMu  sync.Mutex // held by the applying goroutine
 	listener Listener
-	now      int64 // time of the command being applied, Unix milliseconds
+	now      int64 // time of the command being applied, Unix milliseconds; never goes back
 
 	mu       sync.RWMutex // guards the counters below
 	applied  uint64
 	last     counters
-	changes  map[string]*egretmuxv1.ChangeRecord
+	changes  changeTable
 	contract contractTable
 	tasks    taskTable
 	workers  workerTable
@@ -59,19 +57,19 @@
 }
 
 type counters struct {
-	task, attempt, cellVersion, workerEpoch uint64
+	task, attempt, workerEpoch uint64
 }
 
 // New returns an empty store. The listener may be nil.
 func New(listener Listener) *Store {
 	s := &Store{listener: listener}
 	s.clear()
+	s.contract.replace(0, nil)
 	return s
 }
 
 func (s *Store) clear() {
-	s.changes = make(map[string]*egretmuxv1.ChangeRecord)
-	s.contract.clear()
+	s.changes.clear()
 	s.tasks.clear()
 	s.workers.clear()
 	s.ledger.clear()
@@ -87,7 +85,7 @@
 	if err := proto.Unmarshal(data, cmd); err != nil {
 		return &Result{Err: refusal.New(refusal.Internal, "report it", "command %d cannot be decoded: %v", index, err)}
 	}
-	s.now = cmd.GetNowUnixMs()
+	s.now = max(s.now, cmd.GetNowUnixMs()) // leaders' clocks differ
 	result := s.applyCommand(cmd)
 	s.mu.Lock()
 	s.applied = index
@@ -112,11 +110,9 @@
 	case *egretmuxv1.Command_SetWorkerPhase:
 		return s.setWorkerPhase(b.SetWorkerPhase)
 	case *egretmuxv1.Command_JoinInstance:
-		s.members.join(b.JoinInstance.GetInstance())
-		return &Result{}
+		return s.joinInstance(b.JoinInstance)
 	case *egretmuxv1.Command_LeaveInstance:
-		s.members.leave(b.LeaveInstance.GetId())
-		return &Result{}
+		return &Result{Applied: s.members.leave(b.LeaveInstance)}
 	case *egretmuxv1.Command_BeginRequest:
 		return s.beginRequest(b.BeginRequest)
 	case *egretmuxv1.Command_EndRequest:
@@ -134,66 +130,6 @@
 	return s.applied
 }
 
-// Capture implements consensus.StateMachine.
-func (s *Store) Capture() func(io.Writer) error {
-	s.applyMu.Lock()
-	defer s.applyMu.Unlock()
-	snap := &egretmuxv1.StateSnapshot{
-		AppliedIndex: s.applied, LastTask: s.last.task, LastAttempt: s.last.attempt,
-		CellVersion: s.last.cellVersion, LastWorkerEpoch: s.last.workerEpoch,
-		Contracts: s.contract.all(), Tasks: s.tasks.all(), Workers: s.workers.all(),
-		Instances: s.members.all(), Requests: s.requests.all(),
-	}
-	for _, c := range s.changes {
-		snap.Changes = append(snap.Changes, c)
-	}
-	return func(w io.Writer) error {
-		data, err := proto.Marshal(snap)
-		if err != nil {
-			return err
-		}
-		_, err = w.Write(data)
-		return err
-	}
-}
-
-// Restore implements consensus.StateMachine.
-func (s *Store) Restore(data []byte) error {
-	snap := &egretmuxv1.StateSnapshot{}
-	if err := proto.Unmarshal(data, snap); err != nil {
-		return errors.Wrap(err, "snapshot of the state cannot be decoded")
-	}
-	s.applyMu.Lock()
-	defer s.applyMu.Unlock()
-	s.clear()
-	s.mu.Lock()
-	s.applied = snap.GetAppliedIndex()
-	s.last = counters{snap.GetLastTask(), snap.GetLastAttempt(), snap.GetCellVersion(), snap.GetLastWorkerEpoch()}
-	s.mu.Unlock()
-	for _, c := range snap.GetContracts() {
-		s.contract.put(c)
-	}
-	for _, w := range snap.GetWorkers() {
-		s.workers.put(w)
-	}
-	for _, t := range snap.GetTasks() {
-		s.putTask(t)
-	}
-	for _, m := range snap.GetInstances() {
-		s.members.join(m)
-	}
-	for _, r := range snap.GetRequests() {
-		s.requests.put(r)
-	}
-	for _, c := range snap.GetChanges() {
-		s.changes[c.GetChangeId()] = c
-	}
-	if s.listener != nil {
-		s.listener.Restored()
-	}
-	return nil
-}
-
 func hashChange(customer, id string) uint64 { return xxhash.Sum64String(customer + "\x00" + id) }
 
 // Counts is a summary for status reports.
@@ -204,17 +140,7 @@
 
 // Counts returns the summary.
 func (s *Store) Counts() Counts {
-	s.mu.RLock()
-	version := s.last.cellVersion
-	s.mu.RUnlock()
-	return Counts{Tasks: s.tasks.len(), Requests: s.requests.len(), Workers: s.workers.len(), CellVersion: version}
-}
-
-// CellVersion returns the number of contract changes so far.
-func (s *Store) CellVersion() uint64 {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	return s.last.cellVersion
+	return Counts{Tasks: s.tasks.len(), Requests: s.requests.len(), Workers: s.workers.len(), CellVersion: s.contract.version()}
 }
 
 func clone[M proto.Message](m M) M { return proto.Clone(m).(M) }
