--- a/internal/place/gang.go
+++ b/internal/place/gang.go
@@ -38,7 +38,11 @@
 // tryGang places all members or none.
 func (r *round) tryGang(j *job) bool {
 	members := int(j.members())
-	if len(j.waiting) < members || !j.account.withinQuota(j.need.Times(int64(members))) || !r.leavesHeadroom(j, int64(members)) {
+	if len(j.waiting) < members || !j.account.withinQuota(j.need.Times(int64(members))) {
+		return false
+	}
+	if !r.leavesHeadroom(j, int64(members)) {
+		r.seekRoom(j, members)
 		return false
 	}
 	mark, starts := len(r.placed), len(r.plan.Commit.Starts)
--- a/internal/place/headroom.go
+++ b/internal/place/headroom.go
@@ -53,7 +53,7 @@
 // leavesHeadroom reports whether the cell keeps room for urgent work beside
 // that much more of other work.
 func (r *round) leavesHeadroom(j *job, n int64) bool {
-	if j.tier != tierBatch {
+	if j.tier != tierBatch || len(j.claims) > 0 {
 		return true
 	}
 	left := r.free.Minus(j.need.Times(n))
--- a/internal/place/learn.go
+++ b/internal/place/learn.go
@@ -139,6 +139,10 @@
 	}
 }
 
+// headroomPart adds headroom to a part of the declared size, up to that size;
+// work that keeps to what it declared is not made larger.
+func headroomPart(part, headroom float64) float64 { return max(part, min(1, part*headroom)) }
+
 // size returns what a member holds when it starts: what it declared; what its
 // like was seen to use if that is more; or, once enough of its like were seen to
 // use less, that with headroom, within the floor of the declared size.
@@ -148,7 +152,7 @@
 	if s == nil {
 		return declared
 	}
-	cpu, memory := s.cpu*cpuHeadroom, s.memory*memoryHeadroom
+	cpu, memory := headroomPart(s.cpu, cpuHeadroom), headroomPart(s.memory, memoryHeadroom)
 	if s.attempts < sureSizes {
 		cpu, memory = max(1, s.cpu), max(1, s.memory)
 	}
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -102,6 +102,9 @@
 		if h == nil || len(r.stops)+len(victims) > preemptsARound {
 			break
 		}
+		if len(victims) == 0 && !r.leavesHeadroom(j, int64(members)) {
+			break
+		}
 		if !j.urgent() && !j.service() && len(victims) > 0 && !r.p.giveBack.take(len(victims)) {
 			break
 		}
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -140,12 +140,14 @@
 	if j.gang() {
 		return r.tryGang(j)
 	}
-	if !j.account.withinQuota(j.need) || !r.leavesHeadroom(j, 1) {
+	if !j.account.withinQuota(j.need) {
 		return false
 	}
-	if h := r.pick(j); h != nil {
-		r.place(j, h)
-		return true
+	if r.leavesHeadroom(j, 1) {
+		if h := r.pick(j); h != nil {
+			r.place(j, h)
+			return true
+		}
 	}
 	r.seekRoom(j, min(len(j.waiting)-r.taken[j], membersARound))
 	return false
