--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -48,6 +48,8 @@
 	stops  map[uint64]bool        // attempts that this round stops
 	sought map[*job]bool          // jobs that this round has sought room for
 	parts  map[*account]*position // cached key of an account
+	scans  int                    // jobs that looked for somebody to stop
+	able   []*running             // scratch space of victimsOn
 	keep   worker.Room            // kept free for urgent work
 	free   worker.Room            // of the cell
 }
@@ -138,12 +140,14 @@
 	if j.gang() {
 		return r.tryGang(j)
 	}
-	if !j.account.withinQuota(j.need) || !r.leavesHeadroom(j, 1) {
+	if !j.account.withinQuota(j.need) {
 		return false
 	}
-	if h := r.pick(j); h != nil {
-		r.place(j, h)
-		return true
+	if r.leavesHeadroom(j, 1) {
+		if h := r.pick(j); h != nil {
+			r.place(j, h)
+			return true
+		}
 	}
 	r.seekRoom(j, min(len(j.waiting)-r.taken[j], membersARound))
 	return false
