--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -85,31 +85,28 @@
 	})
 }
 
-// TimeBody bounds the time that a client takes to send its request's body. It
-// leaves requests alone whose body has arrived.
+// TimeBody bounds the time that a client takes to send its request's body; the
+// next handler may set a nearer read deadline. It leaves requests alone whose
+// body has arrived.
 func TimeBody(limit time.Duration, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Body != nil && r.Body != http.NoBody {
-			r.Body = &timedBody{ReadCloser: r.Body, control: http.NewResponseController(w), limit: limit}
+			control := http.NewResponseController(w)
+			_ = control.SetReadDeadline(time.Now().Add(limit))
+			r.Body = &timedBody{ReadCloser: r.Body, control: control}
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
-// timedBody sets a read deadline at its first read and takes it back at its end.
+// timedBody takes the read deadline back at its end.
 type timedBody struct {
 	io.ReadCloser
 	control *http.ResponseController
-	limit   time.Duration
-	began   bool
 }
 
 // Read implements io.Reader.
 func (b *timedBody) Read(p []byte) (int, error) {
-	if !b.began {
-		b.began = true
-		_ = b.control.SetReadDeadline(time.Now().Add(b.limit))
-	}
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
 		_ = b.control.SetReadDeadline(time.Time{})
@@ -159,15 +156,39 @@
 	})
 }
 
-// CloseAfter tells clients, once done is closed, to use no connection for
-// another request.
+// CloseAfter tells clients, in every answer that begins once done is closed, to
+// use the connection for no other request.
 func CloseAfter(done <-chan struct{}, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		select {
-		case <-done:
-			w.Header().Set("Connection", "close")
-		default:
-		}
-		next.ServeHTTP(w, r)
+		next.ServeHTTP(&closingWriter{ResponseWriter: w, done: done}, r)
 	})
 }
+
+// closingWriter adds the header when the answer begins.
+type closingWriter struct {
+	http.ResponseWriter
+	done  <-chan struct{}
+	began bool
+}
+
+// Unwrap lets http.ResponseController find the server's writer.
+func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *closingWriter) WriteHeader(status int) {
+	w.began = true
+	select {
+	case <-w.done:
+		w.Header().Set("Connection", "close")
+	default:
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *closingWriter) Write(p []byte) (int, error) {
+	if !w.began {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(p)
+}
--- a/internal/leader/tenure.go
+++ b/internal/leader/tenure.go
@@ -41,6 +41,7 @@
 	attached     *attachments
 	workers      map[string]*workerView
 	endpoints    *endpoint.Table
+	first        bool                // no instance was known when the tenure began
 	commands     map[uint64]*command // by attempt
 	floor        time.Time           // silence before this time does not count
 }
@@ -76,7 +77,8 @@
 		endpoints: endpoint.NewTable(l.timing.EndpointSilent),
 		commands:  make(map[uint64]*command),
 	}
-	t.endpoints.Recovering = true
+	t.endpoints.Term, t.endpoints.Recovering = term, true
+	t.first = len(l.store.Instances()) == 0
 	t.planner.init()
 	return t
 }
@@ -221,9 +223,8 @@
 	}
 	t.expireEntries(now)
 	changed := false
-	if t.endpoints.Recovering && t.entriesKnown(now) {
-		t.endpoints.Recovering = false
-		changed = true
+	if t.endpoints.Recovering {
+		changed = t.recoverGrants(now)
 	}
 	changed = t.endpoints.Expire(now) || changed
 	changed = t.endpoints.Rebalance() || changed
@@ -240,6 +241,28 @@
 	}
 }
 
+// grantRecovery is how long a new leader waits for all entries to report
+// before it shares out the part of the slots that it knows of.
+const grantRecovery = 2 * time.Second
+
+// recoverGrants starts the sharing of slots once the entries' holdings are
+// known. What entries that have not reported may hold stays theirs.
+func (t *tenure) recoverGrants(now time.Time) bool {
+	timing := t.leader.timing
+	leasesEnd := t.started.Add(outlast(timing.EntryLease))
+	switch {
+	case t.first:
+		t.endpoints.Recovered(now, time.Time{})
+	case t.entriesKnown(now):
+		t.endpoints.Recovered(now, now.Add(timing.RequestLimit))
+	case now.Sub(t.started) > grantRecovery:
+		t.endpoints.Recovered(leasesEnd, leasesEnd.Add(timing.RequestLimit))
+	default:
+		return false
+	}
+	return true
+}
+
 // silentWorkers returns the workers whose leases have certainly ended. Until
 // their loss is decided their reports renew nothing.
 func (t *tenure) silentWorkers(now time.Time) []*egretmuxv1.Worker {
