The random test no longer loses a disk beside an unseen membership change

A leader had stopped on a failed sync with the removal of a healthy voter in its log, unseen by the test's rule that a disk is lost only while no membership change is under way; the disk of the third was then lost. Removing a healthy voter and losing the disk of another at once leaves one of two and is outside of what is promised.

Change: the rule also looks at the log of a replica that stopped by itself. Nothing else about the test is eased.

--- a/internal/consensus/bench_test.go
+++ b/internal/consensus/bench_test.go
@@ -222,6 +222,8 @@
 	if err != nil {
 		tally.failures++
 		s.failure = err
+		s.observed = s.node.core.Status() // what it could not sync may still be on its disk
+		s.observed.Role = core.Follower
 		b.stop(s)
 		b.collect()
 		return
