--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 	$(GO) test -run=NONE -bench=CommitLatency -benchtime=6400x ./internal/voter
 	$(GO) test -run=NONE -bench=LeaderLoss -benchtime=10x ./internal/voter
 	$(GO) test -run=NONE -bench=Restart -benchtime=10x ./internal/voter
+	$(GO) test -run=NONE -bench=Idle -benchtime=1x ./internal/voter
 
 lint:
 	./scripts/lint
--- a/internal/voter/cell_test.go
+++ b/internal/voter/cell_test.go
@@ -44,12 +44,14 @@
 	node    *consensus.Node
 	machine *counter
 	server  *http.Server
+	bytes   *atomic.Int64 // sent and received on all listeners of the cell
 }
 
 // startCell forms a cell of voters on loopback with real disks.
 func startCell(tb testing.TB, count int) []*instance {
 	tb.Helper()
 	listeners := make([]net.Listener, count)
+	bytes := new(atomic.Int64)
 	var voters []settings.Voter
 	for i := range listeners {
 		var err error
@@ -64,7 +66,8 @@
 			Cell: settings.Listener{Address: voters[i].Address},
 			Tick: 50 * time.Millisecond, ElectionTicks: 10, HeartbeatTicks: 2, SnapshotEntries: 20_000,
 		}
-		cell[i] = openInstance(tb, s, listeners[i])
+		cell[i] = openInstance(tb, s, countingListener{listeners[i], bytes})
+		cell[i].bytes = bytes
 	}
 	for i := len(cell) - 1; i >= 0; i-- {
 		cell[i].start(tb)
--- a/internal/voter/speed_test.go
+++ b/internal/voter/speed_test.go
@@ -1,8 +1,11 @@
 package voter
 
 import (
+	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -90,3 +93,51 @@
 	}
 	b.ReportMetric(worst.Seconds(), "worst-s")
 }
+
+// countingListener counts the bytes of its connections, both ways.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countingConn{c, l.bytes}, err
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkIdle measures what three voters without load send and compute. All
+// of it is between the leader and the others. Headers of TCP and IP are not counted.
+func BenchmarkIdle(b *testing.B) {
+	const period = 10 * time.Second
+	cell := startCell(b, 3)
+	awaitLeader(b, cell)
+	bytes := cell[0].bytes
+	before, used := bytes.Load(), processorTime(b)
+	time.Sleep(period)
+	b.ReportMetric(float64(bytes.Load()-before)/period.Seconds(), "leader-B/s")
+	b.ReportMetric(100*(processorTime(b)-used).Seconds()/period.Seconds()/float64(len(cell)), "core-%/voter")
+}
+
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var usage syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
