A repaired replica stays at the join until its predecessor is out

Cause: on real processes a second disk lost 4 s after the repair of the first left the cell without a quorum. Join returned as soon as the new replica voted, so the lost one was never removed: four voters, one of them gone for good, need three.

Change: Join returns once the committed membership has the replica as the one voter of its instance at its present address.

--- a/internal/voter/form_test.go
+++ b/internal/voter/form_test.go
@@ -183,10 +183,19 @@
 	return "set aside, new identity, joins"
 }
 
-func TestReplicaJoinsAgainUnderANewAddress(t *testing.T) {
-	m := &egretmuxv1.Membership{Replicas: []*egretmuxv1.Replica{{Id: 1, Address: "a"}, {Id: 2, Address: "b", Learner: true}}}
-	require.True(t, isVoter(m, &egretmuxv1.Replica{Id: 1, Address: "a"}))
-	require.False(t, isVoter(m, &egretmuxv1.Replica{Id: 1, Address: "c"}))
-	require.False(t, isVoter(m, &egretmuxv1.Replica{Id: 2, Address: "b"}))
-	require.False(t, isVoter(m, &egretmuxv1.Replica{Id: 3, Address: "a"}))
+func TestJoinIsDoneWhenTheInstanceHasOneVoterAtItsAddress(t *testing.T) {
+	self := &egretmuxv1.Replica{Id: 1, Instance: "i1", Address: "a"}
+	other := &egretmuxv1.Replica{Id: 2, Instance: "i2", Address: "b"}
+	for name, c := range map[string]struct {
+		members []*egretmuxv1.Replica
+		done    bool
+	}{
+		"voter":              {[]*egretmuxv1.Replica{self, other}, true},
+		"not there":          {[]*egretmuxv1.Replica{other}, false},
+		"learner":            {[]*egretmuxv1.Replica{{Id: 1, Instance: "i1", Address: "a", Learner: true}, other}, false},
+		"other address":      {[]*egretmuxv1.Replica{{Id: 1, Instance: "i1", Address: "c"}, other}, false},
+		"beside the old one": {[]*egretmuxv1.Replica{{Id: 9, Instance: "i1", Address: "a"}, self, other}, false},
+	} {
+		require.Equal(t, c.done, isMember(&egretmuxv1.Membership{Replicas: c.members}, self), name)
+	}
 }
--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -135,37 +135,45 @@
 	return &egretmuxv1.Replica{Id: v.id, Instance: v.settings.Instance, Address: v.settings.Cell.Address}
 }
 
-// Join makes the replica a voter at its present address if it is not one yet.
-// It returns when it is, or when the context ends.
+// Join makes the replica a voter at its present address if it is not one yet,
+// in the place of those that its instance had before. It returns when that is
+// done, or when the context ends.
 func (v *Voter) Join(ctx context.Context, leader *peer.Leader) {
-	for ctx.Err() == nil {
-		if v.joined() {
-			return
-		}
-		if err := v.joinOnce(ctx, leader); err == nil && v.joined() {
-			v.logger.Info().Str("event", "replica_joined").Msg("")
-			return
+	told := ""
+	for !v.joined() {
+		if err := v.joinOnce(ctx, leader); err != nil && err.Error() != told {
+			told = err.Error()
+			v.logger.Info().Err(err).Str("event", "replica_joining").Msg("")
 		}
 		select {
 		case <-ctx.Done():
+			return
 		case <-time.After(joinPause):
 		}
 	}
+	v.logger.Info().Str("event", "replica_joined").Msg("")
 }
 
 func (v *Voter) joined() bool {
 	status, _ := v.node.Load().Status()
-	return isVoter(status.Membership, v.replica())
+	return status.MembershipCommitted && isMember(status.Membership, v.replica())
 }
 
-// isVoter reports whether a membership has the replica as a voter at its address.
-func isVoter(m *egretmuxv1.Membership, self *egretmuxv1.Replica) bool {
+// isMember reports whether a membership has the replica as a voter at its
+// address and as the only replica of its instance. One that the instance had
+// before would count for the quorum and never answer.
+func isMember(m *egretmuxv1.Membership, self *egretmuxv1.Replica) bool {
+	found := false
 	for _, r := range m.GetReplicas() {
-		if r.GetId() == self.GetId() {
-			return !r.GetLearner() && r.GetAddress() == self.GetAddress()
+		if r.GetInstance() != self.GetInstance() {
+			continue
+		}
+		if r.GetId() != self.GetId() || r.GetLearner() || r.GetAddress() != self.GetAddress() {
+			return false
 		}
+		found = true
 	}
-	return false
+	return found
 }
 
 func (v *Voter) joinOnce(ctx context.Context, leader *peer.Leader) error {
