--- a/internal/state/ledger.go
+++ b/internal/state/ledger.go
@@ -9,11 +9,13 @@
 	"github.com/egretmux/egretmux/internal/worker"
 )
 
-// ledger sums what each customer holds and how many of its members wait.
+// ledger sums what each customer holds, and how many of its members wait and
+// how many run.
 type ledger struct {
 	mu      sync.RWMutex
 	held    map[string]worker.Room
 	waiting map[string]int
+	live    map[string]int // attempts
 }
 
 func (l *ledger) clear() {
@@ -21,6 +23,7 @@
 	defer l.mu.Unlock()
 	l.held = make(map[string]worker.Room)
 	l.waiting = make(map[string]int)
+	l.live = make(map[string]int)
 }
 
 // account moves a task's part of the sums from its old record to the new one.
@@ -29,22 +32,27 @@
 	defer l.mu.Unlock()
 	if old != nil {
 		name := old.GetSpec().GetCustomer()
-		l.held[name] = l.held[name].Minus(heldBy(old))
+		room, live := heldBy(old)
+		l.held[name] = l.held[name].Minus(room)
+		l.live[name] -= live
 		l.waiting[name] -= len(task.Waiting(old))
 	}
 	name := next.GetSpec().GetCustomer()
-	l.held[name] = l.held[name].Plus(heldBy(next))
+	room, live := heldBy(next)
+	l.held[name] = l.held[name].Plus(room)
+	l.live[name] += live
 	l.waiting[name] += len(task.Waiting(next))
 }
 
-func heldBy(t *egretmuxv1.Task) worker.Room {
-	var sum worker.Room
+// heldBy returns the room of a task's live attempts and their number.
+func heldBy(t *egretmuxv1.Task) (room worker.Room, live int) {
 	for _, a := range t.GetAttempts() {
 		if task.Live(a.GetPhase()) {
-			sum = sum.Plus(task.Held(t, a))
+			room = room.Plus(task.Held(t, a))
+			live++
 		}
 	}
-	return sum
+	return room, live
 }
 
 // Held returns the room that a customer's live attempts hold.
@@ -54,6 +62,13 @@
 	return s.ledger.held[customer]
 }
 
+// LiveAttempts returns how many of a customer's attempts may be running.
+func (s *Store) LiveAttempts(customer string) int {
+	s.ledger.mu.RLock()
+	defer s.ledger.mu.RUnlock()
+	return s.ledger.live[customer]
+}
+
 // WaitingMembers returns how many of a customer's members wait for a worker.
 func (s *Store) WaitingMembers(customer string) int {
 	s.ledger.mu.RLock()
