The leases model runs the real router; slots in use wake no report

Cause: the model's own stand-in for grants took a target that had not been confirmed for held, and so found 9 of 8 slots granted in about 1 of 1,000 checks; the endpoint table now numbers grants, and the router gives them up with its lease. The relay kept a second copy of that rule. Endpoints now tell how many slots are in use, which changes with every request and would have made each announcement a report.

Change: the model exchanges grants between the real table and router. The relay drops its copy. A change of the slots in use alone is passed on only within a minute of a new leader, with the next report; that is when the table needs it.

--- a/internal/leader/cluster_test.go
+++ b/internal/leader/cluster_test.go
@@ -22,6 +22,7 @@
 	"github.com/egretmux/egretmux/internal/refusal"
 	"github.com/egretmux/egretmux/internal/refusal/refusalrpc"
 	"github.com/egretmux/egretmux/internal/relay"
+	"github.com/egretmux/egretmux/internal/route"
 	"github.com/egretmux/egretmux/internal/state"
 )
 
@@ -74,11 +75,11 @@
 
 // process is one process of an instance.
 type process struct {
-	id        int
-	relay     *relay.Relay
-	book      *contract.Book
-	endpoints *fakeEndpoints
-	cancel    context.CancelFunc
+	id     int
+	relay  *relay.Relay
+	book   *contract.Book
+	routes *route.Table
+	cancel context.CancelFunc
 }
 
 func newCluster(ctx context.Context, seed uint64) *cluster {
@@ -104,12 +105,15 @@
 	if old := c.entries[id]; old != nil {
 		old.cancel()
 	}
-	p := &process{id: id, book: contract.NewBook(), endpoints: &fakeEndpoints{held: make(map[string]int32)}}
+	p := &process{id: id, book: contract.NewBook()}
+	p.routes = route.NewTable(route.Config{
+		Limit: 1, Links: noLinks{}, Leased: func() bool { return p.relay.Lease().Valid() }, Wake: func() { p.relay.Wake() }, Logger: zerolog.Nop(),
+	})
 	ctx, cancel := context.WithCancel(c.ctx)
 	p.cancel = cancel
 	p.relay = relay.New(relay.Config{
 		Instance: &egretmuxv1.Instance{Id: instanceName(id), CellAddress: instanceName(id), Voter: id < voterCount},
-		Leader:   &caller{cluster: c, from: id}, Book: p.book, Endpoints: p.endpoints,
+		Leader:   &caller{cluster: c, from: id}, Book: p.book, Endpoints: p.routes,
 		Commands: relay.NewCommander(nil, "http", zerolog.Nop()), EndpointSilent: timing.EndpointSilent, Logger: zerolog.Nop(),
 	})
 	c.mu.Lock()
@@ -353,42 +357,12 @@
 	})
 }
 
-// fakeEndpoints holds grants as the router does.
-type fakeEndpoints struct {
-	mu   sync.Mutex
-	held map[string]int32
-	gone map[string]bool
-}
-
-func (e *fakeEndpoints) Update(states []*egretmuxv1.EndpointState) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, s := range states {
-		if s.GetSlots() >= 0 {
-			e.held[s.GetId()] = s.GetSlots()
-		}
-		if e.gone == nil {
-			e.gone = make(map[string]bool)
-		}
-		e.gone[s.GetId()] = s.GetLeaving()
-	}
-}
+// noLinks is a pool without connections.
+type noLinks struct{}
 
-func (e *fakeEndpoints) Holdings(bool) []*egretmuxv1.GrantHolding {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	var out []*egretmuxv1.GrantHolding
-	for id, n := range e.held {
-		out = append(out, &egretmuxv1.GrantHolding{Endpoint: id, Held: n, Wanted: n})
-	}
-	return out
-}
+func (noLinks) Limit(string, int32) {}
 
-func (e *fakeEndpoints) slots(id string) int32 {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.held[id]
-}
+func (noLinks) Open(string) int32 { return 0 }
 
 // fakeWorker keeps a lease through whichever instance answers.
 type fakeWorker struct {
--- a/internal/relay/announce.go
+++ b/internal/relay/announce.go
@@ -103,6 +103,7 @@
 	limit   time.Duration
 	byID    map[string]*attachedEndpoint
 	changed map[string]bool
+	busy    map[string]bool // changed in the slots in use alone
 	silent  map[string]bool
 }
 
@@ -116,7 +117,7 @@
 		limit = defaultSilent
 	}
 	return attachedEndpoints{
-		limit: limit, byID: make(map[string]*attachedEndpoint), changed: make(map[string]bool), silent: make(map[string]bool),
+		limit: limit, byID: make(map[string]*attachedEndpoint), changed: make(map[string]bool), busy: make(map[string]bool), silent: make(map[string]bool),
 	}
 }
 
@@ -127,8 +128,11 @@
 	if old != nil && e.GetEpoch() < old.report.GetEpoch() {
 		return false
 	}
-	if old != nil && proto.Equal(old.report, e) {
-		old.heard = now
+	if old != nil && sameEndpoint(old.report, e) {
+		if old.report.GetBusy() != e.GetBusy() {
+			a.busy[e.GetId()] = true
+		}
+		old.report, old.heard = e, now
 		return false
 	}
 	a.byID[e.GetId()] = &attachedEndpoint{report: e, heard: now}
@@ -137,6 +141,16 @@
 	return true
 }
 
+// sameEndpoint reports whether two reports differ in the slots in use at most.
+func sameEndpoint(a, b *egretmuxv1.EndpointReport) bool {
+	if a.GetBusy() == b.GetBusy() {
+		return proto.Equal(a, b)
+	}
+	a = proto.Clone(a).(*egretmuxv1.EndpointReport)
+	a.Busy = b.GetBusy()
+	return proto.Equal(a, b)
+}
+
 // expire drops the endpoints that have been silent for too long.
 func (a *attachedEndpoints) expire(now time.Time) bool {
 	found := false
@@ -144,6 +158,7 @@
 		if now.Sub(e.heard) > a.limit {
 			delete(a.byID, id)
 			delete(a.changed, id)
+			delete(a.busy, id)
 			a.silent[id] = true
 			found = true
 		}
@@ -153,9 +168,10 @@
 
 // collect returns what the leader has yet to hear; with full set, every
 // endpoint attached, which tells the leader by omission which ones are not.
-func (a *attachedEndpoints) collect(full bool) (reports []*egretmuxv1.EndpointReport, silent []string) {
+// Changes of the slots in use go along only with busy set.
+func (a *attachedEndpoints) collect(full, busy bool) (reports []*egretmuxv1.EndpointReport, silent []string) {
 	for id, e := range a.byID {
-		if full || a.changed[id] {
+		if full || a.changed[id] || busy && a.busy[id] {
 			reports = append(reports, e.report)
 		}
 	}
@@ -165,6 +181,7 @@
 		}
 	}
 	clear(a.changed)
+	clear(a.busy)
 	clear(a.silent)
 	return reports, silent
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -26,6 +26,7 @@
 	watchTimeout    = 10 * time.Second
 	retryPause      = 50 * time.Millisecond
 	leaveTimeout    = 3 * time.Second
+	busyReported    = time.Minute // a new leader needs the slots in use until all requests of its predecessor have ended
 )
 
 // Caller finds the leader and calls it, again while the outcome is unknown.
@@ -63,11 +64,10 @@
 	mu          sync.Mutex
 	incarnation uint64
 	term        uint64 // of the newest leader heard; older ones change no grants
+	adopted     time.Time
 	workers     []announcement
 	endpoints   attachedEndpoints
-	granted     map[string]*egretmuxv1.EndpointState // as last taken in
-	rewatch     context.CancelFunc                   // ends the Watch under way
-	full        bool                                 // the next report must be complete
+	full        bool // the next report must be complete
 	sequence    uint64
 	hadLease    bool
 	confirmed   chan struct{} // closed after the first lease
@@ -79,7 +79,6 @@
 		cfg: cfg, lease: NewLease(), incarnation: newIncarnation(),
 		urgent: make(chan struct{}, 1), heartbeat: make(chan struct{}, 1),
 		endpoints: newAttachedEndpoints(cfg.EndpointSilent), full: true, confirmed: make(chan struct{}),
-		granted: make(map[string]*egretmuxv1.EndpointState), rewatch: func() {},
 	}
 }
 
@@ -179,12 +178,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sequence++
-	r.dropGrants()
 	req := &egretmuxv1.ReportRequest{
 		Instance: r.cfg.Instance, Incarnation: r.incarnation, Sequence: r.sequence, Term: r.term,
 		ContractVersion: r.cfg.Book.Version(), Full: r.full, Holdings: r.cfg.Endpoints.Holdings(r.full),
 	}
-	req.Endpoints, req.SilentEndpoints = r.endpoints.collect(r.full)
+	req.Endpoints, req.SilentEndpoints = r.endpoints.collect(r.full, time.Since(r.adopted) < busyReported)
 	waiting := r.workers
 	r.workers = nil
 	for _, a := range waiting {
@@ -194,24 +192,6 @@
 	return req, waiting
 }
 
-// dropGrants gives all grants back once the lease has run out: the leader may
-// have given them to others. The leader sends new ones.
-func (r *Relay) dropGrants() {
-	if len(r.granted) == 0 || r.lease.Valid() {
-		return
-	}
-	dropped := make([]*egretmuxv1.EndpointState, 0, len(r.granted))
-	for _, s := range r.granted {
-		s.Slots, s.Links = 0, 0
-		dropped = append(dropped, s)
-	}
-	r.cfg.Endpoints.Update(dropped)
-	clear(r.granted)
-	r.full = true
-	r.rewatch()
-	telemetry.Count("relay_grants_dropped_total")
-}
-
 // reportFailed makes the next report complete, since the leader may not have
 // heard this one.
 func (r *Relay) reportFailed(waiting []announcement, err error) {
@@ -266,6 +246,7 @@
 	defer r.mu.Unlock()
 	if term > r.term {
 		r.term = term
+		r.adopted = time.Now()
 		r.full = true
 		r.Wake()
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -82,15 +82,15 @@
 	a := newAttachedEndpoints(defaultSilent)
 	e := &egretmuxv1.EndpointReport{Id: "e1", Epoch: 1}
 	require.True(t, a.announce(e, now))
-	a.collect(false)
+	a.collect(false, false)
 	require.False(t, a.announce(proto.Clone(e).(*egretmuxv1.EndpointReport), now.Add(time.Second)), "nothing changed")
 	require.False(t, a.expire(now.Add(2400*time.Millisecond)))
 	require.True(t, a.expire(now.Add(2501*time.Millisecond)))
-	reports, silent := a.collect(false)
+	reports, silent := a.collect(false, false)
 	require.Empty(t, reports)
 	require.Equal(t, []string{"e1"}, silent)
 	require.True(t, a.announce(e, now.Add(3*time.Second)))
-	reports, silent = a.collect(false)
+	reports, silent = a.collect(false, false)
 	require.Len(t, reports, 1)
 	require.Empty(t, silent)
 }
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"connectrpc.com/connect"
-	"google.golang.org/protobuf/proto"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/peer"
@@ -20,8 +19,7 @@
 		req.ContractVersion = r.cfg.Book.Version()
 		resp, err := r.watch(ctx, req)
 		if err != nil {
-			req.Term = 0 // what the lost answer brought is sent again
-			r.Wake()     // a report opens the session that a watch needs
+			r.Wake() // a report opens the session that a watch needs
 			pause(ctx, retryPause, nil)
 			continue
 		}
@@ -32,9 +30,6 @@
 func (r *Relay) watch(ctx context.Context, req *egretmuxv1.WatchRequest) (*egretmuxv1.WatchResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
-	r.mu.Lock()
-	r.rewatch = cancel
-	r.mu.Unlock()
 	var resp *egretmuxv1.WatchResponse
 	err := r.cfg.Leader.Call(ctx, func(ctx context.Context, c *peer.Clients) error {
 		out, err := c.Cell.Watch(ctx, connect.NewRequest(req))
@@ -73,25 +68,9 @@
 	if resp.GetTerm() != r.term {
 		return false
 	}
-	for _, s := range resp.GetEndpoints() {
-		r.noteGrant(s)
-	}
 	if len(resp.GetEndpoints()) > 0 {
 		r.cfg.Endpoints.Update(resp.GetEndpoints())
 		r.Wake() // confirms the grants
 	}
 	return true
 }
-
-func (r *Relay) noteGrant(s *egretmuxv1.EndpointState) {
-	old := r.granted[s.GetId()]
-	next := proto.Clone(s).(*egretmuxv1.EndpointState)
-	switch {
-	case next.GetGone():
-		delete(r.granted, s.GetId())
-		return
-	case next.GetSlots() < 0: // the grant stays as it is
-		next.Slots, next.Links = old.GetSlots(), old.GetLinks()
-	}
-	r.granted[s.GetId()] = next
-}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -73,6 +73,20 @@
 	return t.services[service]
 }
 
+// Granted returns the slots of an endpoint that this instance is granted.
+func (t *Table) Granted(id string) int32 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	e := t.byID[id]
+	if e == nil {
+		return 0
+	}
+	s := t.services[e.Service]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return e.slots
+}
+
 // Acquire returns a slot, waiting for one until the deadline.
 func (t *Table) Acquire(ctx context.Context, r Request) (*Slot, error) {
 	s := t.shard(r.Service)
