--- a/internal/place/scenario_test.go
+++ b/internal/place/scenario_test.go
@@ -274,4 +274,3 @@
 	clear(s.warned)
 	return strings.Join(lines, "")
 }
-
