--- a/internal/leader/cluster_test.go
+++ b/internal/leader/cluster_test.go
@@ -294,6 +294,11 @@
 	from, to int
 }
 
+// silentConnection is how long a connection may leave a ping unanswered.
+const silentConnection = 2 * time.Second
+
+var errClosed = errors.New("connection closed")
+
 // exchange carries a request there and its answer back. The receiver goes on
 // when the sender has given up.
 func exchange[A any](ctx context.Context, c *cellClient, serve func(context.Context, *leader.Leader) (*A, error)) (*connect.Response[A], error) {
@@ -306,6 +311,8 @@
 		delay, arrives := c.cluster.hop(c.from, c.to)
 		time.Sleep(delay)
 		if !arrives {
+			time.Sleep(silentConnection)
+			done <- answer{err: errClosed}
 			return
 		}
 		server, cancel := context.WithTimeout(c.cluster.ctx, 20*time.Second)
@@ -313,16 +320,19 @@
 		msg, err := serve(server, c.cluster.voters[c.to].leader)
 		delay, arrives = c.cluster.hop(c.to, c.from)
 		time.Sleep(delay)
-		if arrives {
-			done <- answer{msg, err}
+		if !arrives {
+			time.Sleep(silentConnection)
+			msg, err = nil, errClosed
 		}
+		done <- answer{msg, err}
 	}()
 	select {
 	case <-ctx.Done():
 		return nil, ctx.Err()
-	case <-time.After(3 * time.Second): // a silent connection is closed
-		return nil, errors.New("connection closed")
 	case a := <-done:
+		if errors.Is(a.err, errClosed) {
+			return nil, a.err
+		}
 		if a.err != nil {
 			return nil, refusalrpc.Error(a.err)
 		}
