--- a/internal/leader/silence_test.go
+++ b/internal/leader/silence_test.go
@@ -71,6 +71,34 @@
 	})
 }
 
+// TestSilenceWhileReportsAreLost has an endpoint fall silent while the reports
+// of the instance that hears it are lost: the next complete one tells it.
+func TestSilenceWhileReportsAreLost(t *testing.T) {
+	runSilence(t, -1, func(c *cluster, stop context.CancelFunc) {
+		stop()
+		time.Sleep(time.Second)
+		c.do(step{kind: "isolate", target: 1}, 0)
+		time.Sleep(time.Second)
+		c.do(step{kind: "heal"}, 0)
+		time.Sleep(4 * time.Second)
+	})
+}
+
+// TestEndpointHeardByEndedProcess has an endpoint move away from a process that
+// ends before it has noticed: what it heard must not count when the endpoint
+// falls silent.
+func TestEndpointHeardByEndedProcess(t *testing.T) {
+	runSilence(t, -1, func(c *cluster, stop context.CancelFunc) {
+		moved, stopMoved := context.WithCancel(c.ctx)
+		go c.announceEndpoint(moved, "e1", 3)
+		stop()
+		time.Sleep(200 * time.Millisecond)
+		c.start(1)
+		time.Sleep(5 * time.Second)
+		stopMoved()
+	})
+}
+
 // TestEndpointMovesToAnotherInstance has an endpoint announce itself through
 // another instance; the silence that the first one reports must not count.
 func TestEndpointMovesToAnotherInstance(t *testing.T) {
