An endpoint lost together with its instance and the leader gets no new work

Cause: a new leader learns of endpoints from the instances that hear them. One that died with its instance while the leader changed was never announced to it, so entries kept their grants and sent work there.

Change: endpoints that entries hold and nobody announces for the time of silence are told to the entries as gone; the next announcement brings them back. TestEndpointLostWithItsInstance loses all three together; it failed before the change.

Conclusion: the bound counts from the new leader's first reports.

--- a/internal/endpoint/table.go
+++ b/internal/endpoint/table.go
@@ -36,6 +36,7 @@
 	silent  time.Duration
 	byID    map[string]*Endpoint
 	entries map[string]*entry
+	lost    map[string]*lost
 	orphans map[string]map[string]*grant // by endpoint and entry; held before the endpoint announced itself here
 	places  map[string]string            // datacentre by entry
 	version uint64
@@ -57,7 +58,7 @@
 func NewTable(silent time.Duration) *Table {
 	return &Table{
 		silent: silent, byID: make(map[string]*Endpoint), entries: make(map[string]*entry),
-		orphans: make(map[string]map[string]*grant), places: make(map[string]string),
+		lost: make(map[string]*lost), orphans: make(map[string]map[string]*grant), places: make(map[string]string),
 	}
 }
 
@@ -81,6 +82,7 @@
 			e.grants = make(map[string]*grant)
 		}
 		delete(t.orphans, r.GetId())
+		delete(t.lost, r.GetId())
 		t.byID[r.GetId()] = e
 		e.Report = r
 		t.reserveUnknown(e)
@@ -100,6 +102,7 @@
 // forgets those that no entry uses any more.
 func (t *Table) Expire(now time.Time) bool {
 	changed := t.expireUnknown(now)
+	changed = t.expireOrphans(now) || changed
 	for id, e := range t.byID {
 		if now.Sub(e.LastHeard) <= t.silent {
 			continue
@@ -207,7 +210,7 @@
 		}
 		out = append(out, t.stateFor(id, e, name))
 	}
-	return out
+	return append(out, t.lostSince(version)...)
 }
 
 func (t *Table) stateFor(id string, e *Endpoint, name string) *egretmuxv1.EndpointState {
--- a/internal/leader/silence_test.go
+++ b/internal/leader/silence_test.go
@@ -99,6 +99,19 @@
 	})
 }
 
+// TestEndpointLostWithItsInstance loses an endpoint, the instance that hears it
+// and the leader together. The next leader never hears of the endpoint.
+func TestEndpointLostWithItsInstance(t *testing.T) {
+	runSilence(t, 1, func(c *cluster, stop context.CancelFunc) {
+		stop()
+		c.entries[1].cancel()
+		c.do(step{kind: "isolate", target: 1}, 0)
+		c.elect(2)
+		c.depose()
+		time.Sleep(2 * time.Second)
+	})
+}
+
 // TestEndpointMovesToAnotherInstance has an endpoint announce itself through
 // another instance; the silence that the first one reports must not count.
 func TestEndpointMovesToAnotherInstance(t *testing.T) {
--- a/internal/route/grants.go
+++ b/internal/route/grants.go
@@ -27,6 +27,10 @@
 			continue
 		}
 		t.term = st.GetGrant() >> termShift
+		if st.GetGone() {
+			t.lose(st.GetId())
+			continue
+		}
 		changed[t.apply(st)] = true
 	}
 	now := time.Now()
@@ -37,6 +41,19 @@
 	}
 }
 
+// lose gives an endpoint that nobody announces no new work. It comes back with
+// its next announcement.
+func (t *Table) lose(id string) {
+	e := t.byID[id]
+	if e == nil {
+		return
+	}
+	s := t.services[e.Service]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e.leaving = true
+}
+
 // apply takes in one state and returns the shard that it belongs to.
 func (t *Table) apply(st *egretmuxv1.EndpointState) *shard {
 	s := t.services[st.GetService()]
