--- a/internal/leader/cluster_test.go
+++ b/internal/leader/cluster_test.go
@@ -22,6 +22,7 @@
 	"github.com/egretmux/egretmux/internal/refusal"
 	"github.com/egretmux/egretmux/internal/refusal/refusalrpc"
 	"github.com/egretmux/egretmux/internal/relay"
+	"github.com/egretmux/egretmux/internal/route"
 	"github.com/egretmux/egretmux/internal/state"
 )
 
@@ -74,11 +75,11 @@
 
 // process is one process of an instance.
 type process struct {
-	id        int
-	relay     *relay.Relay
-	book      *contract.Book
-	endpoints *fakeEndpoints
-	cancel    context.CancelFunc
+	id     int
+	relay  *relay.Relay
+	book   *contract.Book
+	routes *route.Table
+	cancel context.CancelFunc
 }
 
 func newCluster(ctx context.Context, seed uint64) *cluster {
@@ -104,12 +105,15 @@
 	if old := c.entries[id]; old != nil {
 		old.cancel()
 	}
-	p := &process{id: id, book: contract.NewBook(), endpoints: &fakeEndpoints{held: make(map[string]int32)}}
+	p := &process{id: id, book: contract.NewBook()}
+	p.routes = route.NewTable(route.Config{
+		Limit: 1, Links: noLinks{}, Leased: func() bool { return p.relay.Lease().Valid() }, Wake: func() { p.relay.Wake() }, Logger: zerolog.Nop(),
+	})
 	ctx, cancel := context.WithCancel(c.ctx)
 	p.cancel = cancel
 	p.relay = relay.New(relay.Config{
 		Instance: &egretmuxv1.Instance{Id: instanceName(id), CellAddress: instanceName(id), Voter: id < voterCount},
-		Leader:   &caller{cluster: c, from: id}, Book: p.book, Endpoints: p.endpoints,
+		Leader:   &caller{cluster: c, from: id}, Book: p.book, Endpoints: p.routes,
 		Commands: relay.NewCommander(nil, "http", zerolog.Nop()), EndpointSilent: timing.EndpointSilent, Logger: zerolog.Nop(),
 	})
 	c.mu.Lock()
@@ -290,6 +294,11 @@
 	from, to int
 }
 
+// silentConnection is how long a connection may leave a ping unanswered.
+const silentConnection = 2 * time.Second
+
+var errClosed = errors.New("connection closed")
+
 // exchange carries a request there and its answer back. The receiver goes on
 // when the sender has given up.
 func exchange[A any](ctx context.Context, c *cellClient, serve func(context.Context, *leader.Leader) (*A, error)) (*connect.Response[A], error) {
@@ -302,6 +311,8 @@
 		delay, arrives := c.cluster.hop(c.from, c.to)
 		time.Sleep(delay)
 		if !arrives {
+			time.Sleep(silentConnection)
+			done <- answer{err: errClosed}
 			return
 		}
 		server, cancel := context.WithTimeout(c.cluster.ctx, 20*time.Second)
@@ -309,16 +320,19 @@
 		msg, err := serve(server, c.cluster.voters[c.to].leader)
 		delay, arrives = c.cluster.hop(c.to, c.from)
 		time.Sleep(delay)
-		if arrives {
-			done <- answer{msg, err}
+		if !arrives {
+			time.Sleep(silentConnection)
+			msg, err = nil, errClosed
 		}
+		done <- answer{msg, err}
 	}()
 	select {
 	case <-ctx.Done():
 		return nil, ctx.Err()
-	case <-time.After(3 * time.Second): // a silent connection is closed
-		return nil, errors.New("connection closed")
 	case a := <-done:
+		if errors.Is(a.err, errClosed) {
+			return nil, a.err
+		}
 		if a.err != nil {
 			return nil, refusalrpc.Error(a.err)
 		}
@@ -353,42 +367,12 @@
 	})
 }
 
-// fakeEndpoints holds grants as the router does.
-type fakeEndpoints struct {
-	mu   sync.Mutex
-	held map[string]int32
-	gone map[string]bool
-}
-
-func (e *fakeEndpoints) Update(states []*egretmuxv1.EndpointState) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, s := range states {
-		if s.GetSlots() >= 0 {
-			e.held[s.GetId()] = s.GetSlots()
-		}
-		if e.gone == nil {
-			e.gone = make(map[string]bool)
-		}
-		e.gone[s.GetId()] = s.GetLeaving()
-	}
-}
+// noLinks is a pool without connections.
+type noLinks struct{}
 
-func (e *fakeEndpoints) Holdings(bool) []*egretmuxv1.GrantHolding {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	var out []*egretmuxv1.GrantHolding
-	for id, n := range e.held {
-		out = append(out, &egretmuxv1.GrantHolding{Endpoint: id, Held: n, Wanted: n})
-	}
-	return out
-}
+func (noLinks) Limit(string, int32) {}
 
-func (e *fakeEndpoints) slots(id string) int32 {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.held[id]
-}
+func (noLinks) Open(string) int32 { return 0 }
 
 // fakeWorker keeps a lease through whichever instance answers.
 type fakeWorker struct {
