--- a/cmd/egretmuxd/main.go
+++ b/cmd/egretmuxd/main.go
@@ -50,16 +50,20 @@
 		return 0
 	}
 	s, err := settings.Load(opts.Settings)
-	if err == nil {
-		err = s.CheckPorts()
-	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
-	if opts.CheckSettings {
+	busy := s.CheckPorts()
+	if busy != nil {
+		fmt.Fprintln(os.Stderr, busy)
+	}
+	switch {
+	case opts.CheckSettings: // the instance that the settings are for may be running
 		fmt.Println(opts.Settings + ": ok")
 		return 0
+	case busy != nil:
+		return exitSettings
 	}
 	return serve(s)
 }
--- a/cmd/egretmuxd/main_test.go
+++ b/cmd/egretmuxd/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"net"
 	"os"
 	"os/exec"
 	"strconv"
@@ -23,7 +24,16 @@
 // a cell.
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
-		Dir:  "testdata",
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			taken, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				return err
+			}
+			env.Defer(func() { _ = taken.Close() })
+			env.Setenv("TAKEN", taken.Addr().String())
+			return nil
+		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){"exitcode": exitCode},
 	})
 }
