Queues by group: a need that fits nowhere is found once for all its like

Change: a customer's queue is a heap of groups by need, tier and gang size; after three misses the group is set aside for the round. Jobs with claims go first.

--- a/internal/place/account.go
+++ b/internal/place/account.go
@@ -1,8 +1,6 @@
 package place
 
 import (
-	"container/heap"
-
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/task"
 	"github.com/egretmux/egretmux/internal/worker"
@@ -14,7 +12,9 @@
 	share       float64     // of the cell, due by contract
 	quota       worker.Room // zero in a dimension: no limit
 	held        worker.Room
-	queue       jobHeap
+	queue       groupHeap // the groups that have jobs, but for those set aside in a round
+	groups      map[groupKey]*group
+	urgent      worker.Room // needed by queued urgent work
 	usedShare   decayed
 	met, missed int32
 	late        lateness
@@ -48,9 +48,11 @@
 
 	tier         tier
 	startBy      int64 // latest start that keeps its deadline, Unix milliseconds
-	at           int   // position in its account's queue; -1: not queued
-	delayedAt    int   // position among the delayed jobs; -1: not delayed
-	since        int64 // when its members began to wait
+	group        *group
+	at           int         // position in its group; -1: not queued
+	counted      worker.Room // what it added to the account's queued urgent work
+	delayedAt    int         // position among the delayed jobs; -1: not delayed
+	since        int64       // when its members began to wait
 	claims       []claim
 	retryGang    int64 // no new reservation before
 	retryPreempt int64 // no new search for attempts to stop before
@@ -88,42 +90,6 @@
 	return j.task.GetId() < o.task.GetId()
 }
 
-type jobHeap []*job
-
-func (h jobHeap) Len() int           { return len(h) }
-func (h jobHeap) Less(i, j int) bool { return h[i].before(h[j]) }
-func (h jobHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].at, h[j].at = i, j
-}
-
-func (h *jobHeap) Push(x any) {
-	j := x.(*job)
-	j.at = len(*h)
-	*h = append(*h, j)
-}
-
-func (h *jobHeap) Pop() any {
-	old := *h
-	j := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	j.at = -1
-	return j
-}
-
-func (a *account) enqueue(j *job) {
-	if j.at < 0 {
-		heap.Push(&a.queue, j)
-	}
-}
-
-func (a *account) dequeue(j *job) {
-	if j.at >= 0 {
-		heap.Remove(&a.queue, j.at)
-	}
-}
-
 // delayHeap orders jobs by the end of their backoff.
 type delayHeap []*job
 
--- a/internal/place/forecast.go
+++ b/internal/place/forecast.go
@@ -168,7 +168,7 @@
 // sorted returns the account's waiting jobs, delayed and parked ones left out,
 // in the order of its queue.
 func (p *Planner) sorted(a *account) []*job {
-	out := append([]*job(nil), a.queue...)
+	out := a.queued()
 	sort.Slice(out, func(i, j int) bool { return out[i].before(out[j]) })
 	return out
 }
--- a/internal/place/headroom.go
+++ b/internal/place/headroom.go
@@ -38,12 +38,7 @@
 	held := worker.Room{}
 	for _, a := range r.p.order {
 		held = held.Plus(a.held)
-		for i, j := range a.queue {
-			if i >= backfillDepth || !j.urgent() {
-				break
-			}
-			demand = demand.Plus(j.need.Times(int64(len(j.waiting))))
-		}
+		demand = demand.Plus(a.urgent)
 	}
 	r.p.urgent.observe(demand, r.now)
 	r.keep = r.p.urgent.free()
--- a/internal/place/health.go
+++ b/internal/place/health.go
@@ -179,10 +179,11 @@
 // probeFor returns a waiting job that can afford to fail on the host.
 func (r *round) probeFor(h *host) *job {
 	for _, a := range r.p.order {
-		for i, j := range a.queue {
+		for i, g := range a.queue {
 			if i >= backfillDepth {
 				break
 			}
+			j := g.jobs[0]
 			if !j.gang() && !j.urgent() && r.taken[j] == 0 && j.need.Fits(h.free()) && canFail(j) && a.withinQuota(j.need) {
 				return j
 			}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -80,7 +80,7 @@
 func (p *Planner) account(name string) *account {
 	a := p.accounts[name]
 	if a == nil {
-		a = &account{name: name}
+		a = &account{name: name, groups: make(map[groupKey]*group)}
 		p.accounts[name] = a
 		p.order = append(p.order, a)
 		sort.Slice(p.order, func(i, j int) bool { return p.order[i].name < p.order[j].name })
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -2,6 +2,8 @@
 
 import (
 	"container/heap"
+	"maps"
+	"slices"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/worker"
@@ -32,26 +34,31 @@
 // membersARound is how many members of a job that is not a gang are preempted for at a time.
 const membersARound = 8
 
+// missesAGroup is how many jobs of one group are tried that do not fit.
+const missesAGroup = 3
+
 // round is one run of Decide. What it places counts at once, and is taken back
 // at its end: the committed state then says what really started.
 type round struct {
-	p      *Planner
-	now    int64
-	limit  int
-	plan   *Plan
-	placed []placement
-	aside  []*job                 // taken out of their queues for this round
-	misses map[*account]int       // jobs that did not fit; closed at backfillDepth
-	failed []worker.Room          // needs that no free host fits
-	spread map[*job]*spread       // of services
-	taken  map[*job]int           // waiting members placed in this round
-	stops  map[uint64]bool        // attempts that this round stops
-	sought map[*job]bool          // jobs that this round has sought room for
-	parts  map[*account]*position // cached key of an account
-	scans  int                    // jobs that looked for somebody to stop
-	able   []*running             // scratch space of victimsOn
-	keep   worker.Room            // kept free for urgent work
-	free   worker.Room            // of the cell
+	p           *Planner
+	now         int64
+	limit       int
+	plan        *Plan
+	placed      []placement
+	aside       []*job           // taken out of their queues for this round
+	misses      map[*account]int // jobs that did not fit; closed at backfillDepth
+	asideGroups []asideGroup
+	groupMisses map[*group]int
+	failed      []worker.Room          // needs that no free host fits
+	spread      map[*job]*spread       // of services
+	taken       map[*job]int           // waiting members placed in this round
+	stops       map[uint64]bool        // attempts that this round stops
+	sought      map[*job]bool          // jobs that this round has sought room for
+	parts       map[*account]*position // cached key of an account
+	scans       int                    // jobs that looked for somebody to stop
+	able        []*running             // scratch space of victimsOn
+	keep        worker.Room            // kept free for urgent work
+	free        worker.Room            // of the cell
 }
 
 type placement struct {
@@ -65,7 +72,7 @@
 func (p *Planner) Decide(now int64) *Plan {
 	r := &round{
 		p: p, now: now, limit: p.budget.refill(now), plan: &Plan{Commit: &egretmuxv1.CommitPlan{}},
-		misses: make(map[*account]int), spread: make(map[*job]*spread), taken: make(map[*job]int),
+		misses: make(map[*account]int), groupMisses: make(map[*group]int), spread: make(map[*job]*spread), taken: make(map[*job]int),
 		stops: make(map[uint64]bool), sought: make(map[*job]bool), parts: make(map[*account]*position),
 	}
 	p.turn++
@@ -74,6 +81,7 @@
 	r.startHeadroom()
 	r.observe()
 	r.tendQuarantine()
+	r.placeClaimants()
 	r.placeQueues()
 	r.undo()
 	p.budget.tokens -= float64(len(r.plan.Commit.Starts))
@@ -105,10 +113,42 @@
 		if placed && r.taken[j] < len(j.waiting) {
 			continue
 		}
+		g := j.group
 		a.dequeue(j)
 		r.aside = append(r.aside, j)
 		if !placed {
-			r.misses[a]++
+			r.missed(a, g)
+		}
+	}
+}
+
+// missed counts a job that did not fit. After a few of one group the whole group
+// is set aside: the others hardly differ.
+func (r *round) missed(a *account, g *group) {
+	r.misses[a]++
+	r.groupMisses[g]++
+	if r.groupMisses[g] >= missesAGroup && g.at >= 0 {
+		a.setAside(g)
+		r.asideGroups = append(r.asideGroups, asideGroup{a, g})
+	}
+}
+
+// asideGroup is a group taken out of its account's queue for the round.
+type asideGroup struct {
+	account *account
+	group   *group
+}
+
+// placeClaimants tries the jobs that room is kept for before all others.
+func (r *round) placeClaimants() {
+	for _, id := range slices.Sorted(maps.Keys(r.p.claimants)) {
+		j := r.p.claimants[id]
+		for j.at >= 0 && r.taken[j] < len(j.waiting) && len(j.claims) > 0 && r.try(j) {
+			continue
+		}
+		if r.taken[j] > 0 && r.taken[j] == len(j.waiting) {
+			j.account.dequeue(j)
+			r.aside = append(r.aside, j)
 		}
 	}
 }
@@ -117,13 +157,15 @@
 // to date with what was learned since it was queued.
 func (r *round) head(a *account) *job {
 	for {
-		j := a.queue[0]
-		tier, startBy := r.p.keyNow(j, r.now)
-		if tier == j.tier && startBy == j.startBy {
+		g := a.queue[0]
+		j := g.jobs[0]
+		_, startBy := r.p.keyNow(j, r.now)
+		if startBy == j.startBy {
 			return j
 		}
-		j.tier, j.startBy = tier, startBy
-		heap.Fix(&a.queue, 0)
+		j.startBy = startBy
+		heap.Fix(&g.jobs, 0)
+		a.fix(g)
 	}
 }
 
@@ -202,6 +244,9 @@
 
 func (r *round) undo() {
 	r.takeBack(0)
+	for _, x := range r.asideGroups {
+		x.account.putBack(x.group)
+	}
 	for _, j := range r.aside {
 		j.account.enqueue(j)
 	}
