--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,9 +25,6 @@
 	"github.com/egretmux/egretmux/internal/voter"
 )
 
-// linkProgress is how long an exchange with an endpoint may make no progress.
-const linkProgress = 10 * time.Second
-
 // closeTimeout bounds the closing of each listener.
 const closeTimeout = 2 * time.Second
 
@@ -73,8 +70,11 @@
 	}, logger)
 	d.finder = peer.NewLeader(d.dialer, voterAddresses(s), d.leader.Address)
 	d.book = contract.NewBook()
-	d.routes = route.NewTable(s.Datacentre, s.MaxQueue)
-	d.links = link.NewPool(linkProgress)
+	d.links = link.NewPool(link.Dial)
+	d.routes = route.NewTable(route.Config{
+		Datacentre: s.Datacentre, Limit: s.MaxQueue, Links: d.links, Logger: logger,
+		Leased: func() bool { return d.relay.Lease().Valid() }, Wake: func() { d.relay.Wake() },
+	})
 	if err := d.buildRelay(); err != nil {
 		return nil, err
 	}
@@ -138,6 +138,7 @@
 		loops.Go(func() { d.runReplica(background) })
 	}
 	loops.Go(func() { d.relay.Run(background) })
+	loops.Go(func() { d.links.Run(background) })
 	d.logger.Info().Str("event", "instance_started").Str("datacentre", d.settings.Datacentre).Bool("voter", d.voter != nil).Msg("")
 	var err error
 	select {
