A round looks at a bounded number of workers for attempts to stop

Change: 600 workers a round at most for work that is not urgent. Conclusion: the worst round no longer grows with the number of those that wait.

--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -14,6 +14,7 @@
 	borrowerRuns   = 5000 // milliseconds that a borrower runs before it is stopped
 	preemptHosts   = 128  // hosts looked at for one preemption once a choice was found
 	preemptAgain   = 500  // milliseconds until a job that found nobody to stop looks again
+	visitsARound   = 600  // workers looked at in one round for jobs that are not urgent
 	scansARound    = 4    // jobs that are not urgent and look for somebody to stop in one round
 	preemptsARound = 24   // attempts stopped in one round
 	restartMs      = 2000 // lost by each checkpoint and restart
@@ -98,6 +99,9 @@
 	from := len(j.claims)
 	var stops []*running
 	for len(j.claims) < members {
+		if !j.urgent() && r.visited > visitsARound {
+			break
+		}
 		h, victims := r.roomFor(j)
 		if h == nil || len(r.stops)+len(victims) > preemptsARound {
 			break
@@ -155,6 +159,7 @@
 		if t := h.takes(); t != Fits || !j.need.Fits(h.capacity) || h.reserved != nil && h.reserved != j {
 			continue
 		}
+		r.visited++
 		set, loss, ok := r.victimsOn(j, h)
 		if ok && (best == nil || loss < least) {
 			best, victims, least = h, set, loss
--- a/internal/place/round.go
+++ b/internal/place/round.go
@@ -55,6 +55,7 @@
 	stops       map[uint64]bool        // attempts that this round stops
 	sought      map[*job]bool          // jobs that this round has sought room for
 	parts       map[*account]*position // cached key of an account
+	visited     int                    // workers looked at for attempts to stop
 	scans       int                    // jobs that looked for somebody to stop
 	able        []*running             // scratch space of victimsOn
 	keep        worker.Room            // kept free for urgent work
