--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -313,7 +313,7 @@
 		p.unqueue(j)
 		j.need = need
 	}
-	if false {
+	if !p.fitsSome(need) {
 		p.unqueue(j)
 		j.parked = true
 		p.parked[j.task.GetId()] = j
