--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -161,6 +161,7 @@
 	entries   []*entry.Entry
 	tables    []*route.Table
 	pools     []*link.Pool
+	books     []*contract.Book
 	lease     *relay.Lease
 	attempts  *fakeAttempts
 	endpoints []*scripted
@@ -230,6 +231,7 @@
 	table.Update(states)
 	book := contract.NewBook()
 	book.Apply(1, []*egretmuxv1.ContractVersion{{Customer: "dixie", CellVersion: 1, Text: worldContract}})
+	w.books = append(w.books, book)
 	w.pools, w.tables = append(w.pools, pool), append(w.tables, table)
 	w.entries = append(w.entries, entry.New(entry.Config{
 		Instance: fmt.Sprintf("i%d", i), Lease: w.lease, Book: book, Routes: table, Links: pool, Attempts: w.attempts,
