--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 	$(GO) test -run=NONE -bench=Request -benchtime=10000x ./internal/entry
 	$(GO) test -run=NONE -bench=IdleLinks -benchtime=3x ./internal/entry
 	$(GO) test -count=1 -v -run=SkewedLoad ./internal/route
+	$(GO) test -run=NONE -bench=Restart -benchtime=10x ./internal/voter
 
 lint:
 	./scripts/lint
--- a/internal/place/learn.go
+++ b/internal/place/learn.go
@@ -14,9 +14,10 @@
 	sureRuns        = 3    // runs after which a learned time replaces the declared one
 	cautionFactor   = 0.8  // standard deviations added to the mean
 	maxLearnedKeys  = 20000
-	sizeHeadroom    = 1.25 // on what an attempt was seen to use
-	sureSizes       = 5    // attempts seen before less than the declared size is held from the start
-	maxSizeMultiple = 8    // of the declared size that a learned size may reach
+	cpuHeadroom     = 1.02 // on the highest use seen; processors can be throttled
+	memoryHeadroom  = 1.1
+	sureSizes       = 5 // attempts seen before less than the declared size is held from the start
+	maxSizeMultiple = 8 // of the declared size that a learned size may reach
 )
 
 // learnKey names tasks that resemble each other.
@@ -138,6 +139,10 @@
 	}
 }
 
+// headroomPart adds headroom to a part of the declared size, up to that size;
+// work that keeps to what it declared is not made larger.
+func headroomPart(part, headroom float64) float64 { return max(part, min(1, part*headroom)) }
+
 // size returns what a member holds when it starts: what it declared; what its
 // like was seen to use if that is more; or, once enough of its like were seen to
 // use less, that with headroom, within the floor of the declared size.
@@ -147,7 +152,7 @@
 	if s == nil {
 		return declared
 	}
-	cpu, memory := s.cpu*sizeHeadroom, s.memory*sizeHeadroom
+	cpu, memory := headroomPart(s.cpu, cpuHeadroom), headroomPart(s.memory, memoryHeadroom)
 	if s.attempts < sureSizes {
 		cpu, memory = max(1, s.cpu), max(1, s.memory)
 	}
