--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -83,6 +83,10 @@
 
 func fail(errOut io.Writer, err error) int {
 	_, _ = fmt.Fprintln(errOut, "egretmux: "+err.Error())
+	var r *refusal.Error
+	if errors.As(err, &r) && r.Difference != "" {
+		_, _ = fmt.Fprint(errOut, r.Difference)
+	}
 	return exitCode(err)
 }
 
--- a/internal/relay/announce.go
+++ b/internal/relay/announce.go
@@ -10,12 +10,14 @@
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/refusal"
 	"github.com/egretmux/egretmux/internal/refusal/refusalrpc"
+	"github.com/egretmux/egretmux/internal/telemetry"
 )
 
 const (
 	endpointInterval = 500 * time.Millisecond // how often endpoints announce themselves
 	silenceCheck     = 100 * time.Millisecond // how often their silence is looked for
 	defaultSilent    = 1500 * time.Millisecond
+	maxAnnouncements = 4096 // reports of workers that wait for the leader
 )
 
 // announcement is a worker's report that waits for the leader's answer.
@@ -47,9 +49,9 @@
 		return nil, refusalrpc.Error(refusal.New(refusal.Invalid, "set report.worker", "the report names no worker"))
 	}
 	a := announcement{report: report, answer: make(chan announceAnswer, 1)}
-	r.mu.Lock()
-	r.workers = append(r.workers, a)
-	r.mu.Unlock()
+	if !r.enqueue(a) {
+		return nil, refusalrpc.Error(refusal.New(refusal.QueueFull, "announce through another instance", "%d reports of workers wait for the leader", maxAnnouncements).After(endpointInterval))
+	}
 	if report.GetRegister() != nil || len(report.GetAttempts()) > 0 || report.GetLeaving() {
 		r.Wake()
 	} else {
@@ -69,6 +71,18 @@
 	}
 }
 
+// enqueue adds an announcement to the next report unless too many wait.
+func (r *Relay) enqueue(a announcement) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.workers) >= maxAnnouncements {
+		telemetry.Count("relay_announcements_refused_total")
+		return false
+	}
+	r.workers = append(r.workers, a)
+	return true
+}
+
 // AnnounceEndpoint notes an endpoint's report. Only a change goes on to the leader.
 func (r *Relay) AnnounceEndpoint(_ context.Context, req *connect.Request[egretmuxv1.AnnounceEndpointRequest]) (*connect.Response[egretmuxv1.AnnounceEndpointResponse], error) {
 	e := req.Msg.GetReport()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -174,3 +174,13 @@
 		require.LessOrEqual(t, sent.Load(), int64(2*maxWorkerBacklog))
 	})
 }
+
+// TestAnnouncementsAreBounded fills the queue of workers' reports.
+func TestAnnouncementsAreBounded(t *testing.T) {
+	r := newTestRelay(heldSlots{})
+	for range maxAnnouncements {
+		require.True(t, r.enqueue(announcement{report: &egretmuxv1.WorkerReport{Worker: "w1"}}))
+	}
+	_, err := r.AnnounceWorker(t.Context(), connect.NewRequest(&egretmuxv1.AnnounceWorkerRequest{Report: &egretmuxv1.WorkerReport{Worker: "w2"}}))
+	require.ErrorContains(t, err, "queue-full")
+}
