--- a/internal/state/size_test.go
+++ b/internal/state/size_test.go
@@ -99,6 +99,10 @@
 	again := state.New(nil)
 	require.NoError(t, again.Restore(written.Bytes()))
 	require.Equal(t, written.Bytes(), capture(t, again))
+	require.Equal(t, s.Counts(), again.Counts())
+	for _, id := range []uint64{7, targetEnded + 7} {
+		require.True(t, proto.Equal(s.Task(id), again.Task(id)), "task %d", id)
+	}
 }
 
 // BenchmarkTarget measures the state of the target: how long a snapshot holds
