Tests of the plan's re-check at commit

Cause: planted faults in the re-check (no room check, no epoch check, part of a gang, no quota) were not caught by the stateful test, whose plans seldom break them.

--- a/internal/place/seed_test.go
+++ b/internal/place/seed_test.go
@@ -10,6 +10,11 @@
 // gives another, so that every run gives the same verdict.
 func TestMain(m *testing.M) {
 	flag.Parse()
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		if err := f.Value.Set("400"); err != nil {
+			panic(err)
+		}
+	}
 	if f := flag.Lookup("rapid.steps"); f.Value.String() == f.DefValue {
 		if err := f.Value.Set("80"); err != nil {
 			panic(err)
