Names that never succeeded weigh half against a worker

Cause: four names of bad work that best fit packs onto one worker counted as evidence against it; the scenario had one bad name only and could not show it. Conclusion: work that fails everywhere is not blamed on workers.

--- a/internal/place/cell_test.go
+++ b/internal/place/cell_test.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 
 	"google.golang.org/protobuf/proto"
@@ -42,7 +44,8 @@
 	stale    *egretmuxv1.CommitPlan
 	lossy    func() bool // whether a message gets lost
 	warnings int
-	firstRun map[uint64]int64 // when a task's first attempt began
+	firstRun map[uint64]int64            // when a task's first attempt began
+	active   map[uint64]*egretmuxv1.Task // with live attempts
 }
 
 type member struct {
@@ -77,14 +80,33 @@
 func newCell(lossy func() bool) *cell {
 	c := &cell{
 		now: 1_000_000, workers: make(map[string]*fakeWorker), truths: make(map[uint64]truth),
-		ran: make(map[member]int), at: make(map[member]string), lossy: lossy, firstRun: make(map[uint64]int64),
+		ran: make(map[member]int), at: make(map[member]string), lossy: lossy, firstRun: make(map[uint64]int64), active: make(map[uint64]*egretmuxv1.Task),
 	}
 	c.store = state.New(c)
 	c.planner = place.New()
 	return c
 }
 
-func (c *cell) TaskChanged(t *egretmuxv1.Task)                { c.planner.SetTask(t, c.now) }
+// TaskChanged implements state.Listener.
+func (c *cell) TaskChanged(t *egretmuxv1.Task) {
+	c.planner.SetTask(t, c.now)
+	delete(c.active, t.GetId())
+	for _, a := range t.GetAttempts() {
+		if task.Live(a.GetPhase()) {
+			c.active[t.GetId()] = t
+		}
+	}
+}
+
+// activeTasks returns the tasks with live attempts in ascending order.
+func (c *cell) activeTasks() []*egretmuxv1.Task {
+	out := make([]*egretmuxv1.Task, 0, len(c.active))
+	for _, id := range slices.Sorted(maps.Keys(c.active)) {
+		out = append(out, c.active[id])
+	}
+	return out
+}
+
 func (c *cell) WorkerChanged(w *egretmuxv1.Worker)            { c.planner.SetWorker(w, c.now) }
 func (c *cell) ContractChanged(v *egretmuxv1.ContractVersion) { c.loadContract(v.GetCustomer()) }
 func (c *cell) Restored()                                     {}
@@ -213,7 +235,7 @@
 
 // sendCommands repeats starts and stops until the state says that they are obsolete.
 func (c *cell) sendCommands() {
-	for _, t := range c.store.Tasks() {
+	for _, t := range c.activeTasks() {
 		for _, a := range t.GetAttempts() {
 			w := c.workers[a.GetWorker()]
 			if w.paused || w.cut || c.lossy() {
--- a/internal/place/health.go
+++ b/internal/place/health.go
@@ -86,9 +86,9 @@
 }
 
 // evidence counts what speaks against the worker and not against the work: each
-// member of work that has succeeded elsewhere, and each name of work that has
-// failed nowhere else. Work that fails on several workers and succeeds on none
-// is itself to blame.
+// member of work that has succeeded before and, as half as much, each name of
+// work that has failed nowhere else. Work that fails on several workers and
+// succeeds on none is itself to blame.
 func (p *Planner) evidence(h *host) int {
 	type member struct {
 		task   uint64
@@ -104,7 +104,7 @@
 			names[f.key] = true
 		}
 	}
-	return len(members) + len(names)
+	return len(members) + len(names)/2
 }
 
 // tendQuarantine quarantines workers, probes them and releases them.
--- a/internal/place/oracle_test.go
+++ b/internal/place/oracle_test.go
@@ -35,7 +35,7 @@
 // live returns the live attempts by number.
 func (c *cell) live() map[uint64]*egretmuxv1.Attempt {
 	out := make(map[uint64]*egretmuxv1.Attempt)
-	for _, t := range c.store.Tasks() {
+	for _, t := range c.activeTasks() {
 		for _, a := range t.GetAttempts() {
 			if task.Live(a.GetPhase()) {
 				out[a.GetId()] = a
@@ -50,7 +50,7 @@
 	held := make(map[string]worker.Room)
 	byCustomer := make(map[string]worker.Room)
 	touched := make(map[string]string) // worker -> customer of a new attempt
-	for _, t := range c.store.Tasks() {
+	for _, t := range c.activeTasks() {
 		declared := worker.RoomOf(t.GetSpec().GetResources())
 		for _, a := range t.GetAttempts() {
 			if !task.Live(a.GetPhase()) {
