A customer without deadlines shows no lateness; scenarios in their own folder

Cause: status showed -600000 ms for a customer with nothing waiting; the fail files that rapid writes into testdata were run as scenarios. Change: no promise, no lateness; scenarios move to testdata/scenarios.

--- a/internal/place/forecast.go
+++ b/internal/place/forecast.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"sort"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
@@ -30,6 +31,9 @@
 	LateSizes   LateReason = "wrong sizes"
 )
 
+// noPromise stands for the lateness of a customer without unfinished deadlines.
+const noPromise = math.MinInt64
+
 // Forecast is the outlook of one customer's waiting work.
 type Forecast struct {
 	Customer   string
@@ -115,7 +119,7 @@
 	f := &Forecast{Customer: a.name, Held: held, UsedShare: a.usedShare.value, Met: a.met, Missed: a.missed}
 	rate := p.rateOf(a)
 	work := 0.0
-	f.LateMs = -noDeadlineMs
+	f.LateMs = noPromise
 	for _, j := range p.sorted(a) {
 		estimate := p.estimate(j)
 		end := now + int64(work/rate) + estimate
@@ -176,6 +180,11 @@
 // trend samples the lateness and sets trend, reason and warning.
 func (p *Planner) trend(a *account, f *Forecast, now int64) {
 	l := &a.late
+	if f.LateMs == noPromise {
+		f.LateMs = 0
+		l.samples, l.warned = nil, false
+		return
+	}
 	if n := len(l.samples); n == 0 || now-l.samples[n-1].at >= sampleEvery {
 		l.samples = append(l.samples, lateSample{now, f.LateMs})
 	}
--- a/internal/place/scenario_test.go
+++ b/internal/place/scenario_test.go
@@ -17,10 +17,10 @@
 	"github.com/egretmux/egretmux/internal/worker"
 )
 
-// TestScenarios runs the files of testdata. Each command acts on the cell of the
+// TestScenarios runs the files of testdata/scenarios. Each command acts on the cell of the
 // model test; the oracle checks the cell after each.
 func TestScenarios(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/scenarios", func(t *testing.T, path string) {
 		s := &scenario{cell: newCell(func() bool { return false }), warned: make(map[string]bool)}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			out := s.run(t, d)
