A lost worker comes back only by registering; predicted times in explain

Cause: undrain made a lost worker ready without a lease. The quota case of the plan's table test was caught by the room check instead. Conclusion: planting the missing quota check makes the table test fall.

--- a/internal/cli/cell.go
+++ b/internal/cli/cell.go
@@ -180,9 +180,9 @@
 		return err
 	}
 	_, _ = fmt.Fprintln(c.out)
-	return c.print(resp, "CUSTOMER VERSION WAITING RUNNING SHARE HELD LATE LATE_MS TREND_MS/MIN MET MISSED REASON", func(add func(...any)) {
+	return c.print(resp, "CUSTOMER VERSION WAITING RUNNING SHARE HELD HELD_1H LATE LATE_MS TREND_MS/MIN MET MISSED REASON", func(add func(...any)) {
 		for _, s := range resp.GetCustomers() {
-			add(s.GetCustomer(), s.GetContractVersion(), s.GetQueued(), s.GetRunning(), fmt.Sprintf("%.3f", s.GetShare()), fmt.Sprintf("%.3f", s.GetDominantShare()),
+			add(s.GetCustomer(), s.GetContractVersion(), s.GetQueued(), s.GetRunning(), fmt.Sprintf("%.3f", s.GetShare()), fmt.Sprintf("%.3f", s.GetDominantShare()), fmt.Sprintf("%.3f", s.GetUsedShare()),
 				s.GetPredictedLate(), s.GetPredictedLateMs(), fmt.Sprintf("%.0f", s.GetLateTrendMsPerMin()), s.GetDeadlinesMet(), s.GetDeadlinesMissed(), orDash(s.GetLateReason()))
 		}
 	})
--- a/internal/leader/explain.go
+++ b/internal/leader/explain.go
@@ -23,6 +23,7 @@
 	if e.Waiting == 0 {
 		return resp, nil
 	}
+	resp.PredictedStartUnixMs, resp.PredictedEndUnixMs = e.StartMs, e.EndMs
 	for reason, n := range e.Workers {
 		resp.Reasons = append(resp.Reasons, &egretmuxv1.ReasonCount{Reason: string(reason), Workers: int32(n)})
 	}
--- a/internal/place/reason.go
+++ b/internal/place/reason.go
@@ -44,6 +44,8 @@
 	Waiting int
 	Limit   string // what holds the task back whatever the workers; "": nothing
 	Workers map[Reason]int
+	StartMs int64 // predicted start of the first waiting member, Unix milliseconds
+	EndMs   int64 // predicted end of the last one
 }
 
 // Explain tells why the task's members wait.
@@ -55,6 +57,8 @@
 	}
 	e.Waiting = len(j.waiting)
 	e.Limit = p.limitOf(j, now)
+	e.StartMs = now + p.waitBefore(j.account, j.startBy-1, now)
+	e.EndMs = e.StartMs + p.estimate(j)
 	ends := now + p.estimate(j)
 	for _, h := range p.hosts {
 		e.Workers[whyNot(h, j, j.need, ends)]++
--- a/internal/state/plan_test.go
+++ b/internal/state/plan_test.go
@@ -92,9 +92,9 @@
 		"a member that is started twice": {batch, 1, 4000, func(id uint64) *egretmuxv1.CommitPlan {
 			return starts(start(id, 0, "w1", 1), start(id, 0, "w2", 2))
 		}, 1},
-		"a start over the customer's quota": {batch, 3, 9000, func(id uint64) *egretmuxv1.CommitPlan {
-			return starts(start(id, 0, "w1", 1), start(id, 1, "w2", 2), start(id, 2, "w2", 2))
-		}, 2},
+		"a start over the customer's quota": {batch, 4, 7000, func(id uint64) *egretmuxv1.CommitPlan {
+			return starts(start(id, 0, "w1", 1), start(id, 1, "w1", 1), start(id, 2, "w2", 2), start(id, 3, "w2", 2))
+		}, 3},
 		"a gang of which one member does not fit": {gang, 3, 7000, func(id uint64) *egretmuxv1.CommitPlan {
 			return starts(start(id, 0, "w1", 1), start(id, 1, "w1", 1), start(id, 2, "w1", 1))
 		}, 0},
@@ -190,3 +190,15 @@
 	require.Equal(t, s.Held("dixie"), other.Held("dixie"))
 	require.Equal(t, 1, other.WaitingMembers("dixie"))
 }
+
+func TestLostWorkerComesBackOnlyByRegistering(t *testing.T) {
+	s := newPlanStore(t)
+	set := func(phase egretmuxv1.WorkerPhase) *Result {
+		return s.do(&egretmuxv1.Command{Body: &egretmuxv1.Command_SetWorkerPhase{SetWorkerPhase: &egretmuxv1.SetWorkerPhase{Worker: "w1", Phase: phase}}})
+	}
+	require.Nil(t, set(egretmuxv1.WorkerPhase_WORKER_PHASE_LOST).Err)
+	require.Equal(t, refusal.Invalid, set(egretmuxv1.WorkerPhase_WORKER_PHASE_READY).Err.Kind)
+	require.Equal(t, egretmuxv1.WorkerPhase_WORKER_PHASE_LOST, s.Worker("w1").GetPhase())
+	s.register("w1")
+	require.Equal(t, egretmuxv1.WorkerPhase_WORKER_PHASE_READY, s.Worker("w1").GetPhase())
+}
--- a/internal/state/workers.go
+++ b/internal/state/workers.go
@@ -174,6 +174,9 @@
 	if c.GetEpoch() != 0 && c.GetEpoch() != w.GetEpoch() {
 		return &Result{Worker: w}
 	}
+	if w.GetPhase() == egretmuxv1.WorkerPhase_WORKER_PHASE_LOST && c.GetPhase() != egretmuxv1.WorkerPhase_WORKER_PHASE_LOST {
+		return &Result{Worker: w, Err: refusal.New(refusal.Invalid, "it is ready again once it registers", "worker %s is lost", c.GetWorker())}
+	}
 	next := clone(w)
 	next.Phase = c.GetPhase()
 	next.Reason = c.GetReason()
