--- a/internal/place/usage.go
+++ b/internal/place/usage.go
@@ -114,7 +114,8 @@
 		float64(wanted.MemoryMiB) < shrinkPart*float64(held.MemoryMiB)
 }
 
-// relieve acts where the attempts of a worker use more than it has: the one
+// relieve acts where the attempts of a worker use more than it has, or are about
+// to: they hold more than its memory after an attempt outgrew its room. The one
 // that most exceeds what it declared is throttled, then checkpointed and
 // stopped. Only where all keep to what they declared does the newest one go.
 func (r *round) relieve(h *host) {
@@ -122,7 +123,7 @@
 	for _, x := range h.live {
 		used = used.Plus(x.observed.used)
 	}
-	if float64(used.MemoryMiB) > memoryFullPart*float64(h.capacity.MemoryMiB) {
+	if h.held.MemoryMiB > h.capacity.MemoryMiB && float64(used.MemoryMiB) > memoryFullPart*float64(h.capacity.MemoryMiB) {
 		r.stopOverUser(h, memoryExcess, "used more memory than it declared on a full worker")
 		return
 	}
