entry: hedged lookups, and free retries on connections that had worked

Cause: a slow endpoint held a lookup until its progress limit; when many connections went silent at once, the retry budget was used up by links.

Change: a lookup that takes four times the usual time gets a second attempt on another endpoint from half of the retry budget; the first answer wins and the other is cancelled. The first retry after a reused connection failed costs no budget. An attempt that could not be recorded is refused as no-leader.

Conclusion: only requests that may run twice are hedged, within the budget.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -74,7 +74,8 @@
 	idempotent bool
 	key        string
 	body       []byte
-	sent       bool // a byte of it may have reached an endpoint
+	staleLink  atomic.Bool // the last attempt failed on a connection that had worked before
+	sent       atomic.Bool // a byte of it may have reached an endpoint
 }
 
 // ServeHTTP handles /service/{name}/...
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -115,6 +116,31 @@
 	})
 }
 
+func TestSlowLookupIsHedgedWithinTheBudget(t *testing.T) {
+	inWorld(t, 1, 2, func(t *testing.T, w *world) {
+		for range 20 {
+			require.Equal(t, 200, w.call(t.Context(), 0, newRequest("GET", "/lookup?op=warm", "")).status)
+		}
+		hedged := 0
+		for i := range 30 {
+			name := fmt.Sprint("slow", i)
+			w.plan(name, behaviour{kind: "hang", tries: 1, bytes: 2000})
+			out := w.call(t.Context(), 0, newRequest("GET", "/lookup?op="+name, ""))
+			require.Equal(t, 200, out.status, out.body)
+			require.Equal(t, name+":"+strings.Repeat("x", 2000), out.body)
+			if out.took < 100*time.Millisecond {
+				hedged++
+			}
+			time.Sleep(5 * time.Second) // the endpoint's slot is free again
+		}
+		require.Greater(t, hedged, 5)
+		require.Less(t, hedged, 20, "hedges are not bounded by the budget")
+		w.plan("once", behaviour{kind: "hang", tries: 1})
+		w.call(t.Context(), 0, newRequest("POST", "/rollup?op=once", ""))
+		require.Equal(t, 1, w.runs["once"])
+	})
+}
+
 func TestHeadersOfTheCallerDoNotPassAsIdentity(t *testing.T) {
 	inWorld(t, 1, 1, func(t *testing.T, w *world) {
 		seen := make(chan http.Header, 1)
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -34,7 +34,7 @@
 		if err != nil {
 			return c.honest(err)
 		}
-		err = e.try(ctx, w, r, c, slot)
+		err = e.hedged(ctx, w, r, c, slot, request)
 		if err == nil || !e.again(ctx, c, err, attempt) {
 			return c.honest(err)
 		}
@@ -46,12 +46,16 @@
 func (e *Entry) again(ctx context.Context, c *call, err error, attempt int) bool {
 	f := refusal.Of(err)
 	var cut *cutError
-	if errors.As(err, &cut) || c.sent && !c.idempotent || attempt == maxAttempts || ctx.Err() != nil {
+	if errors.As(err, &cut) || c.sent.Load() && !c.idempotent || attempt == maxAttempts || ctx.Err() != nil {
 		return false
 	}
 	if f.Kind == refusal.Cancelled || f.Kind == refusal.NoLease {
 		return false
 	}
+	if c.staleLink.Swap(false) && attempt == 1 {
+		telemetry.CountRetry(f.Kind) // each connection fails once, so these retries are few
+		return true
+	}
 	if !e.cfg.Routes.MayRetry(c.service) {
 		telemetry.Count("retries_over_budget_total")
 		return false
@@ -63,7 +67,7 @@
 // honest makes a refusal say "unknown" when an earlier attempt may have run.
 func (c *call) honest(err error) error {
 	var cut *cutError
-	if err == nil || !c.sent || errors.As(err, &cut) {
+	if err == nil || !c.sent.Load() || errors.As(err, &cut) {
 		return err
 	}
 	f := *refusal.Of(err)
@@ -87,12 +91,13 @@
 		return err
 	}
 	f := refusal.Of(err)
+	c.staleLink.Store(!fresh && (f.Kind == refusal.LinkSilent || f.Kind == refusal.LinkFailed))
 	slot.Note(blame(f, fresh))
 	if f.Ran == refusal.No {
 		slot.Release(route.Neutral)
 		return err
 	}
-	c.sent = true
+	c.sent.Store(true)
 	go e.settle(slot, c.id, c.deadline)
 	return err
 }
@@ -171,7 +176,7 @@
 	}
 	w.WriteHeader(resp.StatusCode)
 	if _, err := w.Write(head); err != nil && bodyAllowed(resp.StatusCode) && r.Method != http.MethodHead {
-		return callerGone(err)
+		return lostRace(err)
 	}
 	if !whole {
 		if err := stream(w, resp.Body); err != nil {
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -68,8 +68,11 @@
 // notBegun is the refusal of a request whose attempt was not confirmed: no
 // byte of it was sent, and a late commit of the attempt sends none either.
 func notBegun(err error) error {
-	f := refusal.Of(err)
-	return refusal.New(f.Kind, "retry with the same Idempotency-Key", "the attempt could not be recorded").After(time.Second).Because(err)
+	kind := refusal.Of(err).Kind
+	if kind == refusal.OutcomeUnknown {
+		kind = refusal.NoLeader // only the record's outcome is unknown
+	}
+	return refusal.New(kind, "retry with the same Idempotency-Key", "the attempt could not be recorded").After(time.Second).Because(err)
 }
 
 func hashCall(r *http.Request, c *call) uint64 {
