entry: model covers renewals; race of two attempts tested alone

Change: requests that must not run twice but are waited for are in the model; the race of two answers has a test.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -136,7 +136,7 @@
 		require.Greater(t, hedged, 5)
 		require.Less(t, hedged, 20, "hedges are not bounded by the budget")
 		w.plan("once", behaviour{kind: "hang", tries: 1})
-		w.call(t.Context(), 0, newRequest("POST", "/rollup?op=once", ""))
+		w.call(t.Context(), 0, newRequest("POST", "/renewal?op=once", ""))
 		require.Equal(t, 1, w.runs["once"])
 	})
 }
--- a/internal/entry/model_test.go
+++ b/internal/entry/model_test.go
@@ -18,7 +18,7 @@
 // op is one step of a plan: a request, or a fault of the connections.
 type op struct {
 	after   time.Duration // pause before it
-	kind    string        // lookup, send, keyed, silence, faults, leader
+	kind    string        // lookup, send, renew, keyed, silence, faults, leader
 	through int
 	name    string // of the operation that runs; the same for requests with one key
 	does    behaviour
@@ -33,7 +33,7 @@
 	for i := range plan {
 		o := op{
 			after:   rapid.SampledFrom([]time.Duration{0, 0, time.Millisecond, 100 * time.Millisecond, 3 * time.Second}).Draw(t, "pause"),
-			kind:    rapid.SampledFrom([]string{"lookup", "lookup", "send", "keyed", "keyed", "silence", "faults", "leader"}).Draw(t, "kind"),
+			kind:    rapid.SampledFrom([]string{"lookup", "lookup", "lookup", "send", "renew", "keyed", "keyed", "silence", "faults", "leader"}).Draw(t, "kind"),
 			through: rapid.IntRange(0, 1).Draw(t, "entry"), target: rapid.IntRange(0, 1).Draw(t, "endpoint"),
 			name: fmt.Sprintf("op%d", i),
 			does: behaviour{
@@ -91,7 +91,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, o := range plan {
-		if (o.kind == "send" || o.kind == "keyed") && w.runs[o.name] > 1 {
+		if (o.kind == "send" || o.kind == "renew" || o.kind == "keyed") && w.runs[o.name] > 1 {
 			complain("%s ran %d times", o.name, w.runs[o.name])
 		}
 	}
@@ -106,6 +106,9 @@
 // request makes a call and checks its answer against what the endpoints ran.
 func (w *world) request(o *op, complain func(string, ...any)) {
 	method, path, limit := http.MethodPost, "/service/s/rollup", 20*time.Second
+	if o.kind == "renew" {
+		path, limit = "/service/s/renewal", 5*time.Second
+	}
 	if o.kind == "lookup" {
 		method, path, limit = http.MethodGet, "/service/s/lookup", 2*time.Second
 	}
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -63,6 +63,12 @@
 deadline = 20s
 queue = 8
 paths = /rollup
+[class.renewal]
+answer = at-once
+at_most_once = yes
+deadline = 5s
+queue = 8
+paths = /renewal
 `, func() string { s := sha256.Sum256([]byte(credential)); return hex.EncodeToString(s[:]) }())
 
 // behaviour is what an endpoint does with a request's first attempts.
