--- a/internal/endpoint/share.go
+++ b/internal/endpoint/share.go
@@ -101,26 +101,29 @@
 	return slots, links
 }
 
-// due divides the slots: first by demand, then what is left as headroom.
+// due divides the slots: one for each entry, so that it can serve at once and
+// without the leader, then by demand, and what is left as headroom.
 func (s *share) due(service string) map[string]int32 {
 	n := int32(len(s.entries))
-	floor := max(1, s.total/(floorDivisor*n))
-	demand, extra := make(map[string]int32, n), make(map[string]int32, n)
+	first, demand, extra := make(map[string]int32, n), make(map[string]int32, n), make(map[string]int32, n)
 	for _, name := range s.entries {
 		d := s.table.entries[name].demand[service]
-		demand[name] = d
-		extra[name] = max(floor-d, 0)
+		first[name] = 1
+		demand[name] = max(0, d-1)
+		extra[name] = max(0, s.total/(floorDivisor*n)-d)
 		if d > 0 {
 			extra[name] = max(extra[name], 1, d/headroomDivisor)
 		}
 	}
-	out := divide(s.total, demand)
-	left := s.total
-	for _, slots := range out {
-		left -= slots
-	}
-	for name, slots := range divide(left, extra) {
-		out[name] += slots
+	out, left := make(map[string]int32, n), s.total
+	for _, wants := range []map[string]int32{first, demand, extra} {
+		for name, slots := range divide(left, wants) {
+			out[name] += slots
+		}
+		left = s.total
+		for _, slots := range out {
+			left -= slots
+		}
 	}
 	return out
 }
@@ -149,7 +152,8 @@
 	return out
 }
 
-// shrink lowers targets where an endpoint has fewer slots than were granted.
+// shrink lowers targets where an endpoint has fewer slots or connections than
+// were granted.
 func (s *share) shrink() {
 	for _, e := range s.endpoints {
 		over := -e.capacity()
@@ -163,6 +167,7 @@
 				s.lower(e, name, less)
 				over -= less
 			}
+			s.table.set(e, g, g.target, min(g.links, g.target*e.linksPerSlot()))
 		}
 	}
 }
