A restarted entry's unfinished requests are unknown at once

Cause: in soaks callers of a killed entry got 'key-in-progress' for tens of seconds, although no one could end those requests any more. Change: when a new process of an instance joins, the requests that the earlier one began get an unknown outcome; a late outcome may still be recorded. The two walks over the requests share one loop. Planted: the call left out; TestModelStore fell. Conclusion: the caller hears the final answer as soon as the entry is back.

--- a/internal/state/instances.go
+++ b/internal/state/instances.go
@@ -83,9 +83,15 @@
 	return s.members.byID[id]
 }
 
+// joinInstance records a process of an instance. Requests that an earlier
+// process began and did not end have an unknown outcome from then on.
 func (s *Store) joinInstance(c *egretmuxv1.JoinInstance) *Result {
+	earlier := s.Instance(c.GetInstance().GetId()).GetIncarnation()
 	if c.GetInstance() == nil || !s.members.join(c) {
 		return &Result{Err: refusal.New(refusal.NoLease, "give each instance an id of its own", "a newer process of instance %s has joined", c.GetInstance().GetId())}
 	}
+	if earlier < c.GetInstance().GetIncarnation() {
+		s.requests.abandon(c.GetInstance().GetId(), s.now)
+	}
 	return &Result{Applied: 1}
 }
--- a/internal/state/model_test.go
+++ b/internal/state/model_test.go
@@ -44,6 +44,7 @@
 
 // request is what the oracle remembers of an idempotency key.
 type request struct {
+	instance      string
 	hash, attempt uint64
 	phase         egretmuxv1.RequestPhase
 	at            int64
@@ -128,8 +129,9 @@
 
 func (o *oracle) beginRequest(t *rapid.T) {
 	key, hash, attempt := keys.Draw(t, "key"), rapid.Uint64Range(1, 2).Draw(t, "hash"), rapid.Uint64Range(1, 6).Draw(t, "attempt")
+	instance := rapid.SampledFrom([]string{"a1", "a2"}).Draw(t, "instance")
 	r := o.apply(t, &egretmuxv1.Command{Body: &egretmuxv1.Command_BeginRequest{BeginRequest: &egretmuxv1.BeginRequest{
-		Request: &egretmuxv1.RequestRecord{Customer: "dixie", Key: key, BodyHash: hash, Attempt: attempt},
+		Request: &egretmuxv1.RequestRecord{Customer: "dixie", Key: key, BodyHash: hash, Attempt: attempt, Instance: instance},
 	}}})
 	old := o.requests[key]
 	switch {
@@ -139,7 +141,7 @@
 		require.False(t, r.Run)
 	case old == nil || old.phase == egretmuxv1.RequestPhase_REQUEST_PHASE_NOT_RUN && old.attempt != attempt:
 		require.True(t, r.Run)
-		o.requests[key] = &request{hash: hash, attempt: attempt, phase: egretmuxv1.RequestPhase_REQUEST_PHASE_BEGUN, at: o.now}
+		o.requests[key] = &request{hash: hash, attempt: attempt, instance: instance, phase: egretmuxv1.RequestPhase_REQUEST_PHASE_BEGUN, at: o.now}
 	default: // only the attempt that was told to run may run
 		require.Equal(t, old.phase == egretmuxv1.RequestPhase_REQUEST_PHASE_BEGUN && old.attempt == attempt, r.Run)
 		require.Equal(t, old.phase, r.Request.GetPhase())
@@ -194,6 +196,11 @@
 	if r.Err != nil {
 		return
 	}
+	for _, r := range o.requests {
+		if old.GetIncarnation() < incarnation && r.instance == id && r.phase == egretmuxv1.RequestPhase_REQUEST_PHASE_BEGUN {
+			r.phase, r.at = egretmuxv1.RequestPhase_REQUEST_PHASE_UNKNOWN, o.now
+		}
+	}
 	next := &egretmuxv1.Instance{Id: id, Incarnation: incarnation}
 	next.Predecessor = old != nil && (old.GetIncarnation() < incarnation || old.GetPredecessor() && !settled)
 	o.members[id] = next
--- a/internal/state/requests.go
+++ b/internal/state/requests.go
@@ -103,18 +103,30 @@
 // giveUp marks the requests that began before the given time and have no
 // outcome as unknown: their entries no longer wait for them.
 func (t *requestTable) giveUp(before, now int64) int {
+	return t.loseOutcomes(now, func(r *egretmuxv1.RequestRecord) bool { return r.GetBegunUnixMs() < before })
+}
+
+// abandon marks the requests that an instance began and did not end as unknown.
+func (t *requestTable) abandon(instance string, now int64) int {
+	return t.loseOutcomes(now, func(r *egretmuxv1.RequestRecord) bool { return r.GetInstance() == instance })
+}
+
+// loseOutcomes gives the begun requests that match an unknown outcome. One
+// that turns out later may still be recorded.
+func (t *requestTable) loseOutcomes(now int64, match func(*egretmuxv1.RequestRecord) bool) int {
 	n := 0
 	for i := range t.shards {
 		s := &t.shards[i]
 		s.mu.Lock()
 		for k, r := range s.byKey {
-			if r.GetPhase() == egretmuxv1.RequestPhase_REQUEST_PHASE_BEGUN && r.GetBegunUnixMs() < before {
-				next := clone(r)
-				next.Phase = egretmuxv1.RequestPhase_REQUEST_PHASE_UNKNOWN
-				next.EndedUnixMs = now
-				s.byKey[k] = next
-				n++
+			if r.GetPhase() != egretmuxv1.RequestPhase_REQUEST_PHASE_BEGUN || !match(r) {
+				continue
 			}
+			next := clone(r)
+			next.Phase = egretmuxv1.RequestPhase_REQUEST_PHASE_UNKNOWN
+			next.EndedUnixMs = now
+			s.byKey[k] = next
+			n++
 		}
 		s.mu.Unlock()
 	}
