A refused start reaches the leader; a start that is never confirmed is taken back

Ruled out: lost commands (other starts on the same workers went on) and a leak in the planner. Change: a worker reports a refused start until it has an answer, as any other end; the answer to the command carries nothing. A start that a worker which announces itself leaves unconfirmed for 10 s is stopped. Conclusion: an attempt cannot hold its room for good without running.

--- a/internal/leader/tenure.go
+++ b/internal/leader/tenure.go
@@ -9,6 +9,7 @@
 	"github.com/egretmux/egretmux/internal/endpoint"
 	"github.com/egretmux/egretmux/internal/state"
 	"github.com/egretmux/egretmux/internal/task"
+	"github.com/egretmux/egretmux/internal/telemetry"
 )
 
 // Periods of the leader's loops.
@@ -18,6 +19,7 @@
 	resendAfter   = 300 * time.Millisecond // a command not confirmed by then is sent again
 	planPeriod    = 250 * time.Millisecond // planning without a change, for backoffs that end
 	requestGiveUp = 15 * time.Minute       // a request without an outcome is unknown; longer than any may take
+	startMax      = 10 * time.Second       // a start that a live worker has not confirmed by then is taken back
 	checkpointMax = 3 * time.Second        // a checkpoint that takes longer is given up for a plain stop
 	pauseLimit    = time.Second            // a longer gap between upkeeps means this process was paused
 )
@@ -234,13 +236,39 @@
 		}
 	}
 	lost := t.silentWorkers(now)
+	unconfirmed := t.unconfirmedStarts(now)
 	t.mu.Unlock()
+	t.takeBack(ctx, unconfirmed)
 	t.forecast(now)
 	for _, w := range lost {
 		t.loseWorker(ctx, w)
 	}
 }
 
+// unconfirmedStarts returns stops for the attempts whose start a worker keeps
+// leaving unconfirmed although it announces itself.
+func (t *tenure) unconfirmedStarts(now time.Time) []*egretmuxv1.PlanStop {
+	var stops []*egretmuxv1.PlanStop
+	for attempt, c := range t.commands {
+		v := t.workers[c.worker]
+		if c.stop || c.first.IsZero() || now.Sub(c.first) < startMax || v == nil || !v.heard.After(c.first) {
+			continue
+		}
+		stops = append(stops, &egretmuxv1.PlanStop{Task: c.task, Attempt: attempt, Reason: "the worker did not confirm the start"})
+	}
+	return stops
+}
+
+// takeBack commits the stops of unconfirmed starts.
+func (t *tenure) takeBack(ctx context.Context, stops []*egretmuxv1.PlanStop) {
+	if len(stops) == 0 {
+		return
+	}
+	telemetry.Count("leader_starts_taken_back_total")
+	_, err := t.leader.propose(ctx, &egretmuxv1.Command{Body: &egretmuxv1.Command_CommitPlan{CommitPlan: &egretmuxv1.CommitPlan{Stops: stops}}})
+	t.leader.logger.Warn().AnErr("error", err).Str("event", "starts_taken_back").Int("attempts", len(stops)).Msg("")
+}
+
 // grantRecovery is how long a new leader waits for all entries to report
 // before it shares out the part of the slots that it knows of.
 const grantRecovery = 2 * time.Second
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -125,18 +125,15 @@
 // RunCommands implements WorkerService for all workers of the fleet.
 func (f *Fleet) RunCommands(ctx context.Context, req *connect.Request[egretmuxv1.RunCommandsRequest]) (*connect.Response[egretmuxv1.RunCommandsResponse], error) {
 	seen := make(map[string]bool)
-	out := &egretmuxv1.RunCommandsResponse{}
 	for _, c := range req.Msg.GetCommands() {
 		w := f.workers[c.GetWorker()]
 		if w == nil || seen[c.GetWorker()] {
 			continue
 		}
 		seen[c.GetWorker()] = true
-		resp, err := w.RunCommands(ctx, req)
-		if err != nil {
+		if _, err := w.RunCommands(ctx, req); err != nil {
 			return nil, err
 		}
-		out.Refused = append(out.Refused, resp.Msg.GetRefused()...)
 	}
-	return connect.NewResponse(out), nil
+	return connect.NewResponse(&egretmuxv1.RunCommandsResponse{}), nil
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -219,15 +219,12 @@
 func (w *Worker) RunCommands(_ context.Context, req *connect.Request[egretmuxv1.RunCommandsRequest]) (*connect.Response[egretmuxv1.RunCommandsResponse], error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	resp := &egretmuxv1.RunCommandsResponse{}
 	for _, c := range req.Msg.GetCommands() {
 		if c.GetWorker() != w.cfg.Record.GetId() {
 			continue
 		}
 		if s := c.GetStart(); s != nil {
-			if refused := w.start(c, s); refused != nil {
-				resp.Refused = append(resp.Refused, refused)
-			}
+			w.start(c, s)
 		}
 		if s := c.GetStop(); s != nil {
 			w.stop(s, c.GetWorkerEpoch())
@@ -237,27 +234,25 @@
 		}
 	}
 	w.wakeUp()
-	return connect.NewResponse(resp), nil
+	return connect.NewResponse(&egretmuxv1.RunCommandsResponse{}), nil
 }
 
-// start begins an attempt once. It refuses one after the lease has ended. A
-// command of another epoch is left without an answer: an earlier process of this
-// worker may have run the attempt, and the next registration settles its fate.
-func (w *Worker) start(c *egretmuxv1.WorkerCommand, s *egretmuxv1.StartAttempt) *egretmuxv1.AttemptReport {
+// start begins an attempt once. After the lease has ended it refuses, and
+// reports that until the leader has heard it.
+func (w *Worker) start(c *egretmuxv1.WorkerCommand, s *egretmuxv1.StartAttempt) {
 	id := s.GetAttempt()
 	if w.running[id] != nil || w.finished[id] != nil || w.fenced[id] || c.GetWorkerEpoch() != w.epoch {
-		return nil
+		return
 	}
+	w.fenced[id] = true
 	if time.Now().After(w.lease) {
-		w.fenced[id] = true
-		return &egretmuxv1.AttemptReport{Task: s.GetTask(), Attempt: id, Phase: egretmuxv1.AttemptPhase_ATTEMPT_PHASE_REFUSED}
+		w.finished[id] = &egretmuxv1.AttemptReport{Task: s.GetTask(), Attempt: id, Phase: egretmuxv1.AttemptPhase_ATTEMPT_PHASE_REFUSED, Detail: "the lease had ended"}
+		return
 	}
-	w.fenced[id] = true
 	a := &attempt{start: s, began: time.Now(), stop: make(chan struct{})}
 	w.running[id] = a
 	w.journal("attempt_started", a, "")
 	go w.execute(a)
-	return nil
 }
 
 // stop ends an attempt, or proves that this process never started it.
