--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -275,7 +275,7 @@
 		t.endpoints.Hold(s.entry, h)
 	}
 	if !req.GetLeaving() {
-		t.endpoints.AddEntry(s.entry)
+		t.endpoints.AddEntry(s.entry, s.instance.GetDatacentre())
 	}
 	if len(req.GetHoldings()) > 0 && t.endpoints.Rebalance() {
 		t.wakeSessions()
@@ -350,7 +350,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.sessions[req.GetInstance()]
-	if s == nil || s.instance.GetIncarnation() != req.GetIncarnation() {
+	if s == nil || s.instance.GetIncarnation() != req.GetIncarnation() || !t.leaseMayHold(req.GetInstance(), time.Now()) {
 		return nil, nil, refusal.New(refusal.NoLease, "report first", "no session of instance %s", req.GetInstance())
 	}
 	endpointsFrom := req.GetEndpointVersion()
--- a/internal/place/headroom.go
+++ b/internal/place/headroom.go
@@ -38,12 +38,7 @@
 	held := worker.Room{}
 	for _, a := range r.p.order {
 		held = held.Plus(a.held)
-		for i, j := range a.queue {
-			if i >= backfillDepth || !j.urgent() {
-				break
-			}
-			demand = demand.Plus(j.need.Times(int64(len(j.waiting))))
-		}
+		demand = demand.Plus(a.urgent)
 	}
 	r.p.urgent.observe(demand, r.now)
 	r.keep = r.p.urgent.free()
@@ -53,7 +48,7 @@
 // leavesHeadroom reports whether the cell keeps room for urgent work beside
 // that much more of other work.
 func (r *round) leavesHeadroom(j *job, n int64) bool {
-	if j.tier != tierBatch {
+	if j.tier != tierBatch || len(j.claims) > 0 {
 		return true
 	}
 	left := r.free.Minus(j.need.Times(n))
--- a/internal/place/learn.go
+++ b/internal/place/learn.go
@@ -36,6 +36,8 @@
 type logMean struct {
 	n        int
 	mean, sq float64
+	value    float64 // the mean, as a number
+	cautious float64 // seldom exceeded
 }
 
 func (m *logMean) add(x float64) {
@@ -45,12 +47,10 @@
 	d := v - m.mean
 	m.mean += w * d
 	m.sq = (1 - w) * (m.sq + w*d*d)
+	m.value = math.Exp(m.mean)
+	m.cautious = math.Exp(m.mean + cautionFactor*math.Sqrt(m.sq))
 }
 
-func (m *logMean) value() float64 { return math.Exp(m.mean) }
-
-func (m *logMean) cautious() float64 { return math.Exp(m.mean + cautionFactor*math.Sqrt(m.sq)) }
-
 func newLearner() *learner {
 	return &learner{
 		runs: make(map[learnKey]*runTimes), ratios: make(map[string]*logMean),
@@ -100,15 +100,15 @@
 	declared := float64(spec.GetDeclaredRunMs())
 	if m := l.runs[learnKey{spec.GetCustomer(), spec.GetName()}]; m != nil && m.absolute.n >= sureRuns {
 		if declared > 0 && m.ratio.n >= sureRuns && m.ratio.sq < m.absolute.sq {
-			return newEstimate(declared*m.ratio.value(), declared*m.ratio.cautious(), true)
+			return newEstimate(declared*m.ratio.value, declared*m.ratio.cautious, true)
 		}
-		return newEstimate(m.absolute.value(), m.absolute.cautious(), true)
+		return newEstimate(m.absolute.value, m.absolute.cautious, true)
 	}
 	if declared <= 0 {
 		return newEstimate(defaultRunMs, defaultRunMs, false)
 	}
 	if r := l.ratios[spec.GetCustomer()]; r != nil && r.n >= sureRuns {
-		declared *= r.value()
+		declared *= r.value
 	}
 	return newEstimate(declared, declared, false)
 }
@@ -139,6 +139,10 @@
 	}
 }
 
+// headroomPart adds headroom to a part of the declared size, up to that size;
+// work that keeps to what it declared is not made larger.
+func headroomPart(part, headroom float64) float64 { return max(part, min(1, part*headroom)) }
+
 // size returns what a member holds when it starts: what it declared; what its
 // like was seen to use if that is more; or, once enough of its like were seen to
 // use less, that with headroom, within the floor of the declared size.
@@ -148,7 +152,7 @@
 	if s == nil {
 		return declared
 	}
-	cpu, memory := s.cpu*cpuHeadroom, s.memory*memoryHeadroom
+	cpu, memory := headroomPart(s.cpu, cpuHeadroom), headroomPart(s.memory, memoryHeadroom)
 	if s.attempts < sureSizes {
 		cpu, memory = max(1, s.cpu), max(1, s.memory)
 	}
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -13,6 +13,9 @@
 	giveBackBurst  = 4    // attempts of borrowers stopped at once
 	borrowerRuns   = 5000 // milliseconds that a borrower runs before it is stopped
 	preemptHosts   = 128  // hosts looked at for one preemption once a choice was found
+	preemptAgain   = 500  // milliseconds until a job that found nobody to stop looks again
+	visitsARound   = 600  // workers looked at in one round for jobs that are not urgent
+	scansARound    = 4    // jobs that are not urgent and look for somebody to stop in one round
 	preemptsARound = 24   // attempts stopped in one round
 	restartMs      = 2000 // lost by each checkpoint and restart
 	tightLossMs    = 600_000
@@ -22,10 +25,11 @@
 
 // mayPreempt reports whether the job's wait justifies stopping others.
 func (r *round) mayPreempt(j *job) bool {
+	r.rescuing = false
 	if j.urgent() || j.service() {
 		return true
 	}
-	if r.rescues(j) {
+	if r.rescuing = r.rescues(j); r.rescuing {
 		return true
 	}
 	if r.p.giveBack.left(r.now, len(r.p.running)) < 1 {
@@ -63,7 +67,7 @@
 	case j.service():
 		return own || r.p.overShare(x.job.account)
 	}
-	if r.rescues(j) && (own || r.p.overShare(x.job.account)) && r.canWait(x) {
+	if r.rescuing && (own || r.p.overShare(x.job.account)) && r.canWait(x) {
 		return own || !r.p.overShare(j.account)
 	}
 	return !own && !r.p.overShare(j.account) && r.p.overShare(x.job.account) && x.began > 0 && r.now-x.began >= borrowerRuns
@@ -96,10 +100,16 @@
 	from := len(j.claims)
 	var stops []*running
 	for len(j.claims) < members {
+		if !j.urgent() && r.visited > visitsARound {
+			break
+		}
 		h, victims := r.roomFor(j)
 		if h == nil || len(r.stops)+len(victims) > preemptsARound {
 			break
 		}
+		if len(victims) == 0 && !r.leavesHeadroom(j, int64(members)) {
+			break
+		}
 		if !j.urgent() && !j.service() && len(victims) > 0 && !r.p.giveBack.take(len(victims)) {
 			break
 		}
@@ -150,6 +160,7 @@
 		if t := h.takes(); t != Fits || !j.need.Fits(h.capacity) || h.reserved != nil && h.reserved != j {
 			continue
 		}
+		r.visited++
 		set, loss, ok := r.victimsOn(j, h)
 		if ok && (best == nil || loss < least) {
 			best, victims, least = h, set, loss
@@ -161,7 +172,7 @@
 // victimsOn returns what must stop on the host for one more member.
 func (r *round) victimsOn(j *job, h *host) ([]*running, int64, bool) {
 	free := h.free()
-	var able []*running
+	able := r.able[:0]
 	for _, x := range h.live {
 		if x.phase == egretmuxv1.AttemptPhase_ATTEMPT_PHASE_STOPPING || r.stops[x.id] {
 			free = free.Plus(x.held)
@@ -169,9 +180,17 @@
 			able = append(able, x)
 		}
 	}
+	r.able = able
 	if j.need.Fits(free) {
 		return nil, 0, true
 	}
+	most := free
+	for _, x := range able {
+		most = most.Plus(x.held)
+	}
+	if !j.need.Fits(most) {
+		return nil, 0, false
+	}
 	losses := make(map[*running]int64, len(able))
 	for _, x := range able {
 		losses[x] = r.loss(j, x)
--- a/internal/relay/announce.go
+++ b/internal/relay/announce.go
@@ -10,12 +10,14 @@
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/refusal"
 	"github.com/egretmux/egretmux/internal/refusal/refusalrpc"
+	"github.com/egretmux/egretmux/internal/telemetry"
 )
 
 const (
 	endpointInterval = 500 * time.Millisecond // how often endpoints announce themselves
 	silenceCheck     = 100 * time.Millisecond // how often their silence is looked for
 	defaultSilent    = 1500 * time.Millisecond
+	maxAnnouncements = 4096 // reports of workers that wait for the leader
 )
 
 // announcement is a worker's report that waits for the leader's answer.
@@ -47,9 +49,9 @@
 		return nil, refusalrpc.Error(refusal.New(refusal.Invalid, "set report.worker", "the report names no worker"))
 	}
 	a := announcement{report: report, answer: make(chan announceAnswer, 1)}
-	r.mu.Lock()
-	r.workers = append(r.workers, a)
-	r.mu.Unlock()
+	if !r.enqueue(a) {
+		return nil, refusalrpc.Error(refusal.New(refusal.QueueFull, "announce through another instance", "%d reports of workers wait for the leader", maxAnnouncements).After(endpointInterval))
+	}
 	if report.GetRegister() != nil || len(report.GetAttempts()) > 0 || report.GetLeaving() {
 		r.Wake()
 	} else {
@@ -69,6 +71,18 @@
 	}
 }
 
+// enqueue adds an announcement to the next report unless too many wait.
+func (r *Relay) enqueue(a announcement) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.workers) >= maxAnnouncements {
+		telemetry.Count("relay_announcements_refused_total")
+		return false
+	}
+	r.workers = append(r.workers, a)
+	return true
+}
+
 // AnnounceEndpoint notes an endpoint's report. Only a change goes on to the leader.
 func (r *Relay) AnnounceEndpoint(_ context.Context, req *connect.Request[egretmuxv1.AnnounceEndpointRequest]) (*connect.Response[egretmuxv1.AnnounceEndpointResponse], error) {
 	e := req.Msg.GetReport()
@@ -103,6 +117,7 @@
 	limit   time.Duration
 	byID    map[string]*attachedEndpoint
 	changed map[string]bool
+	busy    map[string]bool // changed in the slots in use alone
 	silent  map[string]bool
 }
 
@@ -116,7 +131,7 @@
 		limit = defaultSilent
 	}
 	return attachedEndpoints{
-		limit: limit, byID: make(map[string]*attachedEndpoint), changed: make(map[string]bool), silent: make(map[string]bool),
+		limit: limit, byID: make(map[string]*attachedEndpoint), changed: make(map[string]bool), busy: make(map[string]bool), silent: make(map[string]bool),
 	}
 }
 
@@ -127,8 +142,11 @@
 	if old != nil && e.GetEpoch() < old.report.GetEpoch() {
 		return false
 	}
-	if old != nil && proto.Equal(old.report, e) {
-		old.heard = now
+	if old != nil && sameEndpoint(old.report, e) {
+		if old.report.GetBusy() != e.GetBusy() {
+			a.busy[e.GetId()] = true
+		}
+		old.report, old.heard = e, now
 		return false
 	}
 	a.byID[e.GetId()] = &attachedEndpoint{report: e, heard: now}
@@ -137,6 +155,16 @@
 	return true
 }
 
+// sameEndpoint reports whether two reports differ in the slots in use at most.
+func sameEndpoint(a, b *egretmuxv1.EndpointReport) bool {
+	if a.GetBusy() == b.GetBusy() {
+		return proto.Equal(a, b)
+	}
+	a = proto.Clone(a).(*egretmuxv1.EndpointReport)
+	a.Busy = b.GetBusy()
+	return proto.Equal(a, b)
+}
+
 // expire drops the endpoints that have been silent for too long.
 func (a *attachedEndpoints) expire(now time.Time) bool {
 	found := false
@@ -144,6 +172,7 @@
 		if now.Sub(e.heard) > a.limit {
 			delete(a.byID, id)
 			delete(a.changed, id)
+			delete(a.busy, id)
 			a.silent[id] = true
 			found = true
 		}
@@ -153,9 +182,10 @@
 
 // collect returns what the leader has yet to hear; with full set, every
 // endpoint attached, which tells the leader by omission which ones are not.
-func (a *attachedEndpoints) collect(full bool) (reports []*egretmuxv1.EndpointReport, silent []string) {
+// Changes of the slots in use go along only with busy set.
+func (a *attachedEndpoints) collect(full, busy bool) (reports []*egretmuxv1.EndpointReport, silent []string) {
 	for id, e := range a.byID {
-		if full || a.changed[id] {
+		if full || a.changed[id] || busy && a.busy[id] {
 			reports = append(reports, e.report)
 		}
 	}
@@ -165,6 +195,7 @@
 		}
 	}
 	clear(a.changed)
+	clear(a.busy)
 	clear(a.silent)
 	return reports, silent
 }
--- a/internal/state/requests.go
+++ b/internal/state/requests.go
@@ -103,18 +103,30 @@
 // giveUp marks the requests that began before the given time and have no
 // outcome as unknown: their entries no longer wait for them.
 func (t *requestTable) giveUp(before, now int64) int {
+	return t.loseOutcomes(now, func(r *egretmuxv1.RequestRecord) bool { return r.GetBegunUnixMs() < before })
+}
+
+// abandon marks the requests that an instance began and did not end as unknown.
+func (t *requestTable) abandon(instance string, now int64) int {
+	return t.loseOutcomes(now, func(r *egretmuxv1.RequestRecord) bool { return r.GetInstance() == instance })
+}
+
+// loseOutcomes gives the begun requests that match an unknown outcome. One
+// that turns out later may still be recorded.
+func (t *requestTable) loseOutcomes(now int64, match func(*egretmuxv1.RequestRecord) bool) int {
 	n := 0
 	for i := range t.shards {
 		s := &t.shards[i]
 		s.mu.Lock()
 		for k, r := range s.byKey {
-			if r.GetPhase() == egretmuxv1.RequestPhase_REQUEST_PHASE_BEGUN && r.GetBegunUnixMs() < before {
-				next := clone(r)
-				next.Phase = egretmuxv1.RequestPhase_REQUEST_PHASE_UNKNOWN
-				next.EndedUnixMs = now
-				s.byKey[k] = next
-				n++
+			if r.GetPhase() != egretmuxv1.RequestPhase_REQUEST_PHASE_BEGUN || !match(r) {
+				continue
 			}
+			next := clone(r)
+			next.Phase = egretmuxv1.RequestPhase_REQUEST_PHASE_UNKNOWN
+			next.EndedUnixMs = now
+			s.byKey[k] = next
+			n++
 		}
 		s.mu.Unlock()
 	}
@@ -131,6 +143,12 @@
 		return &Result{Request: old, Err: refusal.New(refusal.KeyConflict, "use a new Idempotency-Key for another request",
 			"key %s was used for another request", r.GetKey())}
 	}
+	if old != nil && s.abandoned(old) {
+		old = clone(old)
+		old.Phase = egretmuxv1.RequestPhase_REQUEST_PHASE_UNKNOWN
+		old.EndedUnixMs = s.now
+		s.requests.put(old)
+	}
 	if old != nil && old.GetPhase() != egretmuxv1.RequestPhase_REQUEST_PHASE_NOT_RUN {
 		// The same attempt again is an answer to the entry that lost the first one.
 		return &Result{Request: old, Run: old.GetPhase() == egretmuxv1.RequestPhase_REQUEST_PHASE_BEGUN && old.GetAttempt() == r.GetAttempt()}
@@ -145,6 +163,15 @@
 	return &Result{Request: next, Run: true}
 }
 
+// endGraceMs is how long after a request's deadline its entry may still commit the outcome.
+const endGraceMs = 30_000
+
+// abandoned reports whether the entry that began a request must have ended
+// without committing an outcome. Its request may have run.
+func (s *Store) abandoned(r *egretmuxv1.RequestRecord) bool {
+	return r.GetPhase() == egretmuxv1.RequestPhase_REQUEST_PHASE_BEGUN && r.GetLimitMs() > 0 && s.now > r.GetBegunUnixMs()+r.GetLimitMs()+endGraceMs
+}
+
 // endRequest records the outcome of an attempt; the first outcome stays, but
 // one that was unknown may still become known.
 func (s *Store) endRequest(c *egretmuxv1.EndRequest) *Result {
