The outlook is worked out less often in a large cell

Cause: the outlook sorts every queue each second under the planner's lock. Change: every 5 s above 1,000 unfinished tasks. The driver loses its debug output. Conclusion: warnings are up to 5 s older in a large cell.

--- a/internal/leader/planner.go
+++ b/internal/leader/planner.go
@@ -14,8 +14,13 @@
 	"github.com/egretmux/egretmux/internal/telemetry"
 )
 
-// forecastPeriod is how often the customers' outlook is worked out.
-const forecastPeriod = time.Second
+// How often the customers' outlook is worked out; its cost grows with the
+// unfinished tasks.
+const (
+	forecastPeriod = time.Second
+	forecastSlower = 5 * time.Second
+	manyTasks      = 1000
+)
 
 // planner guards the decision code.
 type planner struct {
@@ -185,7 +190,11 @@
 // deadlines that are about to slip.
 func (t *tenure) forecast(now time.Time) {
 	t.planner.mu.Lock()
-	due := now.Sub(t.planner.forecast) >= forecastPeriod
+	period := forecastPeriod
+	if t.planner.place.Unfinished() > manyTasks {
+		period = forecastSlower
+	}
+	due := now.Sub(t.planner.forecast) >= period
 	if due {
 		t.planner.forecast = now
 		t.planner.forecasts = t.planner.place.Forecast(now.UnixMilli())
--- a/internal/measure/result.go
+++ b/internal/measure/result.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"os"
 	"sort"
 	"text/tabwriter"
 	"time"
@@ -27,15 +26,12 @@
 	spent                 time.Duration
 	shareHeld, shareDue   []float64
 	fairness              float64
-	reasons               map[string]int
 	customers             map[string]int
 	total                 worker.Room
 }
 
-var debug = os.Getenv("DEBUG") != ""
-
 func newResult(c Cell) *Result {
-	r := &Result{shareHeld: make([]float64, c.Customers), shareDue: make([]float64, c.Customers), customers: make(map[string]int), reasons: make(map[string]int)}
+	r := &Result{shareHeld: make([]float64, c.Customers), shareDue: make([]float64, c.Customers), customers: make(map[string]int)}
 	for i := range c.Customers {
 		r.customers[customerName(i)] = i
 	}
@@ -104,8 +100,6 @@
 		x.deadlines++
 		if j.ended == 0 || j.ended > d {
 			x.missed++
-			x.reasons["missed "+classNames[j.class]]++
-			x.reasons["missed "+j.task.GetSpec().GetCustomer()]++
 		}
 	}
 	x.fairness = 1
@@ -202,11 +196,6 @@
 	row("preempted, killed for memory, quarantined", "0", func(x *Result) string {
 		return fmt.Sprintf("%d, %d, %d", x.preempted, x.killed, x.quarantined)
 	})
-	if debug {
-		for i, x := range results {
-			fmt.Fprintln(os.Stderr, i, x.reasons)
-		}
-	}
 	row("starts that did not fit", "0", func(x *Result) string { return fmt.Sprint(x.overfull) })
 	row("round p50/p99 us", "", func(x *Result) string {
 		us := durations(x.rounds)
--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -357,7 +357,6 @@
 		j := r.jobs[x.GetTask()]
 		if a := task.FindAttempt(j.task, x.GetAttempt()); a != nil {
 			r.result.preempted++
-			r.result.reasons[x.GetReason()]++
 			r.stop(j, a)
 			if j.class == gang {
 				r.breakGang(j)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -163,6 +163,9 @@
 	p.requeue(j, now)
 }
 
+// Unfinished returns the number of tasks that are not final.
+func (p *Planner) Unfinished() int { return len(p.jobs) }
+
 // Forget drops a task whatever its phase.
 func (p *Planner) Forget(id uint64) {
 	if j := p.jobs[id]; j != nil {
