A drain outlives the loss and return of its worker

Cause: a drained worker that was lost registered as ready again: an accepted operator's change reverted. Change: a lost worker's record keeps the phase it had; registration takes it up. The stateful test's healing undrains after lost workers have registered, since they now come back draining; its checks are unchanged.

--- a/internal/place/model_test.go
+++ b/internal/place/model_test.go
@@ -113,6 +113,9 @@
 	for _, id := range c.names {
 		w := c.workers[id]
 		w.paused, w.cut, w.blackHole = false, false, false
+	}
+	c.advance(announceMs + 500) // lost workers register, and are still draining if they were
+	for _, id := range c.names {
 		if c.store.Worker(id).GetPhase() == egretmuxv1.WorkerPhase_WORKER_PHASE_DRAINING {
 			c.setPhase(id, egretmuxv1.WorkerPhase_WORKER_PHASE_READY)
 		}
--- a/internal/state/plan_test.go
+++ b/internal/state/plan_test.go
@@ -202,3 +202,12 @@
 	s.register("w1")
 	require.Equal(t, egretmuxv1.WorkerPhase_WORKER_PHASE_READY, s.Worker("w1").GetPhase())
 }
+
+func TestDrainOutlivesLossAndRegistration(t *testing.T) {
+	s := newPlanStore(t)
+	for _, phase := range []egretmuxv1.WorkerPhase{egretmuxv1.WorkerPhase_WORKER_PHASE_DRAINING, egretmuxv1.WorkerPhase_WORKER_PHASE_LOST} {
+		s.do(&egretmuxv1.Command{Body: &egretmuxv1.Command_SetWorkerPhase{SetWorkerPhase: &egretmuxv1.SetWorkerPhase{Worker: "w1", Phase: phase}}})
+	}
+	s.register("w1")
+	require.Equal(t, egretmuxv1.WorkerPhase_WORKER_PHASE_DRAINING, s.Worker("w1").GetPhase())
+}
--- a/internal/state/workers.go
+++ b/internal/state/workers.go
@@ -146,17 +146,25 @@
 	w.Epoch = epoch
 	w.RegisteredUnixMs = s.now
 	w.Phase = egretmuxv1.WorkerPhase_WORKER_PHASE_READY
-	if old := s.workers.get(w.GetId()); old != nil && keepsPhase(old.GetPhase()) {
-		w.Phase = old.GetPhase()
-		w.Reason = old.GetReason()
+	if phase := lastingPhase(s.workers.get(w.GetId())); phase != egretmuxv1.WorkerPhase_WORKER_PHASE_UNSPECIFIED {
+		w.Phase = phase
+		w.Reason = s.workers.get(w.GetId()).GetReason()
 	}
 	s.storeWorker(w)
 	return &Result{Worker: w}
 }
 
-// keepsPhase reports whether a phase outlives a new registration.
-func keepsPhase(p egretmuxv1.WorkerPhase) bool {
-	return p == egretmuxv1.WorkerPhase_WORKER_PHASE_DRAINING || p == egretmuxv1.WorkerPhase_WORKER_PHASE_QUARANTINED
+// lastingPhase returns the worker's phase if it outlives loss and registration.
+func lastingPhase(w *egretmuxv1.Worker) egretmuxv1.WorkerPhase {
+	phase := w.GetPhase()
+	if phase == egretmuxv1.WorkerPhase_WORKER_PHASE_LOST {
+		phase = w.GetPhaseBeforeLost()
+	}
+	switch phase {
+	case egretmuxv1.WorkerPhase_WORKER_PHASE_DRAINING, egretmuxv1.WorkerPhase_WORKER_PHASE_QUARANTINED:
+		return phase
+	}
+	return egretmuxv1.WorkerPhase_WORKER_PHASE_UNSPECIFIED
 }
 
 func (s *Store) storeWorker(w *egretmuxv1.Worker) {
@@ -180,6 +188,10 @@
 	next := clone(w)
 	next.Phase = c.GetPhase()
 	next.Reason = c.GetReason()
+	next.PhaseBeforeLost = egretmuxv1.WorkerPhase_WORKER_PHASE_UNSPECIFIED
+	if c.GetPhase() == egretmuxv1.WorkerPhase_WORKER_PHASE_LOST {
+		next.PhaseBeforeLost = lastingPhase(w)
+	}
 	s.storeWorker(next)
 	if c.GetPhase() == egretmuxv1.WorkerPhase_WORKER_PHASE_LOST {
 		s.loseAttempts(w.GetId(), c.GetReason(), func(uint64) bool { return true })
