entry: a drain waits until endpoints are done with requests given up

Cause: an instance that left handed its grants back while an endpoint could still work on a request whose caller had gone.

Conclusion: TestDrainingWaitsForSlotsOfRequestsGivenUp; it falls without the wait.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -56,6 +56,7 @@
 	closing  atomic.Bool  // callers are told to close their connections
 	draining atomic.Bool
 	active   sync.WaitGroup
+	settling sync.WaitGroup // slots of requests that were given up
 	drainMu  sync.Mutex
 	quotas   sync.Map // of *atomic.Int64: requests in flight by customer
 }
@@ -128,7 +129,8 @@
 func (e *Entry) Close() { e.closing.Store(true) }
 
 // Drain refuses new requests and returns a channel that is closed when those
-// in flight have ended.
+// in flight have ended and no endpoint works on one that was given up, so that
+// the grants can be handed back.
 func (e *Entry) Drain() <-chan struct{} {
 	e.drainMu.Lock()
 	e.closing.Store(true)
@@ -137,6 +139,7 @@
 	done := make(chan struct{})
 	go func() {
 		e.active.Wait()
+		e.settling.Wait()
 		close(done)
 	}()
 	return done
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -221,6 +221,18 @@
 	})
 }
 
+func TestDrainingWaitsForSlotsOfRequestsGivenUp(t *testing.T) {
+	inWorld(t, 1, 1, func(t *testing.T, w *world) {
+		w.plan("a", behaviour{work: time.Second})
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(10*time.Millisecond, cancel)
+		began := time.Now()
+		w.call(ctx, 0, newRequest("GET", "/lookup?op=a", ""))
+		<-w.entries[0].Drain()
+		require.GreaterOrEqual(t, time.Since(began), time.Second)
+	})
+}
+
 func TestCallerGoneKeepsTheSlotUntilTheEndpointIsFree(t *testing.T) {
 	inWorld(t, 1, 1, func(t *testing.T, w *world) {
 		for _, name := range []string{"a", "b"} {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -98,7 +98,7 @@
 		return err
 	}
 	c.sent.Store(true)
-	go e.settle(slot, c.id, c.deadline)
+	e.settling.Go(func() { e.settle(slot, c.id, c.deadline) })
 	return err
 }
 
