route, link: endpoints that left are forgotten

Cause: an entry kept every endpoint and address it had ever heard of. Change: once the leader was told that nothing of a leaving endpoint is held, it is dropped; addresses without links and limit go with the next round of probes. The model of grants has leaving endpoints.

--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -35,13 +35,14 @@
 type address struct {
 	name string
 
-	mu      sync.Mutex
-	limit   int32
-	open    int32 // idle, in use and being dialled
-	inUse   int32 // requests that have or get a link
-	idle    []*Link
-	linger  []time.Time // until when links given up still count
-	suspect time.Time   // links without an answer since then are probed before use
+	mu        sync.Mutex
+	limit     int32
+	open      int32 // idle, in use and being dialled
+	inUse     int32 // requests that have or get a link
+	idle      []*Link
+	linger    []time.Time // until when links given up still count
+	forgotten bool
+	suspect   time.Time // links without an answer since then are probed before use
 }
 
 // NewPool returns an empty pool.
@@ -65,10 +66,21 @@
 	return a
 }
 
+// locked returns the address with its lock held.
+func (p *Pool) locked(name string) *address {
+	for {
+		a := p.at(name)
+		a.mu.Lock()
+		if !a.forgotten {
+			return a
+		}
+		a.mu.Unlock()
+	}
+}
+
 // Limit implements route.Links.
 func (p *Pool) Limit(name string, limit int32) {
-	a := p.at(name)
-	a.mu.Lock()
+	a := p.locked(name)
 	defer a.mu.Unlock()
 	a.limit = limit
 	for a.open > limit && len(a.idle) > 0 {
@@ -78,8 +90,7 @@
 
 // Open implements route.Links.
 func (p *Pool) Open(name string) int32 {
-	a := p.at(name)
-	a.mu.Lock()
+	a := p.locked(name)
 	defer a.mu.Unlock()
 	return a.count(time.Now())
 }
@@ -102,8 +113,7 @@
 // Get returns a link for one exchange. The caller must hold a slot of the
 // endpoint and give the link back by Put. A verified link has answered lately.
 func (p *Pool) Get(ctx context.Context, name string, verified bool) (*Link, error) {
-	a := p.at(name)
-	a.mu.Lock()
+	a := p.locked(name)
 	a.inUse++
 	a.mu.Unlock()
 	l, err := p.take(ctx, a, verified)
@@ -259,6 +269,22 @@
 		}
 	}
 	probes.Wait()
+	p.forget()
+}
+
+// forget drops addresses without any links that have no limit left.
+func (p *Pool) forget() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for name, a := range p.addresses {
+		a.mu.Lock()
+		if a.limit == 0 && a.inUse == 0 && a.count(now) == 0 {
+			a.forgotten = true
+			delete(p.addresses, name)
+		}
+		a.mu.Unlock()
+	}
 }
 
 // due takes the links to probe out of the idle ones.
--- a/internal/route/grants.go
+++ b/internal/route/grants.go
@@ -148,6 +148,7 @@
 }
 
 func (t *Table) appendHoldings(out []*egretmuxv1.GrantHolding, s *shard, full, lapsed bool) []*egretmuxv1.GrantHolding {
+	var gone []*Endpoint
 	for _, e := range s.core.endpoints {
 		if lapsed {
 			e.slots, e.links = 0, 0
@@ -156,6 +157,9 @@
 		held := max(e.slots, e.inUse())
 		links := max(e.links, e.inUse(), t.cfg.Links.Open(e.Address))
 		if !full && held == e.toldSlots && links == e.toldLinks {
+			if e.leaving && held == 0 && links == 0 {
+				gone = append(gone, e)
+			}
 			continue
 		}
 		e.toldSlots, e.toldLinks = held, links
@@ -163,9 +167,20 @@
 			Endpoint: e.ID, EndpointEpoch: e.epoch, Held: held, Links: links, Grant: e.grant, Revision: t.revision,
 		})
 	}
+	for _, e := range gone {
+		t.forget(s, e)
+	}
 	return out
 }
 
+// forget drops an endpoint that has left, once the leader was told that
+// nothing of it is held.
+func (t *Table) forget(s *shard, e *Endpoint) {
+	delete(t.byID, e.ID)
+	i := slices.Index(s.core.endpoints, e)
+	s.core.endpoints = slices.Delete(s.core.endpoints, i, i+1)
+}
+
 // demandToTell returns the service's demand and whether it must be reported.
 func (s *shard) demandToTell(full bool) (int32, bool) {
 	s.wanted.Store(false)
--- a/internal/route/model_grants_test.go
+++ b/internal/route/model_grants_test.go
@@ -98,7 +98,12 @@
 
 func (m *grantsModel) newProcess(name string, incarnation int) *process {
 	p := &process{name: name, incarnation: incarnation, full: true, links: &fakeLinks{limit: map[string]int32{}, open: map[string]int32{}}}
-	p.links.busy = func(a string) int32 { return p.table.byID[a].busy }
+	p.links.busy = func(a string) int32 {
+		if e := p.table.byID[a]; e != nil {
+			return e.busy
+		}
+		return 0
+	}
 	p.table = NewTable(Config{Limit: 100, Links: p.links, Leased: func() bool { return m.now.Before(p.lease) }})
 	return p
 }
@@ -116,7 +121,7 @@
 
 func (m *grantsModel) announce(t *rapid.T) {
 	id := rapid.SampledFrom(modelEndpoints()).Draw(t, "endpoint")
-	m.leader.Announce(&egretmuxv1.EndpointReport{Id: id, Service: "s", Address: id, Slots: modelSlots, Links: modelLinks, Epoch: 1, TellsBusy: rapid.Bool().Draw(t, "tells"), Busy: m.busy(id)}, m.now)
+	m.leader.Announce(&egretmuxv1.EndpointReport{Id: id, Service: "s", Address: id, Slots: modelSlots, Links: modelLinks, Epoch: 1, Leaving: rapid.IntRange(0, 4).Draw(t, "leaving") == 0, TellsBusy: rapid.Bool().Draw(t, "tells"), Busy: m.busy(id)}, m.now)
 }
 
 // busy returns the slots in use as the endpoint sees it.
