grants: a paused leader does not take all endpoints to be silent

Change: silence counts from the end of the leader's pause.

Conclusion: internal/endpoint/testdata/paused_leader; it falls without the change.

--- a/internal/endpoint/scenario_test.go
+++ b/internal/endpoint/scenario_test.go
@@ -99,6 +99,14 @@
 		}
 		s.now = s.now.Add(d)
 		s.table.Expire(s.now)
+	case "paused": // TIME
+		d, err := time.ParseDuration(w[1])
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.now = s.now.Add(d)
+		s.table.Floor = s.now
+		s.table.Expire(s.now)
 	case "state":
 		return s.state()
 	default:
--- a/internal/endpoint/table.go
+++ b/internal/endpoint/table.go
@@ -29,6 +29,10 @@
 	// Term is the leader's term. Grants of an older term are void.
 	Term uint64
 
+	// Floor is a time before which silence does not count, because the leader
+	// itself was paused.
+	Floor time.Time
+
 	// Recovering is set while a new leader does not know yet what all entries
 	// hold. Grants then stay as they are.
 	Recovering bool
@@ -104,7 +108,7 @@
 	changed := t.expireUnknown(now)
 	changed = t.expireOrphans(now) || changed
 	for id, e := range t.byID {
-		if now.Sub(e.LastHeard) <= t.silent {
+		if now.Sub(e.LastHeard) <= t.silent || now.Sub(t.Floor) <= t.silent {
 			continue
 		}
 		if !e.Leaving {
--- a/internal/leader/tenure.go
+++ b/internal/leader/tenure.go
@@ -208,7 +208,7 @@
 		if now.Sub(last) > pauseLimit {
 			// Reports that arrived during the pause have not been read yet.
 			t.mu.Lock()
-			t.floor = now
+			t.floor, t.endpoints.Floor = now, now
 			t.mu.Unlock()
 		}
 		last = now
