grants: silence does not count while no reports reach the leader

Change: while no entry's reports arrive, an endpoint is silent only after four times the limit, and silence counts from the next report.

Conclusion: internal/endpoint/testdata/leaving; the tests of silence within 2 s in internal/leader pass.

--- a/internal/endpoint/scenario_test.go
+++ b/internal/endpoint/scenario_test.go
@@ -99,6 +99,8 @@
 		}
 		s.now = s.now.Add(d)
 		s.table.Expire(s.now)
+	case "report":
+		s.table.Reported(s.now)
 	case "paused": // TIME
 		d, err := time.ParseDuration(w[1])
 		if err != nil {
--- a/internal/endpoint/table.go
+++ b/internal/endpoint/table.go
@@ -15,6 +15,10 @@
 // forgetAfter is how many times the silence limit an endpoint is kept for.
 const forgetAfter = 40
 
+// allSilentFactor: while no entry's reports arrive, an endpoint is silent only
+// after this many times the limit.
+const allSilentFactor = 4
+
 // Endpoint is one endpoint with what each entry holds of it.
 type Endpoint struct {
 	Report    *egretmuxv1.EndpointReport
@@ -46,6 +50,7 @@
 	version uint64
 
 	unknownUntil time.Time // requests of entries that have not reported have ended then; zero: there are none
+	lastReport   time.Time // of any entry; zero: none yet
 	leasesEnd    time.Time // after it no entry uses a grant that this leader does not know of
 }
 
@@ -102,13 +107,26 @@
 	return t.freeUnknown(e, now) || changed
 }
 
+// Reported notes that an entry's report arrived. After a time without any,
+// silence counts from here on.
+func (t *Table) Reported(now time.Time) {
+	if !t.lastReport.IsZero() && now.Sub(t.lastReport) > t.silent/2 {
+		t.Floor = now
+	}
+	t.lastReport = now
+}
+
 // Expire marks the endpoints that have been silent too long as leaving and
 // forgets those that no entry uses any more.
 func (t *Table) Expire(now time.Time) bool {
 	changed := t.expireUnknown(now)
 	changed = t.expireOrphans(now) || changed
+	limit := t.silent
+	if !t.lastReport.IsZero() && now.Sub(t.lastReport) > t.silent/2 {
+		limit *= allSilentFactor
+	}
 	for id, e := range t.byID {
-		if now.Sub(e.LastHeard) <= t.silent || now.Sub(t.Floor) <= t.silent {
+		if now.Sub(e.LastHeard) <= limit || now.Sub(t.Floor) <= limit {
 			continue
 		}
 		if !e.Leaving {
--- a/internal/leader/session.go
+++ b/internal/leader/session.go
@@ -238,6 +238,7 @@
 		return refusal.New(refusal.Cancelled, "", "a newer report of instance %s has arrived", known.GetId())
 	}
 	s.reported = req.GetSequence()
+	t.endpoints.Reported(now)
 	if now.After(s.confirmed) {
 		s.confirmed = now
 	}
