--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -33,16 +33,6 @@
 	RequestKeep    time.Duration
 }
 
-// Clock rates of two machines differ by at most 1/clockDriftPart.
-const clockDriftPart = 20
-
-// outlast returns how long the leader waits to be sure that a lease of length
-// d, counted on another machine, has ended there.
-func outlast(d time.Duration) time.Duration {
-	const margin = 100 * time.Millisecond
-	return d + d/clockDriftPart + margin
-}
-
 // Replica is the local replica of the log.
 type Replica interface {
 	// Status returns the newest status and a channel that is closed when role,
--- a/internal/leader/lease_test.go
+++ b/internal/leader/lease_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
-	"github.com/egretmux/egretmux/internal/leader"
+	"github.com/egretmux/egretmux/internal/lease"
 	"github.com/egretmux/egretmux/internal/settings"
 )
 
@@ -69,5 +69,5 @@
 accept_unauthenticated = accept everything from everyone
 `)
 	require.NoError(t, err)
-	require.LessOrEqual(t, leader.ForceBound(s.EntryLease, time.Duration(s.ElectionTicks)*s.Tick), leader.ForceLimit)
+	require.LessOrEqual(t, lease.ForceBound(s.EntryLease, time.Duration(s.ElectionTicks)*s.Tick), lease.ForceLimit)
 }
--- a/internal/leader/tenure.go
+++ b/internal/leader/tenure.go
@@ -7,6 +7,7 @@
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/endpoint"
+	"github.com/egretmux/egretmux/internal/lease"
 	"github.com/egretmux/egretmux/internal/state"
 	"github.com/egretmux/egretmux/internal/task"
 	"github.com/egretmux/egretmux/internal/telemetry"
@@ -277,7 +278,7 @@
 // known. What entries that have not reported may hold stays theirs.
 func (t *tenure) recoverGrants(now time.Time) bool {
 	timing := t.leader.timing
-	leasesEnd := t.started.Add(outlast(timing.EntryLease))
+	leasesEnd := t.started.Add(lease.Outlast(timing.EntryLease))
 	switch {
 	case t.first:
 		t.endpoints.Recovered(now, time.Time{})
@@ -303,7 +304,7 @@
 		if v := t.workers[w.GetId()]; v != nil && v.heard.After(heard) {
 			heard = v.heard
 		}
-		if now.Sub(heard) > outlast(t.leader.timing.WorkerLease) {
+		if now.Sub(heard) > lease.Outlast(t.leader.timing.WorkerLease) {
 			t.view(w.GetId()).losing = true
 			lost = append(lost, w)
 		}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -12,6 +12,7 @@
 
 	"github.com/egretmux/egretmux/internal/certs"
 	"github.com/egretmux/egretmux/internal/inifile"
+	"github.com/egretmux/egretmux/internal/lease"
 )
 
 // maxVoters is the most instances that keep the log.
@@ -200,6 +201,9 @@
 	if election := 2 * time.Duration(s.ElectionTicks) * s.Tick; s.EntryLease < 2*election {
 		c.add("timing", "entry_lease", "shorter than two elections", "use at least "+(2*election).String())
 	}
+	if bound := lease.ForceBound(s.EntryLease, time.Duration(s.ElectionTicks)*s.Tick); bound > lease.ForceLimit {
+		c.add("timing", "entry_lease", "a contract could take "+bound.String()+" to be in force everywhere", "shorten it, or election_ticks, until that is at most "+lease.ForceLimit.String())
+	}
 }
 
 func (c *checker) checkTLS() {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -78,6 +78,7 @@
 		{"open by a short word", "[access]", "[access]\naccept_unauthenticated = yes", `f:13: [access] accept_unauthenticated: "yes" is not a choice; use one of no, accept everything from everyone`},
 		{"heartbeats", "[access]", "[timing]\nheartbeat_ticks = 6\n[access]", "f:13: [timing] heartbeat_ticks: heartbeats are too rare"},
 		{"lease", "[access]", "[timing]\nentry_lease = 1s\n[access]", "f:13: [timing] entry_lease: shorter than two elections; use at least 2s"},
+		{"lease beyond the bound", "[access]", "[timing]\nentry_lease = 12s\n[access]", "f:13: [timing] entry_lease: a contract could take 16.7s to be in force everywhere"},
 		{"certificate alone", "[access]", "[tls]\ncontrol_cert = DIR/key\n[access]", "f:13: [tls] control_cert: certificate and key go together"},
 		{"no certificate", "[access]", "[tls]\ncontrol_cert = DIR/key\ncontrol_key = DIR/key\n[access]", "f:13: [tls] control_cert: tls: failed to find any PEM data"},
 		{"no CA", "[access]", "[tls]\nworker_ca = DIR/key\n[access]", "f:13: [tls] worker_ca: DIR/key holds no certificate in PEM form"},
--- a/internal/state/plan_test.go
+++ b/internal/state/plan_test.go
@@ -211,3 +211,18 @@
 	s.register("w1")
 	require.Equal(t, egretmuxv1.WorkerPhase_WORKER_PHASE_DRAINING, s.Worker("w1").GetPhase())
 }
+
+// TestReusedChangeIDOfOtherWorkConflicts submits other work, and the same work
+// with a later deadline, under one change id.
+func TestReusedChangeIDOfOtherWorkConflicts(t *testing.T) {
+	s := newPlanStore(t)
+	submit := func(cores, deadline int64) *Result {
+		return s.do(&egretmuxv1.Command{Body: &egretmuxv1.Command_SubmitTask{SubmitTask: &egretmuxv1.SubmitTask{ChangeId: "1", Spec: &egretmuxv1.TaskSpec{
+			Customer: "dixie", Kind: batch, DeadlineUnixMs: deadline, Resources: &egretmuxv1.Resources{CpuMillis: cores, MemoryMib: 1},
+		}}}})
+	}
+	first, again, other := submit(1000, 100), submit(1000, 200), submit(2000, 100)
+	require.Nil(t, again.Err)
+	require.Equal(t, first.Task.GetId(), again.Task.GetId())
+	require.Equal(t, refusal.KeyConflict, other.Err.Kind)
+}
--- a/internal/state/tasks.go
+++ b/internal/state/tasks.go
@@ -3,6 +3,8 @@
 import (
 	"strconv"
 
+	"google.golang.org/protobuf/proto"
+
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/refusal"
 	"github.com/egretmux/egretmux/internal/task"
@@ -39,7 +41,7 @@
 	hash := hashChange(spec.GetCustomer(), c.GetChangeId())
 	if c.GetChangeId() != "" {
 		if id, ok := s.tasks.changes[hash]; ok {
-			return &Result{Task: s.tasks.get(id)}
+			return repeatedTask(s.tasks.get(id), c)
 		}
 	}
 	if err := s.checkSpec(spec); err != nil {
@@ -62,6 +64,18 @@
 	return &Result{Task: t}
 }
 
+// repeatedTask gives the first answer to a change id again, unless the id now
+// names other work. A deadline counted from a resend does not make it other.
+func repeatedTask(first *egretmuxv1.Task, c *egretmuxv1.SubmitTask) *Result {
+	was, now := clone(first.GetSpec()), clone(c.GetSpec())
+	was.DeadlineUnixMs, now.DeadlineUnixMs = 0, 0
+	if !proto.Equal(was, now) {
+		return &Result{Task: first, Err: refusal.New(refusal.KeyConflict, "use a new change id for another task",
+			"change %s was for task %d, which is other work", c.GetChangeId(), first.GetId())}
+	}
+	return &Result{Task: first}
+}
+
 // cancelTask stops the live attempts; the task ends when they have stopped.
 func (s *Store) cancelTask(c *egretmuxv1.CancelTask) *Result {
 	t := s.tasks.get(c.GetTask())
