One indexed heap serves the planner's three queues

Cause: three heaps of the planner differed only in their order and in the field that keeps the position.

--- a/internal/place/account.go
+++ b/internal/place/account.go
@@ -89,28 +89,3 @@
 	}
 	return j.task.GetId() < o.task.GetId()
 }
-
-// delayHeap orders jobs by the end of their backoff.
-type delayHeap []*job
-
-func (h delayHeap) Len() int           { return len(h) }
-func (h delayHeap) Less(i, j int) bool { return h[i].notBefore < h[j].notBefore }
-func (h delayHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].delayedAt, h[j].delayedAt = i, j
-}
-
-func (h *delayHeap) Push(x any) {
-	j := x.(*job)
-	j.delayedAt = len(*h)
-	*h = append(*h, j)
-}
-
-func (h *delayHeap) Pop() any {
-	old := *h
-	j := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	j.delayedAt = -1
-	return j
-}
--- /dev/null
+++ b/internal/place/heap.go
@@ -0,0 +1,69 @@
+package place
+
+// heapOrder is the order of a heap's elements and where each keeps its
+// position. Implementations are empty types.
+type heapOrder[T any] interface {
+	before(a, b T) bool
+	position(x T) *int
+}
+
+// indexedHeap implements heap.Interface. Each element knows its position, -1
+// when it is in no heap, so that it can be moved or removed.
+type indexedHeap[T any, O heapOrder[T]] []T
+
+// Len implements heap.Interface.
+func (h indexedHeap[T, O]) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h indexedHeap[T, O]) Less(i, j int) bool {
+	var order O
+	return order.before(h[i], h[j])
+}
+
+// Swap implements heap.Interface.
+func (h indexedHeap[T, O]) Swap(i, j int) {
+	var order O
+	h[i], h[j] = h[j], h[i]
+	*order.position(h[i]), *order.position(h[j]) = i, j
+}
+
+// Push implements heap.Interface.
+func (h *indexedHeap[T, O]) Push(x any) {
+	var order O
+	*order.position(x.(T)) = len(*h)
+	*h = append(*h, x.(T))
+}
+
+// Pop implements heap.Interface.
+func (h *indexedHeap[T, O]) Pop() any {
+	var order O
+	var none T
+	old := *h
+	x := old[len(old)-1]
+	old[len(old)-1] = none
+	*h = old[:len(old)-1]
+	*order.position(x) = -1
+	return x
+}
+
+// Heaps of the planner.
+type (
+	jobHeap   = indexedHeap[*job, byLatestStart]  // jobs of a group
+	groupHeap = indexedHeap[*group, byFirstJob]   // an account's groups
+	delayHeap = indexedHeap[*job, byEndOfBackoff] // jobs that wait after a failure
+)
+
+type byLatestStart struct{}
+
+func (byLatestStart) before(a, b *job) bool { return a.before(b) }
+func (byLatestStart) position(j *job) *int  { return &j.at }
+
+type byFirstJob struct{}
+
+func (byFirstJob) before(a, b *group) bool { return a.jobs[0].before(b.jobs[0]) }
+func (byFirstJob) position(g *group) *int  { return &g.at }
+
+type byEndOfBackoff struct{}
+
+func (byEndOfBackoff) before(a, b *job) bool { return a.notBefore < b.notBefore }
+func (byEndOfBackoff) position(j *job) *int  { return &j.delayedAt }
