--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -18,6 +18,7 @@
 
 const (
 	attemptTimeout = 10 * time.Second
+	leastAttempt   = 2 * time.Second // also with many instances and a short timeout
 	resendPause    = 200 * time.Millisecond
 )
 
@@ -97,7 +98,7 @@
 // sending one again does no harm.
 func send[A any](ctx context.Context, c *client, f func(context.Context, egretmuxv1connect.TaskServiceClient, egretmuxv1connect.OperatorServiceClient) (*connect.Response[A], error)) (*A, error) {
 	for {
-		once, cancel := context.WithTimeout(ctx, attemptTimeout)
+		once, cancel := context.WithTimeout(ctx, c.share(ctx))
 		resp, err := f(once, c.tasks[c.current], c.operators[c.current])
 		cancel()
 		if err == nil {
@@ -116,6 +117,17 @@
 	}
 }
 
+// share returns how long one instance may take, so that one which accepts
+// calls and never answers leaves time for the others.
+func (c *client) share(ctx context.Context) time.Duration {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return attemptTimeout
+	}
+	part := time.Until(end) / time.Duration(len(c.tasks))
+	return min(attemptTimeout, max(leastAttempt, part))
+}
+
 // another reports whether a different instance may give a different answer.
 func another(k refusal.Kind) bool {
 	return k == refusal.NoLeader || k == refusal.NoLease || k == refusal.OutcomeUnknown || k == refusal.Draining
--- a/internal/cli/task.go
+++ b/internal/cli/task.go
@@ -87,7 +87,7 @@
 	for {
 		left := time.Until(end)
 		resp, err := call(a, func(ctx context.Context, t egretmuxv1connect.TaskServiceClient, _ egretmuxv1connect.OperatorServiceClient) (*connect.Response[egretmuxv1.WaitTaskResponse], error) {
-			const step = 5 * time.Second
+			const step = time.Second // below leastAttempt
 			return t.WaitTask(ctx, connect.NewRequest(&egretmuxv1.WaitTaskRequest{Task: id, Running: running, WaitMs: min(step, max(left, 0)).Milliseconds()}))
 		})
 		if err != nil {
