--- a/internal/leader/members.go
+++ b/internal/leader/members.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/periodic"
 )
 
 const (
@@ -17,18 +18,11 @@
 // runMembers keeps the list of instances: it notes when earlier processes can
 // hold no lease any more and removes instances that do not come back.
 func (t *tenure) runMembers(ctx context.Context) {
-	ticker := time.NewTicker(memberPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	periodic.Run(ctx, memberPeriod, func(time.Time) {
 		for _, in := range t.store.Instances() {
 			t.keepMember(ctx, in)
 		}
-	}
+	})
 }
 
 func (t *tenure) keepMember(ctx context.Context, in *egretmuxv1.Instance) {
--- a/internal/leader/tenure.go
+++ b/internal/leader/tenure.go
@@ -8,6 +8,7 @@
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/endpoint"
 	"github.com/egretmux/egretmux/internal/lease"
+	"github.com/egretmux/egretmux/internal/periodic"
 	"github.com/egretmux/egretmux/internal/state"
 	"github.com/egretmux/egretmux/internal/task"
 	"github.com/egretmux/egretmux/internal/telemetry"
@@ -198,16 +199,8 @@
 
 // runUpkeep expires leases and repeats commands.
 func (t *tenure) runUpkeep(ctx context.Context) {
-	ticker := time.NewTicker(upkeepPeriod)
-	defer ticker.Stop()
 	last := time.Now()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		now := time.Now()
+	periodic.Run(ctx, upkeepPeriod, func(now time.Time) {
 		if now.Sub(last) > pauseLimit {
 			// Reports that arrived during the pause have not been read yet.
 			t.mu.Lock()
@@ -216,7 +209,7 @@
 		}
 		last = now
 		t.upkeep(ctx, now)
-	}
+	})
 }
 
 func (t *tenure) upkeep(ctx context.Context, now time.Time) {
@@ -327,15 +320,7 @@
 
 // runGarbage drops old records now and then.
 func (t *tenure) runGarbage(ctx context.Context) {
-	ticker := time.NewTicker(garbagePeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		now := time.Now()
+	periodic.Run(ctx, garbagePeriod, func(now time.Time) {
 		_, err := t.leader.propose(ctx, &egretmuxv1.Command{Body: &egretmuxv1.Command_CollectGarbage{CollectGarbage: &egretmuxv1.CollectGarbage{
 			TasksEndedBeforeUnixMs:    now.Add(-t.leader.timing.TaskKeep).UnixMilli(),
 			RequestsEndedBeforeUnixMs: now.Add(-t.leader.timing.RequestKeep).UnixMilli(),
@@ -344,5 +329,5 @@
 		if err != nil {
 			t.leader.logger.Warn().Err(err).Str("event", "garbage_not_collected").Msg("")
 		}
-	}
+	})
 }
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/egretmux/egretmux/internal/periodic"
 	"github.com/egretmux/egretmux/internal/refusal"
 	"github.com/egretmux/egretmux/internal/telemetry"
 )
@@ -237,16 +238,7 @@
 
 // Run probes idle links until the context ends.
 func (p *Pool) Run(ctx context.Context) {
-	ticker := time.NewTicker(probeEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		p.probeAll(ctx)
-	}
+	periodic.Run(ctx, probeEvery, func(time.Time) { p.probeAll(ctx) })
 }
 
 // probeAll probes the idle links that are due and closes those unused for long.
