Control messages are counted

Cause: docs/capacity.csv had a column of messages a second that was always 0, since nothing counted them. Change: a counter for requests on the control and cell listeners, calls to peers, commands to workers and batches of the log. Conclusion: a value that was never taken no longer stands there as a zero.

--- a/internal/daemon/handlers.go
+++ b/internal/daemon/handlers.go
@@ -71,7 +71,7 @@
 	mux.HandleFunc("GET /healthz", d.serveHealth)
 	mux.HandleFunc("GET /readyz", d.serveReady)
 	mux.Handle("GET /metrics", operator.RequireToken(s.Open, []string{s.Operator, s.Metrics}, http.HandlerFunc(serveMetrics)))
-	return d.limited(mux)
+	return telemetry.CountMessages("control", d.limited(mux))
 }
 
 func serveMetrics(w http.ResponseWriter, _ *http.Request) { telemetry.WriteMetrics(w) }
@@ -130,7 +130,7 @@
 		mux.Handle(egretmuxv1connect.NewTaskServiceHandler(server, limit))
 		mux.Handle(egretmuxv1connect.NewOperatorServiceHandler(server, limit))
 	}
-	return peer.RequireKey(d.settings.CellKey, mux)
+	return telemetry.CountMessages("cell", peer.RequireKey(d.settings.CellKey, mux))
 }
 
 // cellService serves the other instances' calls to the leader.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -84,6 +84,7 @@
 	return func(next connect.UnaryFunc) connect.UnaryFunc {
 		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
 			req.Header().Set(keyHeader, d.key)
+			telemetry.CountMessage("peers")
 			return next(ctx, req)
 		}
 	}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -109,6 +109,7 @@
 			batch.Sender = t.self
 		}
 		late := time.AfterFunc(stepTimeout, cancel)
+		telemetry.CountMessage("log_sent")
 		err := stream.Send(batch)
 		late.Stop()
 		if err != nil {
--- a/internal/relay/commander.go
+++ b/internal/relay/commander.go
@@ -79,6 +79,7 @@
 func (c *Commander) call(client egretmuxv1connect.WorkerServiceClient, group []*egretmuxv1.WorkerCommand) {
 	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
 	defer cancel()
+	telemetry.CountMessage("commands")
 	_, err := client.RunCommands(ctx, connect.NewRequest(&egretmuxv1.RunCommandsRequest{Commands: group}))
 	if err != nil {
 		telemetry.Count("relay_commands_failed_total")
--- a/internal/telemetry/conn.go
+++ b/internal/telemetry/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -62,3 +63,18 @@
 	c.out.Add(n)
 	return n, err
 }
+
+// CountMessages counts each request that a handler gets as a control message
+// of the given kind.
+func CountMessages(kind string, next http.Handler) http.Handler {
+	name := messagesName(kind)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		Count(name)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// CountMessage counts a control message of the given kind.
+func CountMessage(kind string) { Count(messagesName(kind)) }
+
+func messagesName(kind string) string { return `messages_total{kind="` + kind + `"}` }
--- a/internal/voter/server.go
+++ b/internal/voter/server.go
@@ -10,6 +10,7 @@
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/gen/egretmux/v1/egretmuxv1connect"
+	"github.com/egretmux/egretmux/internal/telemetry"
 )
 
 // maxStepBytes bounds one message batch received; a sender keeps to less.
@@ -58,6 +59,7 @@
 // StepStream implements ConsensusService.
 func (v *Voter) StepStream(_ context.Context, stream *connect.ClientStream[egretmuxv1.StepRequest]) (*connect.Response[egretmuxv1.StepResponse], error) {
 	for stream.Receive() {
+		telemetry.CountMessage("log_received")
 		v.receive(stream.Msg())
 	}
 	return connect.NewResponse(&egretmuxv1.StepResponse{}), stream.Err()
