--- a/cmd/egretmuxd/main.go
+++ b/cmd/egretmuxd/main.go
@@ -15,6 +15,7 @@
 	"github.com/egretmux/egretmux/internal/inifile"
 	"github.com/egretmux/egretmux/internal/settings"
 	"github.com/egretmux/egretmux/internal/telemetry"
+	"github.com/egretmux/egretmux/platform"
 )
 
 // Exit codes.
@@ -27,6 +28,7 @@
 type options struct {
 	Settings      string `long:"settings" short:"s" description:"settings file" default:"egretmuxd.ini"`
 	CheckSettings bool   `long:"check-settings" description:"check the settings file and exit"`
+	Platform      bool   `long:"platform" description:"serve on the users' platform, with the settings file that it names"`
 	PrintDefaults bool   `long:"print-defaults" description:"print every setting with its default and exit"`
 }
 
@@ -45,6 +47,13 @@
 		}
 		return exitUsage
 	}
+	if opts.Platform {
+		if err := platform.Run(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitFailure
+		}
+		return 0
+	}
 	if opts.PrintDefaults {
 		fmt.Print(inifile.Defaults(settings.Schema()))
 		return 0
--- /dev/null
+++ b/internal/dispatch/advice.go
@@ -0,0 +1,139 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+)
+
+// Limits of asking for advice.
+const (
+	askLimit       = 100                    // workers in one call, by the service's protocol
+	askChunk       = 24                     // workers in one call while several instances can ask
+	askSpare       = 2.0                    // tickets wanted for each one needed
+	ticketMargin   = 60 * time.Millisecond  // a start has to arrive before its ticket ends
+	askRetryPause  = 100 * time.Millisecond // after a call that failed
+	firstGoodShare = 0.5                    // of workers that may run a step, before any was learned
+	goodShareGain  = 0.1                    // weight of one answer in the learned share
+	minGoodShare   = 0.05
+)
+
+type ticket struct {
+	value string
+	until time.Duration
+}
+
+// advice is what is known of the workers that may run a step. Whether a worker
+// may does not change during its life; a ticket ends.
+type advice struct {
+	tickets map[*worker]ticket
+	good    map[*worker]bool // answered: whether it may run the step
+	asking  map[*worker]bool
+	calls   int
+	pause   time.Duration // no calls before
+}
+
+func newAdvice() advice {
+	return advice{tickets: make(map[*worker]ticket), good: make(map[*worker]bool), asking: make(map[*worker]bool)}
+}
+
+func (a *advice) drop(w *worker) { delete(a.tickets, w) }
+
+// valid reports whether a start sent now may carry the worker's ticket.
+func (a *advice) valid(w *worker, now time.Duration) bool {
+	t, ok := a.tickets[w]
+	return ok && now+ticketMargin < t.until
+}
+
+func queueKey(j *job) [2]string { return [2]string{j.spec.GetHost(), j.spec.GetPrefix()} }
+
+// Advised takes up the answer to an Ask: tickets by worker. A failed call has
+// failed set.
+func (c *Core) Advised(a Ask, tickets map[string]string, failed bool, asked, now time.Duration) {
+	s := c.steps[a.Step]
+	if s == nil {
+		return
+	}
+	s.advice.calls--
+	q := c.queue(s.job).GetAdvice()
+	good := 0
+	for _, id := range a.Workers {
+		w := c.workers[id]
+		if w == nil {
+			continue
+		}
+		delete(s.advice.asking, w)
+		if failed {
+			continue
+		}
+		value, may := tickets[id]
+		if _, before := s.advice.good[w]; !before && may {
+			good++
+		}
+		s.advice.good[w] = may
+		if may {
+			// The validity may count from any moment of the call.
+			s.advice.tickets[w] = ticket{value, max(asked, now-milliseconds(a.Expect)/2) + milliseconds(q.GetValidityMs())}
+		}
+	}
+	if failed {
+		s.advice.pause = now + askRetryPause
+		c.notice(Notice{Event: "advice_failed", Job: a.Step.Job, Task: a.Step.String(), Age: now - asked})
+		return
+	}
+	share := c.shareOf(s.job)
+	c.goodShare[queueKey(s.job)] = share + goodShareGain*(float64(good)/float64(max(1, len(a.Workers)))-share)
+}
+
+func (c *Core) shareOf(j *job) float64 {
+	if share, ok := c.goodShare[queueKey(j)]; ok {
+		return max(minGoodShare, share)
+	}
+	return firstGoodShare
+}
+
+// ask decides which workers to ask about for a step that could not be placed
+// as far as its tickets go. The candidates are eligible, best first.
+func (c *Core) ask(s *step, q *egretmuxv1.QueueAdvice, candidates []*worker, needed int, now time.Duration) {
+	a := &s.advice
+	if a.calls > 0 || now < a.pause {
+		return
+	}
+	var renew, unknown []*worker
+	hold := 0 // tasks that valid tickets and renewals have room for
+	for _, w := range candidates {
+		may, answered := a.good[w]
+		switch {
+		case !answered:
+			unknown = append(unknown, w)
+		case may && !a.valid(w, now):
+			renew = append(renew, w)
+			hold += w.usable().times(s.room, needed)
+		case may:
+			hold += w.usable().times(s.room, needed)
+		}
+	}
+	ask := renew
+	if want := float64(needed)*askSpare - float64(hold); want > 0 {
+		// Each worker asked about is good with the learned chance, and then takes
+		// as many tasks as it has room for.
+		expect := 0.0
+		for _, w := range unknown {
+			if expect >= want {
+				break
+			}
+			expect += c.shareOf(s.job) * max(0.5, float64(w.usable().times(s.room, needed)))
+			ask = append(ask, w)
+		}
+	}
+	for chunk := range slices.Chunk(ask, min(askChunk, askLimit)) {
+		act := Ask{Step: s.key, Expect: q.GetDecideMs() + q.GetPerWorkerMs()*float64(len(chunk))}
+		for _, w := range chunk {
+			a.asking[w] = true
+			act.Workers = append(act.Workers, w.Worker)
+		}
+		a.calls++
+		c.out.Asks = append(c.out.Asks, act)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/listing.go
@@ -0,0 +1,233 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	jobs "github.com/egretmux/egretmux/internal/job"
+)
+
+func (w *worker) sortedRuns() []*run {
+	out := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.task.key().String(), b.task.key().String()), cmp.Compare(a.number, b.number))
+	})
+	return out
+}
+
+// Listed takes up a worker's answer to a look that was sent at the given time.
+func (c *Core) Listed(t Target, asked, now time.Duration, l Listing) {
+	w := c.workers[t.Worker]
+	if w == nil || w.Born != t.Born {
+		return
+	}
+	w.lease.observe(l.Clock, now)
+	w.answered, w.missed = now, 0
+	first := !w.fenced
+	w.fenced = true
+	listed := make(map[runKey]bool, len(l.Running)+len(l.Ended))
+	c.takeEnds(w, l.Ended, listed, now)
+	for _, lr := range l.Running {
+		key := runKey{lr.Task, lr.Run}
+		listed[key] = true
+		r := w.runs[key]
+		if r == nil {
+			r = c.adopt(w, lr, now)
+		}
+		if r != nil {
+			r.update(lr, now)
+		}
+	}
+	if l.Whole {
+		c.missing(w, listed, asked)
+	}
+	if first {
+		delete(c.unread, t.Worker)
+		c.notice(Notice{Event: "worker_read", Worker: t.Worker, Age: now - asked})
+	}
+}
+
+// takeEnds frees the room of ended runs and asks for their ends to be stored.
+func (c *Core) takeEnds(w *worker, ends []ListedEnd, listed map[runKey]bool, now time.Duration) {
+	var fresh []*egretmuxv1.RunEnd
+	highest := w.noting
+	for _, e := range ends {
+		key := runKey{e.Task, e.Run}
+		listed[key] = true
+		if e.Number <= w.noting {
+			continue
+		}
+		highest = max(highest, e.Number)
+		if r := w.runs[key]; r != nil && r.state != ended {
+			c.learn(r, e.How, now)
+			r.state = ended
+			w.free = w.free.plus(r.room)
+			fresh = append(fresh, endOf(e))
+		} else if r == nil && e.Named && c.wanted(e) {
+			fresh = append(fresh, endOf(e))
+		}
+	}
+	if highest == w.noting {
+		return
+	}
+	w.noting = highest
+	c.out.Notes = append(c.out.Notes, Note{Target: w.Target, Ends: fresh, Cursor: highest})
+}
+
+func endOf(e ListedEnd) *egretmuxv1.RunEnd {
+	return &egretmuxv1.RunEnd{
+		Job: e.Task.Job, Occurrence: e.Task.Occurrence, Step: e.Task.Step, Index: e.Task.Index,
+		Run: e.Run, Outcome: e.How, Checkpoint: e.Saved,
+	}
+}
+
+// wanted reports whether the end of a run that this leader did not know counts.
+// While another run of the task may be present, that one decides.
+func (c *Core) wanted(e ListedEnd) bool {
+	s := c.steps[e.Task.StepKey]
+	if s == nil || int(e.Task.Index) >= len(s.tasks) {
+		return false
+	}
+	t := s.tasks[e.Task.Index]
+	return !t.done && (len(t.runs) == 0 || s.spec.GetSpeculative())
+}
+
+// adopt takes up a run that an earlier leader started, or stops it when it is
+// not wanted any more.
+func (c *Core) adopt(w *worker, lr ListedRun, now time.Duration) *run {
+	s := c.steps[lr.Task.StepKey]
+	if s == nil || int(lr.Task.Index) >= len(s.tasks) {
+		c.stopForeign(w, lr, "job-ended")
+		return nil
+	}
+	t := s.tasks[lr.Task.Index]
+	r := c.place(t, w, lr.Run, now)
+	r.state = running
+	s.job.started = true
+	if t.done || (len(t.runs) > 1 && !s.spec.GetSpeculative()) {
+		c.stop(r, "not-wanted")
+	}
+	return r
+}
+
+// stopForeign stops a run of a job that is not there any more.
+func (c *Core) stopForeign(w *worker, lr ListedRun, reason string) {
+	c.out.Stops = append(c.out.Stops, Stop{Target: w.Target, Task: lr.Task, Run: lr.Run})
+	c.notice(Notice{Event: "run_stopping", Job: lr.Task.Job, Task: lr.Task.String(), Worker: w.Worker, Run: lr.Run, Reason: reason})
+}
+
+// place records a run on a worker and takes its room.
+func (c *Core) place(t *task, w *worker, number uint64, now time.Duration) *run {
+	r := &run{task: t, worker: w, number: number, room: t.step.room, since: now, movedAt: now}
+	w.runs[runKey{t.key(), number}] = r
+	w.free = w.free.minus(r.room)
+	t.runs = append(t.runs, r)
+	t.lastRun = max(t.lastRun, number)
+	t.step.onNode[w]++
+	return r
+}
+
+func (r *run) update(lr ListedRun, now time.Duration) {
+	if lr.Percent != r.percent {
+		r.percent, r.movedAt = lr.Percent, now
+	}
+	if lr.Checkpoint != "" {
+		r.checkpoint = lr.Checkpoint
+	}
+	if r.state == ordered || r.state == unsure {
+		r.state = running
+	}
+	r.proven = true
+}
+
+// missing gives up the runs that a whole listing lacks, if the worker had
+// answered an order about them before it was asked for the listing.
+func (c *Core) missing(w *worker, listed map[runKey]bool, asked time.Duration) {
+	for _, r := range w.sortedRuns() {
+		if listed[runKey{r.task.key(), r.number}] || !r.proven || r.provenAt >= asked || r.state == ended {
+			continue
+		}
+		c.lose(r, "not-listed")
+	}
+}
+
+// Noted takes up ends that are now in the log.
+func (c *Core) Noted(t Target, cursor uint64, ends []*egretmuxv1.RunEnd, now time.Duration) {
+	w := c.workers[t.Worker]
+	if w != nil && w.Born == t.Born {
+		w.cursor = max(w.cursor, cursor)
+	} else {
+		w = nil
+	}
+	for _, e := range ends {
+		key := TaskKey{StepKey{e.GetJob(), e.GetOccurrence(), e.GetStep()}, e.GetIndex()}
+		var r *run
+		if w != nil {
+			r = w.runs[runKey{key, e.GetRun()}]
+		}
+		if r != nil {
+			c.forget(r)
+		}
+		c.progress(key, r, e, now)
+	}
+}
+
+// progress brings a step up to what the book holds after an end.
+func (c *Core) progress(key TaskKey, r *run, e *egretmuxv1.RunEnd, now time.Duration) {
+	s := c.steps[key.StepKey]
+	if s == nil || int(key.Index) >= len(s.tasks) {
+		return
+	}
+	j := s.job
+	over := egretmuxv1.JobPhase_JOB_PHASE_UNSPECIFIED
+	stepDone := false
+	c.cfg.Book.View(key.Job, func(rec *jobs.Record) {
+		if rec == nil || rec.Ended() {
+			over = egretmuxv1.JobPhase_JOB_PHASE_CANCELLED
+			if rec != nil {
+				over = rec.Phase
+			}
+			return
+		}
+		for _, t := range s.tasks {
+			state := rec.Task(key.Occurrence, key.Step, t.index)
+			if state.Done && !t.done {
+				t.done = true
+				s.left--
+			}
+			t.lastRun = max(t.lastRun, state.LastRun)
+		}
+		stepDone = rec.StepDone(key.Occurrence, key.Step)
+	})
+	c.notice(Notice{Event: "run_ended", Job: key.Job, Task: key.String(), Worker: workerOf(r), Run: e.GetRun(), Reason: outcomeName(e.GetOutcome())})
+	if over != egretmuxv1.JobPhase_JOB_PHASE_UNSPECIFIED {
+		c.notice(Notice{Event: "job_ended", Job: key.Job, Reason: phaseName(over), Age: now - j.accepted})
+		c.Ended(key.Job, "job-ended")
+		return
+	}
+	t := s.tasks[key.Index]
+	if t.done {
+		for _, o := range t.runs {
+			c.stop(o, "task-done")
+		}
+	}
+	if r != nil && s.spec.GetGang() && e.GetOutcome() != egretmuxv1.RunOutcome_RUN_OUTCOME_DONE {
+		c.breakGang(r, "gang-member-ended")
+	}
+	if stepDone {
+		delete(c.steps, s.key)
+		c.openOccurrence(j, key.Occurrence, s.due, now)
+	}
+}
+
+func workerOf(r *run) string {
+	if r == nil {
+		return ""
+	}
+	return r.worker.Worker
+}
--- /dev/null
+++ b/internal/dispatch/lives.go
@@ -0,0 +1,144 @@
+package dispatch
+
+import (
+	"strings"
+	"time"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+)
+
+// rackLabel begins the label that names a worker's rack.
+const rackLabel = "r"
+
+func rackOf(labels []string) string {
+	for _, l := range labels {
+		if strings.HasPrefix(l, rackLabel) && strings.Contains(l, "-") {
+			return l
+		}
+	}
+	return ""
+}
+
+func (c *Core) addWorker(life *egretmuxv1.WorkerLife) {
+	size := room{life.GetCpuMillis(), life.GetMemoryMib(), life.GetAccelerators()}
+	c.workers[life.GetWorker()] = &worker{
+		Target: Target{Worker: life.GetWorker(), Born: life.GetBornUnixMs(), Address: life.GetAddress()},
+		life:   life, size: size, free: size, rack: rackOf(life.GetLabels()), pace: 1,
+		lease: lease{length: c.cfg.Lease}, runs: make(map[runKey]*run),
+	}
+}
+
+// Knows reports whether a life is the one that the core works with.
+func (c *Core) Knows(t Target) bool {
+	w := c.workers[t.Worker]
+	return w != nil && w.Born == t.Born
+}
+
+// Born takes up a stored life. An earlier life of the worker has ended, and so
+// has any worker at the same address.
+func (c *Core) Born(life *egretmuxv1.WorkerLife, now time.Duration) {
+	for _, w := range c.sortedWorkers() {
+		same := w.Worker == life.GetWorker()
+		if same && w.Born >= life.GetBornUnixMs() {
+			return
+		}
+		if same || (w.Address == life.GetAddress() && w.Born < life.GetBornUnixMs()) {
+			c.Gone(w.Target, "replaced")
+		}
+	}
+	c.addWorker(life)
+	c.notice(Notice{Event: "worker_joined", Worker: life.GetWorker()})
+}
+
+// Gone removes a life that has certainly ended with everything on it.
+func (c *Core) Gone(t Target, reason string) {
+	w := c.workers[t.Worker]
+	if w == nil || w.Born != t.Born {
+		return
+	}
+	for _, r := range w.sortedRuns() {
+		c.lose(r, "worker-"+reason)
+	}
+	delete(c.workers, t.Worker)
+	delete(c.unread, t.Worker)
+	c.notice(Notice{Event: "worker_gone", Worker: t.Worker, Reason: reason})
+}
+
+// Drains records that a worker takes no more work and stays for at least the
+// given time.
+func (c *Core) Drains(t Target, remaining, now time.Duration) {
+	w := c.workers[t.Worker]
+	if w == nil || w.Born != t.Born {
+		return
+	}
+	if !w.draining {
+		c.notice(Notice{Event: "worker_draining", Worker: t.Worker})
+	}
+	w.draining = true
+	w.leavesAt = now + remaining
+}
+
+// Silent records a look that the worker did not answer.
+func (c *Core) Silent(t Target) {
+	w := c.workers[t.Worker]
+	if w == nil || w.Born != t.Born {
+		return
+	}
+	w.missed++
+	if w.missed == missedLimit+1 {
+		c.notice(Notice{Event: "worker_silent", Worker: t.Worker})
+	}
+}
+
+// checkLease gives up what ran on a worker whose lease has certainly ended.
+func (c *Core) checkLease(w *worker, now time.Duration) {
+	ends := w.lease.lapsesAt
+	if c.unread[w.Worker] == w {
+		ends = max(ends, c.readLimit)
+	}
+	if now < ends || len(w.runs) == 0 {
+		return
+	}
+	for _, r := range w.sortedRuns() {
+		if r.state != ended {
+			c.lose(r, "lease-ended")
+		}
+	}
+}
+
+// Hold returns what to tell a worker at a look: the end of its lease on its own
+// clock, zero before its clock is known, and the last end that is durable.
+func (c *Core) Hold(t Target) (leaseUntil int64, cursor uint64) {
+	w := c.workers[t.Worker]
+	if w == nil || w.Born != t.Born {
+		return 0, 0
+	}
+	if w.fenced {
+		leaseUntil = w.lease.grant(c.confirmed)
+	}
+	return leaseUntil, w.cursor
+}
+
+// Draining reports whether a known life takes no more work.
+func (c *Core) Draining(t Target) bool {
+	w := c.workers[t.Worker]
+	return w != nil && w.Born == t.Born && w.draining
+}
+
+// Noting reports whether ends of a worker are on their way to the log.
+func (c *Core) Noting(t Target) bool {
+	w := c.workers[t.Worker]
+	return w != nil && w.Born == t.Born && w.noting > w.cursor
+}
+
+// SilentFor returns the workers that have not answered for the given time and
+// on which nothing can run any more.
+func (c *Core) SilentFor(limit, now time.Duration) []Target {
+	var out []Target
+	for _, w := range c.sortedWorkers() {
+		if now-w.answered > limit && len(w.runs) == 0 && now > w.lease.lapsesAt && c.Recovered(now) {
+			out = append(out, w.Target)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/dispatch/plan.go
@@ -0,0 +1,260 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	jobs "github.com/egretmux/egretmux/internal/job"
+)
+
+// Limits of one plan.
+const (
+	maxSteps      = 256 // steps looked at in one plan
+	maxReserved   = 6   // waiting gangs that hold room back
+	lateFactor    = 3   // objectives after which a job earns nothing more by its time
+	farPenalty    = 1e6 // score of a worker away from the data
+	pacePenalty   = 4e4 // score of each unit of a worker's learned slowness
+	gangPacePrice = 1e3
+)
+
+// Plan places waiting tasks and asks for the advice that they lack.
+func (c *Core) Plan(now time.Duration) {
+	for _, w := range c.workers {
+		w.reserved = room{}
+	}
+	reservations := 0
+	for i, s := range c.order(now) {
+		if i >= maxSteps {
+			break
+		}
+		waiting := s.waiting()
+		if len(waiting) == 0 || (s.job.old && !c.Recovered(now)) {
+			continue
+		}
+		if !s.spec.GetGang() {
+			c.placeEach(s, waiting, now)
+			continue
+		}
+		if s.live() > 0 { // members of an earlier run are still being stopped
+			continue
+		}
+		if !c.placeGang(s, waiting, now) && reservations < maxReserved {
+			reservations++
+			c.reserve(s, len(waiting), now)
+		}
+	}
+}
+
+// order returns the steps with the least slack first; those that cannot meet
+// their objective any more come after those that can.
+func (c *Core) order(now time.Duration) []*step {
+	out := make([]*step, 0, len(c.steps))
+	for _, s := range c.steps {
+		s.late = now > s.urgency
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b *step) int {
+		if a.late != b.late {
+			if a.late {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(a.urgency, b.urgency), cmp.Compare(a.key.String(), b.key.String()))
+	})
+	return out
+}
+
+// eligible returns the workers that could run tasks of the step, leaving room
+// and tickets aside, nearest first.
+func (c *Core) eligible(s *step, pool string, now time.Duration) []*worker {
+	var out []*worker
+	for _, w := range c.workers {
+		if w.life.GetPool() != pool || !w.takes(now) || !w.size.holds(s.room) {
+			continue
+		}
+		if l := s.spec.GetRequiredLabel(); l != "" && !w.hasLabel(l) {
+			continue
+		}
+		out = append(out, w)
+	}
+	slices.SortFunc(out, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(s.score(a), s.score(b)), cmp.Compare(a.Worker, b.Worker))
+	})
+	return out
+}
+
+// score orders workers for a step: near the data, fast, and then the fullest
+// one, so that wide tasks find room elsewhere. Lower is better.
+func (s *step) score(w *worker) float64 {
+	score := pacePenalty*w.pace + float64(w.usable().cpu)
+	if rack := s.spec.GetDataRack(); rack != "" && rack != w.rack {
+		score += farPenalty
+	}
+	return score
+}
+
+// allowance is how many more tasks of the step the worker may take.
+func (s *step) allowance(w *worker, limit int) int {
+	n := w.usable().times(s.room, limit)
+	if most := int(s.spec.GetMaxPerWorker()); most > 0 {
+		n = min(n, most-s.onNode[w])
+	}
+	return max(0, n)
+}
+
+// placeEach starts as many of the waiting tasks as fit.
+func (c *Core) placeEach(s *step, waiting []*task, now time.Duration) {
+	q := c.queue(s.job)
+	candidates := c.eligible(s, q.GetService(), now)
+	left := waiting
+	for _, w := range candidates {
+		if len(left) == 0 {
+			return
+		}
+		if q.GetAdvice() != nil && !s.advice.valid(w, now) {
+			continue
+		}
+		n := s.allowance(w, len(left))
+		for _, t := range left[:n] {
+			c.start(t, w, t.lastRun+1, now)
+		}
+		left = left[n:]
+	}
+	if len(left) > 0 && q.GetAdvice() != nil {
+		c.ask(s, q.GetAdvice(), withRoom(s, candidates), len(left), now)
+	}
+}
+
+func withRoom(s *step, candidates []*worker) []*worker {
+	var out []*worker
+	for _, w := range candidates {
+		if s.allowance(w, 1) > 0 {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// placeGang starts all tasks of a gang at once, or none.
+func (c *Core) placeGang(s *step, waiting []*task, now time.Duration) bool {
+	q := c.queue(s.job)
+	candidates := c.eligible(s, q.GetService(), now)
+	usable := candidates
+	if q.GetAdvice() != nil {
+		usable = slices.DeleteFunc(slices.Clone(candidates), func(w *worker) bool { return !s.advice.valid(w, now) })
+	}
+	chosen := s.fit(usable, len(waiting))
+	if chosen == nil {
+		if q.GetAdvice() != nil {
+			c.askGang(s, q.GetAdvice(), candidates, len(waiting), now)
+		}
+		return false
+	}
+	number := uint64(0)
+	for _, t := range s.tasks {
+		number = max(number, t.lastRun+1)
+	}
+	for i, w := range chosen {
+		c.start(waiting[i], w, number, now)
+	}
+	return true
+}
+
+// askGang asks for a gang: workers that have room now or are likely to.
+func (c *Core) askGang(s *step, q *egretmuxv1.QueueAdvice, candidates []*worker, needed int, now time.Duration) {
+	byRoom := slices.Clone(candidates)
+	slices.SortStableFunc(byRoom, func(a, b *worker) int {
+		return cmp.Compare(s.allowance(b, needed), s.allowance(a, needed))
+	})
+	c.ask(s, q, byRoom, needed, now)
+}
+
+// fit returns a worker for each of n tasks, or nil. Tasks that want one rack
+// get one where there is room.
+func (s *step) fit(candidates []*worker, n int) []*worker {
+	if s.spec.GetSameRack() {
+		racks := make(map[string][]*worker)
+		var names []string
+		for _, w := range candidates {
+			if racks[w.rack] == nil {
+				names = append(names, w.rack)
+			}
+			racks[w.rack] = append(racks[w.rack], w)
+		}
+		for _, name := range names {
+			if chosen := s.fitAny(racks[name], n); chosen != nil {
+				return chosen
+			}
+		}
+	}
+	return s.fitAny(candidates, n)
+}
+
+func (s *step) fitAny(candidates []*worker, n int) []*worker {
+	chosen := make([]*worker, 0, n)
+	for _, w := range candidates {
+		for range s.allowance(w, n-len(chosen)) {
+			chosen = append(chosen, w)
+		}
+		if len(chosen) == n {
+			return chosen
+		}
+	}
+	return nil
+}
+
+// reserve holds room back on the workers that will first have enough for a
+// gang that waits.
+func (c *Core) reserve(s *step, n int, now time.Duration) {
+	q := c.queue(s.job)
+	var good []*worker
+	for _, w := range c.eligible(s, q.GetService(), now) {
+		if q.GetAdvice() == nil || s.advice.good[w] {
+			good = append(good, w)
+		}
+	}
+	slices.SortStableFunc(good, func(a, b *worker) int {
+		return cmp.Compare(s.allowance(b, n), s.allowance(a, n))
+	})
+	for _, w := range good {
+		if n <= 0 {
+			return
+		}
+		most := w.size.minus(w.reserved).times(s.room, n)
+		if limit := int(s.spec.GetMaxPerWorker()); limit > 0 {
+			most = min(most, limit)
+		}
+		for range most {
+			w.reserved = w.reserved.plus(s.room)
+		}
+		n -= most
+	}
+}
+
+// start records a run and orders it.
+func (c *Core) start(t *task, w *worker, number uint64, now time.Duration) {
+	s := t.step
+	r := c.place(t, w, number, now)
+	s.job.started = true
+	checkpoint := ""
+	c.cfg.Book.View(s.key.Job, func(rec *jobs.Record) {
+		if rec != nil && !rec.Ended() {
+			checkpoint = rec.Task(s.key.Occurrence, s.key.Step, t.index).Checkpoint
+		}
+	})
+	order := Start{
+		Target: w.Target, Task: t.key(), Run: number, Payload: s.job.spec.GetPayload(),
+		Checkpoint: checkpoint, LeaseUntil: w.lease.grant(c.confirmed), Clock: w.lease.clock,
+	}
+	if held, ok := s.advice.tickets[w]; ok {
+		order.Ticket = held.value
+	}
+	c.out.Starts = append(c.out.Starts, order)
+	c.notice(Notice{Event: "run_starting", Job: s.key.Job, Task: t.key().String(), Worker: w.Worker, Run: r.number, Age: now - s.ready})
+}
+
+// watchRuns looks for runs that stand still.
+func (c *Core) watchRuns(time.Duration) {}
--- /dev/null
+++ b/internal/job/catalogue.go
@@ -0,0 +1,112 @@
+package job
+
+import (
+	"bytes"
+	"strings"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/refusal"
+)
+
+// Catalogue is one whole configuration, indexed for look-ups. It is immutable.
+type Catalogue struct {
+	Version uint64
+	Message *egretmuxv1.Catalogue
+	byHost  map[string][]*egretmuxv1.Queue
+	pools   map[string]*egretmuxv1.Pool
+}
+
+// NewCatalogue indexes a checked catalogue.
+func NewCatalogue(m *egretmuxv1.Catalogue) *Catalogue {
+	c := &Catalogue{
+		Version: m.GetVersion(), Message: m,
+		byHost: make(map[string][]*egretmuxv1.Queue), pools: make(map[string]*egretmuxv1.Pool),
+	}
+	for _, q := range m.GetQueues() {
+		host := strings.ToLower(q.GetHost())
+		c.byHost[host] = append(c.byHost[host], q)
+	}
+	for _, p := range m.GetPools() {
+		c.pools[p.GetName()] = p
+	}
+	return c
+}
+
+func (c *Catalogue) same(m *egretmuxv1.Catalogue) bool {
+	return bytes.Equal(c.Message.GetSource(), m.GetSource())
+}
+
+// Find returns the queue with the longest prefix that the address begins with,
+// and the rest of the path.
+func (c *Catalogue) Find(a *egretmuxv1.QueueAddress) (q *egretmuxv1.Queue, rest string) {
+	if c == nil {
+		return nil, ""
+	}
+	host := strings.ToLower(a.GetHost())
+	if name, _, found := strings.Cut(host, ":"); found {
+		host = name
+	}
+	for _, candidate := range c.byHost[host] {
+		if strings.HasPrefix(a.GetPath(), candidate.GetPrefix()) && (q == nil || len(candidate.GetPrefix()) > len(q.GetPrefix())) {
+			q = candidate
+		}
+	}
+	if q == nil {
+		return nil, ""
+	}
+	return q, strings.TrimPrefix(a.GetPath(), q.GetPrefix())
+}
+
+// Queue returns the queue with the host and prefix, or nil.
+func (c *Catalogue) Queue(host, prefix string) *egretmuxv1.Queue {
+	if c == nil {
+		return nil
+	}
+	for _, q := range c.byHost[strings.ToLower(host)] {
+		if q.GetPrefix() == prefix {
+			return q
+		}
+	}
+	return nil
+}
+
+// Pool returns the pool with the name, or nil.
+func (c *Catalogue) Pool(name string) *egretmuxv1.Pool {
+	if c == nil {
+		return nil
+	}
+	return c.pools[name]
+}
+
+// CheckCatalogue refuses a catalogue that cannot be put in force.
+func CheckCatalogue(m *egretmuxv1.Catalogue) error {
+	invalid := func(remedy, format string, args ...any) error {
+		return refusal.New(refusal.Invalid, remedy, format, args...)
+	}
+	if m.GetVersion() == 0 {
+		return invalid("give a version above zero", "the configuration has no version")
+	}
+	pools := make(map[string]bool)
+	for _, p := range m.GetPools() {
+		if p.GetName() == "" || pools[p.GetName()] {
+			return invalid("name each service once", "service %.100q is named twice or not at all", p.GetName())
+		}
+		pools[p.GetName()] = true
+	}
+	places := make(map[[2]string]string)
+	for _, q := range m.GetQueues() {
+		place := [2]string{strings.ToLower(q.GetHost()), q.GetPrefix()}
+		switch {
+		case !pools[q.GetService()]:
+			return invalid("name a service of the same configuration", "route %.100q names service %.100q, which is not there", q.GetName(), q.GetService())
+		case q.GetTimeoutMs() <= 0:
+			return invalid("give a time-out above zero", "route %.100q has no time-out", q.GetName())
+		case q.GetHost() == "" || !strings.HasPrefix(q.GetPrefix(), "/"):
+			return invalid("give a host and a path that begins with /", "route %.100q has no place", q.GetName())
+		case places[place] != "":
+			return invalid("give each route a host and prefix of its own", "routes %.100q and %.100q share a place", places[place], q.GetName())
+		}
+		places[place] = q.GetName()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/job/check.go
@@ -0,0 +1,63 @@
+package job
+
+import (
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/refusal"
+)
+
+// Limits of one job. A job at the limits takes a few megabytes of memory.
+const (
+	maxSteps       = 256
+	maxTasks       = 20_000 // of all steps together
+	maxRepeats     = 100_000
+	maxPayloadSize = 64 << 10 // bytes
+	idLength       = 16       // hexadecimal digits of a job's id
+)
+
+// CheckID reports whether s names a job.
+func CheckID(s string) bool {
+	if len(s) != idLength {
+		return false
+	}
+	for _, c := range []byte(s) {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
+			return false
+		}
+	}
+	return true
+}
+
+// Check refuses a job that cannot be read as steps.
+func Check(j *egretmuxv1.Job) error {
+	invalid := func(remedy, format string, args ...any) error {
+		return refusal.New(refusal.Invalid, remedy, format, args...)
+	}
+	if len(j.GetPayload()) > maxPayloadSize {
+		return invalid("send a shorter text", "the job's text has more than %d bytes", maxPayloadSize)
+	}
+	if len(j.GetSteps()) == 0 || len(j.GetSteps()) > maxSteps {
+		return invalid("send 1 to 256 steps", "the job has %d steps", len(j.GetSteps()))
+	}
+	if j.GetRepeats() > maxRepeats {
+		return invalid("repeat it less often", "the job repeats %d times", j.GetRepeats())
+	}
+	tasks := uint32(0)
+	for i, s := range j.GetSteps() {
+		if s.GetCount() == 0 || s.GetCount() > maxTasks {
+			return invalid("give each step a count", "step %d has %d tasks", i, s.GetCount())
+		}
+		tasks += s.GetCount()
+		if s.GetCpuMillis() < 0 || s.GetMemoryMib() < 0 || s.GetAccelerators() < 0 {
+			return invalid("ask for sizes of zero or more", "step %d asks for a negative size", i)
+		}
+		for _, before := range s.GetAfter() {
+			if int(before) >= i {
+				return invalid("let steps depend on earlier ones only", "step %d depends on step %d", i, before)
+			}
+		}
+	}
+	if tasks > maxTasks {
+		return invalid("split the job", "the job has more than %d tasks", maxTasks)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/jobcell/advise.go
@@ -0,0 +1,65 @@
+package jobcell
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/dispatch"
+)
+
+// advisers spreads questions to the advice service, which answers each calling
+// instance one at a time, over the instances.
+type advisers struct {
+	cell *Cell
+
+	mu   sync.Mutex
+	busy map[string]float64 // expected milliseconds of the calls on their way, by instance
+}
+
+func newAdvisers(c *Cell) *advisers { return &advisers{cell: c, busy: make(map[string]float64)} }
+
+// Advise implements scheduler.Adviser.
+func (a *advisers) Advise(ctx context.Context, ask dispatch.Ask) (map[string]string, error) {
+	address := a.take(ask.Expect)
+	defer a.release(address, ask.Expect)
+	if address == a.cell.cfg.Address {
+		return a.cell.cfg.Adviser.Advise(ctx, ask.Step.String(), ask.Workers)
+	}
+	resp, err := a.cell.dialer.Clients(address).Jobs.Advise(ctx, connect.NewRequest(&egretmuxv1.AdviseRequest{
+		Step: ask.Step.String(), Workers: ask.Workers,
+	}))
+	if err != nil {
+		return nil, err
+	}
+	out := make(map[string]string, len(resp.Msg.GetTickets()))
+	for _, t := range resp.Msg.GetTickets() {
+		out[t.GetWorker()] = t.GetTicket()
+	}
+	return out, nil
+}
+
+// take chooses the instance with the least expected work before it.
+func (a *advisers) take(expect float64) string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	best := a.cell.cfg.Address
+	for _, m := range a.cell.members.live(time.Now()) {
+		if a.busy[m.GetAddress()] < a.busy[best] {
+			best = m.GetAddress()
+		}
+	}
+	a.busy[best] += expect
+	return best
+}
+
+func (a *advisers) release(address string, expect float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.busy[address] -= expect; a.busy[address] < 1e-6 {
+		delete(a.busy, address)
+	}
+}
--- /dev/null
+++ b/internal/jobcell/serve.go
@@ -0,0 +1,57 @@
+package jobcell
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/refusal/refusalrpc"
+)
+
+// service serves the other instances' calls.
+type service struct{ cell *Cell }
+
+func reply[A any](c *Cell, msg *A, err error) (*connect.Response[A], error) {
+	if err != nil {
+		return nil, refusalrpc.ErrorWithLeader(err, c.scheduler.LeaderAddress())
+	}
+	return connect.NewResponse(msg), nil
+}
+
+// CallJob implements JobCellService.
+func (s *service) CallJob(ctx context.Context, req *connect.Request[egretmuxv1.JobCall]) (*connect.Response[egretmuxv1.JobAnswer], error) {
+	answer, err := s.cell.scheduler.CallJob(ctx, req.Msg)
+	return reply(s.cell, answer, err)
+}
+
+// PutCatalogue implements JobCellService.
+func (s *service) PutCatalogue(ctx context.Context, req *connect.Request[egretmuxv1.PutCatalogueRequest]) (*connect.Response[egretmuxv1.PutCatalogueResponse], error) {
+	version, err := s.cell.scheduler.PutCatalogue(ctx, req.Msg.GetCatalogue())
+	return reply(s.cell, &egretmuxv1.PutCatalogueResponse{Version: version}, err)
+}
+
+// GetCatalogue implements JobCellService.
+func (s *service) GetCatalogue(ctx context.Context, _ *connect.Request[egretmuxv1.GetCatalogueRequest]) (*connect.Response[egretmuxv1.GetCatalogueResponse], error) {
+	catalogue, err := s.cell.scheduler.Catalogue(ctx)
+	return reply(s.cell, &egretmuxv1.GetCatalogueResponse{Catalogue: catalogue}, err)
+}
+
+// BeatWorker implements JobCellService.
+func (s *service) BeatWorker(ctx context.Context, req *connect.Request[egretmuxv1.WorkerBeat]) (*connect.Response[egretmuxv1.WorkerBeatResponse], error) {
+	err := s.cell.scheduler.Beat(ctx, req.Msg)
+	return reply(s.cell, &egretmuxv1.WorkerBeatResponse{LeaderControl: s.cell.cfg.Control}, err)
+}
+
+// Advise implements JobCellService.
+func (s *service) Advise(ctx context.Context, req *connect.Request[egretmuxv1.AdviseRequest]) (*connect.Response[egretmuxv1.AdviseResponse], error) {
+	tickets, err := s.cell.cfg.Adviser.Advise(ctx, req.Msg.GetStep(), req.Msg.GetWorkers())
+	if err != nil {
+		return nil, refusalrpc.Error(err)
+	}
+	resp := &egretmuxv1.AdviseResponse{}
+	for worker, ticket := range tickets {
+		resp.Tickets = append(resp.Tickets, &egretmuxv1.Ticket{Worker: worker, Ticket: ticket})
+	}
+	return connect.NewResponse(resp), nil
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -97,6 +97,7 @@
 	Task      egretmuxv1connect.TaskServiceClient
 	Operator  egretmuxv1connect.OperatorServiceClient
 	Consensus egretmuxv1connect.ConsensusServiceClient
+	Jobs      egretmuxv1connect.JobCellServiceClient
 }
 
 // Clients returns the clients for an instance's cell listener.
@@ -109,6 +110,7 @@
 		Task:      egretmuxv1connect.NewTaskServiceClient(d.client, url, option),
 		Operator:  egretmuxv1connect.NewOperatorServiceClient(d.client, url, option),
 		Consensus: egretmuxv1connect.NewConsensusServiceClient(d.client, url, option),
+		Jobs:      egretmuxv1connect.NewJobCellServiceClient(d.client, url, option),
 	}
 }
 
@@ -138,7 +140,7 @@
 	if hint != "" {
 		address = hint
 	}
-	if address == "" {
+	if address == "" && len(l.voters) > 0 {
 		address = l.voters[l.next%len(l.voters)]
 		l.next++
 	}
@@ -150,6 +152,13 @@
 	return c
 }
 
+// SetVoters replaces the addresses to look for the leader at.
+func (l *Leader) SetVoters(voters []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.voters = voters
+}
+
 // learn records where the leader was or was not found.
 func (l *Leader) learn(tried, leader string, found bool) {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/scheduler/look.go
@@ -0,0 +1,117 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"github.com/egretmux/egretmux/internal/dispatch"
+	"github.com/egretmux/egretmux/internal/telemetry"
+)
+
+// looker watches one worker.
+type looker struct {
+	stop  context.CancelFunc
+	noted chan struct{} // ends have become durable
+}
+
+func (l *looker) wake() {
+	if l == nil {
+		return
+	}
+	select {
+	case l.noted <- struct{}{}:
+	default:
+	}
+}
+
+// startLooking begins to watch a worker. The caller holds mu.
+func (t *tenure) startLooking(target dispatch.Target) {
+	if t.look[target] != nil {
+		return
+	}
+	ctx, stop := context.WithCancel(t.ctx)
+	l := &looker{stop: stop, noted: make(chan struct{}, 1)}
+	t.look[target] = l
+	go func() {
+		defer stop()
+		t.watch(ctx, target, l)
+		t.mu.Lock()
+		if t.look[target] == l {
+			delete(t.look, target)
+		}
+		t.mu.Unlock()
+		t.cfg.Workers.Release(target)
+	}()
+}
+
+// watch looks at a worker until its life is over. Each look waits for an end,
+// and renews the lease.
+func (t *tenure) watch(ctx context.Context, target dispatch.Target, l *looker) {
+	wait := time.Duration(0) // the first look only reads
+	for ctx.Err() == nil {
+		t.mu.Lock()
+		known := t.core.Knows(target)
+		until, cursor := t.core.Hold(target)
+		t.mu.Unlock()
+		if !known {
+			return
+		}
+		asked := t.now()
+		listing, result := t.lookOnce(ctx, Look{Target: target, Fence: t.term, LeaseUntil: until, Cursor: cursor, Wait: wait})
+		if ctx.Err() != nil {
+			return
+		}
+		pause := lookPause
+		switch result {
+		case LookAnswered:
+			wait = lookWait
+			t.do(func(c *dispatch.Core, now time.Duration) { c.Listed(target, asked, now, listing) })
+			if t.unnoted(target) {
+				pause = 0
+				t.awaitNoted(ctx, l)
+			}
+		case LookAnotherLife:
+			if err := t.retire(target, "another-life"); err != nil {
+				t.cfg.Logger.Warn().Err(err).Str("event", "worker_not_retired").Str("worker", target.Worker).Msg("")
+			}
+			pause = lookRetryPause
+		default:
+			telemetry.CountRetry("worker-silent")
+			if result == LookFenced {
+				t.recheck()
+			}
+			wait = 0
+			pause = lookRetryPause
+			t.do(func(c *dispatch.Core, _ time.Duration) { c.Silent(target) })
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (t *tenure) lookOnce(ctx context.Context, l Look) (dispatch.Listing, LookResult) {
+	ctx, cancel := context.WithTimeout(ctx, l.Wait+lookTimeout)
+	defer cancel()
+	return t.cfg.Workers.Look(ctx, l)
+}
+
+// unnoted reports whether ends of the worker are on their way to the log.
+func (t *tenure) unnoted(target dispatch.Target) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.core.Noting(target)
+}
+
+// awaitNoted waits until the ends just listed are durable, so that the next
+// look does not list them again.
+func (t *tenure) awaitNoted(ctx context.Context, l *looker) {
+	limit := time.NewTimer(lookTimeout)
+	defer limit.Stop()
+	select {
+	case <-l.noted:
+	case <-limit.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/scheduler/tenure.go
@@ -0,0 +1,327 @@
+package scheduler
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/consensus"
+	"github.com/egretmux/egretmux/internal/dispatch"
+	"github.com/egretmux/egretmux/internal/job"
+	"github.com/egretmux/egretmux/internal/periodic"
+	"github.com/egretmux/egretmux/internal/refusal"
+	"github.com/egretmux/egretmux/internal/telemetry"
+)
+
+// Timing of a tenure.
+const (
+	tickPeriod     = 100 * time.Millisecond // leases and due times are checked
+	planPause      = 3 * time.Millisecond   // least time between two plans, so that events gather
+	confirmPeriod  = 300 * time.Millisecond // leases are counted from the last confirmation
+	confirmPause   = 10 * time.Millisecond  // least time between two confirmations, so that reads gather
+	forgetPeriod   = 5 * time.Second
+	silentForget   = 20 * time.Second // a silent worker without runs is dropped from the book
+	lookWait       = 1500 * time.Millisecond
+	lookTimeout    = time.Second // for an answer, beyond the wait
+	lookRetryPause = 250 * time.Millisecond
+	lookPause      = 5 * time.Millisecond // between two looks at a worker, so that ends gather
+	orderTimeout   = 700 * time.Millisecond
+	stopRetryPause = 200 * time.Millisecond
+	adviceSlack    = 1500 * time.Millisecond // for advice, beyond its expected time
+)
+
+// tenure is one leader's time in office.
+type tenure struct {
+	cfg   Config
+	node  *consensus.Node
+	book  *job.Book
+	term  uint64
+	began time.Time
+	ctx   context.Context
+
+	mu   sync.Mutex // guards core and what follows
+	core *dispatch.Core
+	look map[dispatch.Target]*looker
+	over map[string]time.Time // ended jobs, by when that was first seen
+
+	kick     chan struct{}
+	confirms confirmer
+}
+
+func newTenure(cfg Config, node *consensus.Node, book *job.Book, term uint64) *tenure {
+	return &tenure{
+		cfg: cfg, node: node, book: book, term: term, began: time.Now(),
+		look: make(map[dispatch.Target]*looker), over: make(map[string]time.Time),
+		kick: make(chan struct{}, 1),
+	}
+}
+
+// now is the time since the tenure began.
+func (t *tenure) now() time.Duration { return time.Since(t.began) }
+
+// begin reads the book, which holds everything that earlier leaders stored.
+func (t *tenure) begin() {
+	wall := t.began.UnixMilli()
+	t.core = dispatch.New(dispatch.Config{
+		Book: t.book, Term: t.term, Lease: t.cfg.Lease, FarFactor: t.cfg.FarFactor, StopTimeout: t.cfg.StopTimeout,
+		Unix: func(now time.Duration) int64 { return wall + now.Milliseconds() },
+	})
+	for _, w := range t.book.Workers() {
+		t.look[targetOf(w.Life)] = nil
+	}
+	t.book.Each(func(id string, r *job.Record) {
+		if r.Ended() {
+			t.over[id] = t.began
+		}
+	})
+}
+
+func targetOf(life *egretmuxv1.WorkerLife) dispatch.Target {
+	return dispatch.Target{Worker: life.GetWorker(), Born: life.GetBornUnixMs(), Address: life.GetAddress()}
+}
+
+// run acts until the context ends.
+func (t *tenure) run(ctx context.Context) {
+	t.ctx = ctx
+	t.cfg.Logger.Info().Str("event", "tenure_began").Uint64("term", t.term).Int("workers", len(t.look)).Msg("")
+	var loops sync.WaitGroup
+	loops.Go(func() { t.confirmLoop(ctx) })
+	loops.Go(func() {
+		periodic.Run(ctx, tickPeriod, func(time.Time) { t.do(func(c *dispatch.Core, now time.Duration) { c.Tick(now) }) })
+	})
+	loops.Go(func() { periodic.Run(ctx, forgetPeriod, func(time.Time) { t.forget() }) })
+	loops.Go(func() { t.planLoop(ctx) })
+	t.mu.Lock()
+	for target := range t.look {
+		t.startLooking(target)
+	}
+	t.mu.Unlock()
+	<-ctx.Done()
+	loops.Wait()
+	t.cfg.Logger.Info().Str("event", "tenure_ended").Uint64("term", t.term).Msg("")
+}
+
+// do runs f on the core, carries out what it decided and has a plan made.
+func (t *tenure) do(f func(*dispatch.Core, time.Duration)) {
+	t.mu.Lock()
+	f(t.core, t.now())
+	t.carryOut()
+	t.mu.Unlock()
+	select {
+	case t.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (t *tenure) planLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.kick:
+		}
+		t.mu.Lock()
+		began := time.Now()
+		t.core.Plan(t.now())
+		t.carryOut()
+		t.mu.Unlock()
+		telemetry.ObserveSeconds("plan", time.Since(began))
+		time.Sleep(planPause)
+	}
+}
+
+// carryOut starts what the core wants done. The caller holds mu.
+func (t *tenure) carryOut() {
+	acts := t.core.Take()
+	for _, s := range acts.Starts {
+		go t.sendStart(s)
+	}
+	for _, s := range acts.Stops {
+		go t.sendStop(s)
+	}
+	for _, a := range acts.Asks {
+		go t.ask(a)
+	}
+	for _, n := range acts.Notes {
+		go t.note(n)
+	}
+	for _, n := range t.core.Notices() {
+		t.log(n)
+	}
+}
+
+func (t *tenure) log(n dispatch.Notice) {
+	telemetry.Count(`decisions_total{event="` + n.Event + `",reason="` + n.Reason + `"}`)
+	e := t.cfg.Logger.Info().Str("event", n.Event).Uint64("term", t.term)
+	for _, f := range [][2]string{{"job", n.Job}, {"task", n.Task}, {"worker", n.Worker}, {"reason", n.Reason}} {
+		if f[1] != "" {
+			e = e.Str(f[0], f[1])
+		}
+	}
+	if n.Run != 0 {
+		e = e.Uint64("run", n.Run)
+	}
+	if n.Age != 0 {
+		e = e.Int64("age_ms", n.Age.Milliseconds())
+	}
+	e.Msg("")
+}
+
+func (t *tenure) sendStart(s dispatch.Start) {
+	ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
+	defer cancel()
+	sent := t.now()
+	answer, clock := t.cfg.Workers.Start(ctx, s, t.term)
+	if clock != 0 && clock < s.Clock {
+		// The clock began anew: another life of the worker took the order.
+		t.undoStart(s)
+		answer = dispatch.AnotherLife
+	}
+	telemetry.ObserveSeconds("worker_start", t.now()-sent)
+	t.do(func(c *dispatch.Core, now time.Duration) {
+		c.StartAnswered(s, answer, sent, now)
+		if answer == dispatch.AnotherLife {
+			c.Gone(s.Target, "another-life")
+		}
+	})
+	if answer == dispatch.StaleFence {
+		t.recheck()
+	}
+}
+
+// undoStart stops a run that another life of the worker may have begun. It
+// returns once that life has answered, or no lease of it can hold.
+func (t *tenure) undoStart(s dispatch.Start) {
+	limit := t.now() + t.cfg.Lease
+	for t.ctx.Err() == nil && t.now() < limit {
+		ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
+		answered := t.cfg.Workers.Stop(ctx, dispatch.Stop{Target: s.Target, Task: s.Task, Run: s.Run}, t.term)
+		cancel()
+		if answered {
+			return
+		}
+		time.Sleep(stopRetryPause)
+	}
+}
+
+func (t *tenure) sendStop(s dispatch.Stop) {
+	ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
+	defer cancel()
+	answered := t.cfg.Workers.Stop(ctx, s, t.term)
+	if !answered {
+		time.Sleep(stopRetryPause)
+	}
+	if t.ctx.Err() != nil {
+		return
+	}
+	t.do(func(c *dispatch.Core, now time.Duration) { c.StopAnswered(s, answered, now) })
+}
+
+func (t *tenure) ask(a dispatch.Ask) {
+	ctx, cancel := context.WithTimeout(t.ctx, time.Duration(a.Expect*float64(time.Millisecond))+adviceSlack)
+	defer cancel()
+	asked := t.now()
+	tickets, err := t.cfg.Adviser.Advise(ctx, a)
+	telemetry.ObserveSeconds("advice", t.now()-asked)
+	if err != nil {
+		t.cfg.Logger.Warn().Err(err).Str("event", "advice_failed").Str("step", a.Step.String()).Msg("")
+	}
+	t.do(func(c *dispatch.Core, now time.Duration) { c.Advised(a, tickets, err != nil, asked, now) })
+}
+
+// note makes ends durable. Within the term a proposal is answered; afterwards
+// the next leader reads the ends again.
+func (t *tenure) note(n dispatch.Note) {
+	if len(n.Ends) > 0 {
+		if _, err := t.propose(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_NoteEnds{NoteEnds: &egretmuxv1.NoteEnds{Ends: n.Ends}}}); err != nil {
+			t.cfg.Logger.Warn().Err(err).Str("event", "ends_not_noted").Str("worker", n.Worker).Int("ends", len(n.Ends)).Msg("")
+			return
+		}
+	}
+	t.do(func(c *dispatch.Core, now time.Duration) {
+		c.Noted(n.Target, n.Cursor, n.Ends, now)
+		for _, e := range n.Ends {
+			t.markOver(e.GetJob())
+		}
+	})
+	t.mu.Lock()
+	l := t.look[n.Target]
+	t.mu.Unlock()
+	l.wake()
+}
+
+// markOver remembers when a job was first seen as ended. The caller holds mu.
+func (t *tenure) markOver(id string) {
+	t.book.View(id, func(r *job.Record) {
+		if r != nil && r.Ended() {
+			if _, known := t.over[id]; !known {
+				t.over[id] = time.Now()
+			}
+		}
+	})
+}
+
+// forget drops ended jobs that nobody may ask for any more, and the lives of
+// workers that have long been silent.
+func (t *tenure) forget() {
+	var ids []string
+	t.mu.Lock()
+	for id, since := range t.over {
+		if time.Since(since) > t.cfg.StatusKeep {
+			ids = append(ids, id)
+			delete(t.over, id)
+		}
+	}
+	silent := t.core.SilentFor(silentForget, t.now())
+	t.mu.Unlock()
+	if len(ids) > 0 {
+		t.proposeLogged("jobs_not_forgotten", &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_ForgetJobs{ForgetJobs: &egretmuxv1.ForgetJobs{Jobs: ids}}})
+	}
+	for _, w := range silent {
+		if err := t.retire(w, "silent"); err != nil {
+			t.cfg.Logger.Warn().Err(err).Str("event", "worker_not_retired").Str("worker", w.Worker).Msg("")
+		}
+	}
+}
+
+// retire ends a life in the book and in the core.
+func (t *tenure) retire(w dispatch.Target, reason string) error {
+	_, err := t.propose(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_EndLife{EndLife: &egretmuxv1.EndLife{Worker: w.Worker, BornUnixMs: w.Born}}})
+	if err != nil {
+		return err
+	}
+	t.do(func(c *dispatch.Core, _ time.Duration) { c.Gone(w, reason) })
+	return nil
+}
+
+func (t *tenure) proposeLogged(event string, cmd *egretmuxv1.JobCommand) {
+	if _, err := t.propose(cmd); err != nil {
+		t.cfg.Logger.Warn().Err(err).Str("event", event).Msg("")
+	}
+}
+
+// propose commits a command in this term. It is not bound to a caller's time:
+// the outcome is wanted even when nobody waits any more.
+func (t *tenure) propose(cmd *egretmuxv1.JobCommand) (job.Result, error) {
+	data, err := proto.Marshal(cmd)
+	if err != nil {
+		return job.Result{}, err
+	}
+	began := time.Now()
+	value, err := t.node.ProposeIn(t.ctx, t.term, data)
+	telemetry.ObserveSeconds("commit", time.Since(began))
+	switch {
+	case errors.Is(err, consensus.ErrNotLeader):
+		return job.Result{}, noLeader()
+	case err != nil:
+		return job.Result{}, refusal.NewUnknown(refusal.OutcomeUnknown, "send it again", "leadership was lost before the outcome was known").Because(err)
+	}
+	if failed, ok := value.(error); ok {
+		return job.Result{}, failed
+	}
+	return value.(job.Result), nil
+}
--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -99,6 +99,29 @@
 			return nil, err
 		}
 	}
+	return v.StartReplica(machine, onFailure)
+}
+
+// Empty reports whether nothing was ever written to the log.
+func (v *Voter) Empty() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.empty
+}
+
+// Replica returns this instance's replica as a member.
+func (v *Voter) Replica() *egretmuxv1.Replica {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.replica()
+}
+
+// Found writes the first entry of a new cell. It comes before StartReplica, and
+// exactly one replica of a cell may do so.
+func (v *Voter) Found(members *egretmuxv1.Membership) error { return v.form(members) }
+
+// StartReplica starts the replica from what the data folder holds.
+func (v *Voter) StartReplica(machine consensus.StateMachine, onFailure func(error)) (*consensus.Node, error) {
 	s := v.settings
 	node, err := consensus.NewNode(consensus.Config{
 		ID: v.id, Log: v.log, Recovered: v.recovered, Machine: machine, Transport: v.transport,
