Lost appends are repeated under constant reads; leases of earlier leaders are waited out

Ruled out: the leader's disk and processor; its replica kept leading all the while. Change: the periodic heartbeat counts alone; stored workers begin with the lapse time of earlier leaders' leases; an end on its way to the log holds its task; foreign runs hold their worker; advice avoids instances that failed a call.

--- a/internal/consensus/core/core_test.go
+++ b/internal/consensus/core/core_test.go
@@ -333,3 +333,45 @@
 	init.Entries = append(init.Entries, &egretmuxv1.Entry{Term: 7, Index: 2})
 	require.Equal(t, uint64(7), core.New(config(1), init).Term())
 }
+
+// Reads that come faster than the periodic heartbeat send heartbeats of their
+// own. They must not keep a lost append from being repeated.
+func TestLostAppendIsRepeatedDuringConstantReads(t *testing.T) {
+	cfg := config(1)
+	cfg.HeartbeatTicks = 3
+	c := core.New(cfg, formed(t, 1, 2, 3))
+	c.Output()
+	c.Step(message(egretmuxv1.MessageKind_MESSAGE_KIND_TIMEOUT_NOW, 2, 1, 1))
+	c.Output()
+	c.Persisted()
+	c.Step(message(egretmuxv1.MessageKind_MESSAGE_KIND_VOTE_REPLY, 2, 1, 2))
+	c.Output()
+	c.Persisted()
+	ack := message(egretmuxv1.MessageKind_MESSAGE_KIND_APPEND_REPLY, 2, 1, 2)
+	ack.Index = 2
+	c.Step(ack)
+	c.Output()
+	c.Persisted()
+	_, ok := c.Propose([]byte("lost on its way"))
+	require.True(t, ok)
+	c.Output()
+	c.Persisted()
+	repeated := false
+	for tick := range 20 {
+		c.Tick()
+		c.ReadIndex(uint64(tick + 1))
+		for _, m := range c.Output().Messages {
+			switch {
+			case m.GetTo() != 2:
+			case m.GetKind() == egretmuxv1.MessageKind_MESSAGE_KIND_APPEND:
+				repeated = repeated || len(m.GetEntries()) > 0
+			case m.GetKind() == egretmuxv1.MessageKind_MESSAGE_KIND_HEARTBEAT:
+				reply := message(egretmuxv1.MessageKind_MESSAGE_KIND_HEARTBEAT_REPLY, 2, 1, 2)
+				reply.Index, reply.Context = 2, m.GetContext()
+				c.Step(reply)
+			}
+		}
+		c.Persisted()
+	}
+	require.True(t, repeated)
+}
--- a/internal/consensus/core/election.go
+++ b/internal/consensus/core/election.go
@@ -37,6 +37,7 @@
 		p.idle++
 	}
 	if c.heartbeatElapsed >= c.cfg.HeartbeatTicks {
+		c.heartbeatElapsed = 0
 		for _, p := range c.progress {
 			p.stalled++
 		}
--- a/internal/consensus/core/replication.go
+++ b/internal/consensus/core/replication.go
@@ -112,7 +112,6 @@
 }
 
 func (c *Core) broadcastHeartbeat() {
-	c.heartbeatElapsed = 0
 	for _, id := range c.peers() {
 		p := c.progress[id]
 		c.send(&egretmuxv1.Message{
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -84,6 +84,7 @@
 	for _, w := range cfg.Book.Workers() {
 		c.addWorker(w.Life)
 		c.workers[w.Life.GetWorker()].draining = w.Draining
+		c.workers[w.Life.GetWorker()].lease.lapsesAt = c.readLimit
 		c.unread[w.Life.GetWorker()] = c.workers[w.Life.GetWorker()]
 	}
 	var ids []string
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -47,7 +47,7 @@
 	}
 	l.granted = until
 	left := time.Duration(until-l.clock) * time.Millisecond
-	l.lapsesAt = l.readAt + time.Duration(float64(left)*(1+2*clockDrift)) + lapseMargin
+	l.lapsesAt = max(l.lapsesAt, l.readAt+time.Duration(float64(left)*(1+2*clockDrift))+lapseMargin)
 	return until
 }
 
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -31,13 +31,15 @@
 	first := !w.fenced
 	w.fenced = true
 	listed := make(map[runKey]bool, len(l.Running)+len(l.Ended))
+	foreign := w.foreign
+	w.foreign = make(map[runKey]time.Duration)
 	c.takeEnds(w, l.Ended, listed, now)
 	for _, lr := range l.Running {
 		key := runKey{lr.Task, lr.Run}
 		listed[key] = true
 		r := w.runs[key]
 		if r == nil {
-			r = c.adopt(w, lr, now)
+			r = c.adopt(w, lr, foreign, now)
 		}
 		if r != nil {
 			r.update(lr, now)
@@ -69,6 +71,8 @@
 			w.free = w.free.plus(r.room)
 			fresh = append(fresh, endOf(e))
 		} else if r == nil && e.Named && c.wanted(e) {
+			// The task waits until this end is in the log, as for a known run.
+			c.record(c.steps[e.Task.StepKey].tasks[e.Task.Index], w, e.Run, ended, now)
 			fresh = append(fresh, endOf(e))
 		}
 	}
@@ -99,15 +103,14 @@
 
 // adopt takes up a run that an earlier leader started, or stops it when it is
 // not wanted any more.
-func (c *Core) adopt(w *worker, lr ListedRun, now time.Duration) *run {
+func (c *Core) adopt(w *worker, lr ListedRun, foreign map[runKey]time.Duration, now time.Duration) *run {
 	s := c.steps[lr.Task.StepKey]
 	if s == nil || int(lr.Task.Index) >= len(s.tasks) {
-		c.stopForeign(w, lr, "job-ended")
+		c.stopForeign(w, lr, foreign, now)
 		return nil
 	}
 	t := s.tasks[lr.Task.Index]
-	r := c.place(t, w, lr.Run, now)
-	r.state = running
+	r := c.record(t, w, lr.Run, running, now)
 	s.job.started = true
 	if t.done || (len(t.runs) > 1 && !s.spec.GetSpeculative()) {
 		c.stop(r, "not-wanted")
@@ -115,17 +118,30 @@
 	return r
 }
 
-// stopForeign stops a run of a job that is not there any more.
-func (c *Core) stopForeign(w *worker, lr ListedRun, reason string) {
+// foreignStopPause is the time after which a stop of a foreign run is repeated;
+// the first is answered within a second or not at all.
+const foreignStopPause = time.Second
+
+// stopForeign stops a run of a job that is not there any more. Its size is not
+// known, so the worker gets nothing new while the run is listed.
+func (c *Core) stopForeign(w *worker, lr ListedRun, before map[runKey]time.Duration, now time.Duration) {
+	key := runKey{lr.Task, lr.Run}
+	if sent, known := before[key]; known && now-sent < foreignStopPause {
+		w.foreign[key] = sent
+		return
+	}
+	w.foreign[key] = now
 	c.out.Stops = append(c.out.Stops, Stop{Target: w.Target, Task: lr.Task, Run: lr.Run})
-	c.notice(Notice{Event: "run_stopping", Job: lr.Task.Job, Task: lr.Task.String(), Worker: w.Worker, Run: lr.Run, Reason: reason})
+	c.notice(Notice{Event: "run_stopping", Job: lr.Task.Job, Task: lr.Task.String(), Worker: w.Worker, Run: lr.Run, Reason: "job-ended"})
 }
 
-// place records a run on a worker and takes its room.
-func (c *Core) place(t *task, w *worker, number uint64, now time.Duration) *run {
-	r := &run{task: t, worker: w, number: number, room: t.step.room, since: now, movedAt: now}
+// record keeps a run on a worker and takes its room, unless it has ended.
+func (c *Core) record(t *task, w *worker, number uint64, state runState, now time.Duration) *run {
+	r := &run{task: t, worker: w, number: number, state: state, room: t.step.room, since: now, movedAt: now}
 	w.runs[runKey{t.key(), number}] = r
-	w.free = w.free.minus(r.room)
+	if state != ended {
+		w.free = w.free.minus(r.room)
+	}
 	t.runs = append(t.runs, r)
 	t.lastRun = max(t.lastRun, number)
 	t.step.onNode[w]++
--- a/internal/dispatch/lives.go
+++ b/internal/dispatch/lives.go
@@ -92,11 +92,7 @@
 
 // checkLease gives up what ran on a worker whose lease has certainly ended.
 func (c *Core) checkLease(w *worker, now time.Duration) {
-	ends := w.lease.lapsesAt
-	if c.unread[w.Worker] == w {
-		ends = max(ends, c.readLimit)
-	}
-	if now < ends || len(w.runs) == 0 {
+	if now < w.lease.lapsesAt || len(w.runs) == 0 {
 		return
 	}
 	for _, r := range w.sortedRuns() {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -237,7 +237,7 @@
 // start records a run and orders it.
 func (c *Core) start(t *task, w *worker, number uint64, now time.Duration) {
 	s := t.step
-	r := c.place(t, w, number, now)
+	r := c.record(t, w, number, ordered, now)
 	s.job.started = true
 	checkpoint := ""
 	c.cfg.Book.View(s.key.Job, func(rec *jobs.Record) {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -62,6 +62,9 @@
 	cursor uint64 // ends up to here are durable
 	noting uint64 // ends up to here are on their way to the log
 	runs   map[runKey]*run
+	// foreign are listed runs of jobs that are not there any more, by when their
+	// stop was last sent.
+	foreign map[runKey]time.Duration
 }
 
 type runKey struct {
@@ -79,7 +82,7 @@
 
 // takes reports whether the worker may get new runs.
 func (w *worker) takes(now time.Duration) bool {
-	return w.fenced && !w.draining && w.missed <= missedLimit && now >= w.restUntil
+	return w.fenced && !w.draining && len(w.foreign) == 0 && w.missed <= missedLimit && now >= w.restUntil
 }
 
 // usable is the room that is neither taken nor reserved.
--- a/internal/jobcell/advise.go
+++ b/internal/jobcell/advise.go
@@ -9,6 +9,7 @@
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/dispatch"
+	"github.com/egretmux/egretmux/internal/telemetry"
 )
 
 // advisers spreads questions to the advice service, which answers each calling
@@ -16,15 +17,33 @@
 type advisers struct {
 	cell *Cell
 
-	mu   sync.Mutex
-	busy map[string]float64 // expected milliseconds of the calls on their way, by instance
+	mu    sync.Mutex
+	avoid map[string]time.Time // instances that failed a call, until then
+	busy  map[string]float64   // expected milliseconds of the calls on their way, by instance
 }
 
-func newAdvisers(c *Cell) *advisers { return &advisers{cell: c, busy: make(map[string]float64)} }
+func newAdvisers(c *Cell) *advisers { return &advisers{cell: c, busy: make(map[string]float64), avoid: make(map[string]time.Time)} }
 
-// Advise implements scheduler.Adviser.
+// adviserRest is the time for which an instance that failed a call is not asked;
+// a restart takes about as long.
+const adviserRest = 2 * time.Second
+
+// Advise implements scheduler.Adviser. A call that fails at another instance is
+// made once more, here.
 func (a *advisers) Advise(ctx context.Context, ask dispatch.Ask) (map[string]string, error) {
 	address := a.take(ask.Expect)
+	tickets, err := a.adviseAt(ctx, address, ask)
+	if err == nil || address == a.cell.cfg.Address {
+		return tickets, err
+	}
+	telemetry.CountRetry("adviser-failed")
+	a.mu.Lock()
+	a.avoid[address] = time.Now().Add(adviserRest)
+	a.mu.Unlock()
+	return a.adviseAt(ctx, a.cell.cfg.Address, ask)
+}
+
+func (a *advisers) adviseAt(ctx context.Context, address string, ask dispatch.Ask) (map[string]string, error) {
 	defer a.release(address, ask.Expect)
 	if address == a.cell.cfg.Address {
 		return a.cell.cfg.Adviser.Advise(ctx, ask.Step.String(), ask.Workers)
@@ -47,8 +66,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	best := a.cell.cfg.Address
-	for _, m := range a.cell.members.live(time.Now()) {
-		if a.busy[m.GetAddress()] < a.busy[best] {
+	now := time.Now()
+	for _, m := range a.cell.members.live(now) {
+		if a.busy[m.GetAddress()] < a.busy[best] && now.After(a.avoid[m.GetAddress()]) {
 			best = m.GetAddress()
 		}
 	}
