--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -223,6 +223,11 @@
 	c.notice(Notice{Event: "run_ended", Job: key.Job, Task: key.String(), Worker: workerOf(r), Run: e.GetRun(), Reason: outcomeName(e.GetOutcome())})
 	if over != egretmuxv1.JobPhase_JOB_PHASE_UNSPECIFIED {
 		c.notice(Notice{Event: "job_ended", Job: key.Job, Reason: phaseName(over), Age: now - j.accepted})
+		if over == egretmuxv1.JobPhase_JOB_PHASE_COMPLETED {
+			for _, t := range s.tasks {
+				t.done = true
+			}
+		}
 		c.Ended(key.Job, "job-ended")
 		return
 	}
--- /dev/null
+++ b/internal/job/book_test.go
@@ -0,0 +1,184 @@
+package job_test
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/job"
+)
+
+const jobID = "00000000000000aa"
+
+func apply(t require.TestingT, b *job.Book, cmd *egretmuxv1.JobCommand) job.Result {
+	data, err := proto.Marshal(cmd)
+	require.NoError(t, err)
+	result, ok := b.Apply(1, data).(job.Result)
+	require.True(t, ok)
+	return result
+}
+
+func submit(steps ...*egretmuxv1.JobStep) *egretmuxv1.JobCommand {
+	return &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_Submit{Submit: &egretmuxv1.SubmitJob{Job: &egretmuxv1.Job{Id: jobID, Steps: steps, Attempts: 2}}}}
+}
+
+func ends(e ...*egretmuxv1.RunEnd) *egretmuxv1.JobCommand {
+	return &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_NoteEnds{NoteEnds: &egretmuxv1.NoteEnds{Ends: e}}}
+}
+
+func end(step, index uint32, run uint64, how egretmuxv1.RunOutcome) *egretmuxv1.RunEnd {
+	return &egretmuxv1.RunEnd{Job: jobID, Step: step, Index: index, Run: run, Outcome: how}
+}
+
+func put(version uint64, source string) *egretmuxv1.JobCommand {
+	return &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_PutCatalogue{PutCatalogue: &egretmuxv1.PutCatalogue{
+		Catalogue: &egretmuxv1.Catalogue{Version: version, Source: []byte(source)},
+	}}}
+}
+
+func phase(b *job.Book) egretmuxv1.JobPhase {
+	out := egretmuxv1.JobPhase_JOB_PHASE_UNSPECIFIED
+	b.View(jobID, func(r *job.Record) {
+		if r != nil {
+			out = r.Phase
+		}
+	})
+	return out
+}
+
+const (
+	done   = egretmuxv1.RunOutcome_RUN_OUTCOME_DONE
+	failed = egretmuxv1.RunOutcome_RUN_OUTCOME_FAILED
+)
+
+func TestSubmittingAgainKeepsTheFirstJob(t *testing.T) {
+	b := job.NewBook()
+	require.False(t, apply(t, b, submit(&egretmuxv1.JobStep{Count: 1})).Known)
+	require.True(t, apply(t, b, submit(&egretmuxv1.JobStep{Count: 5})).Known)
+	apply(t, b, ends(end(0, 0, 1, done)))
+	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_COMPLETED, phase(b))
+	require.True(t, apply(t, b, submit(&egretmuxv1.JobStep{Count: 1})).Known)
+	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_COMPLETED, phase(b))
+}
+
+func TestFailureIsCountedOnce(t *testing.T) {
+	b := job.NewBook()
+	apply(t, b, submit(&egretmuxv1.JobStep{Count: 2}))
+	apply(t, b, ends(end(0, 0, 1, failed), end(0, 0, 1, failed)))
+	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_UNSPECIFIED, phase(b))
+	apply(t, b, ends(end(0, 1, 1, failed)))
+	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_UNSPECIFIED, phase(b), "each task has its own attempts")
+	apply(t, b, ends(end(0, 0, 2, failed)))
+	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_FAILED, phase(b))
+}
+
+func TestGangFailsAsAWhole(t *testing.T) {
+	b := job.NewBook()
+	apply(t, b, submit(&egretmuxv1.JobStep{Count: 3, Gang: true}))
+	apply(t, b, ends(end(0, 0, 1, failed), end(0, 2, 1, failed)))
+	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_UNSPECIFIED, phase(b))
+	apply(t, b, ends(end(0, 1, 2, failed)))
+	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_FAILED, phase(b))
+}
+
+func TestLongRunningTaskIsNeverDone(t *testing.T) {
+	b := job.NewBook()
+	apply(t, b, submit(&egretmuxv1.JobStep{Count: 1, LongRunning: true}))
+	apply(t, b, ends(end(0, 0, 1, done), end(0, 0, 2, failed), end(0, 0, 3, failed), end(0, 0, 4, failed)))
+	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_UNSPECIFIED, phase(b))
+}
+
+func TestHighestCatalogueStays(t *testing.T) {
+	b := job.NewBook()
+	require.Equal(t, job.Result{}, apply(t, b, put(5, "five")))
+	require.Equal(t, job.Result{Known: true}, apply(t, b, put(5, "five")))
+	require.Equal(t, job.Result{Known: true, Conflict: true}, apply(t, b, put(5, "other")))
+	require.Equal(t, job.Result{Known: true}, apply(t, b, put(4, "four")))
+	require.Equal(t, "five", string(b.Catalogue().Message.GetSource()))
+}
+
+func TestLateReportOfAnEarlierLifeIsIgnored(t *testing.T) {
+	b := job.NewBook()
+	record := func(born int64) {
+		apply(t, b, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_RecordLife{RecordLife: &egretmuxv1.RecordLife{Life: &egretmuxv1.WorkerLife{Worker: "w", BornUnixMs: born}}}})
+	}
+	record(2)
+	record(1)
+	require.Equal(t, int64(2), b.Workers()[0].Life.GetBornUnixMs())
+	apply(t, b, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_EndLife{EndLife: &egretmuxv1.EndLife{Worker: "w", BornUnixMs: 1}}})
+	require.Len(t, b.Workers(), 1)
+}
+
+// Any state comes back from its snapshot, and goes on as the original does.
+func TestModelSnapshotHoldsEverything(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := job.NewBook()
+		apply(t, b, put(1, "c"))
+		apply(t, b, submit(
+			&egretmuxv1.JobStep{Count: 3}, &egretmuxv1.JobStep{Count: 2, Gang: true}, &egretmuxv1.JobStep{Count: 1, LongRunning: rapid.Bool().Draw(t, "long")},
+		))
+		draw := func(label string) *egretmuxv1.RunEnd {
+			e := end(rapid.Uint32Range(0, 3).Draw(t, label+" step"), rapid.Uint32Range(0, 3).Draw(t, label+" index"), rapid.Uint64Range(1, 4).Draw(t, label+" run"),
+				egretmuxv1.RunOutcome(rapid.IntRange(1, 4).Draw(t, label+" how")))
+			e.Checkpoint = rapid.SampledFrom([]string{"", "x", "y"}).Draw(t, label+" checkpoint")
+			return e
+		}
+		for range rapid.IntRange(0, 8).Draw(t, "ends") {
+			apply(t, b, ends(draw("before")))
+		}
+		snapshot := func(b *job.Book) []byte {
+			var buf bytes.Buffer
+			require.NoError(t, b.Capture()(&buf))
+			return buf.Bytes()
+		}
+		restored := job.NewBook()
+		require.NoError(t, restored.Restore(snapshot(b)))
+		for range 8 {
+			e := draw("after")
+			apply(t, b, ends(e))
+			apply(t, restored, ends(e))
+			require.Equal(t, phase(b), phase(restored))
+			for step, count := range []uint32{3, 2, 1} {
+				for index := range count {
+					var one, two job.TaskState
+					b.View(jobID, func(r *job.Record) { one = r.Task(0, uint32(step), index) })
+					restored.View(jobID, func(r *job.Record) { two = r.Task(0, uint32(step), index) })
+					require.Equal(t, one, two)
+				}
+			}
+		}
+	})
+}
+
+func TestQueueWithTheLongestPrefixTakesTheJob(t *testing.T) {
+	c := job.NewCatalogue(&egretmuxv1.Catalogue{Queues: []*egretmuxv1.Queue{{Name: "short", Host: "h", Prefix: "/a/"}, {Name: "long", Host: "H", Prefix: "/a/b/"}}})
+	q, rest := c.Find(&egretmuxv1.QueueAddress{Host: "h:80", Path: "/a/b/1"})
+	require.Equal(t, "long", q.GetName())
+	require.Equal(t, "1", rest)
+	q, _ = c.Find(&egretmuxv1.QueueAddress{Host: "other", Path: "/a/b/1"})
+	require.Nil(t, q)
+}
+
+func TestUnusableCataloguesAreRefused(t *testing.T) {
+	good := func() *egretmuxv1.Catalogue {
+		return &egretmuxv1.Catalogue{
+			Version: 1, Pools: []*egretmuxv1.Pool{{Name: "s"}},
+			Queues: []*egretmuxv1.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s", TimeoutMs: 1}, {Name: "r", Host: "h", Prefix: "/r/", Service: "s", TimeoutMs: 1}},
+		}
+	}
+	require.NoError(t, job.CheckCatalogue(good()))
+	for name, spoil := range map[string]func(*egretmuxv1.Catalogue){
+		"unknown service": func(c *egretmuxv1.Catalogue) { c.Queues[0].Service = "other" },
+		"same place":      func(c *egretmuxv1.Catalogue) { c.Queues[1].Prefix = "/q/" },
+		"no time-out":     func(c *egretmuxv1.Catalogue) { c.Queues[1].TimeoutMs = 0 },
+		"no version":      func(c *egretmuxv1.Catalogue) { c.Version = 0 },
+	} {
+		c := good()
+		spoil(c)
+		require.Error(t, job.CheckCatalogue(c), name)
+	}
+}
