--- a/internal/dispatch/action.go
+++ b/internal/dispatch/action.go
@@ -1,7 +1,7 @@
 package dispatch
 
 import (
-	"fmt"
+	"cmp"
 	"strconv"
 	"strings"
 
@@ -16,7 +16,13 @@
 }
 
 // String returns the step's name as workers and the advice service know it.
-func (k StepKey) String() string { return fmt.Sprintf("%s.%d.%d", k.Job, k.Occurrence, k.Step) }
+func (k StepKey) String() string {
+	return k.Job + "." + strconv.Itoa(int(k.Occurrence)) + "." + strconv.Itoa(int(k.Step))
+}
+
+func (k StepKey) compare(o StepKey) int {
+	return cmp.Or(cmp.Compare(k.Job, o.Job), cmp.Compare(k.Occurrence, o.Occurrence), cmp.Compare(k.Step, o.Step))
+}
 
 // TaskKey names one task.
 type TaskKey struct {
@@ -27,6 +33,10 @@
 // String returns the task's name as workers know it.
 func (k TaskKey) String() string { return k.StepKey.String() + "." + strconv.Itoa(int(k.Index)) }
 
+func (k TaskKey) compare(o TaskKey) int {
+	return cmp.Or(k.StepKey.compare(o.StepKey), cmp.Compare(k.Index, o.Index))
+}
+
 // ParseTask reads a task's name.
 func ParseTask(s string) (TaskKey, bool) {
 	parts := strings.Split(s, ".")
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -46,6 +46,9 @@
 	return ok && now+ticketMargin < t.until
 }
 
+// free reports whether the service may be asked about the step now.
+func (a *advice) free(now time.Duration) bool { return a.calls == 0 && now >= a.pause }
+
 func queueKey(j *job) [2]string { return [2]string{j.spec.GetHost(), j.spec.GetPrefix()} }
 
 // Advised takes up the answer to an Ask: tickets by worker. A failed call has
@@ -97,9 +100,6 @@
 // as far as its tickets go. The candidates are eligible, best first.
 func (c *Core) ask(s *step, q *egretmuxv1.QueueAdvice, candidates []*worker, needed int, now time.Duration) {
 	a := &s.advice
-	if a.calls > 0 || now < a.pause {
-		return
-	}
 	var renew, unknown []*worker
 	hold := 0 // tasks that valid tickets and renewals have room for
 	for _, w := range candidates {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -47,8 +47,9 @@
 type Core struct {
 	cfg       Config
 	jobs      map[string]*job
-	steps     map[StepKey]*step // those whose turn has come
-	timed     []*job            // with occurrences that are not due
+	steps     map[StepKey]*step  // those whose turn has come
+	ready     map[*step]struct{} // may have waiting tasks
+	timed     []*job             // with occurrences that are not due
 	workers   map[string]*worker
 	unread    map[string]*worker // stored lives that this leader has not read
 	readLimit time.Duration      // when leases of earlier leaders have ended
@@ -58,6 +59,7 @@
 	ratios    map[[2]string]*ratio // by queue
 	goodShare map[[2]string]float64
 	notices   []Notice
+	urgent    urgentUse
 }
 
 // Notice is a decision or a change of what the leader believes, for the log.
@@ -74,7 +76,7 @@
 // New returns the core of a tenure that has just begun.
 func New(cfg Config) *Core {
 	c := &Core{
-		cfg: cfg, jobs: make(map[string]*job), steps: make(map[StepKey]*step),
+		cfg: cfg, jobs: make(map[string]*job), steps: make(map[StepKey]*step), ready: make(map[*step]struct{}),
 		workers: make(map[string]*worker), unread: make(map[string]*worker),
 		readLimit: waitOut(cfg.Lease),
 		ratios:    make(map[[2]string]*ratio), goodShare: make(map[[2]string]float64),
@@ -197,6 +199,7 @@
 	}
 	j.steps[key] = s
 	c.steps[key] = s
+	c.ready[s] = struct{}{}
 	c.setUrgency(s)
 }
 
@@ -262,6 +265,7 @@
 	delete(r.worker.runs, runKey{r.task.key(), r.number})
 	r.task.remove(r)
 	s := r.task.step
+	c.ready[s] = struct{}{}
 	if s.onNode[r.worker]--; s.onNode[r.worker] <= 0 {
 		delete(s.onNode, r.worker)
 	}
@@ -320,8 +324,10 @@
 			c.timed = slices.DeleteFunc(c.timed, func(o *job) bool { return o == j })
 		}
 	}
-	for _, w := range c.sortedWorkers() {
-		c.checkLease(w, now)
+	for _, w := range c.workers {
+		if now >= w.lease.lapsesAt && len(w.runs) > 0 {
+			c.checkLease(w, now)
+		}
 	}
 	c.watchRuns(now)
 }
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -14,12 +14,17 @@
 	for _, r := range w.runs {
 		out = append(out, r)
 	}
-	slices.SortFunc(out, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(a.task.key().String(), b.task.key().String()), cmp.Compare(a.number, b.number))
-	})
+	sortRuns(out)
 	return out
 }
 
+// sortRuns puts runs in an order that does not depend on chance.
+func sortRuns(runs []*run) {
+	slices.SortFunc(runs, func(a, b *run) int {
+		return cmp.Or(a.task.key().compare(b.task.key()), cmp.Compare(a.number, b.number))
+	})
+}
+
 // Listed takes up a worker's answer to a look that was sent at the given time.
 func (c *Core) Listed(t Target, asked, now time.Duration, l Listing) {
 	w := c.workers[t.Worker]
@@ -164,10 +169,14 @@
 // missing gives up the runs that a whole listing lacks, if the worker had
 // answered an order about them before it was asked for the listing.
 func (c *Core) missing(w *worker, listed map[runKey]bool, asked time.Duration) {
-	for _, r := range w.sortedRuns() {
-		if listed[runKey{r.task.key(), r.number}] || !r.proven || r.provenAt >= asked || r.state == ended {
-			continue
+	var gone []*run
+	for key, r := range w.runs {
+		if !listed[key] && r.proven && r.provenAt < asked && r.state != ended {
+			gone = append(gone, r)
 		}
+	}
+	sortRuns(gone)
+	for _, r := range gone {
 		c.lose(r, "not-listed")
 	}
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -21,6 +21,7 @@
 
 // Plan places waiting tasks and asks for the advice that they lack.
 func (c *Core) Plan(now time.Duration) {
+	c.measureUrgent(now)
 	for _, w := range c.workers {
 		w.reserved = room{}
 	}
@@ -33,6 +34,7 @@
 		if len(waiting) == 0 || (s.job.old && !c.Recovered(now)) {
 			continue
 		}
+		s.headroom = c.headroom(s)
 		if !s.spec.GetGang() {
 			c.placeEach(s, waiting, now)
 			continue
@@ -47,11 +49,15 @@
 	}
 }
 
-// order returns the steps with the least slack first; those that cannot meet
-// their objective any more come after those that can.
+// order returns the steps with waiting tasks, least slack first; those that
+// cannot meet their objective any more come after those that can.
 func (c *Core) order(now time.Duration) []*step {
-	out := make([]*step, 0, len(c.steps))
-	for _, s := range c.steps {
+	out := make([]*step, 0, len(c.ready))
+	for s := range c.ready {
+		if c.steps[s.key] != s || len(s.waiting()) == 0 {
+			delete(c.ready, s)
+			continue
+		}
 		s.late = now > s.urgency
 		out = append(out, s)
 	}
@@ -62,30 +68,58 @@
 			}
 			return -1
 		}
-		return cmp.Or(cmp.Compare(a.urgency, b.urgency), cmp.Compare(a.key.String(), b.key.String()))
+		return cmp.Or(cmp.Compare(a.urgency, b.urgency), a.key.compare(b.key))
 	})
 	return out
 }
 
-// eligible returns the workers that could run tasks of the step, leaving room
-// and tickets aside, nearest first.
+// suits reports whether the worker could run tasks of the step, leaving room
+// and tickets aside.
+func (s *step) suits(w *worker, pool string, now time.Duration) bool {
+	if w.life.GetPool() != pool || !w.takes(now) || !w.size.holds(s.room) {
+		return false
+	}
+	label := s.spec.GetRequiredLabel()
+	return label == "" || w.hasLabel(label)
+}
+
+// eligible returns the workers that could run tasks of the step, best first.
 func (c *Core) eligible(s *step, pool string, now time.Duration) []*worker {
-	var out []*worker
+	out := make([]*worker, 0, len(c.workers))
 	for _, w := range c.workers {
-		if w.life.GetPool() != pool || !w.takes(now) || !w.size.holds(s.room) {
-			continue
+		if s.suits(w, pool, now) {
+			out = append(out, w)
 		}
-		if l := s.spec.GetRequiredLabel(); l != "" && !w.hasLabel(l) {
-			continue
+	}
+	s.sort(out)
+	return out
+}
+
+// startable returns the eligible workers that a start may be sent to now: with
+// a valid ticket where the queue asks for advice.
+func (c *Core) startable(s *step, q *egretmuxv1.Queue, now time.Duration) []*worker {
+	if q.GetAdvice() == nil {
+		return c.eligible(s, q.GetService(), now)
+	}
+	var out []*worker
+	for w := range s.advice.tickets {
+		if c.workers[w.Worker] == w && s.advice.valid(w, now) && s.suits(w, q.GetService(), now) {
+			out = append(out, w)
 		}
-		out = append(out, w)
 	}
-	slices.SortFunc(out, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(s.score(a), s.score(b)), cmp.Compare(a.Worker, b.Worker))
-	})
+	s.sort(out)
 	return out
 }
 
+func (s *step) sort(workers []*worker) {
+	for _, w := range workers {
+		w.scored = s.score(w)
+	}
+	slices.SortFunc(workers, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(a.scored, b.scored), cmp.Compare(a.Worker, b.Worker))
+	})
+}
+
 // score orders workers for a step: near the data, fast, and then the fullest
 // one, so that wide tasks find room elsewhere. Lower is better.
 func (s *step) score(w *worker) float64 {
@@ -98,7 +132,14 @@
 
 // allowance is how many more tasks of the step the worker may take.
 func (s *step) allowance(w *worker, limit int) int {
-	n := w.usable().times(s.room, limit)
+	usable := w.usable()
+	if s.room.cpu+s.headroom <= w.size.cpu {
+		usable.cpu -= s.headroom
+	}
+	n := usable.times(s.room, limit)
+	if w.failures >= failLimit {
+		n = min(n, 1)
+	}
 	if most := int(s.spec.GetMaxPerWorker()); most > 0 {
 		n = min(n, most-s.onNode[w])
 	}
@@ -108,23 +149,19 @@
 // placeEach starts as many of the waiting tasks as fit.
 func (c *Core) placeEach(s *step, waiting []*task, now time.Duration) {
 	q := c.queue(s.job)
-	candidates := c.eligible(s, q.GetService(), now)
 	left := waiting
-	for _, w := range candidates {
+	for _, w := range c.startable(s, q, now) {
 		if len(left) == 0 {
 			return
 		}
-		if q.GetAdvice() != nil && !s.advice.valid(w, now) {
-			continue
-		}
 		n := s.allowance(w, len(left))
 		for _, t := range left[:n] {
 			c.start(t, w, t.lastRun+1, now)
 		}
 		left = left[n:]
 	}
-	if len(left) > 0 && q.GetAdvice() != nil {
-		c.ask(s, q.GetAdvice(), withRoom(s, candidates), len(left), now)
+	if len(left) > 0 && q.GetAdvice() != nil && s.advice.free(now) {
+		c.ask(s, q.GetAdvice(), withRoom(s, c.eligible(s, q.GetService(), now)), len(left), now)
 	}
 }
 
@@ -141,15 +178,10 @@
 // placeGang starts all tasks of a gang at once, or none.
 func (c *Core) placeGang(s *step, waiting []*task, now time.Duration) bool {
 	q := c.queue(s.job)
-	candidates := c.eligible(s, q.GetService(), now)
-	usable := candidates
-	if q.GetAdvice() != nil {
-		usable = slices.DeleteFunc(slices.Clone(candidates), func(w *worker) bool { return !s.advice.valid(w, now) })
-	}
-	chosen := s.fit(usable, len(waiting))
+	chosen := s.fit(c.startable(s, q, now), len(waiting))
 	if chosen == nil {
-		if q.GetAdvice() != nil {
-			c.askGang(s, q.GetAdvice(), candidates, len(waiting), now)
+		if q.GetAdvice() != nil && s.advice.free(now) {
+			c.askGang(s, q.GetAdvice(), c.eligible(s, q.GetService(), now), len(waiting), now)
 		}
 		return false
 	}
@@ -165,11 +197,10 @@
 
 // askGang asks for a gang: workers that have room now or are likely to.
 func (c *Core) askGang(s *step, q *egretmuxv1.QueueAdvice, candidates []*worker, needed int, now time.Duration) {
-	byRoom := slices.Clone(candidates)
-	slices.SortStableFunc(byRoom, func(a, b *worker) int {
+	slices.SortStableFunc(candidates, func(a, b *worker) int {
 		return cmp.Compare(s.allowance(b, needed), s.allowance(a, needed))
 	})
-	c.ask(s, q, byRoom, needed, now)
+	c.ask(s, q, candidates, needed, now)
 }
 
 // fit returns a worker for each of n tasks, or nil. Tasks that want one rack
@@ -255,6 +286,3 @@
 	c.out.Starts = append(c.out.Starts, order)
 	c.notice(Notice{Event: "run_starting", Job: s.key.Job, Task: t.key().String(), Worker: w.Worker, Run: r.number, Age: now - s.ready})
 }
-
-// watchRuns looks for runs that stand still.
-func (c *Core) watchRuns(time.Duration) {}
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -52,7 +52,8 @@
 	late    bool          // the objective is past
 	advice  advice
 	onNode  map[*worker]int // runs by worker
-	blocked string          // why nothing was placed at the last look
+	// headroom is cpu of each worker that the step leaves to urgent work.
+	headroom int64
 }
 
 // waiting returns the tasks without a run.
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -55,6 +55,7 @@
 	answered  time.Duration // when it last answered a look
 	missed    int           // looks in a row without an answer
 	restUntil time.Duration // no starts before
+	scored    float64       // for the step being placed; lower is better
 	pace      float64       // its run times against the mean; 1 is average
 	failures  float64       // recent failed runs, decaying with each success
 
@@ -85,8 +86,14 @@
 	return w.fenced && !w.draining && len(w.foreign) == 0 && w.missed <= missedLimit && now >= w.restUntil
 }
 
-// usable is the room that is neither taken nor reserved.
-func (w *worker) usable() room { return w.free.minus(w.reserved) }
+// usable is the room that is neither taken nor reserved. A worker that failed
+// what it got lately is tried with one run at a time.
+func (w *worker) usable() room {
+	if w.failures >= failLimit && len(w.runs) > 0 {
+		return room{}
+	}
+	return w.free.minus(w.reserved)
+}
 
 func (w *worker) hasLabel(label string) bool {
 	for _, l := range w.life.GetLabels() {
--- a/internal/jobcell/advise.go
+++ b/internal/jobcell/advise.go
@@ -22,7 +22,9 @@
 	busy  map[string]float64   // expected milliseconds of the calls on their way, by instance
 }
 
-func newAdvisers(c *Cell) *advisers { return &advisers{cell: c, busy: make(map[string]float64), avoid: make(map[string]time.Time)} }
+func newAdvisers(c *Cell) *advisers {
+	return &advisers{cell: c, busy: make(map[string]float64), avoid: make(map[string]time.Time)}
+}
 
 // adviserRest is the time for which an instance that failed a call is not asked;
 // a restart takes about as long.
--- a/internal/jobcell/cell.go
+++ b/internal/jobcell/cell.go
@@ -83,7 +83,7 @@
 	cfg.Scheduler.Adviser = c.advisers
 	cfg.Scheduler.Logger = cfg.Logger
 	c.scheduler = scheduler.New(cfg.Scheduler)
-	c.finder = peer.NewLeader(dialer, cfg.Seeds, c.leaderHint)
+	c.finder = peer.NewLeader(dialer, cfg.Seeds, c.leaderAddress)
 	if cfg.DataFolder == "" {
 		return c, nil
 	}
@@ -183,14 +183,6 @@
 	return m
 }
 
-// leaderHint is the leader as this instance last heard of it.
-func (c *Cell) leaderHint() string {
-	if leader := c.scheduler.LeaderAddress(); leader != "" {
-		return leader
-	}
-	return ""
-}
-
 // formed reports whether this instance knows that the cell exists.
 func (c *Cell) formed() bool {
 	if c.voter != nil && !c.voter.Empty() {
--- a/internal/jobcell/forward.go
+++ b/internal/jobcell/forward.go
@@ -2,25 +2,52 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/peer"
+	"github.com/egretmux/egretmux/internal/refusal"
+	"github.com/egretmux/egretmux/internal/refusal/refusalrpc"
+	"github.com/egretmux/egretmux/internal/telemetry"
 )
 
 // tryTimeout bounds one call to the leader; a commit takes a few tens of
 // milliseconds, and a leader that is gone is replaced within a second.
-const tryTimeout = 800 * time.Millisecond
+const tryTimeout = 500 * time.Millisecond
 
-// CallJob carries a call to the leader. It tries again until the context ends.
+// searchTime bounds the search for a leader for a call that has certainly not
+// been carried out; a leader that is lost is replaced within about a second.
+const searchTime = 1200 * time.Millisecond
+
+// CallJob carries a call to the leader. Calls can be repeated without harm, so
+// one that may have been carried out is repeated until its outcome is known or
+// the context ends.
 func (c *Cell) CallJob(ctx context.Context, call *egretmuxv1.JobCall) (*egretmuxv1.JobAnswer, error) {
-	if c.scheduler.Leads() {
-		return c.scheduler.CallJob(ctx, call)
+	search, cancel := context.WithTimeout(ctx, searchTime)
+	defer cancel()
+	answer, err := c.callJob(search, call)
+	if err == nil || refusal.Of(err).Ran != refusal.Unknown || ctx.Err() != nil {
+		return answer, err
+	}
+	telemetry.CountRetry(refusal.OutcomeUnknown)
+	answer, again := c.callJob(ctx, call)
+	if again != nil && refusal.Of(again).Kind.HTTPStatus() >= http.StatusInternalServerError {
+		return nil, err
 	}
+	return answer, again
+}
+
+func (c *Cell) callJob(ctx context.Context, call *egretmuxv1.JobCall) (*egretmuxv1.JobAnswer, error) {
 	var out *egretmuxv1.JobAnswer
 	err := c.toLeader(ctx, func(ctx context.Context, p *peer.Clients) error {
+		if c.scheduler.Leads() {
+			var err error
+			out, err = c.scheduler.CallJob(ctx, call)
+			return refusalrpc.Error(err)
+		}
 		resp, err := p.Jobs.CallJob(ctx, connect.NewRequest(call))
 		if err == nil {
 			out = resp.Msg
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -124,11 +124,12 @@
 	voters  []string
 	current string
 	next    int
+	suspect map[string]time.Time // when an address last failed to answer
 }
 
 // NewLeader returns a finder for the given addresses of voters.
 func NewLeader(d *Dialer, voters []string, hint func() string) *Leader {
-	return &Leader{dialer: d, hint: hint, voters: voters, clients: make(map[string]*Clients)}
+	return &Leader{dialer: d, hint: hint, voters: voters, clients: make(map[string]*Clients), suspect: make(map[string]time.Time)}
 }
 
 // pick returns the clients of the instance to try.
@@ -140,7 +141,7 @@
 	if hint != "" {
 		address = hint
 	}
-	if address == "" && len(l.voters) > 0 {
+	for tries := 0; tries < len(l.voters) && (address == "" || l.isSuspect(address)); tries++ {
 		address = l.voters[l.next%len(l.voters)]
 		l.next++
 	}
@@ -152,6 +153,21 @@
 	return c
 }
 
+// suspectTime is how long an instance that did not answer is passed over while
+// others are known. A new leader is elected in about that time.
+const suspectTime = time.Second
+
+func (l *Leader) isSuspect(address string) bool {
+	at, known := l.suspect[address]
+	return known && time.Since(at) < suspectTime
+}
+
+func (l *Leader) suspectOne(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.suspect[address] = time.Now()
+}
+
 // SetVoters replaces the addresses to look for the leader at.
 func (l *Leader) SetVoters(voters []string) {
 	l.mu.Lock()
@@ -166,6 +182,7 @@
 	switch {
 	case found:
 		l.current = tried
+		delete(l.suspect, tried)
 	case leader != "" && leader != tried:
 		l.current = leader
 	case l.current == tried:
@@ -198,6 +215,9 @@
 			unknown = r
 		}
 		l.learn(c.Address, leader, false)
+		if r.Ran == refusal.Unknown || leader == "" {
+			l.suspectOne(c.Address)
+		}
 		if leader != "" && leader != c.Address {
 			pause = retryPause
 		}
--- a/internal/standin/forwarder.go
+++ b/internal/standin/forwarder.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 )
 
 // Forwarder is a TCP path between two ends that can lose track of the
@@ -15,6 +16,27 @@
 
 	mu    sync.Mutex
 	pairs map[*forwardedPair]bool
+	path  Path
+}
+
+// Path is how a forwarder carries bytes.
+type Path struct {
+	Delay    time.Duration // of what passes either way
+	NoInward bool          // what comes in is swallowed
+	NoOutway bool          // what goes back is swallowed
+}
+
+// SetPath changes how open and new connections are carried.
+func (f *Forwarder) SetPath(p Path) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.path = p
+}
+
+func (f *Forwarder) currentPath() Path {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.path
 }
 
 type forwardedPair struct {
@@ -59,8 +81,8 @@
 	f.pairs[p] = true
 	f.mu.Unlock()
 	var ends sync.WaitGroup
-	ends.Go(func() { p.copy(far, near) })
-	ends.Go(func() { p.copy(near, far) })
+	ends.Go(func() { p.copy(far, near, func() (time.Duration, bool) { path := f.currentPath(); return path.Delay, path.NoInward }) })
+	ends.Go(func() { p.copy(near, far, func() (time.Duration, bool) { path := f.currentPath(); return path.Delay, path.NoOutway }) })
 	ends.Wait()
 	f.mu.Lock()
 	delete(f.pairs, p)
@@ -68,13 +90,16 @@
 }
 
 // copy carries one direction. On a silent pair it swallows what comes.
-func (p *forwardedPair) copy(to, from net.Conn) {
+func (p *forwardedPair) copy(to, from net.Conn, path func() (delay time.Duration, swallow bool)) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
 		p.mu.Lock()
 		silent := p.silent
 		p.mu.Unlock()
+		delay, swallow := path()
+		silent = silent || swallow
+		time.Sleep(delay)
 		if n > 0 && !silent {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				err = werr
--- /dev/null
+++ b/internal/telemetry/queue_test.go
@@ -0,0 +1,71 @@
+package telemetry_test
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretmux/egretmux/internal/telemetry"
+)
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func TestLogLinesKeepTheirOrder(t *testing.T) {
+	out := &lockedBuffer{}
+	q := telemetry.NewLogQueue(out)
+	for _, line := range []string{"a\n", "b\n", "c\n"} {
+		_, err := q.Write([]byte(line))
+		require.NoError(t, err)
+	}
+	q.Close(time.Second)
+	require.Equal(t, "a\nb\nc\n", out.String())
+}
+
+// Nobody reads the pipe: those that log go on, and what is left out is counted.
+func TestUnreadLogHoldsNobodyUp(t *testing.T) {
+	r, w, err := os.Pipe()
+	require.NoError(t, err)
+	q := telemetry.NewLogQueue(w)
+	line := []byte(strings.Repeat("x", 1023) + "\n")
+	began := time.Now()
+	for range 2000 {
+		_, err := q.WriteLevel(zerolog.InfoLevel, line)
+		require.NoError(t, err)
+	}
+	_, err = q.WriteLevel(zerolog.WarnLevel, []byte("failure\n"))
+	require.NoError(t, err)
+	require.Less(t, time.Since(began), time.Second)
+	q.Close(50 * time.Millisecond)
+	var read bytes.Buffer
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = read.ReadFrom(r)
+	}()
+	time.Sleep(400 * time.Millisecond)
+	require.NoError(t, w.Close())
+	<-done
+	require.Contains(t, read.String(), "failure\n")
+	require.Contains(t, read.String(), "log_lines_dropped")
+}
