Waves of upkeep, pacing of tasks that fill, serving tasks on draining workers

Change: waves are stored, their machines emptied, ordered under the leader's token with the intent stored first, and shown as completed only when all have begun; tasks that fill are paced by the tails of the serving tasks beside them. Ruled out: an order without a stored intent, which a new leader could not count. Moves between pools are not built.

--- a/gen/egretmux/v1/egretmuxv1connect/job.connect.go
+++ b/gen/egretmux/v1/egretmuxv1connect/job.connect.go
@@ -52,6 +52,11 @@
 	// JobCellServiceBeatWorkerProcedure is the fully-qualified name of the JobCellService's BeatWorker
 	// RPC.
 	JobCellServiceBeatWorkerProcedure = "/egretmux.v1.JobCellService/BeatWorker"
+	// JobCellServiceStartWaveProcedure is the fully-qualified name of the JobCellService's StartWave
+	// RPC.
+	JobCellServiceStartWaveProcedure = "/egretmux.v1.JobCellService/StartWave"
+	// JobCellServiceShowWaveProcedure is the fully-qualified name of the JobCellService's ShowWave RPC.
+	JobCellServiceShowWaveProcedure = "/egretmux.v1.JobCellService/ShowWave"
 	// JobCellServiceAdviseProcedure is the fully-qualified name of the JobCellService's Advise RPC.
 	JobCellServiceAdviseProcedure = "/egretmux.v1.JobCellService/Advise"
 )
@@ -64,6 +69,8 @@
 	PutCatalogue(context.Context, *connect.Request[v1.PutCatalogueRequest]) (*connect.Response[v1.PutCatalogueResponse], error)
 	GetCatalogue(context.Context, *connect.Request[v1.GetCatalogueRequest]) (*connect.Response[v1.GetCatalogueResponse], error)
 	BeatWorker(context.Context, *connect.Request[v1.WorkerBeat]) (*connect.Response[v1.WorkerBeatResponse], error)
+	StartWave(context.Context, *connect.Request[v1.StartWaveRequest]) (*connect.Response[v1.StartWaveResponse], error)
+	ShowWave(context.Context, *connect.Request[v1.ShowWaveRequest]) (*connect.Response[v1.ShowWaveResponse], error)
 	Advise(context.Context, *connect.Request[v1.AdviseRequest]) (*connect.Response[v1.AdviseResponse], error)
 }
 
@@ -114,6 +121,18 @@
 			connect.WithSchema(jobCellServiceMethods.ByName("BeatWorker")),
 			connect.WithClientOptions(opts...),
 		),
+		startWave: connect.NewClient[v1.StartWaveRequest, v1.StartWaveResponse](
+			httpClient,
+			baseURL+JobCellServiceStartWaveProcedure,
+			connect.WithSchema(jobCellServiceMethods.ByName("StartWave")),
+			connect.WithClientOptions(opts...),
+		),
+		showWave: connect.NewClient[v1.ShowWaveRequest, v1.ShowWaveResponse](
+			httpClient,
+			baseURL+JobCellServiceShowWaveProcedure,
+			connect.WithSchema(jobCellServiceMethods.ByName("ShowWave")),
+			connect.WithClientOptions(opts...),
+		),
 		advise: connect.NewClient[v1.AdviseRequest, v1.AdviseResponse](
 			httpClient,
 			baseURL+JobCellServiceAdviseProcedure,
@@ -131,6 +150,8 @@
 	putCatalogue   *connect.Client[v1.PutCatalogueRequest, v1.PutCatalogueResponse]
 	getCatalogue   *connect.Client[v1.GetCatalogueRequest, v1.GetCatalogueResponse]
 	beatWorker     *connect.Client[v1.WorkerBeat, v1.WorkerBeatResponse]
+	startWave      *connect.Client[v1.StartWaveRequest, v1.StartWaveResponse]
+	showWave       *connect.Client[v1.ShowWaveRequest, v1.ShowWaveResponse]
 	advise         *connect.Client[v1.AdviseRequest, v1.AdviseResponse]
 }
 
@@ -164,6 +185,16 @@
 	return c.beatWorker.CallUnary(ctx, req)
 }
 
+// StartWave calls egretmux.v1.JobCellService.StartWave.
+func (c *jobCellServiceClient) StartWave(ctx context.Context, req *connect.Request[v1.StartWaveRequest]) (*connect.Response[v1.StartWaveResponse], error) {
+	return c.startWave.CallUnary(ctx, req)
+}
+
+// ShowWave calls egretmux.v1.JobCellService.ShowWave.
+func (c *jobCellServiceClient) ShowWave(ctx context.Context, req *connect.Request[v1.ShowWaveRequest]) (*connect.Response[v1.ShowWaveResponse], error) {
+	return c.showWave.CallUnary(ctx, req)
+}
+
 // Advise calls egretmux.v1.JobCellService.Advise.
 func (c *jobCellServiceClient) Advise(ctx context.Context, req *connect.Request[v1.AdviseRequest]) (*connect.Response[v1.AdviseResponse], error) {
 	return c.advise.CallUnary(ctx, req)
@@ -177,6 +208,8 @@
 	PutCatalogue(context.Context, *connect.Request[v1.PutCatalogueRequest]) (*connect.Response[v1.PutCatalogueResponse], error)
 	GetCatalogue(context.Context, *connect.Request[v1.GetCatalogueRequest]) (*connect.Response[v1.GetCatalogueResponse], error)
 	BeatWorker(context.Context, *connect.Request[v1.WorkerBeat]) (*connect.Response[v1.WorkerBeatResponse], error)
+	StartWave(context.Context, *connect.Request[v1.StartWaveRequest]) (*connect.Response[v1.StartWaveResponse], error)
+	ShowWave(context.Context, *connect.Request[v1.ShowWaveRequest]) (*connect.Response[v1.ShowWaveResponse], error)
 	Advise(context.Context, *connect.Request[v1.AdviseRequest]) (*connect.Response[v1.AdviseResponse], error)
 }
 
@@ -223,6 +256,18 @@
 		connect.WithSchema(jobCellServiceMethods.ByName("BeatWorker")),
 		connect.WithHandlerOptions(opts...),
 	)
+	jobCellServiceStartWaveHandler := connect.NewUnaryHandler(
+		JobCellServiceStartWaveProcedure,
+		svc.StartWave,
+		connect.WithSchema(jobCellServiceMethods.ByName("StartWave")),
+		connect.WithHandlerOptions(opts...),
+	)
+	jobCellServiceShowWaveHandler := connect.NewUnaryHandler(
+		JobCellServiceShowWaveProcedure,
+		svc.ShowWave,
+		connect.WithSchema(jobCellServiceMethods.ByName("ShowWave")),
+		connect.WithHandlerOptions(opts...),
+	)
 	jobCellServiceAdviseHandler := connect.NewUnaryHandler(
 		JobCellServiceAdviseProcedure,
 		svc.Advise,
@@ -243,6 +288,10 @@
 			jobCellServiceGetCatalogueHandler.ServeHTTP(w, r)
 		case JobCellServiceBeatWorkerProcedure:
 			jobCellServiceBeatWorkerHandler.ServeHTTP(w, r)
+		case JobCellServiceStartWaveProcedure:
+			jobCellServiceStartWaveHandler.ServeHTTP(w, r)
+		case JobCellServiceShowWaveProcedure:
+			jobCellServiceShowWaveHandler.ServeHTTP(w, r)
 		case JobCellServiceAdviseProcedure:
 			jobCellServiceAdviseHandler.ServeHTTP(w, r)
 		default:
@@ -278,6 +327,14 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("egretmux.v1.JobCellService.BeatWorker is not implemented"))
 }
 
+func (UnimplementedJobCellServiceHandler) StartWave(context.Context, *connect.Request[v1.StartWaveRequest]) (*connect.Response[v1.StartWaveResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("egretmux.v1.JobCellService.StartWave is not implemented"))
+}
+
+func (UnimplementedJobCellServiceHandler) ShowWave(context.Context, *connect.Request[v1.ShowWaveRequest]) (*connect.Response[v1.ShowWaveResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("egretmux.v1.JobCellService.ShowWave is not implemented"))
+}
+
 func (UnimplementedJobCellServiceHandler) Advise(context.Context, *connect.Request[v1.AdviseRequest]) (*connect.Response[v1.AdviseResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("egretmux.v1.JobCellService.Advise is not implemented"))
 }
--- a/internal/dispatch/action.go
+++ b/internal/dispatch/action.go
@@ -80,6 +80,14 @@
 	Run  uint64
 }
 
+// Pace orders a run to work at a share of its speed.
+type Pace struct {
+	Target
+	Task    TaskKey
+	Run     uint64
+	Percent int
+}
+
 // Ask asks the advice service which workers may run a step.
 type Ask struct {
 	Step    StepKey
@@ -98,6 +106,7 @@
 type Actions struct {
 	Starts []Start
 	Stops  []Stop
+	Paces  []Pace
 	Asks   []Ask
 	Notes  []Note
 }
--- a/internal/dispatch/learn.go
+++ b/internal/dispatch/learn.go
@@ -27,6 +27,9 @@
 // learn takes up how long a run took and whether its worker failed it.
 func (c *Core) learn(r *run, how egretmuxv1.RunOutcome, now time.Duration) {
 	w := r.worker
+	if r.task.step.spec.GetLongRunning() {
+		return // it may fail at any time by itself
+	}
 	switch how {
 	case egretmuxv1.RunOutcome_RUN_OUTCOME_FAILED:
 		w.failures++
@@ -42,7 +45,7 @@
 	}
 	s := r.task.step
 	took := float64(now-r.since) / float64(time.Millisecond)
-	plain := s.spec.GetEstimateMs() > 0 && r.task.lastRun == r.number && !s.spec.GetLongRunning() &&
+	plain := s.spec.GetEstimateMs() > 0 && r.task.lastRun == r.number &&
 		(s.spec.GetDataRack() == "" || s.spec.GetDataRack() == w.rack)
 	if !plain || took <= 0 {
 		return
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -53,6 +53,7 @@
 	if l.Whole {
 		c.missing(w, listed, asked)
 	}
+	c.pace(w, now)
 	if first {
 		delete(c.unread, t.Worker)
 		c.notice(Notice{Event: "worker_read", Worker: t.Worker, Age: now - asked})
@@ -142,7 +143,7 @@
 
 // record keeps a run on a worker and takes its room, unless it has ended.
 func (c *Core) record(t *task, w *worker, number uint64, state runState, now time.Duration) *run {
-	r := &run{task: t, worker: w, number: number, state: state, room: t.step.room, since: now, movedAt: now}
+	r := &run{task: t, worker: w, number: number, state: state, room: t.step.room, since: now, movedAt: now, paced: fullPace}
 	w.runs[runKey{t.key(), number}] = r
 	if state != ended {
 		w.free = w.free.minus(r.room)
@@ -163,6 +164,7 @@
 	if r.state == ordered || r.state == unsure {
 		r.state = running
 	}
+	r.load = lr.Load
 	r.proven = true
 }
 
--- a/internal/dispatch/lives.go
+++ b/internal/dispatch/lives.go
@@ -24,7 +24,7 @@
 	c.workers[life.GetWorker()] = &worker{
 		Target: Target{Worker: life.GetWorker(), Born: life.GetBornUnixMs(), Address: life.GetAddress()},
 		life:   life, size: size, free: size, rack: rackOf(life.GetLabels()), pace: 1,
-		lease: lease{length: c.cfg.Lease}, runs: make(map[runKey]*run),
+		lease: lease{length: c.cfg.Lease}, runs: make(map[runKey]*run), fillPace: fullPace,
 	}
 }
 
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -11,12 +11,12 @@
 
 // Limits of one plan.
 const (
-	maxSteps      = 256 // steps looked at in one plan
-	maxReserved   = 6   // waiting gangs that hold room back
-	lateFactor    = 3   // objectives after which a job earns nothing more by its time
-	farPenalty    = 1e6 // score of a worker away from the data
-	pacePenalty   = 4e4 // score of each unit of a worker's learned slowness
-	gangPacePrice = 1e3
+	maxSteps       = 256 // steps looked at in one plan
+	maxReserved    = 6   // waiting gangs that hold room back
+	lateFactor     = 3   // objectives after which a job earns nothing more by its time
+	farPenalty     = 1e6 // score of a worker away from the data
+	pacePenalty    = 4e4 // score of each unit of a worker's learned slowness
+	servingPenalty = 2e4 // score of each serving task beside a task that fills
 )
 
 // Plan places waiting tasks and asks for the advice that they lack.
@@ -123,13 +123,32 @@
 // score orders workers for a step: near the data, fast, and then the fullest
 // one, so that wide tasks find room elsewhere. Lower is better.
 func (s *step) score(w *worker) float64 {
-	score := pacePenalty*w.pace + float64(w.usable().cpu)
+	score := pacePenalty * w.pace
+	if s.spec.GetFills() {
+		score += w.fillScore()
+	} else {
+		score += float64(w.usable().cpu)
+	}
 	if rack := s.spec.GetDataRack(); rack != "" && rack != w.rack {
 		score += farPenalty
 	}
 	return score
 }
 
+// fillScore orders workers for tasks that fill: those with much unused capacity
+// and no serving tasks to disturb come first.
+func (w *worker) fillScore() float64 {
+	score := -float64(w.free.cpu)
+	for _, r := range w.runs {
+		if r.task.step.spec.GetFills() {
+			score += float64(r.task.step.spec.GetCpuMillis())
+		} else if r.task.step.spec.GetTargetMs() > 0 {
+			score += servingPenalty
+		}
+	}
+	return score
+}
+
 // allowance is how many more tasks of the step the worker may take.
 func (s *step) allowance(w *worker, limit int) int {
 	usable := w.usable()
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -30,7 +30,7 @@
 	var found []*run
 	for _, w := range c.workers {
 		for _, r := range w.runs {
-			if r.state != running || r.task.step.spec.GetLongRunning() {
+			if r.state != running {
 				continue
 			}
 			if reason := c.hopeless(r, now); reason != "" {
@@ -63,6 +63,12 @@
 // hopeless returns why a run should be moved, or nothing.
 func (c *Core) hopeless(r *run, now time.Duration) string {
 	w, s := r.worker, r.task.step
+	if s.spec.GetLongRunning() {
+		if w.draining {
+			return "worker-leaves"
+		}
+		return ""
+	}
 	if w.draining && w.leavesAt > 0 {
 		stays := w.leavesAt - now
 		left := c.left(r, now)
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -51,6 +51,7 @@
 
 	fenced    bool // it has seen this leader's token, and its runs are known
 	draining  bool
+	cordoned  bool          // upkeep is about to begin: no new work, and what can be moved is
 	leavesAt  time.Duration // when a draining worker may be gone
 	answered  time.Duration // when it last answered a look
 	missed    int           // looks in a row without an answer
@@ -66,6 +67,9 @@
 	// foreign are listed runs of jobs that are not there any more, by when their
 	// stop was last sent.
 	foreign map[runKey]time.Duration
+
+	fillPace   int           // percent at which tasks that fill may work
+	fillPaceAt time.Duration // when it was last changed
 }
 
 type runKey struct {
@@ -83,7 +87,7 @@
 
 // takes reports whether the worker may get new runs.
 func (w *worker) takes(now time.Duration) bool {
-	return w.fenced && !w.draining && len(w.foreign) == 0 && w.missed <= missedLimit && now >= w.restUntil
+	return w.fenced && !w.draining && !w.cordoned && len(w.foreign) == 0 && w.missed <= missedLimit && now >= w.restUntil
 }
 
 // usable is the room that is neither taken nor reserved. A worker that failed
@@ -131,4 +135,7 @@
 	percent    float64
 	movedAt    time.Duration // when percent last changed
 	checkpoint string
+	load       float64 // of a serving task: its tail in milliseconds
+	paced      int     // percent last ordered
+	pacing     bool    // an order is on its way
 }
--- a/internal/job/book.go
+++ b/internal/job/book.go
@@ -26,11 +26,12 @@
 	catalogue *Catalogue
 	jobs      map[string]*Record
 	workers   map[string]*Worker
+	waves     map[uint64]*egretmuxv1.Wave
 }
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{jobs: make(map[string]*Record), workers: make(map[string]*Worker)}
+	return &Book{jobs: make(map[string]*Record), workers: make(map[string]*Worker), waves: make(map[uint64]*egretmuxv1.Wave)}
 }
 
 // Result is what applying a command returned.
@@ -65,6 +66,10 @@
 		b.recordLife(c.RecordLife.GetLife())
 	case *egretmuxv1.JobCommand_EndLife:
 		b.endLife(c.EndLife)
+	case *egretmuxv1.JobCommand_PutWave:
+		return b.putWave(c.PutWave.GetWave())
+	case *egretmuxv1.JobCommand_MarkWave:
+		b.markWave(c.MarkWave)
 	case *egretmuxv1.JobCommand_ForgetJobs:
 		for _, id := range c.ForgetJobs.GetJobs() {
 			if r := b.jobs[id]; r != nil && r.Ended() {
@@ -172,6 +177,9 @@
 	for _, w := range b.workers {
 		snap.Workers = append(snap.Workers, &egretmuxv1.WorkerRecord{Life: w.Life, Draining: w.Draining})
 	}
+	for _, w := range b.waves {
+		snap.Waves = append(snap.Waves, w)
+	}
 	return func(w io.Writer) error {
 		data, err := proto.Marshal(snap) // encode copied what later commands change
 		if err != nil {
@@ -196,12 +204,16 @@
 	for _, w := range snap.GetWorkers() {
 		workers[w.GetLife().GetWorker()] = &Worker{Life: w.GetLife(), Draining: w.GetDraining()}
 	}
+	waves := make(map[uint64]*egretmuxv1.Wave, len(snap.GetWaves()))
+	for _, w := range snap.GetWaves() {
+		waves[w.GetId()] = w
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.catalogue = nil
 	if snap.GetCatalogue() != nil {
 		b.catalogue = NewCatalogue(snap.GetCatalogue())
 	}
-	b.jobs, b.workers = jobs, workers
+	b.jobs, b.workers, b.waves = jobs, workers, waves
 	return nil
 }
--- a/internal/jobcell/forward.go
+++ b/internal/jobcell/forward.go
@@ -95,6 +95,27 @@
 	return control, err
 }
 
+// StartWave carries planned upkeep to the leader.
+func (c *Cell) StartWave(ctx context.Context, w *egretmuxv1.Wave) error {
+	return c.toLeader(ctx, func(ctx context.Context, p *peer.Clients) error {
+		_, err := p.Jobs.StartWave(ctx, connect.NewRequest(&egretmuxv1.StartWaveRequest{Wave: w}))
+		return err
+	})
+}
+
+// ShowWave returns how far a wave is, as the leader has it.
+func (c *Cell) ShowWave(ctx context.Context, id uint64) (*egretmuxv1.ShowWaveResponse, error) {
+	var out *egretmuxv1.ShowWaveResponse
+	err := c.toLeader(ctx, func(ctx context.Context, p *peer.Clients) error {
+		resp, err := p.Jobs.ShowWave(ctx, connect.NewRequest(&egretmuxv1.ShowWaveRequest{Wave: id}))
+		if err == nil {
+			out = resp.Msg
+		}
+		return err
+	})
+	return out, err
+}
+
 func (c *Cell) toLeader(ctx context.Context, f func(context.Context, *peer.Clients) error) error {
 	return c.finder.Call(ctx, func(ctx context.Context, p *peer.Clients) error {
 		ctx, cancel := context.WithTimeout(ctx, tryTimeout)
--- a/internal/jobcell/serve.go
+++ b/internal/jobcell/serve.go
@@ -55,3 +55,14 @@
 	}
 	return connect.NewResponse(resp), nil
 }
+
+// StartWave implements JobCellService.
+func (s *service) StartWave(ctx context.Context, req *connect.Request[egretmuxv1.StartWaveRequest]) (*connect.Response[egretmuxv1.StartWaveResponse], error) {
+	return reply(s.cell, &egretmuxv1.StartWaveResponse{}, s.cell.scheduler.StartWave(ctx, req.Msg.GetWave()))
+}
+
+// ShowWave implements JobCellService.
+func (s *service) ShowWave(ctx context.Context, req *connect.Request[egretmuxv1.ShowWaveRequest]) (*connect.Response[egretmuxv1.ShowWaveResponse], error) {
+	resp, err := s.cell.scheduler.ShowWave(ctx, req.Msg.GetWave())
+	return reply(s.cell, resp, err)
+}
--- a/internal/scheduler/look.go
+++ b/internal/scheduler/look.go
@@ -52,6 +52,9 @@
 		t.mu.Lock()
 		known := t.core.Knows(target)
 		until, cursor := t.core.Hold(target)
+		if wait > 0 && t.core.Watched(target) {
+			wait = watchWait
+		}
 		t.mu.Unlock()
 		if !known {
 			return
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -43,6 +43,8 @@
 	Start(ctx context.Context, s dispatch.Start, fence uint64) (answer dispatch.Refusal, clock int64)
 	// Stop returns whether the worker answered.
 	Stop(ctx context.Context, s dispatch.Stop, fence uint64) bool
+	// Pace returns whether the worker answered.
+	Pace(ctx context.Context, p dispatch.Pace, fence uint64) bool
 	Look(ctx context.Context, l Look) (dispatch.Listing, LookResult)
 	// Release closes what was kept for a worker that is gone.
 	Release(t dispatch.Target)
@@ -57,6 +59,7 @@
 type Config struct {
 	Workers     Workers
 	Adviser     Adviser
+	Machines    Machines      // nil: no waves of upkeep
 	Lease       time.Duration // of a worker's runs
 	FarFactor   float64
 	StopTimeout time.Duration
@@ -242,3 +245,21 @@
 	defer s.mu.RUnlock()
 	return s.tenure != nil
 }
+
+// StartWave stores planned upkeep.
+func (s *Scheduler) StartWave(_ context.Context, w *egretmuxv1.Wave) error {
+	t, err := s.current()
+	if err != nil {
+		return err
+	}
+	return t.startWave(w)
+}
+
+// ShowWave tells how far a wave is.
+func (s *Scheduler) ShowWave(ctx context.Context, id uint64) (*egretmuxv1.ShowWaveResponse, error) {
+	t, err := s.current()
+	if err != nil {
+		return nil, err
+	}
+	return t.showWave(ctx, id)
+}
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -26,7 +26,8 @@
 	forgetPeriod   = 5 * time.Second
 	silentForget   = 20 * time.Second // a silent worker without runs is dropped from the book
 	lookWait       = 1500 * time.Millisecond
-	lookTimeout    = time.Second // for an answer, beyond the wait
+	watchWait      = 400 * time.Millisecond // at workers whose serving tasks others may slow down
+	lookTimeout    = time.Second            // for an answer, beyond the wait
 	lookRetryPause = 250 * time.Millisecond
 	lookPause      = 5 * time.Millisecond // between two looks at a worker, so that ends gather
 	orderTimeout   = 700 * time.Millisecond
@@ -94,6 +95,7 @@
 		periodic.Run(ctx, tickPeriod, func(time.Time) { t.do(func(c *dispatch.Core, now time.Duration) { c.Tick(now) }) })
 	})
 	loops.Go(func() { periodic.Run(ctx, forgetPeriod, func(time.Time) { t.forget() }) })
+	loops.Go(func() { t.upkeepLoop(ctx) })
 	loops.Go(func() { t.planLoop(ctx) })
 	t.mu.Lock()
 	for target := range t.look {
@@ -143,6 +145,9 @@
 	for _, s := range acts.Stops {
 		go t.sendStop(s)
 	}
+	for _, p := range acts.Paces {
+		go t.sendPace(p)
+	}
 	for _, a := range acts.Asks {
 		go t.ask(a)
 	}
@@ -221,6 +226,13 @@
 	t.do(func(c *dispatch.Core, now time.Duration) { c.StopAnswered(s, answered, now) })
 }
 
+func (t *tenure) sendPace(p dispatch.Pace) {
+	ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
+	defer cancel()
+	answered := t.cfg.Workers.Pace(ctx, p, t.term)
+	t.do(func(c *dispatch.Core, _ time.Duration) { c.PaceAnswered(p, answered) })
+}
+
 func (t *tenure) ask(a dispatch.Ask) {
 	ctx, cancel := context.WithTimeout(t.ctx, time.Duration(a.Expect*float64(time.Millisecond))+adviceSlack)
 	defer cancel()
--- a/internal/standin/forwarder.go
+++ b/internal/standin/forwarder.go
@@ -81,8 +81,12 @@
 	f.pairs[p] = true
 	f.mu.Unlock()
 	var ends sync.WaitGroup
-	ends.Go(func() { p.copy(far, near, func() (time.Duration, bool) { path := f.currentPath(); return path.Delay, path.NoInward }) })
-	ends.Go(func() { p.copy(near, far, func() (time.Duration, bool) { path := f.currentPath(); return path.Delay, path.NoOutway }) })
+	ends.Go(func() {
+		p.copy(far, near, func() (time.Duration, bool) { path := f.currentPath(); return path.Delay, path.NoInward })
+	})
+	ends.Go(func() {
+		p.copy(near, far, func() (time.Duration, bool) { path := f.currentPath(); return path.Delay, path.NoOutway })
+	})
 	ends.Wait()
 	f.mu.Lock()
 	delete(f.pairs, p)
