--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -188,7 +188,7 @@
 	}
 	for i := range spec.GetCount() {
 		state := r.Task(key.Occurrence, key.Step, i)
-		t := &task{step: s, index: i, done: state.Done, lastRun: max(state.LastRun, c.runFloor)}
+		t := &task{step: s, index: i, done: state.Done, lastRun: max(state.LastRun, c.runFloor), newest: state.LastRun}
 		if state.LastRun > 0 {
 			j.started = true
 		}
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -321,3 +321,28 @@
 	require.Len(t, w.starts, 2)
 	require.NotEqual(t, w.starts[0].Worker, w.starts[1].Worker)
 }
+
+// A worker that was out of reach until its lease had passed lists the end of a
+// run whose task was started again since. Acknowledged, that end would count.
+func TestEndOfASupersededRunIsNeitherCountedNorAcknowledged(t *testing.T) {
+	w := newWorld(t)
+	a := w.worker("a", 4)
+	w.submit(id(1), tasks(1, 1))
+	w.plan()
+	first := w.accept()[0]
+	w.worker("b", 4)
+	w.core.Silent(a)
+	w.core.Silent(a)
+	w.pass(testLease + time.Second)
+	w.plan()
+	second := w.accept()[0]
+	require.Equal(t, "b", second.Worker)
+	w.list(a, nil, []dispatch.ListedEnd{w.end(first, failed)})
+	w.note()
+	_, cursor := w.core.Hold(a)
+	require.Zero(t, cursor)
+	require.True(t, w.core.Withholds(a))
+	w.list(second.Target, nil, []dispatch.ListedEnd{w.end(second, failed)})
+	w.note()
+	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_UNSPECIFIED, w.phase(id(1)), "one failure counts, not two")
+}
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -71,6 +71,10 @@
 			continue
 		}
 		highest = max(highest, e.Number)
+		if w.withheld == 0 && c.superseded(w, e) {
+			w.withheld = e.Number
+			c.notice(Notice{Event: "end_withheld", Job: e.Task.Job, Task: e.Task.String(), Worker: w.Worker, Run: e.Run, Reason: outcomeName(e.How)})
+		}
 		if r := w.runs[key]; r != nil && r.state != ended {
 			c.learn(r, e.How, now)
 			r.state = ended
@@ -82,6 +86,9 @@
 			fresh = append(fresh, endOf(e))
 		}
 	}
+	if w.withheld > 0 && w.noting-min(w.noting, w.withheld) > withheldLimit {
+		w.withheld = 0
+	}
 	if highest == w.noting {
 		return
 	}
@@ -89,6 +96,24 @@
 	c.out.Notes = append(c.out.Notes, Note{Target: w.Target, Ends: fresh, Cursor: highest})
 }
 
+// withheldLimit is how many ends may stay unacknowledged behind one that is
+// withheld; a listing has room for 500.
+const withheldLimit = 400
+
+// superseded reports whether an end tells of a run whose task was started again
+// since, after the lease had passed. That end counts for nothing, and to
+// acknowledge it would make it count.
+func (c *Core) superseded(w *worker, e ListedEnd) bool {
+	if e.How != egretmuxv1.RunOutcome_RUN_OUTCOME_DONE && e.How != egretmuxv1.RunOutcome_RUN_OUTCOME_FAILED {
+		return false
+	}
+	s := c.steps[e.Task.StepKey]
+	if w.runs[runKey{e.Task, e.Run}] != nil || s == nil || int(e.Task.Index) >= len(s.tasks) || s.spec.GetSpeculative() {
+		return false
+	}
+	return s.tasks[e.Task.Index].newest > e.Run
+}
+
 func endOf(e ListedEnd) *egretmuxv1.RunEnd {
 	return &egretmuxv1.RunEnd{
 		Job: e.Task.Job, Occurrence: e.Task.Occurrence, Step: e.Task.Step, Index: e.Task.Index,
@@ -104,7 +129,7 @@
 		return false
 	}
 	t := s.tasks[e.Task.Index]
-	return !t.done && (len(t.runs) == 0 || s.spec.GetSpeculative())
+	return !t.done && e.Run >= t.newest && (len(t.runs) == 0 || s.spec.GetSpeculative())
 }
 
 // adopt takes up a run that an earlier leader started, or stops it when it is
@@ -150,6 +175,7 @@
 	}
 	t.runs = append(t.runs, r)
 	t.lastRun = max(t.lastRun, number)
+	t.newest = max(t.newest, number)
 	t.step.onNode[w]++
 	return r
 }
--- a/internal/dispatch/lives.go
+++ b/internal/dispatch/lives.go
@@ -112,9 +112,19 @@
 	if w.fenced {
 		leaseUntil = w.lease.grant(c.confirmed)
 	}
+	if w.withheld > 0 {
+		return leaseUntil, min(w.cursor, w.withheld-1)
+	}
 	return leaseUntil, w.cursor
 }
 
+// Withholds reports whether a worker lists ends that are not acknowledged, so
+// that a look at it does not wait for the next one.
+func (c *Core) Withholds(t Target) bool {
+	w := c.workers[t.Worker]
+	return w != nil && w.Born == t.Born && w.withheld > 0
+}
+
 // Draining reports whether a known life takes no more work.
 func (c *Core) Draining(t Target) bool {
 	w := c.workers[t.Worker]
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -25,6 +25,7 @@
 	done    bool
 	runs    []*run
 	lastRun uint64
+	newest  uint64 // highest run that was started or found
 }
 
 func (t *task) key() TaskKey { return TaskKey{t.step.key, t.index} }
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -63,7 +63,9 @@
 	lease  lease
 	cursor uint64 // ends up to here are durable
 	noting uint64 // ends up to here are on their way to the log
-	runs   map[runKey]*run
+	// withheld is the first end that must not be acknowledged; zero: none.
+	withheld uint64
+	runs     map[runKey]*run
 	// foreign are listed runs of jobs that are not there any more, by when their
 	// stop was last sent.
 	foreign map[runKey]time.Duration
--- a/internal/scheduler/look.go
+++ b/internal/scheduler/look.go
@@ -52,6 +52,7 @@
 		t.mu.Lock()
 		known := t.core.Knows(target)
 		until, cursor := t.core.Hold(target)
+		withholds := t.core.Withholds(target)
 		if wait > 0 && t.core.Watched(target) {
 			wait = watchWait
 		}
@@ -65,6 +66,9 @@
 			return
 		}
 		pause := lookPause
+		if withholds {
+			pause = withheldPause
+		}
 		switch result {
 		case LookAnswered:
 			wait = lookWait
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -29,7 +29,8 @@
 	watchWait      = 400 * time.Millisecond // at workers whose serving tasks others may slow down
 	lookTimeout    = time.Second            // for an answer, beyond the wait
 	lookRetryPause = 250 * time.Millisecond
-	lookPause      = 5 * time.Millisecond // between two looks at a worker, so that ends gather
+	lookPause      = 5 * time.Millisecond   // between two looks at a worker, so that ends gather
+	withheldPause  = 200 * time.Millisecond // between two looks at a worker that answers at once
 	orderTimeout   = 700 * time.Millisecond
 	stopRetryPause = 200 * time.Millisecond
 	adviceSlack    = 1500 * time.Millisecond // for advice, beyond its expected time
