Starts are stored before workers are told

Change: a start is committed first, so a new leader knows which tasks may run where; the room for urgent work is kept in pieces; late work is ordered by what it still earns.

--- a/internal/dispatch/action.go
+++ b/internal/dispatch/action.go
@@ -127,13 +127,14 @@
 	WorkerUnwell           // the worker did nothing since it is unhealthy
 	AnotherLife            // another incarnation answered
 	ConnectRefused         // the order did not leave this instance
+	NotSent                // it was not wanted any more
 )
 
 // String returns the reason for logs and metrics.
 func (r Refusal) String() string {
 	return [...]string{
 		"accepted", "unanswered", "stale-fence", "old-run", "lease-too-old", "no-room",
-		"ticket-refused", "not-understood", "worker-unwell", "another-life", "connect-refused",
+		"ticket-refused", "not-understood", "worker-unwell", "another-life", "connect-refused", "not-sent",
 	}[r]
 }
 
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -3,10 +3,10 @@
 // feeds it events with the time since the tenure began, and carries out the
 // Actions that it hands back.
 //
-// Workers are the record of what runs. A start is not stored: a new leader
-// raises its token on every stored worker and reads what runs there. Until it
-// has read a worker, or that worker's lease has certainly ended, no task of a
-// job that is older than the tenure is started.
+// A start is stored before its worker is told, so a new leader knows where each
+// task may run. It raises its token on every stored worker and reads what runs
+// there; a run on a worker that it cannot read holds its task until the lease
+// has certainly ended.
 //
 // Invariants:
 //   - a task that is not speculative has at most one run that may be present on
@@ -35,14 +35,6 @@
 	Unix        func(now time.Duration) int64
 }
 
-// runsInTerm separates the run numbers of one leader from those of the next,
-// which may not have heard of the last ones.
-const runsInTerm = 256
-
-// firstTerm is the term of a cell's first leader; forming the cell takes the
-// one before.
-const firstTerm = 2
-
 // Core is the deciding part of one tenure. It is not safe for concurrent use.
 type Core struct {
 	cfg       Config
@@ -51,10 +43,8 @@
 	ready     map[*step]struct{} // may have waiting tasks
 	timed     []*job             // with occurrences that are not due
 	workers   map[string]*worker
-	unread    map[string]*worker // stored lives that this leader has not read
-	readLimit time.Duration      // when leases of earlier leaders have ended
-	confirmed time.Duration      // when a quorum last confirmed this leader
-	runFloor  uint64
+	readLimit time.Duration // when leases of earlier leaders have ended
+	confirmed time.Duration // when a quorum last confirmed this leader
 	out       Actions
 	ratios    map[[2]string]*ratio // by queue
 	goodShare map[[2]string]float64
@@ -77,17 +67,14 @@
 func New(cfg Config) *Core {
 	c := &Core{
 		cfg: cfg, jobs: make(map[string]*job), steps: make(map[StepKey]*step), ready: make(map[*step]struct{}),
-		workers: make(map[string]*worker), unread: make(map[string]*worker),
+		workers:   make(map[string]*worker),
 		readLimit: waitOut(cfg.Lease),
 		ratios:    make(map[[2]string]*ratio), goodShare: make(map[[2]string]float64),
 	}
-	c.runFloor = max(cfg.Term, firstTerm) - firstTerm
-	c.runFloor *= runsInTerm
 	for _, w := range cfg.Book.Workers() {
 		c.addWorker(w.Life)
 		c.workers[w.Life.GetWorker()].draining = w.Draining
 		c.workers[w.Life.GetWorker()].lease.lapsesAt = c.readLimit
-		c.unread[w.Life.GetWorker()] = c.workers[w.Life.GetWorker()]
 	}
 	var ids []string
 	cfg.Book.Each(func(id string, r *jobs.Record) {
@@ -97,7 +84,7 @@
 	})
 	slices.Sort(ids)
 	for _, id := range ids {
-		c.addJob(id, true, 0)
+		c.addJob(id, 0)
 	}
 	return c
 }
@@ -122,9 +109,9 @@
 func (c *Core) Confirmed(at time.Duration) { c.confirmed = max(c.confirmed, at) }
 
 // Accepted takes up a job that the log has just stored.
-func (c *Core) Accepted(id string, now time.Duration) { c.addJob(id, false, now) }
+func (c *Core) Accepted(id string, now time.Duration) { c.addJob(id, now) }
 
-func (c *Core) addJob(id string, old bool, now time.Duration) {
+func (c *Core) addJob(id string, now time.Duration) {
 	if c.jobs[id] != nil {
 		return
 	}
@@ -138,7 +125,7 @@
 		return
 	}
 	age := max(0, c.cfg.Unix(now)-spec.GetAcceptedUnixMs())
-	j := &job{id: id, spec: spec, old: old, steps: make(map[StepKey]*step), accepted: now - time.Duration(age)*time.Millisecond}
+	j := &job{id: id, spec: spec, steps: make(map[StepKey]*step), accepted: now - time.Duration(age)*time.Millisecond}
 	c.jobs[id] = j
 	if spec.GetRepeats() > 0 {
 		c.timed = append(c.timed, j)
@@ -188,14 +175,13 @@
 	}
 	for i := range spec.GetCount() {
 		state := r.Task(key.Occurrence, key.Step, i)
-		t := &task{step: s, index: i, done: state.Done, lastRun: max(state.LastRun, c.runFloor), newest: state.LastRun}
-		if state.LastRun > 0 {
-			j.started = true
-		}
+		t := &task{step: s, index: i, done: state.Done, lastRun: max(state.LastRun, state.Started)}
+		j.started = j.started || t.lastRun > 0
 		if !t.done {
 			s.left++
 		}
 		s.tasks = append(s.tasks, t)
+		c.inherit(t, state, now)
 	}
 	j.steps[key] = s
 	c.steps[key] = s
@@ -203,14 +189,25 @@
 	c.setUrgency(s)
 }
 
+// inherit takes up a run that an earlier leader stored. If its worker's first
+// listing lacks it, it is not there: later orders of that leader are refused.
+func (c *Core) inherit(t *task, state jobs.TaskState, now time.Duration) {
+	w := c.workers[state.Worker]
+	if !state.Outstanding() || w == nil || w.Born != state.Born {
+		return
+	}
+	r := c.record(t, w, state.Started, unsure, now)
+	r.proven, r.provenAt = true, -1
+}
+
 // setUrgency works out the latest start that meets the objective.
 func (c *Core) setUrgency(s *step) {
 	chains := c.chains(s.job.spec)
 	q := c.queue(s.job)
 	slack := max(1, q.GetSlackFactor())
 	whole := slices.Max(chains)
-	objective := s.due + time.Duration(q.GetTargetLatencyMs())*time.Millisecond + milliseconds(slack*whole)
-	s.urgency = objective - milliseconds(chains[s.key.Step])
+	s.objective = time.Duration(q.GetTargetLatencyMs())*time.Millisecond + milliseconds(slack*whole)
+	s.urgency = s.due + s.objective - milliseconds(chains[s.key.Step])
 }
 
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
@@ -294,11 +291,6 @@
 	}
 }
 
-// Recovered reports whether all that earlier leaders started is known.
-func (c *Core) Recovered(now time.Duration) bool {
-	return len(c.unread) == 0 || now >= c.readLimit
-}
-
 // Pending returns how many accepted jobs of a queue have no started task.
 func (c *Core) Pending(host, prefix string) int {
 	n := 0
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -205,6 +205,29 @@
 	require.Len(t, w.starts, 1)
 }
 
+// A task that no leader stored a start of has certainly not been started.
+func TestNewLeaderStartsWhatWasNeverStartedWithoutWaiting(t *testing.T) {
+	w := newWorld(t)
+	w.worker("a", 4)
+	b := w.worker("b", 4)
+	w.submit(id(1), tasks(1, 1))
+	w.elect()
+	w.list(b, nil, nil)
+	w.plan()
+	require.Len(t, w.starts, 1)
+	require.Equal(t, "b", w.starts[0].Worker)
+}
+
+func TestStartThatIsNoLongerWantedIsNotSent(t *testing.T) {
+	w := newWorld(t)
+	w.worker("a", 4)
+	w.submit(id(1), tasks(1, 1))
+	w.plan()
+	require.True(t, w.core.Wanted(w.starts[0]))
+	w.core.Ended(id(1), "cancelled")
+	require.False(t, w.core.Wanted(w.starts[0]))
+}
+
 // The end of a run that an earlier leader started is read, and on its way to
 // the log the task must not be started again.
 func TestEndOnItsWayToTheLogHoldsItsTask(t *testing.T) {
--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -5,26 +5,28 @@
 	"time"
 )
 
-// Room kept for work of the first priority, so that it need not wait for
-// others to end.
+// Room kept for work of the first priority, so that it need not wait for others
+// to end. It is kept in large pieces on a few workers: spread evenly, no piece
+// would hold a task.
 const (
-	headroomPart  = 0.5             // of what that work has used lately
-	headroomLimit = 0.1             // of a worker's cpu
+	headroomPart  = 0.4             // of what that work has used lately
+	headroomPiece = 0.5             // of one worker's cpu
+	headroomMost  = 0.25            // of the workers
 	urgentMemory  = 5 * time.Second // time constant of what was used lately; bursts last about as long
+	urgentPeriod  = 200 * time.Millisecond
 )
 
 // urgentUse is the cpu that work of the first priority uses, averaged over time.
 type urgentUse struct {
 	cpu float64
 	at  time.Duration
-	// perWorker is the room kept on each worker.
-	perWorker int64
 }
 
-// measureUrgent brings the average up to date.
+// measureUrgent brings the average up to date and chooses the workers on which
+// room is kept.
 func (c *Core) measureUrgent(now time.Duration) {
 	passed := now - c.urgent.at
-	if passed < tickOfUse {
+	if passed < urgentPeriod {
 		return
 	}
 	used := int64(0)
@@ -36,22 +38,22 @@
 	weight := 1 - math.Exp(-passed.Seconds()/urgentMemory.Seconds())
 	c.urgent.cpu += weight * (float64(used) - c.urgent.cpu)
 	c.urgent.at = now
-	total := int64(0)
-	for _, w := range c.workers {
-		total += w.size.cpu
-	}
-	if n := float64(len(c.workers)); n > 0 {
-		c.urgent.perWorker = int64(min(headroomPart*c.urgent.cpu/n, headroomLimit*float64(total)/n))
+	wanted := headroomPart * c.urgent.cpu
+	most := int(headroomMost * float64(len(c.workers)))
+	for i, w := range c.sortedWorkers() {
+		w.headroom = 0
+		if i < most && wanted > 0 {
+			w.headroom = int64(headroomPiece * float64(w.size.cpu))
+			wanted -= float64(w.headroom)
+		}
 	}
 }
 
-// tickOfUse is the least time between two measurements.
-const tickOfUse = 200 * time.Millisecond
-
-// headroom returns the cpu of each worker that a step leaves alone.
-func (c *Core) headroom(s *step) int64 {
-	if c.queue(s.job).GetPriority() == 0 {
+// leaves returns the cpu of a worker that a step leaves alone. A task too large
+// for the rest may have it.
+func (s *step) leaves(w *worker) int64 {
+	if s.urgent || s.room.cpu+w.headroom > w.size.cpu {
 		return 0
 	}
-	return c.urgent.perWorker
+	return w.headroom
 }
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -55,7 +55,6 @@
 	}
 	c.pace(w, now)
 	if first {
-		delete(c.unread, t.Worker)
 		c.notice(Notice{Event: "worker_read", Worker: t.Worker, Age: now - asked})
 	}
 }
@@ -111,7 +110,7 @@
 	if w.runs[runKey{e.Task, e.Run}] != nil || s == nil || int(e.Task.Index) >= len(s.tasks) || s.spec.GetSpeculative() {
 		return false
 	}
-	return s.tasks[e.Task.Index].newest > e.Run
+	return s.tasks[e.Task.Index].lastRun > e.Run
 }
 
 func endOf(e ListedEnd) *egretmuxv1.RunEnd {
@@ -129,7 +128,7 @@
 		return false
 	}
 	t := s.tasks[e.Task.Index]
-	return !t.done && e.Run >= t.newest && (len(t.runs) == 0 || s.spec.GetSpeculative())
+	return !t.done && e.Run >= t.lastRun && (len(t.runs) == 0 || s.spec.GetSpeculative())
 }
 
 // adopt takes up a run that an earlier leader started, or stops it when it is
@@ -175,7 +174,6 @@
 	}
 	t.runs = append(t.runs, r)
 	t.lastRun = max(t.lastRun, number)
-	t.newest = max(t.newest, number)
 	t.step.onNode[w]++
 	return r
 }
--- a/internal/dispatch/lives.go
+++ b/internal/dispatch/lives.go
@@ -60,7 +60,6 @@
 		c.lose(r, "worker-"+reason)
 	}
 	delete(c.workers, t.Worker)
-	delete(c.unread, t.Worker)
 	c.notice(Notice{Event: "worker_gone", Worker: t.Worker, Reason: reason})
 }
 
@@ -142,7 +141,7 @@
 func (c *Core) SilentFor(limit, now time.Duration) []Target {
 	var out []Target
 	for _, w := range c.sortedWorkers() {
-		if now-w.answered > limit && len(w.runs) == 0 && now > w.lease.lapsesAt && c.Recovered(now) {
+		if now-w.answered > limit && len(w.runs) == 0 && now > w.lease.lapsesAt {
 			out = append(out, w.Target)
 		}
 	}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -15,6 +15,12 @@
 	return w.runs[runKey{task, number}]
 }
 
+// Wanted reports whether a start that is stored by now should still be sent.
+func (c *Core) Wanted(s Start) bool {
+	r := c.find(s.Target, s.Task, s.Run)
+	return r != nil && r.state == ordered
+}
+
 // StartAnswered takes up a worker's answer to a start.
 func (c *Core) StartAnswered(s Start, answer Refusal, sent, now time.Duration) {
 	r := c.find(s.Target, s.Task, s.Run)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -31,10 +31,9 @@
 			break
 		}
 		waiting := s.waiting()
-		if len(waiting) == 0 || (s.job.old && !c.Recovered(now)) {
+		if len(waiting) == 0 {
 			continue
 		}
-		s.headroom = c.headroom(s)
 		if !s.spec.GetGang() {
 			c.placeEach(s, waiting, now)
 			continue
@@ -42,7 +41,7 @@
 		if s.live() > 0 { // members of an earlier run are still being stopped
 			continue
 		}
-		if !c.placeGang(s, waiting, now) && reservations < maxReserved {
+		if !c.placeGang(s, waiting, now) && reservations < maxReserved && (s.late == onTime || reservations == 0) {
 			reservations++
 			c.reserve(s, len(waiting), now)
 		}
@@ -58,21 +57,36 @@
 			delete(c.ready, s)
 			continue
 		}
-		s.late = now > s.urgency
+		s.urgent = c.queue(s.job).GetPriority() == 0
+		s.late = lateness(s, now)
 		out = append(out, s)
 	}
 	slices.SortFunc(out, func(a, b *step) int {
 		if a.late != b.late {
-			if a.late {
-				return 1
-			}
-			return -1
+			return cmp.Compare(a.late, b.late)
 		}
 		return cmp.Or(cmp.Compare(a.urgency, b.urgency), a.key.compare(b.key))
 	})
 	return out
 }
 
+// Standing of a step against its job's objective.
+const (
+	onTime  = iota // it can still meet the objective
+	late           // it earns less
+	expired        // it earns nothing more
+)
+
+func lateness(s *step, now time.Duration) int {
+	switch {
+	case now <= s.urgency:
+		return onTime
+	case now <= s.urgency+(lateFactor-1)*s.objective:
+		return late
+	}
+	return expired
+}
+
 // suits reports whether the worker could run tasks of the step, leaving room
 // and tickets aside.
 func (s *step) suits(w *worker, pool string, now time.Duration) bool {
@@ -152,9 +166,7 @@
 // allowance is how many more tasks of the step the worker may take.
 func (s *step) allowance(w *worker, limit int) int {
 	usable := w.usable()
-	if s.room.cpu+s.headroom <= w.size.cpu {
-		usable.cpu -= s.headroom
-	}
+	usable.cpu -= s.leaves(w)
 	n := usable.times(s.room, limit)
 	if w.failures >= failLimit {
 		n = min(n, 1)
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -11,7 +11,6 @@
 	id       string
 	spec     *egretmuxv1.Job
 	accepted time.Duration // may be negative: before this tenure
-	old      bool          // accepted before this tenure, so runs of it may be unknown
 	started  bool
 	steps    map[StepKey]*step
 	nextDue  uint32 // lowest occurrence that is not due yet
@@ -24,8 +23,7 @@
 	index   uint32
 	done    bool
 	runs    []*run
-	lastRun uint64
-	newest  uint64 // highest run that was started or found
+	lastRun uint64 // highest run that was started or found
 }
 
 func (t *task) key() TaskKey { return TaskKey{t.step.key, t.index} }
@@ -50,11 +48,12 @@
 	due     time.Duration // when the job was accepted or the occurrence was due
 	ready   time.Duration // when its turn came
 	urgency time.Duration // latest start that still meets the objective
-	late    bool          // the objective is past
-	advice  advice
-	onNode  map[*worker]int // runs by worker
-	// headroom is cpu of each worker that the step leaves to urgent work.
-	headroom int64
+	late    int           // standing against the objective
+	// objective is the time from due to done that earns in full.
+	objective time.Duration
+	advice    advice
+	onNode    map[*worker]int // runs by worker
+	urgent    bool            // of the first priority
 }
 
 // waiting returns the tasks without a run.
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -46,7 +46,8 @@
 	life     *egretmuxv1.WorkerLife
 	size     room
 	free     room
-	reserved room // of free, for gangs that wait for the rest of their room
+	reserved room  // of free, for gangs that wait for the rest of their room
+	headroom int64 // of cpu, for urgent work
 	rack     string
 
 	fenced    bool // it has seen this leader's token, and its runs are known
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -72,6 +72,11 @@
 
 func (w *world) take() {
 	acts := w.core.Take()
+	for _, s := range acts.Starts {
+		w.apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_NoteStarts{NoteStarts: &egretmuxv1.NoteStarts{Starts: []*egretmuxv1.RunStart{{
+			Job: s.Task.Job, Occurrence: s.Task.Occurrence, Step: s.Task.Step, Index: s.Task.Index, Run: s.Run, Worker: s.Worker, BornUnixMs: s.Born,
+		}}}}})
+	}
 	w.starts = append(w.starts, acts.Starts...)
 	w.stops = append(w.stops, acts.Stops...)
 	w.asks = append(w.asks, acts.Asks...)
--- a/internal/job/book.go
+++ b/internal/job/book.go
@@ -62,6 +62,12 @@
 				r.note(e)
 			}
 		}
+	case *egretmuxv1.JobCommand_NoteStarts:
+		for _, e := range c.NoteStarts.GetStarts() {
+			if r := b.jobs[e.GetJob()]; r != nil {
+				r.noteStart(e)
+			}
+		}
 	case *egretmuxv1.JobCommand_RecordLife:
 		b.recordLife(c.RecordLife.GetLife())
 	case *egretmuxv1.JobCommand_EndLife:
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -32,8 +32,14 @@
 	Failures   uint32
 	LastRun    uint64 // highest run whose end was noted
 	Checkpoint string
+	Started    uint64 // highest run that may have been started
+	Worker     string // that was to run it
+	Born       int64  // of that worker's life
 }
 
+// Outstanding reports whether a run may be present whose end was not noted.
+func (t TaskState) Outstanding() bool { return t.Started > t.LastRun && !t.Done }
+
 func newRecord(j *egretmuxv1.Job) *Record {
 	return &Record{Job: j, occurrences: make(map[uint32]*occurrence), open: Occurrences(j)}
 }
@@ -80,7 +86,14 @@
 	return o
 }
 
-func (r *Record) step(e *egretmuxv1.RunEnd) *stepState {
+// taskName is what a start and an end have in common.
+type taskName interface {
+	GetOccurrence() uint32
+	GetStep() uint32
+	GetIndex() uint32
+}
+
+func (r *Record) step(e taskName) *stepState {
 	s := &r.occurrence(e.GetOccurrence()).steps[e.GetStep()]
 	if s.tasks == nil {
 		s.tasks = make([]TaskState, r.Job.GetSteps()[e.GetStep()].GetCount())
@@ -88,8 +101,19 @@
 	return s
 }
 
-// names reports whether the job has the task that an end names.
-func (r *Record) names(e *egretmuxv1.RunEnd) bool {
+// noteStart takes a start that is about to be ordered into the record.
+func (r *Record) noteStart(e *egretmuxv1.RunStart) {
+	if r.Ended() || !r.names(e) {
+		return
+	}
+	t := &r.step(e).tasks[e.GetIndex()]
+	if e.GetRun() > t.Started {
+		t.Started, t.Worker, t.Born = e.GetRun(), e.GetWorker(), e.GetBornUnixMs()
+	}
+}
+
+// names reports whether the job has the task.
+func (r *Record) names(e taskName) bool {
 	return e.GetOccurrence() < Occurrences(r.Job) && int(e.GetStep()) < len(r.Job.GetSteps()) &&
 		e.GetIndex() < r.Job.GetSteps()[e.GetStep()].GetCount()
 }
@@ -199,6 +223,7 @@
 		if t != (TaskState{}) {
 			out.Tasks = append(out.Tasks, &egretmuxv1.TaskRecord{
 				Index: uint32(i), Done: t.Done, Failures: t.Failures, LastRun: t.LastRun, Checkpoint: t.Checkpoint,
+				Started: t.Started, Worker: t.Worker, BornUnixMs: t.Born,
 			})
 		}
 	}
@@ -217,7 +242,10 @@
 		s.failures, s.lastRun = sr.GetFailures(), sr.GetLastRun()
 		s.tasks = make([]TaskState, r.Job.GetSteps()[sr.GetStep()].GetCount())
 		for _, t := range sr.GetTasks() {
-			s.tasks[t.GetIndex()] = TaskState{Done: t.GetDone(), Failures: t.GetFailures(), LastRun: t.GetLastRun(), Checkpoint: t.GetCheckpoint()}
+			s.tasks[t.GetIndex()] = TaskState{
+				Done: t.GetDone(), Failures: t.GetFailures(), LastRun: t.GetLastRun(), Checkpoint: t.GetCheckpoint(),
+				Started: t.GetStarted(), Worker: t.GetWorker(), Born: t.GetBornUnixMs(),
+			}
 			if t.GetDone() {
 				s.left--
 			}
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -140,8 +140,8 @@
 // carryOut starts what the core wants done. The caller holds mu.
 func (t *tenure) carryOut() {
 	acts := t.core.Take()
-	for _, s := range acts.Starts {
-		go t.sendStart(s)
+	if len(acts.Starts) > 0 {
+		go t.storeStarts(acts.Starts)
 	}
 	for _, s := range acts.Stops {
 		go t.sendStop(s)
@@ -177,6 +177,31 @@
 	e.Msg("")
 }
 
+// storeStarts makes starts durable and then sends them.
+func (t *tenure) storeStarts(starts []dispatch.Start) {
+	stored := &egretmuxv1.NoteStarts{}
+	for _, s := range starts {
+		stored.Starts = append(stored.Starts, &egretmuxv1.RunStart{
+			Job: s.Task.Job, Occurrence: s.Task.Occurrence, Step: s.Task.Step, Index: s.Task.Index,
+			Run: s.Run, Worker: s.Worker, BornUnixMs: s.Born,
+		})
+	}
+	if _, err := t.propose(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_NoteStarts{NoteStarts: stored}}); err != nil {
+		t.cfg.Logger.Warn().Err(err).Str("event", "starts_not_stored").Int("starts", len(starts)).Msg("")
+		return
+	}
+	for _, s := range starts {
+		t.mu.Lock()
+		wanted := t.core.Wanted(s)
+		t.mu.Unlock()
+		if !wanted {
+			t.do(func(c *dispatch.Core, now time.Duration) { c.StartAnswered(s, dispatch.NotSent, now, now) })
+			continue
+		}
+		go t.sendStart(s)
+	}
+}
+
 func (t *tenure) sendStart(s dispatch.Start) {
 	ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
 	defer cancel()
