Calls for advice are bounded by what the instances can ask

Ruled out: the leader; it accepted 2,935 of 2,949 jobs. Change: calls on their way are bounded by the instances that can ask, most urgent steps first; room for urgent work grows with what waits; runs paced by us are not stuck; instances that missed an announcement are not asked.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -13,6 +13,7 @@
 	askChunk       = 24                     // workers in one call while several instances can ask
 	askSpare       = 2.0                    // tickets wanted for each one needed
 	ticketMargin   = 60 * time.Millisecond  // a start has to arrive before its ticket ends
+	askDepth       = 600.0                  // milliseconds of calls on their way for each instance that can ask
 	askRetryPause  = 100 * time.Millisecond // after a call that failed
 	firstGoodShare = 0.5                    // of workers that may run a step, before any was learned
 	goodShareGain  = 0.1                    // weight of one answer in the learned share
@@ -54,6 +55,7 @@
 // Advised takes up the answer to an Ask: tickets by worker. A failed call has
 // failed set.
 func (c *Core) Advised(a Ask, tickets map[string]string, failed bool, asked, now time.Duration) {
+	c.asked -= a.Expect
 	s := c.steps[a.Step]
 	if s == nil {
 		return
@@ -96,6 +98,9 @@
 	return firstGoodShare
 }
 
+// SetAdvisers tells how many instances can ask for advice at the same time.
+func (c *Core) SetAdvisers(n int) { c.advisers = max(1, n) }
+
 // ask decides which workers to ask about for a step that could not be placed
 // as far as its tickets go. The candidates are eligible, best first.
 func (c *Core) ask(s *step, q *egretmuxv1.QueueAdvice, candidates []*worker, needed int, now time.Duration) {
@@ -128,12 +133,16 @@
 		}
 	}
 	for chunk := range slices.Chunk(ask, min(askChunk, askLimit)) {
+		if c.asked > askDepth*float64(c.advisers) {
+			return // what is less urgent waits for the calls on their way
+		}
 		act := Ask{Step: s.key, Expect: q.GetDecideMs() + q.GetPerWorkerMs()*float64(len(chunk))}
 		for _, w := range chunk {
 			a.asking[w] = true
 			act.Workers = append(act.Workers, w.Worker)
 		}
 		a.calls++
+		c.asked += act.Expect
 		c.out.Asks = append(c.out.Asks, act)
 	}
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -50,6 +50,8 @@
 	goodShare map[[2]string]float64
 	notices   []Notice
 	urgent    urgentUse
+	advisers  int     // instances that can ask for advice at the same time
+	asked     float64 // expected milliseconds of the calls for advice on their way
 }
 
 // Notice is a decision or a change of what the leader believes, for the log.
@@ -66,7 +68,7 @@
 // New returns the core of a tenure that has just begun.
 func New(cfg Config) *Core {
 	c := &Core{
-		cfg: cfg, jobs: make(map[string]*job), steps: make(map[StepKey]*step), ready: make(map[*step]struct{}),
+		cfg: cfg, jobs: make(map[string]*job), steps: make(map[StepKey]*step), ready: make(map[*step]struct{}), advisers: 1,
 		workers:   make(map[string]*worker),
 		readLimit: waitOut(cfg.Lease),
 		ratios:    make(map[[2]string]*ratio), goodShare: make(map[[2]string]float64),
--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -11,7 +11,7 @@
 const (
 	headroomPart  = 0.4             // of what that work has used lately
 	headroomPiece = 0.5             // of one worker's cpu
-	headroomMost  = 0.25            // of the workers
+	headroomMost  = 0.5             // of the workers
 	urgentMemory  = 5 * time.Second // time constant of what was used lately; bursts last about as long
 	urgentPeriod  = 200 * time.Millisecond
 )
@@ -29,16 +29,17 @@
 	if passed < urgentPeriod {
 		return
 	}
-	used := int64(0)
+	used, waiting := int64(0), int64(0)
 	for _, s := range c.steps {
 		if c.queue(s.job).GetPriority() == 0 && !s.spec.GetLongRunning() {
 			used += int64(s.live()) * s.room.cpu
+			waiting += int64(len(s.waiting())) * s.room.cpu
 		}
 	}
 	weight := 1 - math.Exp(-passed.Seconds()/urgentMemory.Seconds())
 	c.urgent.cpu += weight * (float64(used) - c.urgent.cpu)
 	c.urgent.at = now
-	wanted := headroomPart * c.urgent.cpu
+	wanted := headroomPart*c.urgent.cpu + float64(waiting)
 	most := int(headroomMost * float64(len(c.workers)))
 	for i, w := range c.sortedWorkers() {
 		w.headroom = 0
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -7,14 +7,14 @@
 // Limits of what a run may take.
 const (
 	// stuckAfter is the time without progress after which a run counts as stuck.
-	// Progress is listed at least every second and a half.
-	stuckAfter = 2500 * time.Millisecond
+	// Progress is listed about every second.
+	stuckAfter = 1800 * time.Millisecond
 	// stuckPart of the expected run time is the least time without progress, so
 	// that a percent of a long run has time to pass.
 	stuckPart = 0.05
-	// slowFactor is how many times longer than expected a run has to take on its
-	// worker before it is moved.
-	slowFactor = 3.0
+	// nearlyDone is the percentage from which a run may only wait: for the rest of
+	// its gang, or for its end to be listed.
+	nearlyDone = 99
 	// evacuateMargin is kept between a stop and a worker's end, beyond the time
 	// that a stop takes.
 	evacuateMargin = 300 * time.Millisecond
@@ -83,13 +83,36 @@
 	if w.missed > 0 {
 		return "" // what it lists is old
 	}
-	still := now - max(r.movedAt, r.since)
-	if still > stuckAfter && still > time.Duration(float64(c.expected(r))*stuckPart) && w.answered > r.movedAt+stuckAfter {
+	if r.paced < fullPace || r.pacing {
+		return "" // it stands still on our order
+	}
+	if r.percent < nearlyDone && c.stuck(r, now) && !c.gangMoves(r, now) {
 		return "no-progress"
 	}
 	return ""
 }
 
+func (c *Core) stuck(r *run, now time.Duration) bool {
+	still := now - max(r.movedAt, r.since)
+	return still > stuckAfter && still > time.Duration(float64(c.expected(r))*stuckPart) && r.worker.answered > r.movedAt+stuckAfter
+}
+
+// gangMoves reports whether another member of the run's gang has made progress
+// lately. Members that are through wait for the slowest one.
+func (c *Core) gangMoves(r *run, now time.Duration) bool {
+	if !r.task.step.spec.GetGang() {
+		return false
+	}
+	for _, t := range r.task.step.tasks {
+		for _, o := range t.runs {
+			if o != r && o.number == r.number && !c.stuck(o, now) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // move stops a run so that it starts again elsewhere, and keeps new work from
 // a worker that stands still.
 func (c *Core) move(r *run, reason string, now time.Duration) {
@@ -100,16 +123,10 @@
 	c.breakGang(r, reason)
 }
 
-// suspect counts a run without progress against its worker. All members of a
-// gang stand still when one does, so each of their workers is suspected less.
+// suspect counts a run without progress against its worker.
 func (c *Core) suspect(r *run, now time.Duration) {
 	w := r.worker
-	w.failures++
-	if !r.task.step.spec.GetGang() {
-		w.failures = max(w.failures, failLimit)
-	}
-	if w.failures >= failLimit {
-		w.restUntil = now + failRest
-		c.notice(Notice{Event: "worker_resting", Worker: w.Worker, Reason: "no-progress", Age: now - r.movedAt})
-	}
+	w.failures = max(w.failures+1, failLimit)
+	w.restUntil = now + failRest
+	c.notice(Notice{Event: "worker_resting", Worker: w.Worker, Reason: "no-progress", Age: now - r.movedAt})
 }
--- a/internal/dispatch/watch_test.go
+++ b/internal/dispatch/watch_test.go
@@ -90,3 +90,22 @@
 	w.plan()
 	require.Len(t, w.starts, 1)
 }
+
+// Members of a gang that are through wait for the slowest; they are not stuck.
+func TestGangMembersThatWaitForTheSlowestAreLeftAlone(t *testing.T) {
+	w := newWorld(t)
+	a := w.worker("a", 8)
+	gang := tasks(2, 1)
+	gang.Gang, gang.EstimateMs = true, 20_000
+	w.submit(id(1), gang)
+	w.plan()
+	given := w.accept()
+	for n := range 12 {
+		w.pass(500 * time.Millisecond)
+		through, slow := running(given[0]), running(given[1])
+		through.Percent, slow.Percent = 40, float64(10+n)
+		w.list(a, []dispatch.ListedRun{through, slow}, nil)
+	}
+	w.pass(0)
+	require.Empty(t, w.stops)
+}
--- a/internal/jobcell/advise.go
+++ b/internal/jobcell/advise.go
@@ -34,6 +34,7 @@
 // made once more, here.
 func (a *advisers) Advise(ctx context.Context, ask dispatch.Ask) (map[string]string, error) {
 	address := a.take(ask.Expect)
+	defer a.release(address, ask.Expect)
 	tickets, err := a.adviseAt(ctx, address, ask)
 	if err == nil || address == a.cell.cfg.Address {
 		return tickets, err
@@ -46,7 +47,6 @@
 }
 
 func (a *advisers) adviseAt(ctx context.Context, address string, ask dispatch.Ask) (map[string]string, error) {
-	defer a.release(address, ask.Expect)
 	if address == a.cell.cfg.Address {
 		return a.cell.cfg.Adviser.Advise(ctx, ask.Step.String(), ask.Workers)
 	}
@@ -63,13 +63,27 @@
 	return out, nil
 }
 
+// Instances implements scheduler.Adviser.
+func (a *advisers) Instances() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	n := 1
+	for _, m := range a.cell.members.live(now, memberBusy) {
+		if now.After(a.avoid[m.GetAddress()]) {
+			n++
+		}
+	}
+	return n
+}
+
 // take chooses the instance with the least expected work before it.
 func (a *advisers) take(expect float64) string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	best := a.cell.cfg.Address
 	now := time.Now()
-	for _, m := range a.cell.members.live(now) {
+	for _, m := range a.cell.members.live(now, memberBusy) {
 		if a.busy[m.GetAddress()] < a.busy[best] && now.After(a.avoid[m.GetAddress()]) {
 			best = m.GetAddress()
 		}
--- a/internal/jobcell/directory.go
+++ b/internal/jobcell/directory.go
@@ -11,8 +11,9 @@
 
 // Times after which an instance counts as away.
 const (
-	memberAway   = 4 * time.Second  // not used for work that others can do
-	memberForget = 60 * time.Second // not told to others any more
+	memberAway   = 4 * time.Second         // not considered for the replicated log
+	memberBusy   = 1600 * time.Millisecond // not used for work that others can do: it has missed an announcement
+	memberForget = 60 * time.Second        // not told to others any more
 )
 
 // entry is what is known of one instance.
@@ -108,13 +109,13 @@
 	return out
 }
 
-// live returns the instances that announced themselves here lately.
-func (d *directory) live(now time.Time) []*egretmuxv1.Member {
+// live returns the instances that announced themselves here within the given time.
+func (d *directory) live(now time.Time, within time.Duration) []*egretmuxv1.Member {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var out []*egretmuxv1.Member
 	for _, e := range d.known {
-		if now.Sub(e.heard) <= memberAway {
+		if now.Sub(e.heard) <= within {
 			out = append(out, e.member)
 		}
 	}
--- a/internal/jobcell/steward.go
+++ b/internal/jobcell/steward.go
@@ -55,7 +55,7 @@
 // nextMembership returns the membership one step closer to the one wanted, or
 // nil when it is that one.
 func (c *Cell) nextMembership(current *egretmuxv1.Membership, now, since time.Time) (*egretmuxv1.Membership, string) {
-	live := c.members.live(now)
+	live := c.members.live(now, memberAway)
 	live = append(live, c.self())
 	for _, m := range live {
 		if m.GetReplica() == 0 {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -53,6 +53,8 @@
 // Adviser asks which workers may run a step, and returns their tickets.
 type Adviser interface {
 	Advise(ctx context.Context, a dispatch.Ask) (map[string]string, error)
+	// Instances returns how many calls can be answered at the same time.
+	Instances() int
 }
 
 // Config holds the parts and the timing of a Scheduler.
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -24,8 +24,8 @@
 	confirmPeriod  = 300 * time.Millisecond // leases are counted from the last confirmation
 	confirmPause   = 10 * time.Millisecond  // least time between two confirmations, so that reads gather
 	forgetPeriod   = 5 * time.Second
-	silentForget   = 20 * time.Second // a silent worker without runs is dropped from the book
-	lookWait       = 1500 * time.Millisecond
+	silentForget   = 20 * time.Second       // a silent worker without runs is dropped from the book
+	lookWait       = time.Second            // so that progress is seen about as often
 	watchWait      = 400 * time.Millisecond // at workers whose serving tasks others may slow down
 	lookTimeout    = time.Second            // for an answer, beyond the wait
 	lookRetryPause = 250 * time.Millisecond
@@ -33,7 +33,7 @@
 	withheldPause  = 200 * time.Millisecond // between two looks at a worker that answers at once
 	orderTimeout   = 700 * time.Millisecond
 	stopRetryPause = 200 * time.Millisecond
-	adviceSlack    = 1500 * time.Millisecond // for advice, beyond its expected time
+	adviceSlack    = 1500 * time.Millisecond // for advice, beyond twice its expected time: calls wait for their turn
 )
 
 // tenure is one leader's time in office.
@@ -93,7 +93,12 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { t.confirmLoop(ctx) })
 	loops.Go(func() {
-		periodic.Run(ctx, tickPeriod, func(time.Time) { t.do(func(c *dispatch.Core, now time.Duration) { c.Tick(now) }) })
+		periodic.Run(ctx, tickPeriod, func(time.Time) {
+			t.do(func(c *dispatch.Core, now time.Duration) {
+				c.SetAdvisers(t.cfg.Adviser.Instances())
+				c.Tick(now)
+			})
+		})
 	})
 	loops.Go(func() { periodic.Run(ctx, forgetPeriod, func(time.Time) { t.forget() }) })
 	loops.Go(func() { t.upkeepLoop(ctx) })
@@ -260,7 +265,7 @@
 }
 
 func (t *tenure) ask(a dispatch.Ask) {
-	ctx, cancel := context.WithTimeout(t.ctx, time.Duration(a.Expect*float64(time.Millisecond))+adviceSlack)
+	ctx, cancel := context.WithTimeout(t.ctx, time.Duration(2*a.Expect*float64(time.Millisecond))+adviceSlack)
 	defer cancel()
 	asked := t.now()
 	tickets, err := t.cfg.Adviser.Advise(ctx, a)
--- a/internal/telemetry/queue.go
+++ b/internal/telemetry/queue.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -14,6 +15,7 @@
 	// logReserve is kept for lines of level warn and above, which tell of
 	// failures.
 	logReserve    = 64 << 10
+	logWriteBytes = 4 << 10                // a pipe takes so much whole, or not at all
 	logFlushEvery = 100 * time.Millisecond // lines written together cost one system call
 )
 
@@ -87,12 +89,31 @@
 	if len(lines) == 0 {
 		return closed
 	}
-	if _, err := q.out.Write(lines); err != nil {
-		Count("log_write_errors_total")
+	for len(lines) > 0 {
+		n := wholeLines(lines, logWriteBytes)
+		if _, err := q.out.Write(lines[:n]); err != nil {
+			Count("log_write_errors_total")
+		}
+		lines = lines[n:]
 	}
 	return closed
 }
 
+// wholeLines returns how many bytes of text to write at once: whole lines, at
+// most limit bytes of them where possible.
+func wholeLines(text []byte, limit int) int {
+	if len(text) <= limit {
+		return len(text)
+	}
+	if end := bytes.LastIndexByte(text[:limit], '\n'); end >= 0 {
+		return end + 1
+	}
+	if end := bytes.IndexByte(text, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(text)
+}
+
 // Close writes what waits. It returns after the given time even when nobody
 // reads.
 func (q *LogQueue) Close(limit time.Duration) {
