--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -167,6 +167,9 @@
 	if _, err := p.AddCommand("status", "summarise the cell", "summarise the cell", &status{app: a}); err != nil {
 		return err
 	}
+	if _, err := p.AddCommand("explain", "tell the story of a job from logs", "tell the story of a job from the logs of instances, and what decided its end", &explainCommand{app: a}); err != nil {
+		return err
+	}
 	_, err := p.AddCommand("completion", "print a completion script for bash", "print a completion script for bash", &completion{app: a})
 	return err
 }
--- a/internal/cli/output.go
+++ b/internal/cli/output.go
@@ -22,6 +22,11 @@
 		_, err = fmt.Fprintln(a.out, string(data))
 		return err
 	}
+	return a.table(head, rows)
+}
+
+// table writes the rows under their heads.
+func (a *app) table(head string, rows func(add func(cells ...any))) error {
 	w := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(w, strings.ReplaceAll(head, " ", "\t"))
 	rows(func(cells ...any) {
--- a/internal/jobcell/forward.go
+++ b/internal/jobcell/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -26,6 +27,25 @@
 // one that may have been carried out is repeated until its outcome is known or
 // the context ends.
 func (c *Cell) CallJob(ctx context.Context, call *egretmuxv1.JobCall) (*egretmuxv1.JobAnswer, error) {
+	began := time.Now()
+	answer, err := c.callUntilKnown(ctx, call)
+	took := time.Since(began)
+	verb := verbName(call.GetVerb())
+	telemetry.ObserveSeconds(`call{verb="`+verb+`"}`, took)
+	if err != nil {
+		f := refusal.Of(err)
+		telemetry.Count(`calls_refused_total{verb="` + verb + `",reason="` + string(f.Kind) + `",ran="` + string(f.Ran) + `"}`)
+		c.cfg.Logger.Warn().Str("event", "call_refused").Str("path", call.GetAddress().GetPath()).Str("verb", verb).
+			Str("reason", string(f.Kind)).Str("ran", string(f.Ran)).Str("leader", c.leaderAddress()).Int64("age_ms", took.Milliseconds()).Err(err).Msg("")
+	}
+	return answer, err
+}
+
+func verbName(v egretmuxv1.JobVerb) string {
+	return strings.ToLower(strings.TrimPrefix(v.String(), "JOB_VERB_"))
+}
+
+func (c *Cell) callUntilKnown(ctx context.Context, call *egretmuxv1.JobCall) (*egretmuxv1.JobAnswer, error) {
 	search, cancel := context.WithTimeout(ctx, searchTime)
 	defer cancel()
 	answer, err := c.callJob(search, call)
@@ -59,10 +79,14 @@
 
 // PutCatalogue carries a configuration to the leader.
 func (c *Cell) PutCatalogue(ctx context.Context, catalogue *egretmuxv1.Catalogue) error {
-	return c.toLeader(ctx, func(ctx context.Context, p *peer.Clients) error {
+	err := c.toLeader(ctx, func(ctx context.Context, p *peer.Clients) error {
 		_, err := p.Jobs.PutCatalogue(ctx, connect.NewRequest(&egretmuxv1.PutCatalogueRequest{Catalogue: catalogue}))
 		return err
 	})
+	if err != nil {
+		c.cfg.Logger.Warn().Str("event", "catalogue_refused").Uint64("version", catalogue.GetVersion()).Str("reason", string(refusal.Of(err).Kind)).Err(err).Msg("")
+	}
+	return err
 }
 
 // Catalogue returns the configuration in force, as the leader has it.
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -3,6 +3,7 @@
 
 import (
 	"io"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -65,9 +66,13 @@
 // Add adds n to a counter without labels.
 func Add(name string, n int) { metrics.GetOrCreateCounter("egretmux_" + name).Add(n) }
 
-// ObserveSeconds records a duration in a histogram.
+// ObserveSeconds records a duration in a histogram; the name may end in labels.
 func ObserveSeconds(name string, d time.Duration) {
-	metrics.GetOrCreateHistogram("egretmux_" + name + "_seconds").Update(d.Seconds())
+	base, labels, _ := strings.Cut(name, "{")
+	if labels != "" {
+		labels = "{" + labels
+	}
+	metrics.GetOrCreateHistogram("egretmux_" + base + "_seconds" + labels).Update(d.Seconds())
 }
 
 // WriteMetrics writes all metrics in the Prometheus text format.
