--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -35,7 +35,12 @@
 				lost = append(lost, *l)
 			}
 		case "job_ended", "job_cancelled":
-			ended = l
+			if ended == nil {
+				ended = l
+			}
+		}
+		if ended != nil {
+			break // later lines are of leaders that were replaced
 		}
 	}
 	switch {
