A leader that cannot confirm its leadership says nothing, and a slow one hands over

Ruled out: the election, over within a second. Change: without a confirmation in the last 0.9 s an instance neither answers as leader nor names itself; slow confirmations in a row hand leadership over.

--- a/internal/jobcell/cell.go
+++ b/internal/jobcell/cell.go
@@ -168,7 +168,7 @@
 // HandOver passes leadership on before this instance stops.
 func (c *Cell) HandOver(ctx context.Context) {
 	if node := c.scheduler.Node(); node != nil {
-		_ = node.Do(ctx, handOver)
+		scheduler.HandOver(ctx, node)
 	}
 }
 
--- a/internal/jobcell/steward.go
+++ b/internal/jobcell/steward.go
@@ -138,14 +138,6 @@
 	return next
 }
 
-// handOver gives leadership to the replica that has most of the log.
-func handOver(co *core.Core) error {
-	if to := co.Successor(); to != 0 {
-		co.TransferLeadership(to)
-	}
-	return nil
-}
-
 // silentSince returns for how long an instance has not announced itself; what
 // lies before the given time does not count.
 func (d *directory) silentSince(address string, now, since time.Time) time.Duration {
--- a/internal/scheduler/confirm.go
+++ b/internal/scheduler/confirm.go
@@ -5,7 +5,10 @@
 	"sync"
 	"time"
 
+	"github.com/egretmux/egretmux/internal/consensus"
+	"github.com/egretmux/egretmux/internal/consensus/core"
 	"github.com/egretmux/egretmux/internal/dispatch"
+	"github.com/egretmux/egretmux/internal/telemetry"
 )
 
 // confirmer gathers those that wait for a confirmation of leadership which
@@ -42,6 +45,23 @@
 	}
 }
 
+// fresh reports whether leadership was confirmed lately. Without that the
+// instance answers nothing: its replica may hang, and another one lead.
+func (t *tenure) fresh() bool {
+	return t.now()-time.Duration(t.lastConfirmed.Load()) < confirmFresh
+}
+
+// HandOver gives leadership to the replica that has most of the log, if this
+// one leads.
+func HandOver(ctx context.Context, node *consensus.Node) {
+	_ = node.Do(ctx, func(c *core.Core) error { // nothing to hand over when it does not lead
+		if to := c.Successor(); to != 0 {
+			c.TransferLeadership(to)
+		}
+		return nil
+	})
+}
+
 // recheck has leadership confirmed soon, after a sign that it may be lost.
 func (t *tenure) recheck() {
 	t.confirms.mu.Lock()
@@ -62,6 +82,7 @@
 	t.confirms.mu.Unlock()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	slow := 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -76,11 +97,22 @@
 		began := t.now()
 		err := t.node.ConfirmLeader(ctx)
 		if err == nil {
+			t.lastConfirmed.Store(int64(began))
 			t.do(func(c *dispatch.Core, _ time.Duration) { c.Confirmed(began) })
 		}
 		for _, w := range waiting {
 			w <- err
 		}
+		took := t.now() - began
+		telemetry.ObserveSeconds("confirm", took)
+		if slow += int(took / slowConfirm); took < slowConfirm {
+			slow = 0
+		}
+		if slow >= slowLimit {
+			t.cfg.Logger.Warn().Str("event", "leader_slow").Uint64("term", t.term).Int64("age_ms", took.Milliseconds()).Msg("leadership is handed over")
+			HandOver(ctx, t.node)
+			slow = 0
+		}
 		timer.Reset(confirmPeriod)
 		time.Sleep(confirmPause)
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -141,7 +141,7 @@
 func (s *Scheduler) current() (*tenure, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	if s.tenure == nil {
+	if s.tenure == nil || !s.tenure.fresh() {
 		return nil, noLeader()
 	}
 	return s.tenure, nil
@@ -152,6 +152,7 @@
 }
 
 // LeaderAddress returns the cell address of the leader as the replica knows it.
+// A replica whose disk hangs still takes itself for the leader; it says nothing.
 func (s *Scheduler) LeaderAddress() string {
 	s.mu.RLock()
 	node := s.node
@@ -160,6 +161,9 @@
 		return ""
 	}
 	status, _ := node.Status()
+	if status.Leader == status.ID && !s.Leads() {
+		return ""
+	}
 	for _, r := range status.Membership.GetReplicas() {
 		if r.GetId() == status.Leader {
 			return r.GetAddress()
@@ -245,7 +249,7 @@
 func (s *Scheduler) Leads() bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return s.tenure != nil
+	return s.tenure != nil && s.tenure.fresh()
 }
 
 // StartWave stores planned upkeep.
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,6 +23,9 @@
 	tickPeriod     = 100 * time.Millisecond // leases and due times are checked
 	planPause      = 3 * time.Millisecond   // least time between two plans, so that events gather
 	confirmPeriod  = 300 * time.Millisecond // leases are counted from the last confirmation
+	confirmFresh   = 900 * time.Millisecond // three missed confirmations
+	slowConfirm    = 120 * time.Millisecond // a confirmation takes a few milliseconds, on a busy instance some tens
+	slowLimit      = 4                      // times slowConfirm in a row after which another replica leads
 	confirmPause   = 10 * time.Millisecond  // least time between two confirmations, so that reads gather
 	forgetPeriod   = 5 * time.Second
 	silentForget   = 20 * time.Second       // a silent worker without runs is dropped from the book
@@ -52,6 +56,8 @@
 
 	kick     chan struct{}
 	confirms confirmer
+	// lastConfirmed is when the last confirmation began, in nanoseconds of the tenure.
+	lastConfirmed atomic.Int64
 }
 
 func newTenure(cfg Config, node *consensus.Node, book *job.Book, term uint64) *tenure {
