--- a/internal/jobcell/drive.go
+++ b/internal/jobcell/drive.go
@@ -145,6 +145,10 @@
 	if a == nil {
 		return dispatch.Listing{}, scheduler.LookSilent
 	}
+	return listingOf(a), scheduler.LookResult(a.GetResult())
+}
+
+func listingOf(a *egretmuxv1.DriveAnswer) dispatch.Listing {
 	out := dispatch.Listing{Clock: a.GetClock(), Whole: a.GetWhole()}
 	for _, r := range a.GetRunning() {
 		out.Running = append(out.Running, dispatch.ListedRun{Task: taskOf(r.GetTask()), Run: r.GetTask().GetRun(), Checkpoint: r.GetCheckpoint(), Percent: r.GetPercent(), Load: r.GetLoad()})
@@ -152,7 +156,7 @@
 	for _, e := range a.GetEnded() {
 		out.Ended = append(out.Ended, dispatch.ListedEnd{Number: e.GetNumber(), Task: taskOf(e.GetTask()), Run: e.GetTask().GetRun(), How: e.GetOutcome(), Saved: e.GetCheckpoint(), Named: e.GetNamed()})
 	}
-	return out, scheduler.LookResult(a.GetResult())
+	return out
 }
 
 // Release implements scheduler.Workers.
