Load is shed before leadership suffers; plans are bounded in time

Cause: on a grown site a burst keeps hundreds of steps waiting; each plan sorted all workers for each of them, and slow confirmations then handed leadership to a replica that had to read 350 workers anew. Change: candidates for advice are worked out only where a call may be made; a plan that took long is followed by a pause of three times that; slow confirmations hand over only when the disk is slow; new jobs are refused while confirmations take over 0.3 s.

--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -37,6 +38,8 @@
 	snapping     bool
 	snapDone     chan *egretmuxv1.SnapshotMeta
 
+	appendTime atomic.Int64 // of the newest append, in nanoseconds
+
 	statusMu sync.RWMutex
 	status   core.Status
 	changed  chan struct{} // closed and replaced when role, term or leader change
@@ -199,10 +202,15 @@
 	}
 	began := time.Now()
 	err := n.cfg.Log.Append(out.HardState, out.Entries)
-	telemetry.ObserveSeconds("log_append", time.Since(began))
+	took := time.Since(began)
+	telemetry.ObserveSeconds("log_append", took)
+	n.appendTime.Store(int64(took))
 	return err
 }
 
+// AppendTime returns how long the newest append to the log took.
+func (n *Node) AppendTime() time.Duration { return time.Duration(n.appendTime.Load()) }
+
 func (n *Node) apply(entries []*egretmuxv1.Entry) {
 	for _, e := range entries {
 		var value any
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -101,6 +101,13 @@
 // SetAdvisers tells how many instances can ask for advice at the same time.
 func (c *Core) SetAdvisers(n int) { c.advisers = max(1, n) }
 
+func (c *Core) asksFull() bool { return c.asked > askDepth*float64(c.advisers) }
+
+// mayAsk reports whether a call for advice on the step could be made now.
+func (c *Core) mayAsk(s *step, now time.Duration) bool {
+	return s.advice.free(now) && !c.asksFull()
+}
+
 // ask decides which workers to ask about for a step that could not be placed
 // as far as its tickets go. The candidates are eligible, best first.
 func (c *Core) ask(s *step, q *egretmuxv1.QueueAdvice, candidates []*worker, needed int, now time.Duration) {
@@ -133,7 +140,7 @@
 		}
 	}
 	for chunk := range slices.Chunk(ask, min(askChunk, askLimit)) {
-		if c.asked > askDepth*float64(c.advisers) {
+		if c.asksFull() {
 			return // what is less urgent waits for the calls on their way
 		}
 		act := Ask{Step: s.key, Expect: q.GetDecideMs() + q.GetPerWorkerMs()*float64(len(chunk))}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -191,18 +191,20 @@
 		}
 		left = left[n:]
 	}
-	if len(left) > 0 && q.GetAdvice() != nil && s.advice.free(now) {
-		c.ask(s, q.GetAdvice(), withRoom(s, c.eligible(s, q.GetService(), now)), len(left), now)
+	if len(left) > 0 && q.GetAdvice() != nil && c.mayAsk(s, now) {
+		c.ask(s, q.GetAdvice(), c.withRoom(s, q.GetService(), now), len(left), now)
 	}
 }
 
-func withRoom(s *step, candidates []*worker) []*worker {
+// withRoom returns the workers that could run a task of the step now, best first.
+func (c *Core) withRoom(s *step, pool string, now time.Duration) []*worker {
 	var out []*worker
-	for _, w := range candidates {
-		if s.allowance(w, 1) > 0 {
+	for _, w := range c.workers {
+		if s.allowance(w, 1) > 0 && s.suits(w, pool, now) {
 			out = append(out, w)
 		}
 	}
+	s.sort(out)
 	return out
 }
 
@@ -211,7 +213,7 @@
 	q := c.queue(s.job)
 	chosen := s.fit(c.startable(s, q, now), len(waiting))
 	if chosen == nil {
-		if q.GetAdvice() != nil && s.advice.free(now) {
+		if q.GetAdvice() != nil && c.mayAsk(s, now) {
 			c.askGang(s, q.GetAdvice(), c.eligible(s, q.GetService(), now), len(waiting), now)
 		}
 		return false
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -46,6 +46,9 @@
 	if err := job.Check(j); err != nil {
 		return nil, err
 	}
+	if t.overloaded() && !t.knows(id) {
+		return nil, refusal.New(refusal.Shed, "retry later", "the leader is overloaded").After(time.Second)
+	}
 	j.Id, j.Host, j.Prefix = id, q.GetHost(), q.GetPrefix()
 	j.Attempts, j.Service = q.GetAttempts(), q.GetService()
 	j.AcceptedUnixMs = time.Now().UnixMilli()
@@ -60,6 +63,14 @@
 	return &egretmuxv1.JobAnswer{Found: true}, nil
 }
 
+// knows reports whether a job is stored. One that may have been sent before is
+// not refused for load: the client was told nothing definite about it.
+func (t *tenure) knows(id string) bool {
+	known := false
+	t.book.View(id, func(r *job.Record) { known = r != nil })
+	return known
+}
+
 func (t *tenure) cancelJob(ctx context.Context, call *egretmuxv1.JobCall) (*egretmuxv1.JobAnswer, error) {
 	q, id, err := t.find(ctx, call.GetAddress())
 	if err != nil {
--- a/internal/scheduler/confirm.go
+++ b/internal/scheduler/confirm.go
@@ -51,6 +51,13 @@
 	return t.now()-time.Duration(t.lastConfirmed.Load()) < confirmFresh
 }
 
+// overloaded reports whether this instance falls behind: its own confirmation
+// waits for its processor. New jobs are refused then, so that those accepted
+// are served.
+func (t *tenure) overloaded() bool {
+	return time.Duration(t.confirmTook.Load()) > overloadConfirm
+}
+
 // HandOver gives leadership to the replica that has most of the log, if this
 // one leads.
 func HandOver(ctx context.Context, node *consensus.Node) {
@@ -105,10 +112,12 @@
 		}
 		took := t.now() - began
 		telemetry.ObserveSeconds("confirm", took)
-		if slow += int(took / slowConfirm); took < slowConfirm {
+		t.confirmTook.Store(int64(took))
+		// Leadership does not help against load, which moves with it.
+		if slow += int(took / slowConfirm); took < slowConfirm || t.node.AppendTime() < slowAppend {
 			slow = 0
 		}
-		if slow >= slowLimit && began > slowGrace {
+		if slow >= slowLimit {
 			t.cfg.Logger.Warn().Str("event", "leader_slow").Uint64("term", t.term).Int64("age_ms", took.Milliseconds()).Msg("leadership is handed over")
 			HandOver(ctx, t.node)
 			slow = 0
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -20,25 +20,29 @@
 
 // Timing of a tenure.
 const (
-	tickPeriod     = 100 * time.Millisecond // leases and due times are checked
-	planPause      = 3 * time.Millisecond   // least time between two plans, so that events gather
-	confirmPeriod  = 300 * time.Millisecond // leases are counted from the last confirmation
-	confirmFresh   = 900 * time.Millisecond // three missed confirmations
-	slowConfirm    = 120 * time.Millisecond // a confirmation takes a few milliseconds, on a busy instance some tens
-	slowLimit      = 4                      // times slowConfirm in a row after which another replica leads
-	slowGrace      = 10 * time.Second       // of a tenure; load that moves with leadership must not make it change all the time
-	confirmPause   = 10 * time.Millisecond  // least time between two confirmations, so that reads gather
-	forgetPeriod   = 5 * time.Second
-	silentForget   = 20 * time.Second       // a silent worker without runs is dropped from the book
-	lookWait       = time.Second            // so that progress is seen about as often
-	watchWait      = 400 * time.Millisecond // at workers whose serving tasks others may slow down
-	lookTimeout    = time.Second            // for an answer, beyond the wait
-	lookRetryPause = 250 * time.Millisecond
-	lookPause      = 5 * time.Millisecond   // between two looks at a worker, so that ends gather
-	withheldPause  = 200 * time.Millisecond // between two looks at a worker that answers at once
-	orderTimeout   = 700 * time.Millisecond
-	stopRetryPause = 200 * time.Millisecond
-	adviceSlack    = 1500 * time.Millisecond // for advice, beyond twice its expected time: calls wait for their turn
+	tickPeriod    = 100 * time.Millisecond // leases and due times are checked
+	planPause     = 3 * time.Millisecond   // least time between two plans, so that events gather
+	planPart      = 3                      // a plan that took long is followed by a pause so many times as long
+	confirmPeriod = 300 * time.Millisecond // leases are counted from the last confirmation
+	confirmFresh  = 900 * time.Millisecond // three missed confirmations
+	slowConfirm   = 120 * time.Millisecond // a confirmation takes a few milliseconds, on a busy instance some tens
+	slowLimit     = 4                      // times slowConfirm in a row after which another replica leads
+	slowAppend    = 60 * time.Millisecond  // of the log; a disk in order takes 6 to 9 ms for a sync
+	// overloadConfirm is the time of a confirmation beyond which new jobs are
+	// refused; followers wait twice as long for a heartbeat before they elect.
+	overloadConfirm = 300 * time.Millisecond
+	confirmPause    = 10 * time.Millisecond // least time between two confirmations, so that reads gather
+	forgetPeriod    = 5 * time.Second
+	silentForget    = 20 * time.Second       // a silent worker without runs is dropped from the book
+	lookWait        = time.Second            // so that progress is seen about as often
+	watchWait       = 400 * time.Millisecond // at workers whose serving tasks others may slow down
+	lookTimeout     = time.Second            // for an answer, beyond the wait
+	lookRetryPause  = 250 * time.Millisecond
+	lookPause       = 5 * time.Millisecond   // between two looks at a worker, so that ends gather
+	withheldPause   = 200 * time.Millisecond // between two looks at a worker that answers at once
+	orderTimeout    = 700 * time.Millisecond
+	stopRetryPause  = 200 * time.Millisecond
+	adviceSlack     = 1500 * time.Millisecond // for advice, beyond twice its expected time: calls wait for their turn
 )
 
 // tenure is one leader's time in office.
@@ -60,6 +64,7 @@
 	// lastConfirmed is when the last confirmation began, in nanoseconds of the tenure.
 	lastConfirmed atomic.Int64
 	watched       atomic.Int64 // workers
+	confirmTook   atomic.Int64 // by the newest confirmation, in nanoseconds
 }
 
 func newTenure(cfg Config, node *consensus.Node, book *job.Book, term uint64) *tenure {
@@ -146,8 +151,9 @@
 		t.core.Plan(t.now())
 		t.carryOut()
 		t.mu.Unlock()
-		telemetry.ObserveSeconds("plan", time.Since(began))
-		time.Sleep(planPause)
+		took := time.Since(began)
+		telemetry.ObserveSeconds("plan", took)
+		time.Sleep(max(planPause, planPart*took))
 	}
 }
 
