--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -30,7 +30,7 @@
 	Book        *jobs.Book
 	Term        uint64        // the fencing token shown to workers
 	Lease       time.Duration // of a worker's runs
-	FarFactor   float64       // run time away from the data, or over several racks
+	FarFactor   float64       // run time away from the data against that beside it
 	StopTimeout time.Duration // that a stop may take
 	Unix        func(now time.Duration) int64
 }
@@ -318,11 +318,16 @@
 			c.timed = slices.DeleteFunc(c.timed, func(o *job) bool { return o == j })
 		}
 	}
+	var lapsed []*worker
 	for _, w := range c.workers {
 		if now >= w.lease.lapsesAt && len(w.runs) > 0 {
-			c.checkLease(w, now)
+			lapsed = append(lapsed, w)
 		}
 	}
+	sortWorkers(lapsed)
+	for _, w := range lapsed {
+		c.endLease(w)
+	}
 	c.watchRuns(now)
 }
 
@@ -332,6 +337,10 @@
 	for _, w := range c.workers {
 		out = append(out, w)
 	}
-	slices.SortFunc(out, func(a, b *worker) int { return cmp.Compare(a.Worker, b.Worker) })
+	sortWorkers(out)
 	return out
 }
+
+func sortWorkers(workers []*worker) {
+	slices.SortFunc(workers, func(a, b *worker) int { return cmp.Compare(a.Worker, b.Worker) })
+}
--- a/internal/dispatch/lives.go
+++ b/internal/dispatch/lives.go
@@ -89,11 +89,8 @@
 	}
 }
 
-// checkLease gives up what ran on a worker whose lease has certainly ended.
-func (c *Core) checkLease(w *worker, now time.Duration) {
-	if now < w.lease.lapsesAt || len(w.runs) == 0 {
-		return
-	}
+// endLease gives up what ran on a worker whose lease has certainly ended.
+func (c *Core) endLease(w *worker) {
 	for _, r := range w.sortedRuns() {
 		if r.state != ended {
 			c.lose(r, "lease-ended")
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -14,7 +14,6 @@
 	started  bool
 	steps    map[StepKey]*step
 	nextDue  uint32 // lowest occurrence that is not due yet
-	chain    float64
 }
 
 // task is one task of a step that is due.
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -48,7 +48,11 @@
 // expected is the run time that a run is expected to have in all.
 func (c *Core) expected(r *run) time.Duration {
 	s := r.task.step
-	return milliseconds(c.estimate(s.job.spec, s.spec) * r.worker.pace)
+	ms := c.estimate(s.job.spec, s.spec) * r.worker.pace
+	if rack := s.spec.GetDataRack(); rack != "" && rack != r.worker.rack {
+		ms *= c.cfg.FarFactor
+	}
+	return milliseconds(ms)
 }
 
 // left is the expected rest of a run.
--- a/internal/standin/jobs/runner.go
+++ b/internal/standin/jobs/runner.go
@@ -52,7 +52,6 @@
 	highest  map[Task]uint64 // run stopped or ended here
 	finished []finished
 	last     uint64
-	cursor   uint64
 	sequence uint64
 	news     chan struct{} // closed at the next end
 }
