--- a/internal/jobcell/driven.go
+++ b/internal/jobcell/driven.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -15,9 +16,9 @@
 // workers answered. It decides nothing: fence, lease and cursor are the leader's.
 func (s *service) Drive(ctx context.Context, stream *connect.BidiStream[egretmuxv1.DriveRequest, egretmuxv1.DriveResponse]) error {
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	answers := make(chan *egretmuxv1.DriveAnswer, driveQueue)
-	go func() {
+	var sending sync.WaitGroup
+	sending.Go(func() {
 		defer cancel()
 		for {
 			batch, open := gather(ctx.Done(), answers)
@@ -25,7 +26,9 @@
 				return
 			}
 		}
-	}()
+	})
+	defer sending.Wait() // nothing is sent once the handler has returned
+	defer cancel()
 	for {
 		msg, err := stream.Receive()
 		if err != nil {
