A tenure has its context before others can reach it; tests of the scheduler

Cause: the race detector in the new tests: a tenure was published before its run set the context that commits use; a call in between would have ended the leader's process. Change: the context is given when the tenure is made. Tests on a real replica: a job from submission to end, starts stored before they are sent, catalogues, cancels.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -108,7 +108,7 @@
 func (s *Scheduler) lead(ctx context.Context, term uint64, changed <-chan struct{}) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	t := newTenure(s.cfg, s.node, s.book, term)
+	t := newTenure(ctx, s.cfg, s.node, s.book, term)
 	go func() {
 		defer cancel()
 		for {
@@ -131,7 +131,7 @@
 	s.mu.Lock()
 	s.tenure = t
 	s.mu.Unlock()
-	t.run(ctx)
+	t.run()
 	s.mu.Lock()
 	s.tenure = nil
 	s.mu.Unlock()
--- /dev/null
+++ b/internal/scheduler/scheduler_test.go
@@ -0,0 +1,184 @@
+package scheduler_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/dispatch"
+	"github.com/egretmux/egretmux/internal/job"
+	"github.com/egretmux/egretmux/internal/peer"
+	"github.com/egretmux/egretmux/internal/refusal"
+	"github.com/egretmux/egretmux/internal/scheduler"
+	"github.com/egretmux/egretmux/internal/settings"
+	"github.com/egretmux/egretmux/internal/voter"
+)
+
+// fleet is a set of workers in memory. A run ends as done at the next look.
+type fleet struct {
+	mu      sync.Mutex
+	running []dispatch.Start
+	stored  func(dispatch.Start) bool // whether the book holds the start when it is sent
+	early   []dispatch.Start          // starts sent before they were stored
+	ended   []dispatch.ListedEnd
+	cursor  uint64
+}
+
+func (f *fleet) Start(_ context.Context, s dispatch.Start, _ uint64) (dispatch.Refusal, int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.stored(s) {
+		f.early = append(f.early, s)
+	}
+	f.running = append(f.running, s)
+	return dispatch.Accepted, 0
+}
+func (f *fleet) Stop(context.Context, dispatch.Stop, uint64) bool { return true }
+func (f *fleet) Pace(context.Context, dispatch.Pace, uint64) bool { return true }
+func (f *fleet) Release(dispatch.Target)                          {}
+
+func (f *fleet) Look(_ context.Context, l scheduler.Look) (dispatch.Listing, scheduler.LookResult) {
+	time.Sleep(5 * time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cursor = max(f.cursor, l.Cursor)
+	for _, s := range f.running {
+		f.ended = append(f.ended, dispatch.ListedEnd{Number: uint64(len(f.ended) + 1), Task: s.Task, Run: s.Run, How: egretmuxv1.RunOutcome_RUN_OUTCOME_DONE, Named: true})
+	}
+	f.running = nil
+	return dispatch.Listing{Clock: time.Now().UnixMilli(), Ended: f.ended[min(uint64(len(f.ended)), l.Cursor):], Whole: true}, scheduler.LookAnswered
+}
+
+type noAdvice struct{}
+
+func (noAdvice) Advise(context.Context, dispatch.Ask) (map[string]string, error) { return nil, nil }
+func (noAdvice) Instances() int                                                  { return 1 }
+
+// lead starts a cell of one replica and returns its scheduler once it leads.
+func lead(t *testing.T, f *fleet) *scheduler.Scheduler {
+	t.Helper()
+	dialer, err := peer.NewDialer("", "")
+	require.NoError(t, err)
+	v, err := voter.Open(&settings.Settings{
+		Instance: "a", DataFolder: t.TempDir(), Cell: settings.Listener{Address: "a"},
+		Tick: 5 * time.Millisecond, ElectionTicks: 6, HeartbeatTicks: 2, SnapshotEntries: 1000,
+	}, dialer, zerolog.Nop())
+	require.NoError(t, err)
+	require.NoError(t, v.Found(&egretmuxv1.Membership{Replicas: []*egretmuxv1.Replica{v.Replica()}}))
+	book := job.NewBook()
+	f.stored = func(s dispatch.Start) bool {
+		stored := false
+		book.View(s.Task.Job, func(r *job.Record) {
+			stored = r != nil && r.Task(s.Task.Occurrence, s.Task.Step, s.Task.Index).Started >= s.Run
+		})
+		return stored
+	}
+	node, err := v.StartReplica(book, func(err error) { t.Error(err) })
+	require.NoError(t, err)
+	s := scheduler.New(scheduler.Config{Workers: f, Adviser: noAdvice{}, Lease: 6 * time.Second, FarFactor: 1, StatusKeep: time.Minute, Logger: zerolog.Nop()})
+	s.SetReplica(node, book)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		require.NoError(t, v.Close())
+	})
+	require.Eventually(t, s.Leads, 10*time.Second, 5*time.Millisecond)
+	return s
+}
+
+func catalogue(version uint64, source string) *egretmuxv1.Catalogue {
+	return &egretmuxv1.Catalogue{
+		Version: version, Source: []byte(source), Pools: []*egretmuxv1.Pool{{Name: "p"}},
+		Queues: []*egretmuxv1.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "p", TimeoutMs: 1000, Attempts: 2, SlackFactor: 2}},
+	}
+}
+
+func address(path string) *egretmuxv1.QueueAddress {
+	return &egretmuxv1.QueueAddress{Host: "h", Path: path}
+}
+
+const jobPath = "/q/00000000000000aa"
+
+func TestJobRunsFromItsSubmissionToItsEnd(t *testing.T) {
+	f := &fleet{}
+	s := lead(t, f)
+	ctx := t.Context()
+	_, err := s.PutCatalogue(ctx, catalogue(1, "one"))
+	require.NoError(t, err)
+	require.NoError(t, s.Beat(ctx, &egretmuxv1.WorkerBeat{Life: &egretmuxv1.WorkerLife{Worker: "w", BornUnixMs: 1, Address: "w:1", Pool: "p", CpuMillis: 4000, MemoryMib: 1000}}))
+	submit := &egretmuxv1.JobCall{Address: address(jobPath), Verb: egretmuxv1.JobVerb_JOB_VERB_SUBMIT, Job: &egretmuxv1.Job{Steps: []*egretmuxv1.JobStep{
+		{Count: 3, CpuMillis: 1000, MemoryMib: 10, EstimateMs: 10}, {Count: 1, CpuMillis: 1000, MemoryMib: 10, EstimateMs: 10, After: []uint32{0}},
+	}}}
+	answer, err := s.CallJob(ctx, submit)
+	require.NoError(t, err)
+	require.True(t, answer.GetFound())
+	show := &egretmuxv1.JobCall{Address: address(jobPath), Verb: egretmuxv1.JobVerb_JOB_VERB_SHOW}
+	require.Eventually(t, func() bool {
+		answer, err := s.CallJob(ctx, show)
+		return err == nil && answer.GetPhase() == egretmuxv1.JobPhase_JOB_PHASE_COMPLETED
+	}, 10*time.Second, 10*time.Millisecond)
+	f.mu.Lock()
+	require.Empty(t, f.early, "a start is stored before its worker is told")
+	f.mu.Unlock()
+	require.Eventually(t, func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.cursor == 4
+	}, 10*time.Second, 10*time.Millisecond, "all ends are acknowledged")
+
+	submit.Job.Id = ""
+	again, err := s.CallJob(ctx, submit)
+	require.NoError(t, err)
+	require.True(t, again.GetFound(), "the same id is acknowledged again")
+	answer, err = s.CallJob(ctx, &egretmuxv1.JobCall{Address: address("/q/00000000000000bb"), Verb: egretmuxv1.JobVerb_JOB_VERB_SHOW})
+	require.NoError(t, err)
+	require.False(t, answer.GetFound())
+	answer, err = s.CallJob(ctx, &egretmuxv1.JobCall{Address: address("/other/"), Verb: egretmuxv1.JobVerb_JOB_VERB_SHOW})
+	require.NoError(t, err)
+	require.True(t, answer.GetNoQueue())
+}
+
+func TestCataloguesAreAcknowledgedAgainAndNeverReplacedByOlderOnes(t *testing.T) {
+	s := lead(t, &fleet{})
+	ctx := t.Context()
+	_, err := s.Catalogue(ctx)
+	require.Error(t, err, "there is none yet")
+	for _, c := range []*egretmuxv1.Catalogue{catalogue(5, "five"), catalogue(5, "five"), catalogue(4, "four")} {
+		_, err := s.PutCatalogue(ctx, c)
+		require.NoError(t, err)
+	}
+	_, err = s.PutCatalogue(ctx, catalogue(5, "other"))
+	require.Equal(t, refusal.VersionConflict, refusal.Of(err).Kind)
+	_, err = s.PutCatalogue(ctx, &egretmuxv1.Catalogue{Version: 9, Queues: []*egretmuxv1.Queue{{Name: "q", Service: "nowhere"}}})
+	require.Equal(t, refusal.Invalid, refusal.Of(err).Kind)
+	held, err := s.Catalogue(ctx)
+	require.NoError(t, err)
+	require.Equal(t, "five", string(held.GetSource()))
+}
+
+func TestCancelledJobIsShownAsCancelled(t *testing.T) {
+	s := lead(t, &fleet{})
+	ctx := t.Context()
+	_, err := s.PutCatalogue(ctx, catalogue(1, "one"))
+	require.NoError(t, err)
+	phaseAfter := func(verb egretmuxv1.JobVerb) egretmuxv1.JobPhase {
+		_, err := s.CallJob(ctx, &egretmuxv1.JobCall{Address: address(jobPath), Verb: verb, Job: &egretmuxv1.Job{Steps: []*egretmuxv1.JobStep{{Count: 1}}}})
+		require.NoError(t, err)
+		answer, err := s.CallJob(ctx, &egretmuxv1.JobCall{Address: address(jobPath), Verb: egretmuxv1.JobVerb_JOB_VERB_SHOW})
+		require.NoError(t, err)
+		return answer.GetPhase()
+	}
+	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_QUEUED, phaseAfter(egretmuxv1.JobVerb_JOB_VERB_SUBMIT))
+	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_CANCELLED, phaseAfter(egretmuxv1.JobVerb_JOB_VERB_CANCEL))
+}
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -67,9 +67,9 @@
 	confirmTook   atomic.Int64 // by the newest confirmation, in nanoseconds
 }
 
-func newTenure(cfg Config, node *consensus.Node, book *job.Book, term uint64) *tenure {
+func newTenure(ctx context.Context, cfg Config, node *consensus.Node, book *job.Book, term uint64) *tenure {
 	return &tenure{
-		cfg: cfg, node: node, book: book, term: term, began: time.Now(),
+		ctx: ctx, cfg: cfg, node: node, book: book, term: term, began: time.Now(),
 		look: make(map[dispatch.Target]*looker), over: make(map[string]time.Time),
 		kick: make(chan struct{}, 1),
 	}
@@ -100,9 +100,9 @@
 	return dispatch.Target{Worker: life.GetWorker(), Born: life.GetBornUnixMs(), Address: life.GetAddress()}
 }
 
-// run acts until the context ends.
-func (t *tenure) run(ctx context.Context) {
-	t.ctx = ctx
+// run acts until the tenure's context ends.
+func (t *tenure) run() {
+	ctx := t.ctx
 	t.cfg.Logger.Info().Str("event", "tenure_began").Uint64("term", t.term).Int("workers", len(t.look)).Msg("")
 	var loops sync.WaitGroup
 	loops.Go(func() { t.confirmLoop(ctx) })
