Looks do not extend the lease of a silent worker

Ruled out: load (the logs stop at the crash), the logs' volume, membership. Change: a worker that missed a look is only read until it answers, and gets no starts. Figures: TestLooksDoNotExtendTheLeaseOfASilentWorker fails before, passes after.

--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -369,3 +369,28 @@
 	w.note()
 	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_UNSPECIFIED, w.phase(id(1)), "one failure counts, not two")
 }
+
+// Looks at a worker that does not answer go on. None of them may extend its
+// lease, or its runs would never be given up.
+func TestLooksDoNotExtendTheLeaseOfASilentWorker(t *testing.T) {
+	w := newWorld(t)
+	a := w.worker("a", 4)
+	w.submit(id(1), tasks(1, 1))
+	w.plan()
+	w.accept()
+	w.worker("b", 4)
+	until, _ := w.core.Hold(a)
+	require.Positive(t, until)
+	for range 15 {
+		w.core.Silent(a)
+		w.pass(500 * time.Millisecond)
+		until, _ = w.core.Hold(a)
+		require.Zero(t, until)
+	}
+	w.plan()
+	require.Len(t, w.starts, 1)
+	require.Equal(t, "b", w.starts[0].Worker)
+	w.list(a, nil, nil)
+	until, _ = w.core.Hold(a)
+	require.Positive(t, until, "once it answers, its lease is renewed")
+}
--- a/internal/dispatch/lives.go
+++ b/internal/dispatch/lives.go
@@ -105,7 +105,8 @@
 	if w == nil || w.Born != t.Born {
 		return 0, 0
 	}
-	if w.fenced {
+	// A lease that a silent worker may have received could never be waited out.
+	if w.fenced && w.missed == 0 {
 		leaseUntil = w.lease.grant(c.confirmed)
 	}
 	if w.withheld > 0 {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -82,7 +82,7 @@
 
 // Limits after which a worker gets no new work.
 const (
-	missedLimit = 1               // looks in a row that it did not answer
+	missedLimit = 0               // looks in a row that it did not answer
 	unwellRest  = time.Second     // pause after it said that it is unhealthy
 	failRest    = 4 * time.Second // pause after it has failed failLimit times
 	failLimit   = 3.0             // failed runs in a row, weighted
