A job waits until a worker has begun it

A planned start counted as begun, also when the worker refused it, did not answer, or it was never sent. Change: an accepted start, a listed run or an end begins a job. Figures: TestJobWaitsUntilAWorkerHasBegunIt fails before, passes after.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -178,7 +178,7 @@
 	for i := range spec.GetCount() {
 		state := r.Task(key.Occurrence, key.Step, i)
 		t := &task{step: s, index: i, done: state.Done, lastRun: max(state.LastRun, state.Started)}
-		j.started = j.started || t.lastRun > 0
+		j.started = j.started || state.LastRun > 0
 		if !t.done {
 			s.left++
 		}
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -394,3 +394,23 @@
 	until, _ = w.core.Hold(a)
 	require.Positive(t, until, "once it answers, its lease is renewed")
 }
+
+// A job counts as waiting until a worker has begun one of its tasks; a start
+// that was refused or got no answer is none.
+func TestJobWaitsUntilAWorkerHasBegunIt(t *testing.T) {
+	w := newWorld(t)
+	w.worker("a", 4)
+	w.submit(id(1), tasks(1, 1))
+	require.Equal(t, 1, w.core.Pending("h", "/q/"))
+	w.plan()
+	require.Equal(t, 1, w.core.Pending("h", "/q/"))
+	refused := w.starts[0]
+	w.starts = nil
+	w.core.StartAnswered(refused, dispatch.WorkerUnwell, w.now, w.now)
+	require.Equal(t, 1, w.core.Pending("h", "/q/"))
+	w.pass(2 * time.Second)
+	w.plan()
+	w.accept()
+	require.Zero(t, w.core.Pending("h", "/q/"))
+	require.True(t, w.core.Started(id(1)))
+}
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -77,6 +77,7 @@
 		if r := w.runs[key]; r != nil && r.state != ended {
 			c.learn(r, e.How, now)
 			r.state = ended
+			r.task.step.job.started = true
 			w.free = w.free.plus(r.room)
 			fresh = append(fresh, endOf(e))
 		} else if r == nil && e.Named && c.wanted(e) {
@@ -190,6 +191,7 @@
 	}
 	r.load = lr.Load
 	r.proven = true
+	r.task.step.job.started = true
 }
 
 // missing gives up the runs that a whole listing lacks, if the worker had
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -302,7 +302,6 @@
 func (c *Core) start(t *task, w *worker, number uint64, now time.Duration) {
 	s := t.step
 	r := c.record(t, w, number, ordered, now)
-	s.job.started = true
 	checkpoint := ""
 	c.cfg.Book.View(s.key.Job, func(rec *jobs.Record) {
 		if rec != nil && !rec.Ended() {
