Logs and histograms of the time to a job's first run, its end and its advice

Cause: a wait of seconds before a gang's start could not be told apart from its logs: calls for advice and the first run of a job left no line. Change: events job_begun and step_advised, histograms by queue of the time from acceptance to the first run and to the end.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -92,6 +92,7 @@
 		c.notice(Notice{Event: "advice_failed", Job: a.Step.Job, Task: a.Step.String(), Age: now - asked})
 		return
 	}
+	c.notice(Notice{Event: "step_advised", Job: a.Step.Job, Task: a.Step.String(), Age: now - asked, Asked: len(a.Workers), Good: len(tickets)})
 	share := c.shareOf(s.job)
 	c.goodShare[queueKey(s.job)] = share + goodShareGain*(float64(good)/float64(max(1, len(a.Workers)))-share)
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -60,11 +60,14 @@
 type Notice struct {
 	Event  string
 	Job    string
+	Queue  string // of a job that begins or ends
 	Task   string
 	Worker string
 	Run    uint64
 	Reason string
 	Age    time.Duration // of what decided it
+	Asked  int           // workers that advice was asked about
+	Good   int           // of these, those that may run the step
 }
 
 // New returns the core of a tenure that has just begun.
@@ -295,6 +298,15 @@
 	}
 }
 
+// begun records that a worker has begun a task of the job.
+func (c *Core) begun(j *job, now time.Duration) {
+	if j.started {
+		return
+	}
+	j.started = true
+	c.notice(Notice{Event: "job_begun", Job: j.id, Queue: c.queue(j).GetName(), Age: now - j.accepted})
+}
+
 // Pending returns how many accepted jobs of a queue have no started task.
 func (c *Core) Pending(host, prefix string) int {
 	n := 0
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -48,6 +48,7 @@
 		}
 		if r != nil {
 			r.update(lr, now)
+			c.begun(r.task.step.job, now)
 		}
 	}
 	if l.Whole {
@@ -77,7 +78,7 @@
 		if r := w.runs[key]; r != nil && r.state != ended {
 			c.learn(r, e.How, now)
 			r.state = ended
-			r.task.step.job.started = true
+			c.begun(r.task.step.job, now)
 			w.free = w.free.plus(r.room)
 			fresh = append(fresh, endOf(e))
 		} else if r == nil && e.Named && c.wanted(e) {
@@ -142,7 +143,7 @@
 	}
 	t := s.tasks[lr.Task.Index]
 	r := c.record(t, w, lr.Run, running, now)
-	s.job.started = true
+	c.begun(s.job, now)
 	if t.done || (len(t.runs) > 1 && !s.spec.GetSpeculative()) {
 		c.stop(r, "not-wanted")
 	}
@@ -191,7 +192,6 @@
 	}
 	r.load = lr.Load
 	r.proven = true
-	r.task.step.job.started = true
 }
 
 // missing gives up the runs that a whole listing lacks, if the worker had
@@ -259,7 +259,7 @@
 	})
 	c.notice(Notice{Event: "run_ended", Job: key.Job, Task: key.String(), Worker: workerOf(r), Run: e.GetRun(), Reason: outcomeName(e.GetOutcome())})
 	if over != egretmuxv1.JobPhase_JOB_PHASE_UNSPECIFIED {
-		c.notice(Notice{Event: "job_ended", Job: key.Job, Reason: phaseName(over), Age: now - j.accepted})
+		c.notice(Notice{Event: "job_ended", Job: key.Job, Queue: c.queue(j).GetName(), Reason: phaseName(over), Age: now - j.accepted})
 		if over == egretmuxv1.JobPhase_JOB_PHASE_COMPLETED {
 			for _, t := range s.tasks {
 				t.done = true
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -33,7 +33,7 @@
 	switch answer {
 	case Accepted:
 		r.provenAt, r.proven = now, true
-		r.task.step.job.started = true
+		c.begun(r.task.step.job, now)
 		if r.state == ordered {
 			r.state = running
 			r.since = now
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -182,8 +182,14 @@
 
 func (t *tenure) log(n dispatch.Notice) {
 	telemetry.Count(`decisions_total{event="` + n.Event + `",reason="` + n.Reason + `"}`)
+	switch n.Event {
+	case "job_begun":
+		telemetry.ObserveSeconds(`job_begun{queue="`+n.Queue+`"}`, n.Age)
+	case "job_ended":
+		telemetry.ObserveSeconds(`job_ended{queue="`+n.Queue+`"}`, n.Age)
+	}
 	e := t.cfg.Logger.Info().Str("event", n.Event).Uint64("term", t.term)
-	for _, f := range [][2]string{{"job", n.Job}, {"task", n.Task}, {"worker", n.Worker}, {"reason", n.Reason}} {
+	for _, f := range [][2]string{{"job", n.Job}, {"queue", n.Queue}, {"task", n.Task}, {"worker", n.Worker}, {"reason", n.Reason}} {
 		if f[1] != "" {
 			e = e.Str(f[0], f[1])
 		}
@@ -194,6 +200,9 @@
 	if n.Age != 0 {
 		e = e.Int64("age_ms", n.Age.Milliseconds())
 	}
+	if n.Asked != 0 {
+		e = e.Int("asked", n.Asked).Int("good", n.Good)
+	}
 	e.Msg("")
 }
 
