Urgent tasks may use room that is held back for a gang

Change: for urgent steps reserved room counts as free, after all other workers. Test: TestUrgentWorkUsesRoomThatIsHeldBackForAGang (failed before).

--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -414,3 +414,29 @@
 	require.Zero(t, w.core.Pending("h", "/q/"))
 	require.True(t, w.core.Started(id(1)))
 }
+
+// Room is held back for a gang that waits; short work of the first priority may
+// use it meanwhile, other work may not.
+func TestUrgentWorkUsesRoomThatIsHeldBackForAGang(t *testing.T) {
+	urgent, other := queue(), queue()
+	other.Name, other.Prefix, other.Priority = "other", "/other/", 2
+	w := newWorld(t, urgent, other)
+	w.worker("a", 8)
+	w.worker("b", 8)
+	w.submitTo("/other/", id(1), tasks(1, 6))
+	w.plan()
+	require.Len(t, w.accept(), 1)
+	gang := tasks(2, 8)
+	gang.Gang = true
+	w.submitTo("/other/", id(2), gang)
+	w.plan()
+	require.Empty(t, w.starts)
+
+	late := tasks(1, 4)
+	late.EstimateMs = 9000
+	w.submitTo("/other/", id(3), late)
+	w.submitTo("/q/", id(4), tasks(1, 4))
+	w.plan()
+	require.Len(t, w.starts, 1)
+	require.Equal(t, id(4), w.starts[0].Task.Job)
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -11,12 +11,15 @@
 
 // Limits of one plan.
 const (
-	maxSteps       = 256 // steps looked at in one plan
-	maxReserved    = 6   // waiting gangs that hold room back
-	lateFactor     = 3   // objectives after which a job earns nothing more by its time
-	farPenalty     = 1e6 // score of a worker away from the data
-	pacePenalty    = 4e4 // score of each unit of a worker's learned slowness
-	servingPenalty = 2e4 // score of each serving task beside a task that fills
+	maxSteps    = 256 // steps looked at in one plan
+	maxReserved = 6   // waiting gangs that hold room back
+	lateFactor  = 3   // objectives after which a job earns nothing more by its time
+	farPenalty  = 1e6 // score of a worker away from the data
+	// reservedPenalty is the score of a worker on which room is held back: above
+	// any worker's thousandths of a core, below farPenalty.
+	reservedPenalty = 5e5
+	pacePenalty     = 4e4 // score of each unit of a worker's learned slowness
+	servingPenalty  = 2e4 // score of each serving task beside a task that fills
 )
 
 // Plan places waiting tasks and asks for the advice that they lack.
@@ -146,6 +149,9 @@
 	if rack := s.spec.GetDataRack(); rack != "" && rack != w.rack {
 		score += farPenalty
 	}
+	if s.urgent && w.reserved != (room{}) {
+		score += reservedPenalty
+	}
 	return score
 }
 
@@ -166,6 +172,9 @@
 // allowance is how many more tasks of the step the worker may take.
 func (s *step) allowance(w *worker, limit int) int {
 	usable := w.usable()
+	if s.urgent && !w.onTrial() {
+		usable = w.free // a gang can wait a little longer for the rest of its room
+	}
 	usable.cpu -= s.leaves(w)
 	n := usable.times(s.room, limit)
 	if w.failures >= failLimit {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -93,10 +93,13 @@
 	return w.fenced && !w.draining && !w.cordoned && len(w.foreign) == 0 && w.missed <= missedLimit && now >= w.restUntil
 }
 
-// usable is the room that is neither taken nor reserved. A worker that failed
-// what it got lately is tried with one run at a time.
+// onTrial reports whether the worker has to end a run well before it gets
+// another: it failed what it got lately.
+func (w *worker) onTrial() bool { return w.failures >= failLimit && len(w.runs) > 0 }
+
+// usable is the room that is neither taken nor reserved.
 func (w *worker) usable() room {
-	if w.failures >= failLimit && len(w.runs) > 0 {
+	if w.onTrial() {
 		return room{}
 	}
 	return w.free.minus(w.reserved)
