--- a/internal/standin/jobs/client.go
+++ b/internal/standin/jobs/client.go
@@ -51,17 +51,23 @@
 	return resp.StatusCode, data
 }
 
-// Submit hands a job in until it is accepted or the context ends, and returns
-// whether it was accepted.
-func (c *Client) Submit(ctx context.Context, j *Job) bool {
+// Once hands a job in a single time and returns the status; 0 is no whole answer.
+func (c *Client) Once(ctx context.Context, j *Job) int {
 	c.Ledger.Submitting(j)
 	body, err := json.Marshal(map[string]any{"spec": j.Spec, "phases": j.Steps})
 	if err != nil {
-		return false
+		return 0
 	}
+	status, _ := c.call(ctx, http.MethodPost, c.Prefix+j.ID, body)
+	return status
+}
+
+// Submit hands a job in until it is accepted or the context ends, and returns
+// whether it was accepted.
+func (c *Client) Submit(ctx context.Context, j *Job) bool {
 	refused := true
 	for ctx.Err() == nil {
-		status, _ := c.call(ctx, http.MethodPost, c.Prefix+j.ID, body)
+		status := c.Once(ctx, j)
 		switch status {
 		case http.StatusOK:
 			c.Ledger.Answered(j.ID, true, false)
