--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -10,9 +10,11 @@
 // Limits of asking for advice.
 const (
 	askLimit      = 100                    // workers in one call, by the service's protocol
-	askChunk      = 24                     // workers in one call while several instances can ask
+	askChunk      = 24                     // workers in one call while instances are free to ask
+	askWide       = 60                     // and while they are busy: deciding then takes as long as the workers named
+	askBusy       = 0.5                    // part of askDepth from which the instances count as busy
 	askSpare      = 2.0                    // tickets wanted for each one needed
-	renewSpare    = 4.0                    // the same of workers known to be good: other steps ask about them too, and the first to start takes the room
+	renewSpare    = 4.0                    // the same of workers known to be good for tasks that start one by one: other steps ask about them too, and the first to start takes the room
 	ticketMargin  = 60 * time.Millisecond  // a start has to arrive before its ticket ends
 	askDepth      = 600.0                  // milliseconds of calls on their way for each instance that can ask
 	askRetryPause = 100 * time.Millisecond // after a call that failed
@@ -110,6 +112,15 @@
 // long reports whether the call is expected to take long.
 func (a Ask) long() bool { return a.Expect >= LongAdvice }
 
+// askSize is the number of workers in one call: few while instances are free, so
+// that the answer comes soon.
+func (c *Core) askSize(q *egretmuxv1.QueueAdvice) int {
+	if long := q.GetDecideMs() >= LongAdvice; long && c.asked[long] > askBusy*askDepth*float64(c.advisers) {
+		return askWide
+	}
+	return askChunk
+}
+
 func (c *Core) asksFull(long bool) bool { return c.asked[long] > askDepth*float64(c.advisers) }
 
 // mayAsk reports whether a call for advice on the step could be made now.
@@ -134,9 +145,13 @@
 			hold += s.allowance(w, needed)
 		}
 	}
+	spare := renewSpare
+	if s.spec.GetGang() {
+		spare = askSpare
+	}
 	var ask []*worker
 	for _, w := range expired {
-		if float64(hold) >= float64(needed)*renewSpare {
+		if float64(hold) >= float64(needed)*spare {
 			break
 		}
 		if n := s.allowance(w, needed); n > 0 {
@@ -156,7 +171,7 @@
 			ask = append(ask, w)
 		}
 	}
-	for chunk := range slices.Chunk(ask, min(askChunk, askLimit)) {
+	for chunk := range slices.Chunk(ask, min(c.askSize(q), askLimit)) {
 		act := Ask{Step: s.key, Expect: q.GetDecideMs() + q.GetPerWorkerMs()*float64(len(chunk))}
 		if c.asksFull(act.long()) {
 			return // what is less urgent waits for the calls on their way
