Calls go through another instance when the leader cannot be reached

A refusal says that a call was not carried out only when it is true of every try, the relayed ones included.

--- a/internal/jobcell/cell.go
+++ b/internal/jobcell/cell.go
@@ -64,6 +64,7 @@
 	members   *directory
 	advisers  *advisers
 	drivers   *drivers
+	relays    *relays
 	beats     *beatCache
 	failed    chan error
 	startNow  chan struct{} // closed when an empty replica may start
@@ -83,6 +84,7 @@
 	c.members = newDirectory(cfg.Address)
 	c.advisers = newAdvisers(c)
 	c.drivers = newDrivers(c, cfg.Scheduler.Workers)
+	c.relays = newRelays(c)
 	c.beats = newBeatCache()
 	cfg.Scheduler.Adviser = c.advisers
 	cfg.Scheduler.Workers = c.drivers
--- a/internal/jobcell/forward.go
+++ b/internal/jobcell/forward.go
@@ -45,19 +45,60 @@
 	return strings.ToLower(strings.TrimPrefix(v.String(), "JOB_VERB_"))
 }
 
+// callUntilKnown calls the leader directly, or through another instance when it
+// cannot be reached. A refusal says that the call was not carried out only when
+// that is true of every try.
 func (c *Cell) callUntilKnown(ctx context.Context, call *egretmuxv1.JobCall) (*egretmuxv1.JobAnswer, error) {
+	var tried *refusal.Error // of a try that may have been carried out
+	if c.relays.needed() {
+		answer, err := c.relays.call(ctx, call)
+		if err == nil || settles(err, tried) {
+			return answer, err
+		}
+		tried = maybe(tried, err)
+	}
 	search, cancel := context.WithTimeout(ctx, searchTime)
-	defer cancel()
 	answer, err := c.callJob(search, call)
-	if err == nil || refusal.Of(err).Ran != refusal.Unknown || ctx.Err() != nil {
+	cancel()
+	if err == nil || settles(err, tried) {
 		return answer, err
 	}
-	telemetry.CountRetry(refusal.OutcomeUnknown)
-	answer, again := c.callJob(ctx, call)
-	if again != nil && refusal.Of(again).Kind.HTTPStatus() >= http.StatusInternalServerError {
+	tried = maybe(tried, err)
+	if c.relays.allowed() && ctx.Err() == nil {
+		answer, relayed := c.relays.call(ctx, call)
+		if relayed == nil || settles(relayed, tried) {
+			return answer, relayed
+		}
+		tried = maybe(tried, relayed)
+	}
+	if tried == nil {
 		return nil, err
 	}
-	return answer, again
+	if ctx.Err() != nil {
+		return nil, tried
+	}
+	telemetry.CountRetry(refusal.OutcomeUnknown)
+	if answer, err = c.callJob(ctx, call); err == nil || settles(err, tried) {
+		return answer, err
+	}
+	return nil, tried
+}
+
+// settles reports whether a refusal ends a call: the leader read it and would
+// refuse it again. That it has no room now tells nothing of an earlier try that
+// may have been carried out.
+func settles(err error, tried *refusal.Error) bool {
+	status := refusal.Of(err).Kind.HTTPStatus()
+	return status < http.StatusInternalServerError && (status != http.StatusTooManyRequests || tried == nil)
+}
+
+// maybe returns the refusal of a try that may have been carried out, or the
+// earlier one.
+func maybe(earlier *refusal.Error, err error) *refusal.Error {
+	if r := refusal.Of(err); r.Ran == refusal.Unknown {
+		return r
+	}
+	return earlier
 }
 
 func (c *Cell) callJob(ctx context.Context, call *egretmuxv1.JobCall) (*egretmuxv1.JobAnswer, error) {
--- a/internal/jobcell/serve.go
+++ b/internal/jobcell/serve.go
@@ -21,6 +21,10 @@
 
 // CallJob implements JobCellService.
 func (s *service) CallJob(ctx context.Context, req *connect.Request[egretmuxv1.JobCall]) (*connect.Response[egretmuxv1.JobAnswer], error) {
+	if req.Msg.GetRelayed() && s.cell.members.leaderHeardWithin(leaderFresh) {
+		answer, err := s.cell.callJob(ctx, req.Msg)
+		return reply(s.cell, answer, err)
+	}
 	answer, err := s.cell.scheduler.CallJob(ctx, req.Msg)
 	return reply(s.cell, answer, err)
 }
