Unanswered starts are sent again as the same run; lost answers are noticed sooner

Cause: a share of the orders gets no answer and is carried out late. A look without an answer left its worker unseen for 2 s. Change: after eight times what starts take of late (200 to 700 ms) the same run is sent again, which a worker takes once; a refusal of the second try proves nothing, since the first may still be carried out. Stops and looks wait as long. A stop of a run that was never listed is followed by a look at once. Tests: TestStartWithoutAnswerIsSentAgainAsTheSameRun, TestRefusalOfARepeatedStartDoesNotProveThatNothingRuns.

--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -191,7 +191,7 @@
 		r.state = running
 	}
 	r.load = lr.Load
-	r.proven = true
+	r.proven, r.listed = true, true
 }
 
 // missing gives up the runs that a whole listing lacks, if the worker had
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -73,18 +73,20 @@
 }
 
 // StopAnswered takes up whether a worker answered a stop. An unanswered one is
-// repeated until the lease ends.
-func (c *Core) StopAnswered(s Stop, answered bool, now time.Duration) {
+// repeated until the lease ends. It returns whether a listing is wanted at once:
+// the run may never have been there, and its task waits.
+func (c *Core) StopAnswered(s Stop, answered bool, now time.Duration) bool {
 	r := c.find(s.Target, s.Task, s.Run)
 	if r == nil || r.state == ended {
-		return
+		return false
 	}
 	if answered {
 		r.provenAt, r.proven = now, true
-		return
+		return !r.listed
 	}
 	r.stopSent = false
 	c.stop(r, "stop-unanswered")
+	return false
 }
 
 func outcomeName(o egretmuxv1.RunOutcome) string {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -137,6 +137,7 @@
 	// asked for later that lacks the run proves that it is not there.
 	provenAt   time.Duration
 	proven     bool
+	listed     bool // a listing has held it
 	stopSent   bool
 	percent    float64
 	movedAt    time.Duration // when percent last changed
--- a/internal/scheduler/look.go
+++ b/internal/scheduler/look.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/egretmux/egretmux/internal/dispatch"
@@ -12,6 +13,30 @@
 type looker struct {
 	stop  context.CancelFunc
 	noted chan struct{} // ends have become durable
+
+	mu   sync.Mutex
+	drop context.CancelFunc // gives up the look on its way
+}
+
+// again gives up the look on its way, so that the next one is sent at once.
+func (l *looker) again() {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.drop != nil {
+		l.drop()
+	}
+}
+
+// begin returns the context of a look that again gives up.
+func (l *looker) begin(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.drop = cancel
+	return ctx, cancel
 }
 
 func (l *looker) wake() {
@@ -63,10 +88,17 @@
 			return
 		}
 		asked := t.now()
-		listing, result := t.lookOnce(ctx, Look{Target: target, Fence: t.term, LeaseUntil: until, Cursor: cursor, Wait: wait})
+		once, end := l.begin(ctx)
+		listing, result := t.lookOnce(once, Look{Target: target, Fence: t.term, LeaseUntil: until, Cursor: cursor, Wait: wait})
+		dropped := once.Err() != nil
+		end()
 		if ctx.Err() != nil {
 			return
 		}
+		if dropped && result != LookAnswered {
+			wait = 0
+			continue
+		}
 		pause := lookPause
 		if withholds {
 			pause = withheldPause
@@ -101,7 +133,7 @@
 }
 
 func (t *tenure) lookOnce(ctx context.Context, l Look) (dispatch.Listing, LookResult) {
-	ctx, cancel := context.WithTimeout(ctx, l.Wait+lookTimeout)
+	ctx, cancel := context.WithTimeout(ctx, l.Wait+t.answerWait())
 	defer cancel()
 	return t.cfg.Workers.Look(ctx, l)
 }
@@ -116,7 +148,7 @@
 // awaitNoted waits until the ends just listed are durable, so that the next
 // look does not list them again.
 func (t *tenure) awaitNoted(ctx context.Context, l *looker) {
-	limit := time.NewTimer(lookTimeout)
+	limit := time.NewTimer(notedWait)
 	defer limit.Stop()
 	select {
 	case <-l.noted:
--- a/internal/scheduler/note.go
+++ b/internal/scheduler/note.go
@@ -13,6 +13,10 @@
 // the time of a commit, so that ends of many workers share one.
 const notePause = 4 * time.Millisecond
 
+// notedWait is how long a look waits for the ends just listed to become durable;
+// a commit takes some tens of milliseconds.
+const notedWait = time.Second
+
 // notes are the ends that wait to be made durable.
 type notes struct {
 	mu      sync.Mutex
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -27,9 +27,21 @@
 	early   []dispatch.Start          // starts sent before they were stored
 	ended   []dispatch.ListedEnd
 	cursor  uint64
+	starts  int
+	// refuse answers a start in place of the worker, by how many came before.
+	refuse func(ctx context.Context, before int) dispatch.Refusal
 }
 
-func (f *fleet) Start(_ context.Context, s dispatch.Start, _ uint64) (dispatch.Refusal, int64) {
+func (f *fleet) Start(ctx context.Context, s dispatch.Start, _ uint64) (dispatch.Refusal, int64) {
+	f.mu.Lock()
+	before := f.starts
+	f.starts++
+	f.mu.Unlock()
+	if f.refuse != nil {
+		if answer := f.refuse(ctx, before); answer != dispatch.Accepted {
+			return answer, 0
+		}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.stored(s) {
@@ -182,3 +194,56 @@
 	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_QUEUED, phaseAfter(egretmuxv1.JobVerb_JOB_VERB_SUBMIT))
 	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_CANCELLED, phaseAfter(egretmuxv1.JobVerb_JOB_VERB_CANCEL))
 }
+
+// runOne submits a job of one task and returns the numbers of the runs that the
+// worker began, once the job has completed.
+func runOne(t *testing.T, f *fleet) []uint64 {
+	t.Helper()
+	s := lead(t, f)
+	ctx := t.Context()
+	_, err := s.PutCatalogue(ctx, catalogue(1, "one"))
+	require.NoError(t, err)
+	require.NoError(t, s.Beat(ctx, &egretmuxv1.WorkerBeat{Life: &egretmuxv1.WorkerLife{Worker: "w", BornUnixMs: 1, Address: "w:1", Pool: "p", CpuMillis: 4000, MemoryMib: 1000}}))
+	_, err = s.CallJob(ctx, &egretmuxv1.JobCall{Address: address(jobPath), Verb: egretmuxv1.JobVerb_JOB_VERB_SUBMIT, Job: &egretmuxv1.Job{
+		Steps: []*egretmuxv1.JobStep{{Count: 1, CpuMillis: 1000, MemoryMib: 10, EstimateMs: 10}},
+	}})
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		answer, err := s.CallJob(ctx, &egretmuxv1.JobCall{Address: address(jobPath), Verb: egretmuxv1.JobVerb_JOB_VERB_SHOW})
+		return err == nil && answer.GetPhase() == egretmuxv1.JobPhase_JOB_PHASE_COMPLETED
+	}, 10*time.Second, 10*time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var runs []uint64
+	for _, e := range f.ended {
+		runs = append(runs, e.Run)
+	}
+	return runs
+}
+
+func TestStartWithoutAnswerIsSentAgainAsTheSameRun(t *testing.T) {
+	runs := runOne(t, &fleet{refuse: func(ctx context.Context, before int) dispatch.Refusal {
+		if before > 0 {
+			return dispatch.Accepted
+		}
+		<-ctx.Done()
+		return dispatch.Unanswered
+	}})
+	require.Equal(t, []uint64{1}, runs)
+}
+
+// The first try may be carried out later, so the refused run is stopped, and
+// another one made, before the task may start elsewhere.
+func TestRefusalOfARepeatedStartDoesNotProveThatNothingRuns(t *testing.T) {
+	runs := runOne(t, &fleet{refuse: func(ctx context.Context, before int) dispatch.Refusal {
+		switch before {
+		case 0:
+			<-ctx.Done()
+			return dispatch.Unanswered
+		case 1:
+			return dispatch.NoRoom
+		}
+		return dispatch.Accepted
+	}})
+	require.Equal(t, []uint64{2}, runs)
+}
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -36,11 +36,13 @@
 	silentForget    = 20 * time.Second       // a silent worker without runs is dropped from the book
 	lookWait        = time.Second            // so that progress is seen about as often
 	watchWait       = 400 * time.Millisecond // at workers whose serving tasks others may slow down
-	lookTimeout     = time.Second            // for an answer, beyond the wait
 	lookRetryPause  = 250 * time.Millisecond
 	lookPause       = 5 * time.Millisecond   // between two looks at a worker, so that ends gather
 	withheldPause   = 200 * time.Millisecond // between two looks at a worker that answers at once
 	orderTimeout    = 700 * time.Millisecond
+	minAnswerWait   = 200 * time.Millisecond // for an answer to a call that can be made again; it takes some ten milliseconds
+	answerWaits     = 8                      // times what starts take of late
+	startGain       = 1.0 / 16               // weight of one start in what they take of late
 	stopRetryPause  = 200 * time.Millisecond
 	adviceSlack     = 1500 * time.Millisecond // for advice, beyond twice its expected time: calls wait for their turn
 )
@@ -65,6 +67,7 @@
 	// lastConfirmed is when the last confirmation began, in nanoseconds of the tenure.
 	lastConfirmed atomic.Int64
 	watched       atomic.Int64 // workers
+	startTook     atomic.Int64 // by starts of late, in nanoseconds
 	confirmTook   atomic.Int64 // by the newest confirmation, in nanoseconds
 }
 
@@ -220,10 +223,7 @@
 		return
 	}
 	for _, s := range starts {
-		t.mu.Lock()
-		wanted := t.core.Wanted(s)
-		t.mu.Unlock()
-		if !wanted {
+		if !t.wanted(s) {
 			t.do(func(c *dispatch.Core, now time.Duration) { c.StartAnswered(s, dispatch.NotSent, now, now) })
 			continue
 		}
@@ -232,16 +232,19 @@
 }
 
 func (t *tenure) sendStart(s dispatch.Start) {
-	ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
-	defer cancel()
 	sent := t.now()
-	answer, clock := t.cfg.Workers.Start(ctx, s, t.term)
+	answer, clock := t.tryStart(s, t.answerWait())
+	if answer == dispatch.Unanswered && t.wanted(s) {
+		answer, clock = t.repeatStart(s)
+	}
 	if clock != 0 && clock < s.Clock {
 		// The clock began anew: another life of the worker took the order.
 		t.undoStart(s)
 		answer = dispatch.AnotherLife
 	}
-	telemetry.ObserveSeconds("worker_start", t.now()-sent)
+	took := t.now() - sent
+	telemetry.ObserveSeconds("worker_start", took)
+	t.startTook.Store(t.startTook.Load() + int64(float64(int64(took)-t.startTook.Load())*startGain))
 	t.do(func(c *dispatch.Core, now time.Duration) {
 		c.StartAnswered(s, answer, sent, now)
 		if answer == dispatch.AnotherLife {
@@ -253,6 +256,36 @@
 	}
 }
 
+func (t *tenure) wanted(s dispatch.Start) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ctx.Err() == nil && t.core.Wanted(s)
+}
+
+func (t *tenure) tryStart(s dispatch.Start, limit time.Duration) (dispatch.Refusal, int64) {
+	ctx, cancel := context.WithTimeout(t.ctx, limit)
+	defer cancel()
+	return t.cfg.Workers.Start(ctx, s, t.term)
+}
+
+// answerWait is how long a worker's answer is waited for, where the call can be
+// made again.
+func (t *tenure) answerWait() time.Duration {
+	return min(orderTimeout, max(minAnswerWait, answerWaits*time.Duration(t.startTook.Load())))
+}
+
+// repeatStart sends a start again that got no answer: the worker takes a run only
+// once. A refusal does not tell what becomes of the first try.
+func (t *tenure) repeatStart(s dispatch.Start) (dispatch.Refusal, int64) {
+	telemetry.CountRetry("start-unanswered")
+	answer, clock := t.tryStart(s, orderTimeout)
+	switch answer {
+	case dispatch.Accepted, dispatch.AnotherLife, dispatch.Unanswered:
+		return answer, clock
+	}
+	return dispatch.Unanswered, clock
+}
+
 // undoStart stops a run that another life of the worker may have begun. It
 // returns once that life has answered, or no lease of it can hold.
 func (t *tenure) undoStart(s dispatch.Start) {
@@ -269,7 +302,7 @@
 }
 
 func (t *tenure) sendStop(s dispatch.Stop) {
-	ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(t.ctx, t.answerWait())
 	defer cancel()
 	answered := t.cfg.Workers.Stop(ctx, s, t.term)
 	if !answered {
@@ -278,7 +311,11 @@
 	if t.ctx.Err() != nil {
 		return
 	}
-	t.do(func(c *dispatch.Core, now time.Duration) { c.StopAnswered(s, answered, now) })
+	t.do(func(c *dispatch.Core, now time.Duration) {
+		if c.StopAnswered(s, answered, now) {
+			t.look[s.Target].again()
+		}
+	})
 }
 
 func (t *tenure) sendPace(p dispatch.Pace) {
