A restarted replica campaigns after half an election timeout

Change: the first timeout after a start is 300 to 600 ms. A leader that is there is heard from within 150 ms, and pre-votes keep a restarted replica from disturbing it.

--- a/internal/consensus/core/core.go
+++ b/internal/consensus/core/core.go
@@ -146,6 +146,9 @@
 	}
 	c.savedHard = egretmuxv1.HardState{Term: c.term, Vote: c.vote, Commit: c.commit}
 	c.becomeFollower(c.term, 0)
+	// A leader that is there is heard from within a heartbeat. After a restart of
+	// all replicas there is none, and nothing to wait for.
+	c.electionTimeout = c.retryTicks(2)
 	return c
 }
 
