A plan looks in turn at the steps beyond its limit

Cause: a plan looks at the first 256 steps. As many that can never be placed, such as with a label that no worker has, would keep all others out for good. Change: a quarter of the steps looked at are taken in turn from the rest. Test: TestStepsThatCannotBePlacedDoNotKeepTheRestOut (failed before).

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -50,6 +50,7 @@
 	goodShare map[[2]string]float64
 	notices   []Notice
 	urgent    urgentUse
+	turn      int // of the steps that a plan looks at in turn
 	advisers  int // instances that can ask for advice at the same time
 	// asked is the expected time in milliseconds of the calls for advice on their
 	// way, apart for long and short ones.
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -440,3 +440,21 @@
 	require.Len(t, w.starts, 1)
 	require.Equal(t, id(4), w.starts[0].Task.Job)
 }
+
+// Many jobs ask for a label that no worker has; the job behind them runs.
+func TestStepsThatCannotBePlacedDoNotKeepTheRestOut(t *testing.T) {
+	w := newWorld(t)
+	w.worker("a", 8)
+	for n := range 400 {
+		step := tasks(1, 1)
+		step.RequiredLabel = "none"
+		w.submit(id(n), step)
+	}
+	w.now += time.Second
+	w.submit(id(1000), tasks(1, 1))
+	for range 5 {
+		w.plan()
+	}
+	require.Len(t, w.starts, 1)
+	require.Equal(t, id(1000), w.starts[0].Task.Job)
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -11,7 +11,8 @@
 
 // Limits of one plan.
 const (
-	maxSteps    = 256 // steps looked at in one plan
+	maxSteps    = 256 // steps looked at in one plan; on the grown sites some milliseconds
+	turnSteps   = 64  // of them, those that take turns: a quarter
 	maxReserved = 6   // waiting gangs that hold room back
 	lateFactor  = 3   // objectives after which a job earns nothing more by its time
 	farPenalty  = 1e6 // score of a worker away from the data
@@ -29,10 +30,7 @@
 		w.reserved = room{}
 	}
 	reservations := 0
-	for i, s := range c.order(now) {
-		if i >= maxSteps {
-			break
-		}
+	for _, s := range c.chosen(c.order(now)) {
 		waiting := s.waiting()
 		if len(waiting) == 0 {
 			continue
@@ -51,6 +49,22 @@
 	}
 }
 
+// chosen returns the steps that a plan looks at: the first ones and, in turn,
+// some of the others, so that steps that cannot be placed do not keep the rest
+// out.
+func (c *Core) chosen(ordered []*step) []*step {
+	if len(ordered) <= maxSteps {
+		return ordered
+	}
+	first, rest := ordered[:maxSteps-turnSteps], ordered[maxSteps-turnSteps:]
+	out := slices.Clone(first)
+	for range turnSteps {
+		c.turn++
+		out = append(out, rest[c.turn%len(rest)])
+	}
+	return out
+}
+
 // order returns the steps with waiting tasks, least slack first; those that
 // cannot meet their objective any more come after those that can.
 func (c *Core) order(now time.Duration) []*step {
