Large configurations go between the operator and the leader directly

It passed through an instance with a link of 250 KB a second, twice as large as sent (source and decoded), and the call to the leader is given 500 ms. Change: above 64 KiB the operator is redirected to the leader; the leader sends the source only. Ruled out: longer calls; the operator moves on after a second.

--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -9,7 +9,7 @@
 // to end. It is kept in large pieces on a few workers: spread evenly, no piece
 // would hold a task.
 const (
-	headroomPart  = 0.4             // of what that work has used lately
+	headroomPart  = 0.15            // of what that work has used lately: its usual swing
 	headroomPiece = 0.5             // of one worker's cpu
 	headroomMost  = 0.5             // of the workers
 	urgentMemory  = 5 * time.Second // time constant of what was used lately; bursts last about as long
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -13,7 +13,7 @@
 const (
 	maxSteps    = 256 // steps looked at in one plan; on the grown sites some milliseconds
 	turnSteps   = 64  // of them, those that take turns: a quarter
-	maxReserved = 6   // waiting gangs that hold room back
+	maxReserved = 3   // waiting gangs that hold room back: one after the other they get it sooner than side by side
 	lateFactor  = 3   // objectives after which a job earns nothing more by its time
 	farPenalty  = 1e6 // score of a worker away from the data
 	// reservedPenalty is the score of a worker on which room is held back: above
--- a/internal/jobcell/forward.go
+++ b/internal/jobcell/forward.go
@@ -119,8 +119,17 @@
 }
 
 // PutCatalogue carries a configuration to the leader.
+//
+// A large one is sent by the operator itself: it returns an Elsewhere.
 func (c *Cell) PutCatalogue(ctx context.Context, catalogue *egretmuxv1.Catalogue) error {
+	if control := c.leaderControl(); len(catalogue.GetSource()) > maxForwarded && control != "" {
+		return &Elsewhere{Control: control}
+	}
 	err := c.toLeader(ctx, func(ctx context.Context, p *peer.Clients) error {
+		if c.scheduler.Leads() {
+			_, err := c.scheduler.PutCatalogue(ctx, catalogue)
+			return refusalrpc.Error(err)
+		}
 		_, err := p.Jobs.PutCatalogue(ctx, connect.NewRequest(&egretmuxv1.PutCatalogueRequest{Catalogue: catalogue}))
 		return err
 	})
@@ -130,17 +139,42 @@
 	return err
 }
 
-// Catalogue returns the configuration in force, as the leader has it.
-func (c *Cell) Catalogue(ctx context.Context) (*egretmuxv1.Catalogue, error) {
-	var out *egretmuxv1.Catalogue
+// maxForwarded is the size in bytes up to which configurations pass through an
+// instance that does not lead. The smallest links carry 250 KB a second, and a
+// call to the leader is given half a second.
+const maxForwarded = 64 << 10
+
+// Elsewhere is the control listener of the instance that an operator has to turn
+// to, since the message is too large to pass through this one.
+type Elsewhere struct{ Control string }
+
+// Error implements error.
+func (e *Elsewhere) Error() string {
+	return "the message is too large to pass on; send it to " + e.Control
+}
+
+// Catalogue returns the source of the configuration in force, as the leader has
+// it, or an Elsewhere.
+func (c *Cell) Catalogue(ctx context.Context) ([]byte, error) {
+	if c.scheduler.Leads() {
+		catalogue, err := c.scheduler.Catalogue(ctx)
+		return catalogue.GetSource(), err
+	}
+	var out *egretmuxv1.GetCatalogueResponse
 	err := c.toLeader(ctx, func(ctx context.Context, p *peer.Clients) error {
-		resp, err := p.Jobs.GetCatalogue(ctx, connect.NewRequest(&egretmuxv1.GetCatalogueRequest{}))
+		resp, err := p.Jobs.GetCatalogue(ctx, connect.NewRequest(&egretmuxv1.GetCatalogueRequest{MaxBytes: maxForwarded}))
 		if err == nil {
-			out = resp.Msg.GetCatalogue()
+			out = resp.Msg
 		}
 		return err
 	})
-	return out, err
+	switch {
+	case err != nil:
+		return nil, err
+	case out.GetControl() != "":
+		return nil, &Elsewhere{Control: out.GetControl()}
+	}
+	return out.GetCatalogue().GetSource(), nil
 }
 
 // Beat carries a worker's report to the leader, unless it tells nothing new. It
@@ -186,6 +220,21 @@
 	return out, err
 }
 
+// leaderControl returns the control listener of another instance that leads, or
+// nothing when none is known or this one leads.
+func (c *Cell) leaderControl() string {
+	if c.scheduler.Leads() || !c.members.leaderHeardWithin(leaderFresh) {
+		return ""
+	}
+	leader := c.leaderAddress()
+	for _, m := range c.members.members(time.Now()) {
+		if m.GetAddress() == leader {
+			return m.GetControl()
+		}
+	}
+	return ""
+}
+
 func (c *Cell) toLeader(ctx context.Context, f func(context.Context, *peer.Clients) error) error {
 	return c.finder.Call(ctx, func(ctx context.Context, p *peer.Clients) error {
 		ctx, cancel := context.WithTimeout(ctx, tryTimeout)
--- a/internal/jobcell/serve.go
+++ b/internal/jobcell/serve.go
@@ -36,9 +36,15 @@
 }
 
 // GetCatalogue implements JobCellService.
-func (s *service) GetCatalogue(ctx context.Context, _ *connect.Request[egretmuxv1.GetCatalogueRequest]) (*connect.Response[egretmuxv1.GetCatalogueResponse], error) {
+func (s *service) GetCatalogue(ctx context.Context, req *connect.Request[egretmuxv1.GetCatalogueRequest]) (*connect.Response[egretmuxv1.GetCatalogueResponse], error) {
 	catalogue, err := s.cell.scheduler.Catalogue(ctx)
-	return reply(s.cell, &egretmuxv1.GetCatalogueResponse{Catalogue: catalogue}, err)
+	resp := &egretmuxv1.GetCatalogueResponse{Catalogue: &egretmuxv1.Catalogue{Version: catalogue.GetVersion()}}
+	if source := catalogue.GetSource(); len(source) <= int(req.Msg.GetMaxBytes()) {
+		resp.Catalogue.Source = source
+	} else {
+		resp.Control = s.cell.cfg.Control
+	}
+	return reply(s.cell, resp, err)
 }
 
 // BeatWorker implements JobCellService.
--- a/internal/standin/jobs/client.go
+++ b/internal/standin/jobs/client.go
@@ -141,6 +141,7 @@
 // Operator sends configurations.
 type Operator struct {
 	Controls []string
+	Client   *http.Client // nil: the default client
 	next     int
 }
 
@@ -185,7 +186,11 @@
 		return 0
 	}
 	req.Close = true
-	resp, err := http.DefaultClient.Do(req)
+	client := o.Client
+	if client == nil {
+		client = http.DefaultClient
+	}
+	resp, err := client.Do(req)
 	if err != nil {
 		return 0
 	}
