A look made by another instance can be given up

Cause: calls through another instance outlive the caller's context on purpose, to wait for the way back; so a look that is given up, to send one at once, ran on for up to a second on the large sites. Change: a context that is cancelled ends the wait; one that is out of time does not. Test: TestLookThatIsGivenUpEndsAtOnce (failed before).

--- a/internal/jobcell/drive.go
+++ b/internal/jobcell/drive.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/dispatch"
@@ -270,8 +271,13 @@
 // call returns the answer to an order, or nil when none came.
 func (l *driveLink) call(ctx context.Context, o *egretmuxv1.DriveOrder) *egretmuxv1.DriveAnswer {
 	deadline, _ := ctx.Deadline()
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline.Add(driveSlack))
+	answered, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline.Add(driveSlack))
 	defer cancel()
+	defer context.AfterFunc(ctx, func() {
+		if errors.Is(ctx.Err(), context.Canceled) {
+			cancel() // given up, not out of time
+		}
+	})()
 	o.Id = l.nextID.Add(1)
 	o.TimeoutMs = time.Until(deadline).Milliseconds()
 	waiting := make(chan *egretmuxv1.DriveAnswer, 1)
@@ -294,7 +300,7 @@
 		return a
 	case <-l.end:
 		return nil
-	case <-ctx.Done():
+	case <-answered.Done():
 		return nil
 	}
 }
--- a/internal/jobcell/drive_test.go
+++ b/internal/jobcell/drive_test.go
@@ -119,6 +119,18 @@
 	require.Nil(t, send())
 }
 
+func TestLookThatIsGivenUpEndsAtOnce(t *testing.T) {
+	l, fake, _ := link(t)
+	fake.silent = true
+	ctx, giveUp := context.WithCancel(withTime(t, 10*time.Second))
+	time.AfterFunc(50*time.Millisecond, giveUp)
+	o := order(dispatch.Target{Worker: "w"}, 3)
+	o.Order = &egretmuxv1.DriveOrder_Start{Start: &egretmuxv1.StartOrder{Task: &egretmuxv1.TaskRef{Job: "j"}}}
+	began := time.Now()
+	require.Nil(t, l.call(ctx, o))
+	require.Less(t, time.Since(began), 5*time.Second)
+}
+
 func TestUnchangedReportsAreNotCarriedAgain(t *testing.T) {
 	c := newBeatCache()
 	now := time.Now()
