A call for advice that hangs is made through another instance

One call of the leader's own hung; it held the turn, the others waited behind it, and the leader went on asking itself, since only other instances were left alone after a failure. Change: the first try ends after twice the expected time and 300 ms; whoever failed, this instance included, is left alone for 2 s; the second try goes elsewhere. Test: TestCallForAdviceThatHangsHereIsMadeThroughAnotherInstance.

--- a/internal/jobcell/advise.go
+++ b/internal/jobcell/advise.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,28 +27,45 @@
 	return &advisers{cell: c, busy: make(map[string]float64), avoid: make(map[string]time.Time)}
 }
 
-// adviserRest is the time for which an instance that failed a call is not asked;
-// a restart takes about as long.
-const adviserRest = 2 * time.Second
+const (
+	// adviserRest is the time for which an instance that failed a call is not
+	// asked; a restart takes about as long.
+	adviserRest = 2 * time.Second
+	// adviserPatience is waited for the answer of the first instance asked, beyond
+	// twice the expected time. Its connection to the service may be dead, or an
+	// earlier call still have its turn.
+	adviserPatience = 300 * time.Millisecond
+)
 
 // keptPart is the part of the instances, this one among them, that make no long
 // calls, so that short ones need not wait behind them.
 const keptPart = 4
 
-// Advise implements scheduler.Adviser. A call that fails at another instance is
-// made once more, here.
+// Advise implements scheduler.Adviser. A call that fails at one instance is made
+// once more, at another.
 func (a *advisers) Advise(ctx context.Context, ask dispatch.Ask) (map[string]string, error) {
+	first, cancel := context.WithTimeout(ctx, time.Duration(2*ask.Expect*float64(time.Millisecond))+adviserPatience)
+	tickets, err := a.adviseOnce(first, ask)
+	cancel()
+	if err == nil || ctx.Err() != nil {
+		return tickets, err
+	}
+	telemetry.CountRetry("adviser-failed")
+	return a.adviseOnce(ctx, ask)
+}
+
+// adviseOnce makes a call through the instance with the least work before it. One
+// that fails is left alone for a while, this one like any other.
+func (a *advisers) adviseOnce(ctx context.Context, ask dispatch.Ask) (map[string]string, error) {
 	address := a.take(ask.Expect)
 	defer a.release(address, ask.Expect)
 	tickets, err := a.adviseAt(ctx, address, ask)
-	if err == nil || address == a.cell.cfg.Address {
-		return tickets, err
+	if err != nil {
+		a.mu.Lock()
+		a.avoid[address] = time.Now().Add(adviserRest)
+		a.mu.Unlock()
 	}
-	telemetry.CountRetry("adviser-failed")
-	a.mu.Lock()
-	a.avoid[address] = time.Now().Add(adviserRest)
-	a.mu.Unlock()
-	return a.adviseAt(ctx, a.cell.cfg.Address, ask)
+	return tickets, err
 }
 
 func (a *advisers) adviseAt(ctx context.Context, address string, ask dispatch.Ask) (map[string]string, error) {
@@ -71,14 +89,7 @@
 func (a *advisers) Instances() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := time.Now()
-	n := 1
-	for _, m := range a.cell.members.live(now, memberBusy) {
-		if now.After(a.avoid[m.GetAddress()]) {
-			n++
-		}
-	}
-	return n
+	return len(a.candidates(0, time.Now()))
 }
 
 // take chooses the instance with the least expected work before it.
@@ -97,11 +108,13 @@
 
 // candidates returns the instances that may make a call. The caller holds mu.
 func (a *advisers) candidates(expect float64, now time.Time) []string {
-	out := []string{a.cell.cfg.Address}
+	all := []string{a.cell.cfg.Address}
 	for _, m := range a.cell.members.live(now, memberBusy) {
-		if now.After(a.avoid[m.GetAddress()]) {
-			out = append(out, m.GetAddress())
-		}
+		all = append(all, m.GetAddress())
+	}
+	out := slices.DeleteFunc(slices.Clone(all), func(address string) bool { return now.Before(a.avoid[address]) })
+	if len(out) == 0 {
+		out = all
 	}
 	if kept := len(out) / keptPart; expect >= dispatch.LongAdvice && kept > 0 {
 		return out[kept:]
