--- a/internal/jobcell/advise.go
+++ b/internal/jobcell/advise.go
@@ -32,8 +32,7 @@
 	// asked; a restart takes about as long.
 	adviserRest = 2 * time.Second
 	// adviserPatience is waited for the answer of the first instance asked, beyond
-	// twice the expected time. Its connection to the service may be dead, or an
-	// earlier call still have its turn.
+	// twice the expected time of the calls before it and its own.
 	adviserPatience = 300 * time.Millisecond
 )
 
@@ -44,21 +43,24 @@
 // Advise implements scheduler.Adviser. A call that fails at one instance is made
 // once more, at another.
 func (a *advisers) Advise(ctx context.Context, ask dispatch.Ask) (map[string]string, error) {
-	first, cancel := context.WithTimeout(ctx, time.Duration(2*ask.Expect*float64(time.Millisecond))+adviserPatience)
-	tickets, err := a.adviseOnce(first, ask)
-	cancel()
+	tickets, err := a.adviseOnce(ctx, ask, true)
 	if err == nil || ctx.Err() != nil {
 		return tickets, err
 	}
 	telemetry.CountRetry("adviser-failed")
-	return a.adviseOnce(ctx, ask)
+	return a.adviseOnce(ctx, ask, false)
 }
 
 // adviseOnce makes a call through the instance with the least work before it. One
 // that fails is left alone for a while, this one like any other.
-func (a *advisers) adviseOnce(ctx context.Context, ask dispatch.Ask) (map[string]string, error) {
-	address := a.take(ask.Expect)
+func (a *advisers) adviseOnce(ctx context.Context, ask dispatch.Ask, again bool) (map[string]string, error) {
+	address, load := a.take(ask.Expect)
 	defer a.release(address, ask.Expect)
+	if again {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(2*load*float64(time.Millisecond))+adviserPatience)
+		defer cancel()
+	}
 	tickets, err := a.adviseAt(ctx, address, ask)
 	if err != nil {
 		a.mu.Lock()
@@ -92,18 +94,18 @@
 	return len(a.candidates(0, time.Now()))
 }
 
-// take chooses the instance with the least expected work before it.
-func (a *advisers) take(expect float64) string {
+// take chooses the instance with the least expected work before it, and returns
+// that work with the new call's, in milliseconds.
+func (a *advisers) take(expect float64) (address string, load float64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	best := ""
-	for _, address := range a.candidates(expect, time.Now()) {
-		if best == "" || a.busy[address] < a.busy[best] {
-			best = address
+	for _, c := range a.candidates(expect, time.Now()) {
+		if address == "" || a.busy[c] < a.busy[address] {
+			address = c
 		}
 	}
-	a.busy[best] += expect
-	return best
+	a.busy[address] += expect
+	return address, a.busy[address]
 }
 
 // candidates returns the instances that may make a call. The caller holds mu.
--- a/internal/jobcell/advise_test.go
+++ b/internal/jobcell/advise_test.go
@@ -21,11 +21,13 @@
 	}
 	long := make(map[string]bool)
 	for range 40 {
-		long[c.advisers.take(dispatch.LongAdvice)] = true
+		address, _ := c.advisers.take(dispatch.LongAdvice)
+		long[address] = true
 	}
 	require.NotContains(t, long, "self")
 	require.Len(t, long, 6)
-	require.False(t, long[c.advisers.take(1)], "a short call waits behind long ones")
+	address, _ := c.advisers.take(1)
+	require.False(t, long[address], "a short call waits behind long ones")
 }
 
 // stuckAdviser does not answer.
