--- a/internal/jobcell/advise.go
+++ b/internal/jobcell/advise.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,28 +27,47 @@
 	return &advisers{cell: c, busy: make(map[string]float64), avoid: make(map[string]time.Time)}
 }
 
-// adviserRest is the time for which an instance that failed a call is not asked;
-// a restart takes about as long.
-const adviserRest = 2 * time.Second
+const (
+	// adviserRest is the time for which an instance that failed a call is not
+	// asked; a restart takes about as long.
+	adviserRest = 2 * time.Second
+	// adviserPatience is waited for the answer of the first instance asked, beyond
+	// twice the expected time of the calls before it and its own.
+	adviserPatience = 300 * time.Millisecond
+)
 
 // keptPart is the part of the instances, this one among them, that make no long
 // calls, so that short ones need not wait behind them.
 const keptPart = 4
 
-// Advise implements scheduler.Adviser. A call that fails at another instance is
-// made once more, here.
+// Advise implements scheduler.Adviser. A call that fails at one instance is made
+// once more, at another.
 func (a *advisers) Advise(ctx context.Context, ask dispatch.Ask) (map[string]string, error) {
-	address := a.take(ask.Expect)
-	defer a.release(address, ask.Expect)
-	tickets, err := a.adviseAt(ctx, address, ask)
-	if err == nil || address == a.cell.cfg.Address {
+	tickets, err := a.adviseOnce(ctx, ask, true)
+	if err == nil || ctx.Err() != nil {
 		return tickets, err
 	}
 	telemetry.CountRetry("adviser-failed")
-	a.mu.Lock()
-	a.avoid[address] = time.Now().Add(adviserRest)
-	a.mu.Unlock()
-	return a.adviseAt(ctx, a.cell.cfg.Address, ask)
+	return a.adviseOnce(ctx, ask, false)
+}
+
+// adviseOnce makes a call through the instance with the least work before it. One
+// that fails is left alone for a while, this one like any other.
+func (a *advisers) adviseOnce(ctx context.Context, ask dispatch.Ask, again bool) (map[string]string, error) {
+	address, load := a.take(ask.Expect)
+	defer a.release(address, ask.Expect)
+	if again {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(2*load*float64(time.Millisecond))+adviserPatience)
+		defer cancel()
+	}
+	tickets, err := a.adviseAt(ctx, address, ask)
+	if err != nil {
+		a.mu.Lock()
+		a.avoid[address] = time.Now().Add(adviserRest)
+		a.mu.Unlock()
+	}
+	return tickets, err
 }
 
 func (a *advisers) adviseAt(ctx context.Context, address string, ask dispatch.Ask) (map[string]string, error) {
@@ -71,37 +91,32 @@
 func (a *advisers) Instances() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := time.Now()
-	n := 1
-	for _, m := range a.cell.members.live(now, memberBusy) {
-		if now.After(a.avoid[m.GetAddress()]) {
-			n++
-		}
-	}
-	return n
+	return len(a.candidates(0, time.Now()))
 }
 
-// take chooses the instance with the least expected work before it.
-func (a *advisers) take(expect float64) string {
+// take chooses the instance with the least expected work before it, and returns
+// that work with the new call's, in milliseconds.
+func (a *advisers) take(expect float64) (address string, load float64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	best := ""
-	for _, address := range a.candidates(expect, time.Now()) {
-		if best == "" || a.busy[address] < a.busy[best] {
-			best = address
+	for _, c := range a.candidates(expect, time.Now()) {
+		if address == "" || a.busy[c] < a.busy[address] {
+			address = c
 		}
 	}
-	a.busy[best] += expect
-	return best
+	a.busy[address] += expect
+	return address, a.busy[address]
 }
 
 // candidates returns the instances that may make a call. The caller holds mu.
 func (a *advisers) candidates(expect float64, now time.Time) []string {
-	out := []string{a.cell.cfg.Address}
+	all := []string{a.cell.cfg.Address}
 	for _, m := range a.cell.members.live(now, memberBusy) {
-		if now.After(a.avoid[m.GetAddress()]) {
-			out = append(out, m.GetAddress())
-		}
+		all = append(all, m.GetAddress())
+	}
+	out := slices.DeleteFunc(slices.Clone(all), func(address string) bool { return now.Before(a.avoid[address]) })
+	if len(out) == 0 {
+		out = all
 	}
 	if kept := len(out) / keptPart; expect >= dispatch.LongAdvice && kept > 0 {
 		return out[kept:]
