--- a/internal/jobcell/advise.go
+++ b/internal/jobcell/advise.go
@@ -52,11 +52,12 @@
 }
 
 // adviseOnce makes a call through the instance with the least work before it. One
-// that fails is left alone for a while, this one like any other.
-func (a *advisers) adviseOnce(ctx context.Context, ask dispatch.Ask, again bool) (map[string]string, error) {
+// that fails is left alone for a while, this one like any other. With another try
+// to come, the answer is waited for only as long as is usual.
+func (a *advisers) adviseOnce(ctx context.Context, ask dispatch.Ask, another bool) (map[string]string, error) {
 	address, load := a.take(ask.Expect)
 	defer a.release(address, ask.Expect)
-	if again {
+	if another {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(2*load*float64(time.Millisecond))+adviserPatience)
 		defer cancel()
