--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -458,3 +458,23 @@
 	require.Len(t, w.starts, 1)
 	require.Equal(t, id(1000), w.starts[0].Task.Job)
 }
+
+// A run that no listing has held may never have been there; its task waits for
+// the listing that tells.
+func TestStopOfARunThatWasNeverListedAsksForAListing(t *testing.T) {
+	w := newWorld(t)
+	a := w.worker("a", 8)
+	w.submit(id(1), tasks(2, 1))
+	w.plan()
+	require.Len(t, w.starts, 2)
+	lost, seen := w.starts[0], w.starts[1]
+	w.core.StartAnswered(lost, dispatch.Unanswered, w.now, w.now)
+	w.core.StartAnswered(seen, dispatch.Accepted, w.now, w.now)
+	w.list(a, []dispatch.ListedRun{{Task: seen.Task, Run: seen.Run}}, nil)
+	w.core.Ended(id(1), "cancelled")
+	w.take()
+	require.Len(t, w.stops, 2)
+	for _, s := range w.stops {
+		require.Equal(t, s.Task == lost.Task, w.core.StopAnswered(s, true, w.now), "%v", s.Task)
+	}
+}
