discovery: versioned lists, announcements to the leader only

Cause: while no leader answered, each instance sent the whole list of instances to every known instance every 150 ms and got it back. With 100 instances on links of 2 Mbit/s that is more than the links carry, so votes, heartbeats, orders and clients' calls waited behind lists: the first leader of the large site was elected 4 s after the cell was formed, and the first configuration was acknowledged 7 s after the traffic began.

Change: package discovery, a core without I/O or clock. An instance announces itself to the leader only; one that knows no leader asks one seed or replica at a time, with a pause that grows with the cell. A new leader tells all instances, through some of them or through those that hold the list. Lists are versioned and kept by seeds, replicas and the leader only. Reports of a leader carry its term. A new cell waits longer for candidates if there are too few, and its replicas are told to start. The delegate of a worker is cached instead of being computed for each order.

--- a/gen/egretmux/v1/egretmuxv1connect/job.connect.go
+++ b/gen/egretmux/v1/egretmuxv1connect/job.connect.go
@@ -38,6 +38,9 @@
 	// JobCellServiceAnnounceMemberProcedure is the fully-qualified name of the JobCellService's
 	// AnnounceMember RPC.
 	JobCellServiceAnnounceMemberProcedure = "/egretmux.v1.JobCellService/AnnounceMember"
+	// JobCellServiceAnnounceLeaderProcedure is the fully-qualified name of the JobCellService's
+	// AnnounceLeader RPC.
+	JobCellServiceAnnounceLeaderProcedure = "/egretmux.v1.JobCellService/AnnounceLeader"
 	// JobCellServiceFoundCellProcedure is the fully-qualified name of the JobCellService's FoundCell
 	// RPC.
 	JobCellServiceFoundCellProcedure = "/egretmux.v1.JobCellService/FoundCell"
@@ -66,6 +69,7 @@
 // JobCellServiceClient is a client for the egretmux.v1.JobCellService service.
 type JobCellServiceClient interface {
 	AnnounceMember(context.Context, *connect.Request[v1.AnnounceMemberRequest]) (*connect.Response[v1.AnnounceMemberResponse], error)
+	AnnounceLeader(context.Context, *connect.Request[v1.AnnounceLeaderRequest]) (*connect.Response[v1.AnnounceLeaderResponse], error)
 	FoundCell(context.Context, *connect.Request[v1.FoundCellRequest]) (*connect.Response[v1.FoundCellResponse], error)
 	CallJob(context.Context, *connect.Request[v1.JobCall]) (*connect.Response[v1.JobAnswer], error)
 	PutCatalogue(context.Context, *connect.Request[v1.PutCatalogueRequest]) (*connect.Response[v1.PutCatalogueResponse], error)
@@ -95,6 +99,12 @@
 			connect.WithSchema(jobCellServiceMethods.ByName("AnnounceMember")),
 			connect.WithClientOptions(opts...),
 		),
+		announceLeader: connect.NewClient[v1.AnnounceLeaderRequest, v1.AnnounceLeaderResponse](
+			httpClient,
+			baseURL+JobCellServiceAnnounceLeaderProcedure,
+			connect.WithSchema(jobCellServiceMethods.ByName("AnnounceLeader")),
+			connect.WithClientOptions(opts...),
+		),
 		foundCell: connect.NewClient[v1.FoundCellRequest, v1.FoundCellResponse](
 			httpClient,
 			baseURL+JobCellServiceFoundCellProcedure,
@@ -155,6 +165,7 @@
 // jobCellServiceClient implements JobCellServiceClient.
 type jobCellServiceClient struct {
 	announceMember *connect.Client[v1.AnnounceMemberRequest, v1.AnnounceMemberResponse]
+	announceLeader *connect.Client[v1.AnnounceLeaderRequest, v1.AnnounceLeaderResponse]
 	foundCell      *connect.Client[v1.FoundCellRequest, v1.FoundCellResponse]
 	callJob        *connect.Client[v1.JobCall, v1.JobAnswer]
 	putCatalogue   *connect.Client[v1.PutCatalogueRequest, v1.PutCatalogueResponse]
@@ -171,6 +182,11 @@
 	return c.announceMember.CallUnary(ctx, req)
 }
 
+// AnnounceLeader calls egretmux.v1.JobCellService.AnnounceLeader.
+func (c *jobCellServiceClient) AnnounceLeader(ctx context.Context, req *connect.Request[v1.AnnounceLeaderRequest]) (*connect.Response[v1.AnnounceLeaderResponse], error) {
+	return c.announceLeader.CallUnary(ctx, req)
+}
+
 // FoundCell calls egretmux.v1.JobCellService.FoundCell.
 func (c *jobCellServiceClient) FoundCell(ctx context.Context, req *connect.Request[v1.FoundCellRequest]) (*connect.Response[v1.FoundCellResponse], error) {
 	return c.foundCell.CallUnary(ctx, req)
@@ -219,6 +235,7 @@
 // JobCellServiceHandler is an implementation of the egretmux.v1.JobCellService service.
 type JobCellServiceHandler interface {
 	AnnounceMember(context.Context, *connect.Request[v1.AnnounceMemberRequest]) (*connect.Response[v1.AnnounceMemberResponse], error)
+	AnnounceLeader(context.Context, *connect.Request[v1.AnnounceLeaderRequest]) (*connect.Response[v1.AnnounceLeaderResponse], error)
 	FoundCell(context.Context, *connect.Request[v1.FoundCellRequest]) (*connect.Response[v1.FoundCellResponse], error)
 	CallJob(context.Context, *connect.Request[v1.JobCall]) (*connect.Response[v1.JobAnswer], error)
 	PutCatalogue(context.Context, *connect.Request[v1.PutCatalogueRequest]) (*connect.Response[v1.PutCatalogueResponse], error)
@@ -244,6 +261,12 @@
 		connect.WithSchema(jobCellServiceMethods.ByName("AnnounceMember")),
 		connect.WithHandlerOptions(opts...),
 	)
+	jobCellServiceAnnounceLeaderHandler := connect.NewUnaryHandler(
+		JobCellServiceAnnounceLeaderProcedure,
+		svc.AnnounceLeader,
+		connect.WithSchema(jobCellServiceMethods.ByName("AnnounceLeader")),
+		connect.WithHandlerOptions(opts...),
+	)
 	jobCellServiceFoundCellHandler := connect.NewUnaryHandler(
 		JobCellServiceFoundCellProcedure,
 		svc.FoundCell,
@@ -302,6 +325,8 @@
 		switch r.URL.Path {
 		case JobCellServiceAnnounceMemberProcedure:
 			jobCellServiceAnnounceMemberHandler.ServeHTTP(w, r)
+		case JobCellServiceAnnounceLeaderProcedure:
+			jobCellServiceAnnounceLeaderHandler.ServeHTTP(w, r)
 		case JobCellServiceFoundCellProcedure:
 			jobCellServiceFoundCellHandler.ServeHTTP(w, r)
 		case JobCellServiceCallJobProcedure:
@@ -333,6 +358,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("egretmux.v1.JobCellService.AnnounceMember is not implemented"))
 }
 
+func (UnimplementedJobCellServiceHandler) AnnounceLeader(context.Context, *connect.Request[v1.AnnounceLeaderRequest]) (*connect.Response[v1.AnnounceLeaderResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("egretmux.v1.JobCellService.AnnounceLeader is not implemented"))
+}
+
 func (UnimplementedJobCellServiceHandler) FoundCell(context.Context, *connect.Request[v1.FoundCellRequest]) (*connect.Response[v1.FoundCellResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("egretmux.v1.JobCellService.FoundCell is not implemented"))
 }
--- a/internal/jobcell/advise.go
+++ b/internal/jobcell/advise.go
@@ -113,7 +113,7 @@
 // caller holds mu.
 func (a *adviceBalancer) candidates(expectedMs float64, now time.Time) []string {
 	all := []string{a.cell.cfg.Address}
-	for _, m := range a.cell.directory.live(now, responsiveTimeout) {
+	for _, m := range a.cell.directory.Responsive(now) {
 		all = append(all, m.GetAddress())
 	}
 	out := slices.DeleteFunc(slices.Clone(all), func(address string) bool { return now.Before(a.avoidUntil[address]) })
--- a/internal/jobcell/advise_test.go
+++ b/internal/jobcell/advise_test.go
@@ -17,7 +17,7 @@
 	c, err := New(Config{Address: "self", Logger: zerolog.Nop(), Scheduler: scheduler.Config{WorkerClient: newFakeWorkers()}})
 	require.NoError(t, err)
 	for _, name := range []string{"a", "b", "c", "d", "e", "f", "g"} {
-		c.directory.recordAnnouncement(&egretmuxv1.Member{Address: name}, time.Now())
+		meet(c, &egretmuxv1.Member{Address: name}, time.Now())
 	}
 	usedByLong := make(map[string]bool)
 	for range 40 {
@@ -54,7 +54,7 @@
 	require.NoError(t, err)
 	c, err := New(Config{Address: "self", Logger: zerolog.Nop(), Adviser: hangingAdviser{}, Scheduler: scheduler.Config{WorkerClient: newFakeWorkers()}})
 	require.NoError(t, err)
-	c.directory.recordAnnouncement(&egretmuxv1.Member{Address: serveCell(t, other).Listener.Addr().String()}, time.Now())
+	meet(c, &egretmuxv1.Member{Address: serveCell(t, other).Listener.Addr().String()}, time.Now())
 	ask := dispatch.Ask{Step: dispatch.StepKey{Job: "j"}, Workers: []string{"w"}, ExpectedMs: 10}
 	for range 3 {
 		tickets, err := c.advice.Advise(contextWithTimeout(t, 2*time.Second), ask)
--- a/internal/jobcell/announce.go
+++ b/internal/jobcell/announce.go
@@ -2,148 +2,110 @@
 
 import (
 	"context"
-	"slices"
-	"sync"
 	"time"
 
 	"connectrpc.com/connect"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/discovery"
 	"github.com/egretmux/egretmux/internal/telemetry"
 )
 
-// Timing of announcements.
+// Limits of the pause between two looks at the directory.
 const (
-	announceRetryPeriod  = 150 * time.Millisecond // while no leader answers
-	announcePeriod       = time.Second
-	announceTimeout      = 700 * time.Millisecond
-	leaderContactTimeout = 2500 * time.Millisecond // age at which the leader's last response no longer counts; tolerates two lost announcements
+	minDiscoveryPause = 5 * time.Millisecond
+	// replicaWatchPeriod is the limit on an instance with a replica, which may be
+	// elected at any time.
+	replicaWatchPeriod = 100 * time.Millisecond
 )
 
-// announceLoop announces this instance to the leader, or to all known instances
-// while the leader is unknown or does not answer.
-func (c *Cell) announceLoop(ctx context.Context) {
+// discoveryLoop makes the calls by which this instance finds the others and the leader.
+func (c *Cell) discoveryLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause := announcePeriod
-		if !c.announceToLeader(ctx) {
-			pause = announceRetryPeriod
-			c.announceToAll(ctx)
+		now := time.Now()
+		c.directory.SetLocal(c.localState(), now)
+		calls, next := c.directory.Calls(now)
+		for _, call := range calls {
+			go c.makeCall(ctx, call)
 		}
 		if c.formed() {
 			c.allowReplicaStart()
 		}
+		pause := max(minDiscoveryPause, time.Until(next))
+		if c.voter != nil {
+			pause = min(pause, replicaWatchPeriod)
+		}
+		timer := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause):
+		case <-c.directory.Wake():
+		case <-timer.C:
 		}
+		timer.Stop()
 	}
 }
 
-// allowReplicaStart lets an empty replica start and wait for the leader to add it.
-func (c *Cell) allowReplicaStart() { c.startOnce.Do(func() { close(c.replicaStartAllowed) }) }
-
-// announceToLeader announces this instance to the leader. It returns false if the leader
-// is unknown, does not answer or no longer leads.
-func (c *Cell) announceToLeader(ctx context.Context) bool {
-	leader := c.leaderAddress()
-	if leader == "" {
-		return false
-	}
-	if leader == c.cfg.Address {
-		return true
-	}
-	resp, err := c.announce(ctx, leader)
-	if err != nil {
-		telemetry.CountRetry("announce-failed")
-		c.directory.forgetLeader(leader)
-		return false
+// localState returns what the replica knows of the cell.
+func (c *Cell) localState() discovery.Local {
+	leader, term := c.scheduler.Leader()
+	return discovery.Local{
+		Leads: c.scheduler.Leads(), Leader: leader, Term: term, Replicas: c.scheduler.ReplicaAddresses(), Formed: c.replicaFormed(),
 	}
-	return resp.GetLeader() == leader
 }
 
-// leaderAddress returns the leader known to this replica, or else the one that
-// other instances reported.
-func (c *Cell) leaderAddress() string {
-	if leader := c.scheduler.LeaderAddress(); leader != "" {
-		return leader
-	}
-	leader, _ := c.directory.leaderAndVoters()
-	return leader
-}
+// allowReplicaStart lets an empty replica start and wait for the leader to add it.
+func (c *Cell) allowReplicaStart() { c.startOnce.Do(func() { close(c.replicaStartAllowed) }) }
 
-func (c *Cell) announceToAll(ctx context.Context) {
-	var calls sync.WaitGroup
-	for _, address := range c.directory.announceTargets(c.currentSeeds()) {
-		calls.Go(func() {
-			if _, err := c.announce(ctx, address); err != nil {
-				telemetry.CountRetry("announce-failed")
-			}
-		})
-	}
-	calls.Wait()
+// leaderAddress returns the address of the leader, or an empty string if it is unknown
+// or did not answer the last announcement.
+func (c *Cell) leaderAddress() string {
+	address, _ := c.directory.Leader()
+	return address
 }
 
-func (c *Cell) announce(ctx context.Context, address string) (*egretmuxv1.AnnounceMemberResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+// makeCall makes one call of the directory and reports the answer to it.
+func (c *Cell) makeCall(ctx context.Context, call discovery.Call) {
+	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
-	now := time.Now()
-	resp, err := c.dialer.Clients(address).Jobs.AnnounceMember(ctx, connect.NewRequest(&egretmuxv1.AnnounceMemberRequest{
-		Member: c.self(), Known: c.directory.knownInstances(now),
-	}))
-	if err != nil {
-		return nil, err
+	jobs, began := c.dialer.Clients(call.Address).Jobs, time.Now()
+	if call.Notice != nil {
+		resp, err := jobs.AnnounceLeader(ctx, connect.NewRequest(call.Notice))
+		if err != nil {
+			telemetry.CountRetry("leader-notice-failed")
+			c.directory.NoticeAnswered(call, nil, time.Now())
+			return
+		}
+		c.directory.NoticeAnswered(call, resp.Msg, time.Now())
+		return
 	}
-	c.directory.mergeKnown(resp.Msg.GetKnown(), now)
-	c.directory.updateCellState(resp.Msg)
-	if resp.Msg.GetLeader() == address {
-		c.directory.recordLeaderContact(now)
+	resp, err := jobs.AnnounceMember(ctx, connect.NewRequest(call.Announce))
+	if err != nil {
+		telemetry.CountRetry("announce-failed")
+		c.directory.Failed(call, time.Now())
+		return
 	}
-	if _, voters := c.directory.leaderAndVoters(); len(voters) > 0 {
+	c.directory.Answered(call, resp.Msg, began, time.Now())
+	c.followVoters()
+}
+
+// followVoters looks for the leader among the replicas that the directory knows.
+func (c *Cell) followVoters() {
+	if voters := c.directory.Voters(); len(voters) > 0 {
 		c.leader.SetVoters(voters)
 	}
-	return resp.Msg, nil
 }
 
 // Ready reports whether this instance leads or can reach the leader.
-func (c *Cell) Ready() bool {
-	if c.scheduler.Leads() {
-		return true
-	}
-	return c.directory.leaderContactWithin(leaderContactTimeout)
-}
+func (c *Cell) Ready() bool { return c.scheduler.Leads() || c.directory.InContact(time.Now()) }
 
-// AnnounceMember implements JobCellService. It records the announcement of another
-// instance and returns what this one knows of the cell.
+// AnnounceMember implements JobCellService.
 func (s *service) AnnounceMember(_ context.Context, req *connect.Request[egretmuxv1.AnnounceMemberRequest]) (*connect.Response[egretmuxv1.AnnounceMemberResponse], error) {
-	c := s.cell
-	now := time.Now()
-	c.directory.recordAnnouncement(req.Msg.GetMember(), now)
-	c.directory.mergeKnown(req.Msg.GetKnown(), now)
-	resp := &egretmuxv1.AnnounceMemberResponse{Leader: c.leaderAddress(), Voters: c.scheduler.ReplicaAddresses(), Formed: c.formed()}
-	if len(resp.GetVoters()) == 0 {
-		_, resp.Voters = c.directory.leaderAndVoters()
-	}
-	// The known instances are sent only to a caller that knows fewer, or while the cell
-	// has not been bootstrapped.
-	if len(req.Msg.GetKnown()) < len(c.directory.knownInstances(now)) || !resp.GetFormed() {
-		resp.Known = append(c.directory.knownInstances(now), c.self())
-	}
-	return connect.NewResponse(resp), nil
+	return connect.NewResponse(s.cell.directory.HandleAnnouncement(req.Msg, time.Now())), nil
 }
 
-// setSeeds replaces the seed addresses and reports whether they changed.
-func (c *Cell) setSeeds(seeds []string) bool {
-	c.seedsMu.Lock()
-	defer c.seedsMu.Unlock()
-	if slices.Equal(c.seeds, seeds) {
-		return false
-	}
-	c.seeds = seeds
-	return true
-}
-
-func (c *Cell) currentSeeds() []string {
-	c.seedsMu.Lock()
-	defer c.seedsMu.Unlock()
-	return c.seeds
+// AnnounceLeader implements JobCellService.
+func (s *service) AnnounceLeader(_ context.Context, req *connect.Request[egretmuxv1.AnnounceLeaderRequest]) (*connect.Response[egretmuxv1.AnnounceLeaderResponse], error) {
+	resp := s.cell.directory.HandleNotice(req.Msg, time.Now())
+	s.cell.followVoters()
+	return connect.NewResponse(resp), nil
 }
--- a/internal/jobcell/bootstrap.go
+++ b/internal/jobcell/bootstrap.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -14,6 +17,7 @@
 // Timing of the bootstrap of a cell.
 const (
 	discoverySettleTime  = 700 * time.Millisecond // discovery counts as complete after this time without a new instance; the platform starts all within 300 ms
+	smallCellSettleTime  = 3 * time.Second        // the same if there are fewer candidates than replicas are wanted
 	bootstrapRetryDelay  = 100 * time.Millisecond
 	bootstrapCallTimeout = 2 * time.Second
 )
@@ -24,13 +28,17 @@
 	var membership *egretmuxv1.Membership
 	for ctx.Err() == nil && !c.formed() {
 		now := time.Now()
-		if membership == nil && c.directory.sinceLastDiscovery(now) > discoverySettleTime {
-			membership = c.chooseInitialMembership(now)
+		if settled := c.directory.SinceLastDiscovery(now); membership == nil && settled > discoverySettleTime {
+			membership = c.chooseInitialMembership()
+			if len(membership.GetReplicas()) < c.targetVoters() && settled <= smallCellSettleTime {
+				membership = nil
+			}
 		}
 		if membership != nil {
 			if err := c.bootstrapCell(ctx, membership); err == nil {
-				c.directory.updateCellState(&egretmuxv1.AnnounceMemberResponse{Formed: true})
+				c.directory.MarkFormed()
 				c.allowReplicaStart()
+				c.startReplicas(ctx, membership)
 				return
 			} else {
 				c.cfg.Logger.Warn().Err(err).Str("event", "cell_not_formed").Str("replica", membership.GetReplicas()[0].GetAddress()).Msg("could not write the initial membership; trying again")
@@ -45,14 +53,14 @@
 
 // chooseInitialMembership chooses the initial replicas, spread over the zones. It
 // returns nil while no instance qualifies.
-func (c *Cell) chooseInitialMembership(now time.Time) *egretmuxv1.Membership {
+func (c *Cell) chooseInitialMembership() *egretmuxv1.Membership {
 	var candidates []*egretmuxv1.Member
-	for _, m := range append(c.directory.knownInstances(now), c.self()) {
+	for _, m := range append(c.directory.Members(), c.self()) {
 		if m.GetReplica() != 0 && m.GetEmpty() && m.GetFounding() {
 			candidates = append(candidates, m)
 		}
 	}
-	sortByAddress(candidates)
+	slices.SortFunc(candidates, func(a, b *egretmuxv1.Member) int { return strings.Compare(a.GetAddress(), b.GetAddress()) })
 	if len(candidates) == 0 {
 		return nil
 	}
@@ -95,6 +103,25 @@
 	return err
 }
 
+// startReplicas lets the other initial replicas start. One that is not reached learns
+// from other instances that the cell is formed.
+func (c *Cell) startReplicas(ctx context.Context, membership *egretmuxv1.Membership) {
+	ctx, cancel := context.WithTimeout(ctx, bootstrapCallTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	for _, r := range membership.GetReplicas()[1:] {
+		if r.GetAddress() == c.cfg.Address {
+			continue
+		}
+		calls.Go(func() {
+			if _, err := c.dialer.Clients(r.GetAddress()).Jobs.FoundCell(ctx, connect.NewRequest(&egretmuxv1.FoundCellRequest{OnlyStart: true})); err != nil {
+				c.cfg.Logger.Warn().Err(err).Str("event", "replica_not_started").Str("replica", r.GetAddress()).Msg("could not tell the replica to start; it starts when another instance tells it")
+			}
+		})
+	}
+	calls.Wait()
+}
+
 // writeInitialMembership writes the initial membership to this instance's empty log.
 // Repeating the call is safe.
 func (c *Cell) writeInitialMembership(membership *egretmuxv1.Membership) error {
@@ -118,6 +145,11 @@
 
 // FoundCell implements JobCellService.
 func (s *service) FoundCell(_ context.Context, req *connect.Request[egretmuxv1.FoundCellRequest]) (*connect.Response[egretmuxv1.FoundCellResponse], error) {
+	if req.Msg.GetOnlyStart() {
+		s.cell.directory.MarkFormed()
+		s.cell.allowReplicaStart()
+		return connect.NewResponse(&egretmuxv1.FoundCellResponse{}), nil
+	}
 	if err := s.cell.writeInitialMembership(req.Msg.GetMembership()); err != nil {
 		return nil, refusalrpc.Error(err)
 	}
--- a/internal/jobcell/cell.go
+++ b/internal/jobcell/cell.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -15,6 +16,7 @@
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/gen/egretmux/v1/egretmuxv1connect"
 	"github.com/egretmux/egretmux/internal/consensus"
+	"github.com/egretmux/egretmux/internal/discovery"
 	"github.com/egretmux/egretmux/internal/job"
 	"github.com/egretmux/egretmux/internal/peer"
 	"github.com/egretmux/egretmux/internal/scheduler"
@@ -63,7 +65,7 @@
 	leader              *peer.LeaderClient
 	voter               *voter.Voter // nil without a data folder
 	scheduler           *scheduler.Scheduler
-	directory           *directory
+	directory           *discovery.Directory
 	advice              *adviceBalancer
 	workers             *workerProxy
 	relay               *leaderRelay
@@ -71,8 +73,6 @@
 	failed              chan error
 	replicaStartAllowed chan struct{} // closed when an empty replica may start
 	startOnce           sync.Once
-	seedsMu             sync.Mutex
-	seeds               []string
 	bootstrapMu         sync.Mutex // held while the initial membership is written or the replica starts
 }
 
@@ -82,8 +82,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Cell{cfg: cfg, seeds: cfg.Seeds, dialer: dialer, failed: make(chan error, 1), replicaStartAllowed: make(chan struct{})}
-	c.directory = newDirectory(cfg.Address)
+	c := &Cell{cfg: cfg, dialer: dialer, failed: make(chan error, 1), replicaStartAllowed: make(chan struct{})}
+	c.directory = discovery.New(c.self, cfg.Seeds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), time.Now())
 	c.advice = newAdviceBalancer(c)
 	c.workers = newWorkerProxy(c, cfg.Scheduler.WorkerClient)
 	c.relay = newLeaderRelay(c)
@@ -123,7 +123,7 @@
 // Run participates in the cell until the context ends.
 func (c *Cell) Run(ctx context.Context) {
 	var loops sync.WaitGroup
-	loops.Go(func() { c.announceLoop(ctx) })
+	loops.Go(func() { c.discoveryLoop(ctx) })
 	if c.cfg.Founding && len(c.cfg.Seeds) > 0 && c.cfg.Seeds[0] == c.cfg.Address {
 		loops.Go(func() { c.bootstrapLoop(ctx) })
 	}
@@ -194,7 +194,10 @@
 }
 
 // formed reports whether this instance knows that the cell has been bootstrapped.
-func (c *Cell) formed() bool {
+func (c *Cell) formed() bool { return c.replicaFormed() || c.directory.Formed() }
+
+// replicaFormed reports whether the replica of this instance holds entries of the cell.
+func (c *Cell) replicaFormed() bool {
 	if c.voter != nil && !c.voter.Empty() {
 		return true
 	}
@@ -203,7 +206,7 @@
 			return true
 		}
 	}
-	return c.directory.isFormed()
+	return false
 }
 
 var _ consensus.StateMachine = (*job.Book)(nil)
--- a/internal/jobcell/drive.go
+++ b/internal/jobcell/drive.go
@@ -37,6 +37,13 @@
 	mu         sync.Mutex
 	streams    map[string]*driveStream // by instance address
 	avoidUntil map[string]time.Time    // end of the backoff, by instance address
+	// candidates are the instances with a replica that may get orders, and delegates
+	// the one chosen among them for each worker. Both are computed anew when the
+	// responsive instances or the backoffs change.
+	responsive []*egretmuxv1.Member
+	candidates []string
+	delegates  map[string]string
+	checkAt    time.Time // when the next backoff ends; zero if there is none
 }
 
 func newWorkerProxy(c *Cell, direct scheduler.WorkerClient) *workerProxy {
@@ -52,18 +59,20 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	best, bestWeight := "", uint64(0)
-	for _, m := range p.cell.directory.live(now, responsiveTimeout) {
-		if m.GetReplica() == 0 || m.GetAddress() == p.cell.cfg.Address || now.Before(p.avoidUntil[m.GetAddress()]) {
-			continue
-		}
-		if weight := rendezvousWeight(m.GetAddress(), worker); best == "" || weight > bestWeight {
-			best, bestWeight = m.GetAddress(), weight
-		}
-	}
-	if best == "" {
+	p.updateCandidates(now)
+	if len(p.candidates) == 0 {
 		return nil
 	}
+	best, known := p.delegates[worker]
+	if !known {
+		bestWeight := uint64(0)
+		for _, address := range p.candidates {
+			if weight := rendezvousWeight(address, worker); best == "" || weight > bestWeight {
+				best, bestWeight = address, weight
+			}
+		}
+		p.delegates[worker] = best
+	}
 	stream := p.streams[best]
 	if stream == nil || stream.closed() {
 		stream = newDriveStream(p.cell.dialer.Clients(best).Jobs, func() { p.backOff(best) })
@@ -72,6 +81,33 @@
 	return stream
 }
 
+// updateCandidates computes the candidates if they may have changed. The caller holds mu.
+func (p *workerProxy) updateCandidates(now time.Time) {
+	responsive := p.cell.directory.Responsive(now)
+	if p.delegates != nil && sameMembers(responsive, p.responsive) && (p.checkAt.IsZero() || now.Before(p.checkAt)) {
+		return
+	}
+	p.responsive, p.candidates, p.delegates, p.checkAt = responsive, nil, make(map[string]string), time.Time{}
+	for _, m := range responsive {
+		address := m.GetAddress()
+		if m.GetReplica() == 0 {
+			continue
+		}
+		if until := p.avoidUntil[address]; now.Before(until) {
+			if p.checkAt.IsZero() || until.Before(p.checkAt) {
+				p.checkAt = until
+			}
+			continue
+		}
+		p.candidates = append(p.candidates, address)
+	}
+}
+
+// sameMembers reports whether two results of Responsive are the same slice.
+func sameMembers(a, b []*egretmuxv1.Member) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 // rendezvousWeight ranks instances for a worker by rendezvous hashing, so that few
 // workers are reassigned when an instance joins or leaves.
 func rendezvousWeight(address, worker string) uint64 {
@@ -85,6 +121,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.avoidUntil[address] = time.Now().Add(delegateBackoff)
+	p.delegates = nil
 }
 
 func newDriveOrder(t dispatch.Target, fence uint64) *egretmuxv1.DriveOrder {
--- a/internal/jobcell/forward.go
+++ b/internal/jobcell/forward.go
@@ -223,16 +223,11 @@
 // leaderControlAddress returns the control address of the leader, or an empty string
 // if the leader is unknown or is this instance.
 func (c *Cell) leaderControlAddress() string {
-	if c.scheduler.Leads() || !c.directory.leaderContactWithin(leaderContactTimeout) {
+	if c.scheduler.Leads() || !c.directory.InContact(time.Now()) {
 		return ""
 	}
-	leader := c.leaderAddress()
-	for _, m := range c.directory.knownInstances(time.Now()) {
-		if m.GetAddress() == leader {
-			return m.GetControl()
-		}
-	}
-	return ""
+	_, control := c.directory.Leader()
+	return control
 }
 
 func (c *Cell) callLeader(ctx context.Context, f func(context.Context, *peer.Clients) error) error {
--- a/internal/jobcell/heartbeat_cache.go
+++ b/internal/jobcell/heartbeat_cache.go
@@ -13,6 +13,10 @@
 // forwarded to the leader again. The leader polls each worker anyway.
 const heartbeatCacheTTL = 6 * time.Second
 
+// cachedLifeRetention is the time after which a life of which no heartbeat came is
+// removed from the cache.
+const cachedLifeRetention = 60 * time.Second
+
 // heartbeatCache holds the last heartbeat of each worker that the leader accepted.
 type heartbeatCache struct {
 	mu    sync.Mutex
@@ -48,7 +52,7 @@
 	defer c.mu.Unlock()
 	c.lives[b.GetLife().GetWorker()] = cachedLife{b.GetLife(), now}
 	for id, cached := range c.lives {
-		if now.Sub(cached.acceptedAt) > instanceRetention {
+		if now.Sub(cached.acceptedAt) > cachedLifeRetention {
 			delete(c.lives, id)
 		}
 	}
--- a/internal/jobcell/instance.go
+++ b/internal/jobcell/instance.go
@@ -161,7 +161,7 @@
 		i.cfg.Logger.Warn().Err(err).Str("event", "settings_not_read").Str("reason", cause).Msg("could not read the settings; the previous ones stay in effect")
 		return
 	}
-	if i.cell.setSeeds(seeds) || cause == "signal" {
+	if i.cell.directory.SetSeeds(seeds) || cause == "signal" {
 		i.cfg.Logger.Info().Str("event", "settings_read").Str("reason", cause).Strs("seeds", seeds).Msg("settings read again")
 	}
 }
--- a/internal/jobcell/membership.go
+++ b/internal/jobcell/membership.go
@@ -55,7 +55,7 @@
 // nextMembership returns the membership that is one change closer to the target,
 // and the reason for the change, or nil if no change is needed.
 func (c *Cell) nextMembership(current *egretmuxv1.Membership, now, leadingSince time.Time) (*egretmuxv1.Membership, string) {
-	live := c.directory.live(now, liveTimeout)
+	live := c.directory.Live(now)
 	live = append(live, c.self())
 	for _, m := range live {
 		if m.GetReplica() == 0 {
@@ -69,7 +69,7 @@
 	}
 	voters, lost := 0, (*egretmuxv1.Replica)(nil)
 	for _, r := range current.GetReplicas() {
-		silent := r.GetAddress() != c.cfg.Address && c.directory.silentFor(r.GetAddress(), now, leadingSince) > replicaLostAfter
+		silent := r.GetAddress() != c.cfg.Address && c.directory.SilentFor(r.GetAddress(), now, leadingSince) > replicaLostAfter
 		if r.GetLearner() && silent {
 			return withoutReplica(current, r), "learner-lost"
 		}
@@ -139,15 +139,3 @@
 	}
 	return next
 }
-
-// silentFor returns the time since an instance last announced itself, counted from
-// earliest at the earliest.
-func (d *directory) silentFor(address string, now, earliest time.Time) time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	heard := earliest
-	if e := d.known[address]; e != nil && e.lastAnnounced.After(heard) {
-		heard = e.lastAnnounced
-	}
-	return now.Sub(heard)
-}
--- a/internal/jobcell/membership_test.go
+++ b/internal/jobcell/membership_test.go
@@ -43,9 +43,9 @@
 	c := newTestCell(t, "seed")
 	now := time.Now()
 	for _, m := range []*egretmuxv1.Member{newMember("a1", "a", 1), newMember("a2", "a", 2), newMember("b1", "b", 3), newMember("c1", "c", 4), newMember("x", "d", 0)} {
-		c.directory.recordAnnouncement(m, now)
+		meet(c, m, now)
 	}
-	require.ElementsMatch(t, []string{"a1", "b1", "c1"}, addresses(c.chooseInitialMembership(now)))
+	require.ElementsMatch(t, []string{"a1", "b1", "c1"}, addresses(c.chooseInitialMembership()))
 }
 
 func TestNoReplicaIsChosenThatHoldsALogOrRestarted(t *testing.T) {
@@ -53,9 +53,9 @@
 	now := time.Now()
 	withLog, restarted := newMember("a", "a", 1), newMember("b", "b", 2)
 	withLog.Empty, restarted.Founding = false, false
-	c.directory.recordAnnouncement(withLog, now)
-	c.directory.recordAnnouncement(restarted, now)
-	require.Nil(t, c.chooseInitialMembership(now))
+	meet(c, withLog, now)
+	meet(c, restarted, now)
+	require.Nil(t, c.chooseInitialMembership())
 }
 
 func TestReplicaWithAnEmptyDiskTakesItsOldPlace(t *testing.T) {
@@ -63,7 +63,7 @@
 	now := time.Now()
 	current := newMembership("lead", 1, "b", 2, "c", 3)
 	for _, m := range []*egretmuxv1.Member{newMember("b", "b", 22), newMember("c", "c", 3)} {
-		c.directory.recordAnnouncement(m, now)
+		meet(c, m, now)
 	}
 	next, reason := c.nextMembership(current, now, now)
 	require.Equal(t, "replica-returned", reason)
@@ -79,8 +79,8 @@
 	began := time.Now()
 	current := newMembership("lead", 1, "b", 2, "c", 3)
 	nextAt := func(now time.Time) (*egretmuxv1.Membership, string) {
-		c.directory.recordAnnouncement(newMember("b", "b", 2), now)
-		c.directory.recordAnnouncement(newMember("spare", "d", 9), now)
+		meet(c, newMember("b", "b", 2), now)
+		meet(c, newMember("spare", "d", 9), now)
 		return c.nextMembership(current, now, began)
 	}
 	next, _ := nextAt(began.Add(replicaLostAfter - time.Second))
--- a/internal/jobcell/relay.go
+++ b/internal/jobcell/relay.go
@@ -93,7 +93,7 @@
 // candidates returns the instances to try: the one that relayed the last call, then
 // other known instances in rotation.
 func (r *leaderRelay) candidates(now time.Time) []string {
-	known := r.cell.directory.knownInstances(now)
+	known := r.cell.directory.Members()
 	leader := r.cell.leaderAddress()
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/jobcell/relay_test.go
+++ b/internal/jobcell/relay_test.go
@@ -14,6 +14,7 @@
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/gen/egretmux/v1/egretmuxv1connect"
+	"github.com/egretmux/egretmux/internal/discovery"
 	"github.com/egretmux/egretmux/internal/refusal"
 	"github.com/egretmux/egretmux/internal/refusal/refusalrpc"
 	"github.com/egretmux/egretmux/internal/scheduler"
@@ -53,7 +54,7 @@
 	t.Helper()
 	c, err := New(Config{Address: "self", Seeds: []string{unreachable}, Logger: zerolog.Nop(), Scheduler: scheduler.Config{WorkerClient: newFakeWorkers()}})
 	require.NoError(t, err)
-	c.directory.updateCellState(&egretmuxv1.AnnounceMemberResponse{Leader: leader, Voters: []string{leader}})
+	c.directory.HandleNotice(&egretmuxv1.AnnounceLeaderRequest{Leader: leader, Term: 1, Voters: []string{leader}}, time.Now())
 	c.leader.SetVoters([]string{leader})
 	return c
 }
@@ -64,10 +65,10 @@
 	t.Helper()
 	address := serveLeader(t, leader)
 	connected := newCellWithLeader(t, address)
-	connected.directory.recordLeaderContact(time.Now())
+	meetLeader(connected, address)
 	relay := strings.TrimPrefix(serveCell(t, connected).URL, "http://")
 	cutOff := newCellWithLeader(t, unreachable)
-	cutOff.directory.mergeKnown([]*egretmuxv1.Member{{Address: relay}}, time.Now())
+	meet(cutOff, &egretmuxv1.Member{Address: relay}, time.Now())
 	return cutOff
 }
 
@@ -102,9 +103,21 @@
 func TestCallWithoutAnyWayToALeaderIsRefusedSoon(t *testing.T) {
 	cutOff := newCellWithLeader(t, unreachable)
 	relay := strings.TrimPrefix(serveCell(t, newCellWithLeader(t, unreachable)).URL, "http://")
-	cutOff.directory.mergeKnown([]*egretmuxv1.Member{{Address: relay}}, time.Now())
+	meet(cutOff, &egretmuxv1.Member{Address: relay}, time.Now())
 	began := time.Now()
 	_, err := cutOff.CallJob(t.Context(), &egretmuxv1.JobCall{Verb: egretmuxv1.JobVerb_JOB_VERB_SUBMIT})
 	require.Equal(t, refusal.No, refusal.Of(err).Ran)
 	require.Less(t, time.Since(began), leaderSearchTimeout+maxRelayTries*relayCallTimeout)
 }
+
+// meet lets an instance announce itself to a cell.
+func meet(c *Cell, m *egretmuxv1.Member, now time.Time) {
+	c.directory.HandleAnnouncement(&egretmuxv1.AnnounceMemberRequest{Member: m}, now)
+}
+
+// meetLeader lets the leader answer an announcement of a cell.
+func meetLeader(c *Cell, leader string) {
+	now := time.Now()
+	c.directory.Answered(discovery.Call{Address: leader, Announce: &egretmuxv1.AnnounceMemberRequest{}},
+		&egretmuxv1.AnnounceMemberResponse{Leader: leader, LeaderTerm: 1}, now, now)
+}
--- a/internal/jobcell/serve.go
+++ b/internal/jobcell/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -21,7 +22,7 @@
 
 // CallJob implements JobCellService.
 func (s *service) CallJob(ctx context.Context, req *connect.Request[egretmuxv1.JobCall]) (*connect.Response[egretmuxv1.JobAnswer], error) {
-	if req.Msg.GetRelayed() && s.cell.directory.leaderContactWithin(leaderContactTimeout) {
+	if req.Msg.GetRelayed() && s.cell.directory.InContact(time.Now()) {
 		answer, err := s.cell.callJobOnLeader(ctx, req.Msg)
 		return reply(s.cell, answer, err)
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -160,25 +160,31 @@
 }
 
 // LeaderAddress returns the cell address of the leader known to the replica, or "".
-// A replica whose disk hangs may wrongly regard itself as the leader: it names itself
-// only if its leadership was confirmed recently.
 func (s *Scheduler) LeaderAddress() string {
+	address, _ := s.Leader()
+	return address
+}
+
+// Leader returns the cell address of the leader known to the replica and its term, or
+// zero values. A replica whose disk hangs may wrongly regard itself as the leader: it
+// names itself only if its leadership was confirmed recently.
+func (s *Scheduler) Leader() (address string, term uint64) {
 	s.mu.RLock()
 	node := s.node
 	s.mu.RUnlock()
 	if node == nil {
-		return ""
+		return "", 0
 	}
 	status, _ := node.Status()
 	if status.Leader == status.ID && !s.Leads() {
-		return ""
+		return "", 0
 	}
 	for _, r := range status.Membership.GetReplicas() {
 		if r.GetId() == status.Leader {
-			return r.GetAddress()
+			return r.GetAddress(), status.Term
 		}
 	}
-	return ""
+	return "", 0
 }
 
 // ReplicaAddresses returns the cell addresses of the replicas, learners included.
