consensus: a replica waits while its disk is full

Ruled out: repeating the write inside the log. A part of the batch may be on the disk, so the segment is cut back first, and the core must get no event meanwhile.

It is silent meanwhile, so that another replica is elected. The random tests fill disks as before; replicas now wait instead of ending. Scenario disk-failure: the full leader goes on without a restart; before, it was restarted. Other failed writes and failed syncs still stop the log.

Also: events leader_changed, disk_full, disk_writable; histogram of announcements.

--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -12,6 +12,7 @@
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/consensus/core"
+	"github.com/egretmux/egretmux/internal/consensus/wal"
 	"github.com/egretmux/egretmux/internal/telemetry"
 )
 
@@ -35,7 +36,9 @@
 	lastReadToken      uint64
 	applied            uint64 // index of the last applied entry
 	lastSnapshotIndex  uint64
-	bytesSinceSnapshot int // command bytes applied since the last snapshot
+	bytesSinceSnapshot int          // command bytes applied since the last snapshot
+	unpersisted        *core.Output // output that a full disk has refused so far
+	fullSince          time.Time    // when the disk became full; zero while it is not
 	snapshotRunning    bool
 	snapshotResults    chan *egretmuxv1.SnapshotMeta // metadata of a finished snapshot; nil if it failed
 
@@ -81,17 +84,32 @@
 	return n, nil
 }
 
-// Run drives the replica until Stop is called or a failure stops it.
+// diskFullRetryPause is the pause between two attempts to write to a full disk.
+const diskFullRetryPause = 100 * time.Millisecond
+
+// Run drives the replica until Stop is called or a failure stops it. While the disk is
+// full the replica is silent: it acknowledges nothing, and if it leads, another replica
+// is elected.
 func (n *Node) Run() {
 	defer close(n.stopped)
 	ticker := time.NewTicker(n.cfg.Tick)
 	defer ticker.Stop()
 	for {
-		if !n.handleEvents(ticker.C) {
+		if n.unpersisted == nil && !n.handleEvents(ticker.C) {
 			n.failAll(ErrStopped)
 			return
 		}
-		if err := n.processOutput(); err != nil {
+		err := n.processOutput()
+		if errors.Is(err, wal.ErrDiskFull) {
+			select {
+			case <-n.stop:
+				n.failAll(ErrStopped)
+				return
+			case <-time.After(diskFullRetryPause):
+				continue
+			}
+		}
+		if err != nil {
 			n.cfg.Logger.Error().Err(err).Str("event", "replica_stopped").Msg("replica stopped after a failure")
 			n.failAll(ErrStopped)
 			if n.cfg.OnFailure != nil {
@@ -159,17 +177,26 @@
 	}
 }
 
-// processOutput processes the core's outputs until there are none left.
+// processOutput processes the core's outputs until there are none left. It returns
+// wal.ErrDiskFull if an output could not be stored; the core must then get no event until
+// a further call has succeeded.
 func (n *Node) processOutput() error {
-	for n.core.HasOutput() {
-		out := n.core.Output()
-		if out.Stale {
-			return ErrStale
+	for n.unpersisted != nil || n.core.HasOutput() {
+		if n.unpersisted == nil {
+			out := n.core.Output()
+			if out.Stale {
+				return ErrStale
+			}
+			n.sendAll(out.Messages)
+			n.unpersisted = &out
 		}
-		n.sendAll(out.Messages)
-		if err := n.persist(out); err != nil {
+		if err := n.persist(n.unpersisted); err != nil {
+			n.noteDiskFull(err)
 			return err
 		}
+		n.noteDiskFull(nil)
+		out := *n.unpersisted
+		n.unpersisted = nil
 		n.core.MarkPersisted()
 		n.sendAll(out.AfterSync)
 		n.apply(out.Committed)
@@ -180,8 +207,25 @@
 	return nil
 }
 
-func (n *Node) persist(out core.Output) error {
-	for _, c := range out.Chunks {
+// noteDiskFull logs when the disk becomes full and when it takes writes again.
+func (n *Node) noteDiskFull(err error) {
+	full := errors.Is(err, wal.ErrDiskFull)
+	switch {
+	case full && n.fullSince.IsZero():
+		n.fullSince = time.Now()
+		telemetry.Count("replica_disk_full_total")
+		n.cfg.Logger.Error().Err(err).Str("event", "disk_full").Msg("the disk is full: this replica waits, and its instance serves through the others")
+	case err == nil && !n.fullSince.IsZero():
+		n.cfg.Logger.Info().Str("event", "disk_writable").Int64("age_ms", time.Since(n.fullSince).Milliseconds()).Msg("the disk takes writes again: this replica goes on")
+		n.fullSince = time.Time{}
+	}
+}
+
+// persist stores an output. It removes stored chunks from it, so that it can be called
+// again after wal.ErrDiskFull.
+func (n *Node) persist(out *core.Output) error {
+	for ; len(out.Chunks) > 0; out.Chunks = out.Chunks[1:] {
+		c := out.Chunks[0]
 		if err := n.cfg.Log.WriteChunk(c.Meta, c.Offset, c.Data, c.Last); err != nil {
 			return err
 		}
--- a/internal/consensus/scenario_test.go
+++ b/internal/consensus/scenario_test.go
@@ -205,6 +205,9 @@
 		}
 		return "down: " + strings.ReplaceAll(at.failure.Error(), "\n", " ")
 	}
+	if at.node.unpersisted != nil {
+		return "waits for space on its disk"
+	}
 	kind := "not a member"
 	if r := at.node.core.Replica(at.id); r != nil {
 		kind = "voter"
--- a/internal/consensus/wal/disk.go
+++ b/internal/consensus/wal/disk.go
@@ -5,7 +5,8 @@
 //     process or the machine;
 //   - a tail that was being written when the machine crashed is truncated;
 //   - damage anywhere else is reported with file and offset, and never skipped;
-//   - after a failed write or sync nothing more is acknowledged.
+//   - after a failed write or sync nothing more is acknowledged, except that a call
+//     refused by a full disk has no effect and can be repeated.
 package wal
 
 import (
@@ -23,6 +24,7 @@
 	io.Writer
 	io.ReaderAt
 	Sync() error
+	Truncate(size int64) error // the next Write follows at size
 	Close() error
 }
 
@@ -89,12 +91,25 @@
 
 // Create opens a new, empty file.
 func (f *Folder) Create(name string) (File, error) {
-	return os.OpenFile(f.pathOf(name), os.O_CREATE|os.O_TRUNC|os.O_RDWR, fileMode)
+	file, err := os.OpenFile(f.pathOf(name), os.O_CREATE|os.O_TRUNC|os.O_RDWR, fileMode)
+	return folderFile{file}, err
 }
 
 // Open opens an existing file for reading and appending.
 func (f *Folder) Open(name string) (File, error) {
-	return os.OpenFile(f.pathOf(name), os.O_APPEND|os.O_RDWR, fileMode)
+	file, err := os.OpenFile(f.pathOf(name), os.O_APPEND|os.O_RDWR, fileMode)
+	return folderFile{file}, err
+}
+
+type folderFile struct{ *os.File }
+
+// Truncate implements File.
+func (f folderFile) Truncate(size int64) error {
+	if err := f.File.Truncate(size); err != nil {
+		return err
+	}
+	_, err := f.Seek(size, io.SeekStart)
+	return err
 }
 
 // ReadFile returns a file's content.
--- a/internal/consensus/wal/log.go
+++ b/internal/consensus/wal/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
@@ -19,6 +20,10 @@
 // ErrStopped is returned after a write or sync has failed.
 var ErrStopped = errors.New("the log stopped after a failed write; free or replace the disk and restart the instance")
 
+// ErrDiskFull is returned by Append and WriteChunk while the disk has no space. The call
+// has stored nothing that counts and can be repeated.
+var ErrDiskFull = errors.New("the disk is full; free space in the file system of the data folder, and the replica goes on")
+
 // CorruptionError reports damage that is not the result of a crash.
 type CorruptionError struct {
 	File   string
@@ -40,6 +45,8 @@
 	segments     []segment
 	active       File
 	size         int64
+	tailTorn     bool // the active segment may hold a part of a batch after size
+	resetDue     bool // an installed snapshot has replaced the entries, but the log does not say so yet
 	lastBatch    uint64
 	hardState    *egretmuxv1.HardState
 	snapshots    snapshotFiles
@@ -261,7 +268,7 @@
 }
 
 // Append writes the hard state, if not nil, and the entries. It returns after
-// they have been synced.
+// they have been synced, or with ErrDiskFull.
 func (l *Log) Append(hard *egretmuxv1.HardState, entries []*egretmuxv1.Entry) error {
 	if l.stopErr != nil {
 		return ErrStopped
@@ -271,38 +278,77 @@
 	}
 	if l.size > l.segmentLimit {
 		if err := l.rotate(); err != nil {
-			return l.fail(err)
+			return l.failUnlessFull(err)
 		}
 	}
-	l.lastBatch++
-	buf, err := l.encode(hard, entries)
+	buf, err := l.encode(l.lastBatch+1, hard, entries)
 	if err != nil {
 		return l.fail(err)
 	}
-	return l.write(buf)
+	if err := l.write(buf); err != nil {
+		return err
+	}
+	if hard != nil {
+		l.hardState = hard
+	}
+	if n := len(entries); n > 0 {
+		s := &l.segments[len(l.segments)-1]
+		s.lastIndex = max(s.lastIndex, entries[n-1].GetIndex())
+	}
+	return nil
 }
 
+// write appends one batch to the active segment and syncs it.
 func (l *Log) write(buf []byte) error {
-	if _, err := l.active.Write(buf); err != nil {
-		return l.fail(err)
+	if err := l.cutTornTail(); err != nil {
+		return err
 	}
-	if err := l.active.Sync(); err != nil {
-		return l.fail(err)
+	if err := writeAndSync(l.active, buf); err != nil {
+		l.tailTorn = true
+		return l.failUnlessFull(err)
 	}
+	l.lastBatch++
 	l.size += int64(len(buf))
 	return nil
 }
 
+func writeAndSync(file File, buf []byte) error {
+	if _, err := file.Write(buf); err != nil {
+		return err
+	}
+	return file.Sync()
+}
+
+// cutTornTail removes what a write to a full disk has left at the end of the active
+// segment. Only the newest segment may end with a part of a batch.
+func (l *Log) cutTornTail() error {
+	if !l.tailTorn {
+		return nil
+	}
+	if err := l.active.Truncate(l.size); err != nil {
+		return l.failUnlessFull(err)
+	}
+	if err := l.active.Sync(); err != nil {
+		return l.failUnlessFull(err)
+	}
+	l.tailTorn = false
+	return nil
+}
+
 // writeReset writes a record that an installed snapshot replaced all entries before
 // the record.
 func (l *Log) writeReset() error {
-	l.lastBatch++
-	return l.write(endBatch(appendRecord(nil, record{kind: kindReset, batch: l.lastBatch}), 0))
+	l.resetDue = true
+	if err := l.write(endBatch(appendRecord(nil, record{kind: kindReset, batch: l.lastBatch + 1}), 0)); err != nil {
+		return err
+	}
+	l.resetDue = false
+	return nil
 }
 
 // encode returns a batch. The hard state follows the entries because its commit
 // index refers to them.
-func (l *Log) encode(hard *egretmuxv1.HardState, entries []*egretmuxv1.Entry) ([]byte, error) {
+func (l *Log) encode(batch uint64, hard *egretmuxv1.HardState, entries []*egretmuxv1.Entry) ([]byte, error) {
 	var buf []byte
 	lastRecord := 0
 	for _, e := range entries {
@@ -311,9 +357,7 @@
 			return nil, err
 		}
 		lastRecord = len(buf)
-		buf = appendRecord(buf, record{kind: kindEntry, batch: l.lastBatch, payload: payload})
-		s := &l.segments[len(l.segments)-1]
-		s.lastIndex = max(s.lastIndex, e.GetIndex())
+		buf = appendRecord(buf, record{kind: kindEntry, batch: batch, payload: payload})
 	}
 	if hard != nil {
 		payload, err := proto.Marshal(hard)
@@ -321,14 +365,17 @@
 			return nil, err
 		}
 		lastRecord = len(buf)
-		buf = appendRecord(buf, record{kind: kindHardState, batch: l.lastBatch, payload: payload})
-		l.hardState = hard
+		buf = appendRecord(buf, record{kind: kindHardState, batch: batch, payload: payload})
 	}
 	return endBatch(buf, lastRecord), nil
 }
 
-// rotate starts a new segment, which begins with the newest hard state.
+// rotate starts a new segment, which begins with the newest hard state. After an error
+// the log still uses the former segment.
 func (l *Log) rotate() error {
+	if err := l.cutTornTail(); err != nil {
+		return err
+	}
 	next := segment{sequence: 1}
 	if n := len(l.segments); n > 0 {
 		next.sequence = l.segments[n-1].sequence + 1
@@ -337,13 +384,7 @@
 	if err != nil {
 		return err
 	}
-	if l.active != nil {
-		_ = l.active.Close()
-	}
-	l.active = file
-	l.segments = append(l.segments, next)
-	l.lastBatch++
-	buf := appendRecord(nil, record{kind: kindSegment, batch: l.lastBatch})
+	buf := appendRecord(nil, record{kind: kindSegment, batch: l.lastBatch + 1})
 	lastRecord := 0
 	if l.hardState != nil {
 		payload, err := proto.Marshal(l.hardState)
@@ -351,16 +392,24 @@
 			return err
 		}
 		lastRecord = len(buf)
-		buf = appendRecord(buf, record{kind: kindHardState, batch: l.lastBatch, payload: payload})
+		buf = appendRecord(buf, record{kind: kindHardState, batch: l.lastBatch + 1, payload: payload})
 	}
-	if _, err := file.Write(endBatch(buf, lastRecord)); err != nil {
+	if err := writeAndSync(file, endBatch(buf, lastRecord)); err != nil {
+		_ = file.Close()
 		return err
 	}
-	if err := file.Sync(); err != nil {
+	if err := l.disk.SyncDir(); err != nil {
+		_ = file.Close()
 		return err
 	}
+	if l.active != nil {
+		_ = l.active.Close()
+	}
+	l.active = file
+	l.segments = append(l.segments, next)
+	l.lastBatch++
 	l.size = int64(len(buf))
-	return l.disk.SyncDir()
+	return nil
 }
 
 // Compact removes the oldest segments that hold only entries up to index. Each
@@ -389,6 +438,18 @@
 	return l.active.Close()
 }
 
+// failUnlessFull returns ErrDiskFull if the disk has no space, and otherwise stops the
+// log.
+func (l *Log) failUnlessFull(err error) error {
+	if errors.Is(err, ErrDiskFull) || errors.Is(err, ErrStopped) {
+		return err
+	}
+	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
+		return errors.WithSecondaryError(errors.Wrap(ErrDiskFull, "write to the data folder refused"), err)
+	}
+	return l.fail(err)
+}
+
 // fail stops the log and returns the error for the caller.
 func (l *Log) fail(err error) error {
 	l.stopErr = err
--- a/internal/consensus/wal/snapshot.go
+++ b/internal/consensus/wal/snapshot.go
@@ -90,7 +90,12 @@
 
 // SaveSnapshot writes a snapshot and publishes it. It may run while entries are
 // appended.
-func (l *Log) SaveSnapshot(meta *egretmuxv1.SnapshotMeta, write func(io.Writer) error) error {
+func (l *Log) SaveSnapshot(meta *egretmuxv1.SnapshotMeta, write func(io.Writer) error) (err error) {
+	defer func() {
+		if err != nil { // the unfinished file would take space; a crash leaves it to Open
+			err = errors.CombineErrors(err, l.disk.Remove(savingTempName))
+		}
+	}()
 	file, err := l.disk.Create(savingTempName)
 	if err != nil {
 		return err
@@ -198,33 +203,40 @@
 }
 
 // WriteChunk stores a snapshot chunk received from the leader. Offset zero
-// starts a new file. When last is set, the whole file is verified and published.
+// starts a new file. When last is set, the whole file is verified and published. After
+// ErrDiskFull the same chunk can be written again.
 func (l *Log) WriteChunk(meta *egretmuxv1.SnapshotMeta, offset uint64, data []byte, last bool) error {
+	if l.resetDue && last {
+		return l.writeReset() // the snapshot was published by an earlier call
+	}
 	if offset == 0 {
 		if l.snapshots.incoming != nil {
 			_ = l.snapshots.incoming.Close()
 		}
+		l.snapshots.incoming = nil
 		file, err := l.disk.Create(incomingTempName)
 		if err != nil {
-			return l.fail(err)
+			return l.failUnlessFull(err)
 		}
 		l.snapshots.incoming = file
 	}
 	if l.snapshots.incoming == nil {
 		return errors.New("snapshot chunk received before the chunk at offset 0")
 	}
+	if err := l.snapshots.incoming.Truncate(int64(offset)); err != nil {
+		return l.failUnlessFull(err)
+	}
 	if _, err := l.snapshots.incoming.Write(data); err != nil {
-		return l.fail(err)
+		return l.failUnlessFull(err)
 	}
 	if !last {
 		return nil
 	}
-	err := l.snapshots.incoming.Sync()
+	if err := l.snapshots.incoming.Sync(); err != nil {
+		return l.failUnlessFull(err)
+	}
 	_ = l.snapshots.incoming.Close()
 	l.snapshots.incoming = nil
-	if err != nil {
-		return l.fail(err)
-	}
 	if _, _, err := readSnapshotFile(l.disk, incomingTempName); err != nil {
 		return err
 	}
--- a/internal/jobcell/announce.go
+++ b/internal/jobcell/announce.go
@@ -21,9 +21,14 @@
 
 // discoveryLoop makes the calls by which this instance finds the others and the leader.
 func (c *Cell) discoveryLoop(ctx context.Context) {
+	leader := ""
 	for ctx.Err() == nil {
 		now := time.Now()
 		c.directory.SetLocal(c.localState(), now)
+		if known := c.leaderAddress(); known != leader {
+			leader = known
+			c.cfg.Logger.Info().Str("event", "leader_changed").Str("leader", leader).Msg("")
+		}
 		calls, next := c.directory.Calls(now)
 		for _, call := range calls {
 			go c.makeCall(ctx, call)
@@ -84,6 +89,7 @@
 		c.directory.Failed(call, time.Now())
 		return
 	}
+	telemetry.ObserveSeconds("announce", time.Since(began))
 	c.directory.Answered(call, resp.Msg, began, time.Now())
 	c.followVoters()
 }
--- a/internal/standin/disk.go
+++ b/internal/standin/disk.go
@@ -245,6 +245,20 @@
 	return n, nil
 }
 
+// Truncate implements wal.File.
+func (o *openFile) Truncate(size int64) error {
+	o.disk.mu.Lock()
+	defer o.disk.mu.Unlock()
+	if o.disk.mutationFails() {
+		return syscall.EIO
+	}
+	if cut := len(o.file.data) - int(size); cut > 0 && o.disk.freeBytes >= 0 {
+		o.disk.freeBytes += cut
+	}
+	o.file.data = slices.Clone(o.file.data[:size])
+	return nil
+}
+
 // ReadAt implements wal.File.
 func (o *openFile) ReadAt(p []byte, offset int64) (int, error) {
 	o.disk.mu.Lock()
