dispatch: gangs request their tickets together and hold their room meanwhile

A call takes 0.65 s or more and allows no other meanwhile, so the tickets never were valid together; wide gangs waited until the load was over. The room for which a gang waited was taken by steps before it in the plan, as reservations began anew in each plan. A late gang had no reservation while any gang in time had one.

Change: a gang requests tickets only when it fits on the workers that may run it, for all of these at once, and holds the room until they have come, also against steps that come before it. Until then only the question which workers may run it is asked, as far as these could not hold the gang several times. One late gang has a reservation of its own.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -15,7 +16,8 @@
 	busyAdviceBatch   = 60                     // workers in one call while instances are busy: the fixed part of a call then takes as long as the part per worker
 	adviceBusyShare   = 0.5                    // fraction of maxAdviceMs from which the instances count as busy
 	ticketRoomFactor  = 2.0                    // wanted room on workers with valid tickets, in multiples of the waiting tasks
-	renewalRoomFactor = 4.0                    // the same when tickets are renewed for a step that is no gang: other steps get tickets for the same workers and may take their resources first
+	renewalRoomFactor = 4.0                    // the same when tickets are renewed: other steps get tickets for the same workers and may take their resources first
+	gangChoiceFactor  = 3.0                    // wanted capacity of the workers that may run a gang, in multiples of its tasks
 	ticketMargin      = 60 * time.Millisecond  // a start has to arrive before its ticket expires
 	maxAdviceMs       = 600.0                  // summed expected duration of the calls in flight for each instance
 	adviceRetryPause  = 100 * time.Millisecond // backoff after a failed call
@@ -134,6 +136,60 @@
 	return s.advice.mayCall(now) && !c.adviceFull(q.GetDecideMs() >= LongAdviceMs)
 }
 
+// ticketRank orders the workers that may run a gang: those with a valid ticket first,
+// then those about which a call is in flight.
+func (a *advice) ticketRank(w *worker, now time.Duration) int {
+	switch {
+	case a.hasValidTicket(w, now):
+		return 0
+	case a.asking[w]:
+		return 1
+	}
+	return 2
+}
+
+// requestTickets requests tickets for the workers chosen for a gang, unless they have
+// tickets that outlast the calls for the others.
+func (c *Core) requestTickets(s *step, q *egretmuxv1.QueueAdvice, chosen []*worker, now time.Duration) {
+	answered := now + milliseconds(q.GetDecideMs()+q.GetPerWorkerMs()*float64(c.adviceBatchSize(q)))
+	var missing []*worker
+	for _, w := range chosen {
+		if !s.advice.hasValidTicket(w, answered) && !slices.Contains(missing, w) {
+			missing = append(missing, w)
+		}
+	}
+	c.askAbout(s, q, missing)
+}
+
+// discoverAllowed asks about workers of which it is not known whether they may run a
+// gang, first about those that can take most of its tasks now.
+func (c *Core) discoverAllowed(s *step, q *egretmuxv1.Queue, needed int, now time.Duration) {
+	candidates := c.eligibleWorkers(s, q.GetService(), now)
+	slices.SortStableFunc(candidates, func(a, b *worker) int {
+		return cmp.Compare(s.maxNewRuns(b, needed), s.maxNewRuns(a, needed))
+	})
+	var unknown []*worker
+	room := 0.0
+	for _, w := range candidates {
+		mayRun, answered := s.advice.allowed[w]
+		switch {
+		case !answered:
+			unknown = append(unknown, w)
+		case mayRun:
+			room += float64(s.maxNewRuns(w, needed))
+		}
+	}
+	var toAsk []*worker
+	for _, w := range unknown {
+		if room >= ticketRoomFactor*float64(needed) {
+			break
+		}
+		room += c.allowedShareOf(s.job) * max(0.5, float64(s.maxNewRuns(w, needed)))
+		toAsk = append(toAsk, w)
+	}
+	c.askAbout(s, q.GetAdvice(), toAsk)
+}
+
 // requestAdvice requests advice for a step whose valid tickets were not enough to
 // place its tasks. The candidates are the workers to ask about, best first.
 func (c *Core) requestAdvice(s *step, q *egretmuxv1.QueueAdvice, candidates []*worker, needed int, now time.Duration) {
@@ -151,13 +207,9 @@
 			ticketedRoom += s.maxNewRuns(w, needed)
 		}
 	}
-	roomFactor := renewalRoomFactor
-	if s.spec.GetGang() {
-		roomFactor = ticketRoomFactor
-	}
 	var toAsk []*worker
 	for _, w := range renewable {
-		if float64(ticketedRoom) >= float64(needed)*roomFactor {
+		if float64(ticketedRoom) >= float64(needed)*renewalRoomFactor {
 			break
 		}
 		if n := s.maxNewRuns(w, needed); n > 0 {
@@ -177,6 +229,12 @@
 			toAsk = append(toAsk, w)
 		}
 	}
+	c.askAbout(s, q, toAsk)
+}
+
+// askAbout makes calls about workers, as far as the limit of calls in flight allows.
+func (c *Core) askAbout(s *step, q *egretmuxv1.QueueAdvice, toAsk []*worker) {
+	a := &s.advice
 	for chunk := range slices.Chunk(toAsk, min(c.adviceBatchSize(q), maxAdviceBatch)) {
 		call := Ask{Step: s.key, ExpectedMs: q.GetDecideMs() + q.GetPerWorkerMs()*float64(len(chunk))}
 		if c.adviceFull(call.long()) {
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -480,3 +480,43 @@
 		require.Equal(t, s.Task == unanswered.Task, h.core.StopAnswered(s, true, h.now), "%v", s.Task)
 	}
 }
+
+// Load: gangs that are in time wait all the while, and late tasks take whatever room
+// becomes free. A late gang before them must get its room all the same.
+func TestLateGangIsNotStarvedByGangsInTime(t *testing.T) {
+	q := queue()
+	q.Priority = 1 // urgent tasks may use reserved room
+	h := newHarness(t, q)
+	h.addWorker("a", 4)
+	h.addWorker("b", 4)
+	h.submit(id(1), tasks(6, 1))
+	h.plan()
+	occupying := h.acceptStarts()
+	require.Len(t, occupying, 6)
+	late := tasks(8, 1)
+	late.Gang = true
+	h.submit(id(2), late)
+	h.submit(id(4), tasks(4, 1))
+	h.advance(4 * time.Second) // past the latest start, before the gang is worth nothing
+	inTime := tasks(1, 1)
+	inTime.Gang, inTime.RequiredLabel = true, "b" // no worker has it yet
+	h.submit(id(3), inTime)
+	h.plan()
+	require.Empty(t, h.starts, "the room is reserved for the late gang")
+	for _, w := range []string{"a", "b"} {
+		var ends []dispatch.ListedEnd
+		for _, s := range occupying {
+			if s.Worker == w {
+				ends = append(ends, h.listedEnd(s, done))
+			}
+		}
+		h.handleListing(targetOf(life(w, 4)), nil, ends)
+	}
+	h.storeEnds()
+	h.plan()
+	started := make(map[string]int)
+	for _, s := range h.starts {
+		started[s.Task.Job]++
+	}
+	require.Equal(t, map[string]int{id(2): 8}, started)
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -11,11 +11,15 @@
 
 // Limits of one plan.
 const (
-	maxPlanSteps    = 256 // steps considered in one plan; takes some milliseconds at large sites
-	rotatingSteps   = 64  // a quarter of maxPlanSteps, picked round-robin from the steps beyond the first
-	maxReservations = 3   // gangs with reserved resources at a time: gangs start sooner one after the other than all at once
-	expiryFactor    = 3   // multiple of the objective after which the end of a job is worth nothing
-	remotePenalty   = 1e6 // score of a worker on another rack than the data
+	maxPlanSteps  = 256 // steps considered in one plan; takes some milliseconds at large sites
+	rotatingSteps = 64  // a quarter of maxPlanSteps, picked round-robin from the steps beyond the first
+	// Gangs with reserved resources at a time: gangs start sooner one after the other
+	// than all at once. A late gang has a reservation of its own, or it would wait for as
+	// long as others come that are not late.
+	maxReservations     = 3
+	maxLateReservations = 1
+	expiryFactor        = 3   // multiple of the objective after which the end of a job is worth nothing
+	remotePenalty       = 1e6 // score of a worker on another rack than the data
 	// reservedPenalty is the score of a worker with reserved resources: above the
 	// cpu score of any worker (thousandths of a core), below remotePenalty.
 	reservedPenalty = 5e5
@@ -29,7 +33,8 @@
 	for _, w := range c.workers {
 		w.reserved = resources{}
 	}
-	reservations := 0
+	c.renewHolds()
+	reservations, lateReservations := 0, 0
 	for _, s := range c.selectSteps(c.orderSteps(now)) {
 		waiting := s.waitingTasks()
 		if len(waiting) == 0 {
@@ -39,14 +44,22 @@
 			c.placeTasks(s, waiting, now)
 			continue
 		}
+		s.release()
 		if s.runCount() > 0 { // members of an earlier run are still being stopped
 			continue
 		}
-		// A late gang gets a reservation only if no gang before it has one.
-		if !c.placeGang(s, waiting, now) && reservations < maxReservations && (s.lateness == onTime || reservations == 0) {
+		if c.placeGang(s, waiting, now) || c.awaitTickets(s, len(waiting), now) {
+			continue
+		}
+		switch {
+		case s.lateness == onTime && reservations < maxReservations:
 			reservations++
-			c.reserveForGang(s, len(waiting), now)
+		case s.lateness != onTime && lateReservations < maxLateReservations:
+			lateReservations++
+		default:
+			continue
 		}
+		c.reserveForGang(s, len(waiting), now)
 	}
 }
 
@@ -238,12 +251,8 @@
 // placeGang starts all tasks of a gang at once under one run number, or none, and
 // reports whether it started them.
 func (c *Core) placeGang(s *step, waiting []*task, now time.Duration) bool {
-	q := c.queue(s.job)
-	chosen := s.fitGang(c.startableWorkers(s, q, now), len(waiting))
+	chosen := s.fitGang(c.startableWorkers(s, c.queue(s.job), now), len(waiting))
 	if chosen == nil {
-		if q.GetAdvice() != nil && c.mayRequestAdvice(s, q.GetAdvice(), now) {
-			c.requestGangAdvice(s, q.GetAdvice(), c.eligibleWorkers(s, q.GetService(), now), len(waiting), now)
-		}
 		return false
 	}
 	number := uint64(0)
@@ -256,13 +265,83 @@
 	return true
 }
 
-// requestGangAdvice requests advice for a gang, first about the workers that can take
-// most of its tasks now.
-func (c *Core) requestGangAdvice(s *step, q *egretmuxv1.QueueAdvice, candidates []*worker, needed int, now time.Duration) {
-	slices.SortStableFunc(candidates, func(a, b *worker) int {
-		return cmp.Compare(s.maxNewRuns(b, needed), s.maxNewRuns(a, needed))
+// awaitTickets handles a gang that cannot start with the tickets that it has. If it fits
+// on the workers that may run it, their resources are reserved and the missing tickets
+// requested, all at once: tickets expire before those of a later call arrive. It reports
+// whether the gang fits.
+func (c *Core) awaitTickets(s *step, n int, now time.Duration) bool {
+	q := c.queue(s.job)
+	if q.GetAdvice() == nil {
+		return false
+	}
+	allowed, capacity := c.allowedWorkers(s, q.GetService(), n, now)
+	chosen := s.fitGang(allowed, n)
+	for _, w := range chosen {
+		s.hold(w)
+	}
+	if !c.mayRequestAdvice(s, q.GetAdvice(), now) {
+		return chosen != nil
+	}
+	if chosen != nil {
+		c.requestTickets(s, q.GetAdvice(), chosen, now)
+		return true
+	}
+	if float64(capacity) < gangChoiceFactor*float64(n) {
+		c.discoverAllowed(s, q, n, now)
+	}
+	return false
+}
+
+// allowedWorkers returns the workers that may run a step by the advice about it, and how
+// many of n tasks they would hold if they were idle. Those with a ticket, or asked about,
+// come first, so that a choice among them stays.
+func (c *Core) allowedWorkers(s *step, pool string, n int, now time.Duration) (allowed []*worker, capacity int) {
+	for w, mayRun := range s.advice.allowed {
+		if mayRun && c.workers[w.Worker] == w && s.canRunOn(w, pool, now) {
+			allowed = append(allowed, w)
+			capacity += w.capacity.fitCount(s.demand, n)
+		}
+	}
+	s.sortByScore(allowed)
+	slices.SortStableFunc(allowed, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(s.advice.ticketRank(a, now), s.advice.ticketRank(b, now)), cmp.Compare(s.maxNewRuns(b, n), s.maxNewRuns(a, n)))
 	})
-	c.requestAdvice(s, q, candidates, needed, now)
+	return allowed, capacity
+}
+
+// hold reserves the resources for one task on a worker until the next plan has
+// considered the step. Steps that come before it in that plan cannot take them.
+func (s *step) hold(w *worker) {
+	if s.held == nil {
+		s.held = make(map[*worker]int)
+	}
+	s.held[w]++
+	w.reserved = w.reserved.plus(s.demand)
+}
+
+// release ends the holds of a step.
+func (s *step) release() {
+	for w, n := range s.held {
+		for range n {
+			w.reserved = w.reserved.minus(s.demand)
+		}
+	}
+	s.held = nil
+}
+
+// renewHolds reserves the held resources in a new plan.
+func (c *Core) renewHolds() {
+	for s := range c.unplaced {
+		for w, n := range s.held {
+			if c.steps[s.key] != s || c.workers[w.Worker] != w {
+				delete(s.held, w)
+				continue
+			}
+			for range n {
+				w.reserved = w.reserved.plus(s.demand)
+			}
+		}
+	}
 }
 
 // fitGang returns a worker for each of n tasks, or nil. Tasks that prefer one rack
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -52,6 +52,7 @@
 	// later is worth less, and after expiryFactor times the objective nothing.
 	objective time.Duration
 	advice    advice
+	held      map[*worker]int // number of tasks for which resources are held while tickets are requested
 	runsOn    map[*worker]int // number of runs by worker
 	urgent    bool            // whether its queue has priority 0, the highest
 }
