dispatch: gangs with quick advice ask about other workers

Cause: a gang stopped asking which workers may run it once the known ones would hold it three times over if idle.

TestGangWithQuickAdviceIsNotBoundToBusyWorkers fails without the change.

--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -145,3 +145,31 @@
 	require.Len(t, h.starts, 6)
 	require.Equal(t, id(2), h.starts[0].Task.Job)
 }
+
+// Load: urgent gangs of short tasks, for which advice takes milliseconds, while the first
+// workers that may run them are busy with long tasks.
+func TestGangWithQuickAdviceIsNotBoundToBusyWorkers(t *testing.T) {
+	plain := queue()
+	plain.Prefix, plain.Priority = "/plain/", 1
+	quick := adviceQueue()
+	quick.Advice.DecideMs, quick.Advice.PerWorkerMs = 20, 0.3
+	h := newHarness(t, quick, plain)
+	for _, w := range []string{"a", "b", "c"} {
+		h.addWorker(w, 8)
+	}
+	gang := tasks(2, 1)
+	gang.Gang = true
+	h.submit(id(1), gang)
+	h.plan()
+	require.Equal(t, []string{"a", "b", "c"}, askedWorkers(h.asks))
+	h.submitTo("/plain/", id(2), tasks(24, 1))
+	h.plan()
+	h.acceptStarts()
+	h.advance(100 * time.Millisecond)
+	h.answer()
+	h.plan()
+	require.Empty(t, h.starts, "all workers are busy")
+	h.addWorker("d", 8)
+	h.plan()
+	require.Equal(t, []string{"d"}, askedWorkers(h.asks))
+}
