--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -503,17 +503,8 @@
 	h.submit(id(3), inTime)
 	h.plan()
 	require.Empty(t, h.starts, "the room is reserved for the late gang")
-	for _, w := range []string{"a", "b"} {
-		var ends []dispatch.ListedEnd
-		for _, s := range occupying {
-			if s.Worker == w {
-				ends = append(ends, h.listedEnd(s, done))
-			}
-		}
-		h.handleListing(targetOf(life(w, 4)), nil, ends)
-	}
-	h.storeEnds()
-	h.plan()
+	h.endRuns(occupying, "a")
+	h.endRuns(occupying, "b")
 	started := make(map[string]int)
 	for _, s := range h.starts {
 		started[s.Task.Job]++
