explain: calls with an unknown outcome are not counted as refused

Change: the verdict counts unknown outcomes apart from refusals, as a job with one may be stored.

TestCallsWithAnUnknownOutcomeAreNotCountedAsRefused fails on the old verdict.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -29,6 +29,16 @@
 	require.Equal(t, 2, timeline.Skipped)
 }
 
+// A call may time out at the leader before the cell can serve. It was not refused: the
+// client is told that the outcome is not known.
+func TestCallsWithAnUnknownOutcomeAreNotCountedAsRefused(t *testing.T) {
+	unknown := `{"instance":"front-3","event":"call_refused","path":"/q/5c0e7a21d94b36f8","reason":"outcome-unknown","ran":"unknown","time":"2026-01-01T00:00:01.5Z"}`
+	timeline := buildTimeline(t, `{"instance":"front-1","event":"call_refused","path":"/q/5c0e7a21d94b36f8","reason":"no-leader","ran":"no","time":"2026-01-01T00:00:01Z"}
+{"instance":"front-2","event":"call_refused","path":"/q/5c0e7a21d94b36f8","reason":"no-lease","ran":"no","time":"2026-01-01T00:00:02Z"}`, unknown)
+	require.Equal(t, `never accepted: refused 2 times, last at front-2 for "no-lease"; the outcome of 1 calls was not known, last at front-3 for "outcome-unknown"`, timeline.Verdict)
+	require.Equal(t, `not accepted within these logs; the outcome of 1 calls was not known, last at front-3 for "outcome-unknown"`, buildTimeline(t, unknown).Verdict)
+}
+
 func TestFailedJobIsExplained(t *testing.T) {
 	timeline := buildTimeline(t, `{"instance":"a","event":"job_accepted","job":"5c0e7a21d94b36f8","time":"2026-01-01T00:00:01Z"}
 {"instance":"a","event":"run_starting","job":"5c0e7a21d94b36f8","task":"5c0e7a21d94b36f8.0.0.1","worker":"w1","run":1,"time":"2026-01-01T00:00:02Z"}
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/egretmux/egretmux/internal/refusal"
 )
 
 // longWait is how long a job must wait for its first start before the verdict
@@ -15,7 +17,7 @@
 		return "the logs hold nothing of this id; give the logs of all instances, and look for log_lines_dropped"
 	}
 	var accepted, firstStart, ended *Line
-	var refusals, failedRuns, abandonedRuns []Line
+	var refusals, unknownOutcomes, failedRuns, abandonedRuns []Line
 	for i := range lines {
 		line := &lines[i]
 		switch line.Event {
@@ -26,7 +28,11 @@
 				firstStart = line
 			}
 		case "call_refused":
-			refusals = append(refusals, *line)
+			if line.Other["ran"] == string(refusal.Unknown) {
+				unknownOutcomes = append(unknownOutcomes, *line)
+			} else {
+				refusals = append(refusals, *line)
+			}
 		case "run_ended":
 			if line.Reason == "failed" {
 				failedRuns = append(failedRuns, *line)
@@ -45,11 +51,8 @@
 		}
 	}
 	switch {
-	case accepted == nil && len(refusals) > 0:
-		last := refusals[len(refusals)-1]
-		return fmt.Sprintf("never accepted: refused %d times, last at %s for %q", len(refusals), last.Instance, last.Reason)
 	case accepted == nil:
-		return "not accepted within these logs"
+		return notAcceptedVerdict(refusals, unknownOutcomes)
 	case ended != nil && ended.Event == "job_cancelled":
 		return "cancelled by its client"
 	case ended != nil && ended.Reason == "failed":
@@ -60,6 +63,21 @@
 	return completedVerdict(*accepted, *ended, firstStart, abandonedRuns)
 }
 
+// notAcceptedVerdict tells refused calls from those whose outcome was not known: a job
+// that was only refused does not run, one with an unknown outcome may be stored.
+func notAcceptedVerdict(refusals, unknownOutcomes []Line) string {
+	unknown := ""
+	if n := len(unknownOutcomes); n > 0 {
+		last := unknownOutcomes[n-1]
+		unknown = fmt.Sprintf("; the outcome of %d calls was not known, last at %s for %q", n, last.Instance, last.Reason)
+	}
+	if len(refusals) == 0 {
+		return "not accepted within these logs" + unknown
+	}
+	last := refusals[len(refusals)-1]
+	return fmt.Sprintf("never accepted: refused %d times, last at %s for %q", len(refusals), last.Instance, last.Reason) + unknown
+}
+
 func failureVerdict(failedRuns []Line) string {
 	if len(failedRuns) == 0 {
 		return "the last failed run is not in these logs"
