jobcell: the leader gives up delegates that fall silent

Orders to the fifth of the workers that it calls for the leader waited for their own deadlines (0.7 s for a start, 1.2 s for its repetition, 1.5 s for a poll) until the instance had missed its announcement, which takes 1.6 s since announcements are made once a second. The logs of the first seconds show 122 workers silent between 2.3 and 3.6 s. Ruled out: leadership (one tenure throughout), processor time (the same without).

Change: an instance that calls workers for the leader sends an empty response on the stream every 100 ms. After 400 ms of silence the leader closes the stream: orders in flight end without an answer at once and are repeated through another instance. Older builds send no keepalives and are not timed.

TestStreamToAnInstanceThatFallsSilentIsClosed fails on the old code.

--- a/internal/jobcell/drive.go
+++ b/internal/jobcell/drive.go
@@ -26,6 +26,13 @@
 	driveBatchInterval = 8 * time.Millisecond
 	delegateBackoff    = 2 * time.Second        // time without orders for an instance whose stream broke
 	driveDeadlineSlack = 500 * time.Millisecond // network round trip between the leader and the instance that calls the worker
+	// driveKeepaliveInterval is the interval at which an instance sends a response without
+	// answers on a stream.
+	driveKeepaliveInterval = 100 * time.Millisecond
+	// driveSilenceTimeout is the time without any response after which the leader closes
+	// a stream: the instance lost power, is frozen or cut off. It covers the
+	// retransmission of a lost packet.
+	driveSilenceTimeout = 400 * time.Millisecond
 )
 
 // workerProxy implements scheduler.WorkerClient. It delegates the calls to other instances
@@ -236,7 +243,7 @@
 	go func() {
 		defer cancel()
 		for {
-			batch, open := receiveBatch(s.done, s.orders)
+			batch, open := receiveBatch(s.done, s.orders, nil)
 			if !open {
 				return
 			}
@@ -252,11 +259,23 @@
 	}()
 	go func() {
 		defer s.close()
+		// Armed by the first keepalive: instances of older versions send none.
+		var silence *time.Timer
 		for {
 			msg, err := rpc.Receive()
 			if err != nil {
 				return
 			}
+			if silence != nil {
+				silence.Reset(driveSilenceTimeout)
+			} else if len(msg.GetAnswers()) == 0 {
+				silence = time.AfterFunc(driveSilenceTimeout, func() {
+					telemetry.CountRetry("driver-silent")
+					s.close()
+					cancel()
+				})
+				defer silence.Stop()
+			}
 			for _, a := range msg.GetAnswers() {
 				s.deliver(a)
 			}
@@ -266,11 +285,13 @@
 }
 
 // receiveBatch waits for one item and then takes all that are queued. The callers
-// pause between two batches, so that items accumulate under load.
-func receiveBatch[T any](done <-chan struct{}, in <-chan T) (batch []T, open bool) {
+// pause between two batches, so that items accumulate under load. The batch is empty if
+// keepalive fires first.
+func receiveBatch[T any](done <-chan struct{}, in <-chan T, keepalive <-chan time.Time) (batch []T, open bool) {
 	select {
 	case <-done:
 		return nil, false
+	case <-keepalive:
 	case first := <-in:
 		batch = append(batch, first)
 	}
--- a/internal/jobcell/drive_server.go
+++ b/internal/jobcell/drive_server.go
@@ -21,8 +21,10 @@
 	var sending sync.WaitGroup
 	sending.Go(func() {
 		defer cancel()
+		keepalive := time.NewTicker(driveKeepaliveInterval)
+		defer keepalive.Stop()
 		for {
-			batch, open := receiveBatch(ctx.Done(), answers)
+			batch, open := receiveBatch(ctx.Done(), answers, keepalive.C)
 			if !open || stream.Send(&egretmuxv1.DriveResponse{Answers: batch}) != nil {
 				return
 			}
--- a/internal/jobcell/drive_test.go
+++ b/internal/jobcell/drive_test.go
@@ -7,11 +7,14 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/gen/egretmux/v1/egretmuxv1connect"
 	"github.com/egretmux/egretmux/internal/dispatch"
+	"github.com/egretmux/egretmux/internal/peer"
 	"github.com/egretmux/egretmux/internal/scheduler"
 )
 
@@ -119,6 +122,75 @@
 	require.Nil(t, send())
 }
 
+// serveDelegate serves the Drive RPC with a handler of the test's own and returns a
+// stream to it.
+func serveDelegate(t *testing.T, drive func(ctx context.Context, stream *connect.BidiStream[egretmuxv1.DriveRequest, egretmuxv1.DriveResponse]) error) *driveStream {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.Handle(egretmuxv1connect.JobCellServiceDriveProcedure, connect.NewBidiStreamHandler(egretmuxv1connect.JobCellServiceDriveProcedure, drive))
+	s := httptest.NewUnstartedServer(mux)
+	s.Config.Protocols = new(http.Protocols)
+	s.Config.Protocols.SetUnencryptedHTTP2(true)
+	s.Start()
+	t.Cleanup(func() {
+		s.CloseClientConnections()
+		_ = s.Config.Close()
+	})
+	dialer, err := peer.NewDialer("", "")
+	require.NoError(t, err)
+	stream := newDriveStream(dialer.Clients(s.Listener.Addr().String()).Jobs, func() {})
+	t.Cleanup(stream.close)
+	return stream
+}
+
+func sendStart(ctx context.Context, stream *driveStream) *egretmuxv1.DriveAnswer {
+	o := newDriveOrder(dispatch.Target{Worker: "w"}, 3)
+	o.Order = &egretmuxv1.DriveOrder_Start{Start: &egretmuxv1.StartOrder{Task: &egretmuxv1.TaskRef{Job: "j"}}}
+	return stream.call(ctx, o)
+}
+
+// Guards against waiting out every order to an instance that lost power or is cut off:
+// its connection stays open, and no answer comes.
+func TestStreamToAnInstanceThatFallsSilentIsClosed(t *testing.T) {
+	stream := serveDelegate(t, func(ctx context.Context, stream *connect.BidiStream[egretmuxv1.DriveRequest, egretmuxv1.DriveResponse]) error {
+		if err := stream.Send(&egretmuxv1.DriveResponse{}); err != nil {
+			return err
+		}
+		<-ctx.Done()
+		return nil
+	})
+	began := time.Now()
+	require.Nil(t, sendStart(contextWithTimeout(t, 30*time.Second), stream))
+	require.Less(t, time.Since(began), 10*time.Second, "the order waits for its own deadline")
+	require.True(t, stream.closed())
+}
+
+// A delegate of an older version sends no keepalives. Its answers may take as long as a
+// poll waits.
+func TestStreamToAnInstanceWithoutKeepalivesStaysOpen(t *testing.T) {
+	stream := serveDelegate(t, func(ctx context.Context, stream *connect.BidiStream[egretmuxv1.DriveRequest, egretmuxv1.DriveResponse]) error {
+		for {
+			msg, err := stream.Receive()
+			if err != nil {
+				return nil
+			}
+			time.Sleep(2 * driveSilenceTimeout)
+			if err := stream.Send(&egretmuxv1.DriveResponse{Answers: []*egretmuxv1.DriveAnswer{{Id: msg.GetOrders()[0].GetId(), Clock: 7}}}); err != nil {
+				return err
+			}
+		}
+	})
+	for range 2 {
+		require.Equal(t, int64(7), sendStart(contextWithTimeout(t, 30*time.Second), stream).GetClock())
+	}
+}
+
+func TestIdleStreamStaysOpen(t *testing.T) {
+	stream, _, _ := newTestDriveStream(t)
+	require.NotNil(t, sendStart(contextWithTimeout(t, 10*time.Second), stream))
+	require.Never(t, stream.closed, 3*driveSilenceTimeout, driveKeepaliveInterval)
+}
+
 func TestCancelledOrderReturnsAtOnce(t *testing.T) {
 	stream, fake, _ := newTestDriveStream(t)
 	fake.hangs = true
