dispatch: steps that can wait, and late ones, leave room to waiting gangs

Three gangs have reservations; what came free elsewhere came free a task at a time, and went a task at a time to steps with a later latest start, or to small gangs that would miss their objective anyway.

Change: each gang that waits and is on time claims the cpu of its tasks. Steps that come later in the order, and late gangs, start only in free room that is not claimed, for half of the time in which their start still is worth something, so nobody is starved. Gangs claim at most half of a pool. step_deferred tells of each step once. A gang that holds room while its tickets are requested is considered by every plan (it fell out of the plan while more than 256 steps came before it, and kept its hold without limit). The gangs' part of plan.go is now gang.go.

Tests of the loads: TestTasksThatCanWaitLeaveRoomForGangs, TestTaskThatHasWaitedLongIsNotHeldBack, TestLateGangsLeaveRoomForAGangThatIsOnTime and TestGangThatHoldsResourcesIsConsideredByEveryPlan fail on the old planner. TestGangWithQuickAdviceIsNotBoundToBusyWorkers fills the workers with urgent tasks now, as others would leave room to its gang; what it checks is unchanged.

--- /dev/null
+++ b/internal/dispatch/gang.go
@@ -0,0 +1,209 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Gangs with reserved resources at a time: gangs start sooner one after the other than
+// all at once. A late gang has a reservation of its own, or it would wait for as long as
+// others come that are not late.
+const (
+	maxReservations     = 3
+	maxLateReservations = 1
+)
+
+// planGang starts the waiting tasks of a gang or, if it cannot start yet, requests tickets
+// and reserves resources for it.
+func (c *Core) planGang(p *plan, s *step, waiting []*task) {
+	s.release()
+	if s.runCount() > 0 { // members of an earlier run are still being stopped
+		return
+	}
+	pool, late := c.queue(s.job).GetService(), s.lateness != onTime
+	if late && p.unclaimed.limit(pool, s, len(waiting), p.now) < len(waiting) {
+		c.noticeDeferral(s, p.now)
+		return
+	}
+	if c.placeGang(s, waiting, p.now) {
+		p.unclaimed.use(pool, s, len(waiting))
+		return
+	}
+	if !late {
+		p.unclaimed.claim(pool, s, len(waiting))
+	}
+	if c.awaitTickets(s, len(waiting), p.now) {
+		return
+	}
+	switch {
+	case !late && p.reservations < maxReservations:
+		p.reservations++
+	case late && p.lateReservations < maxLateReservations:
+		p.lateReservations++
+	default:
+		return
+	}
+	c.reserveForGang(s, len(waiting), p.now)
+}
+
+// placeGang starts all tasks of a gang at once under one run number, or none, and
+// reports whether it started them.
+func (c *Core) placeGang(s *step, waiting []*task, now time.Duration) bool {
+	chosen := s.fitGang(c.startableWorkers(s, c.queue(s.job), now), len(waiting))
+	if chosen == nil {
+		return false
+	}
+	number := uint64(0)
+	for _, t := range s.tasks {
+		number = max(number, t.highestRun+1)
+	}
+	for i, w := range chosen {
+		c.startTask(waiting[i], w, number, now)
+	}
+	return true
+}
+
+// awaitTickets handles a gang that cannot start with the tickets that it has. If it fits
+// on the workers that may run it, their resources are reserved and the missing tickets
+// requested, all at once: tickets expire before those of a later call arrive. It reports
+// whether the gang fits.
+func (c *Core) awaitTickets(s *step, n int, now time.Duration) bool {
+	q := c.queue(s.job)
+	if q.GetAdvice() == nil {
+		return false
+	}
+	allowed, capacity := c.allowedWorkers(s, q.GetService(), n, now)
+	chosen := s.fitGang(allowed, n)
+	for _, w := range chosen {
+		s.hold(w)
+	}
+	if !c.mayRequestAdvice(s, q.GetAdvice(), now) {
+		return chosen != nil
+	}
+	if chosen != nil {
+		c.requestTickets(s, q.GetAdvice(), chosen, now)
+		return true
+	}
+	// Where advice is quick, other workers with room are a better choice than the wait for
+	// room on those that are known.
+	if q.GetAdvice().GetDecideMs() < LongAdviceMs || float64(capacity) < gangChoiceFactor*float64(n) {
+		c.discoverAllowed(s, q, n, now)
+	}
+	return false
+}
+
+// allowedWorkers returns the workers that may run a step by the advice about it, and how
+// many of n tasks they would hold if they were idle. Those with a ticket, or asked about,
+// come first, so that a choice among them stays.
+func (c *Core) allowedWorkers(s *step, pool string, n int, now time.Duration) (allowed []*worker, capacity int) {
+	for w, mayRun := range s.advice.allowed {
+		if mayRun && c.workers[w.Worker] == w && s.canRunOn(w, pool, now) {
+			allowed = append(allowed, w)
+			capacity += w.capacity.fitCount(s.demand, n)
+		}
+	}
+	s.sortByScore(allowed)
+	slices.SortStableFunc(allowed, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(s.advice.ticketRank(a, now), s.advice.ticketRank(b, now)), cmp.Compare(s.maxNewRuns(b, n), s.maxNewRuns(a, n)))
+	})
+	return allowed, capacity
+}
+
+// hold reserves the resources for one task on a worker until the next plan has
+// considered the step. Steps that come before it in that plan cannot take them.
+func (s *step) hold(w *worker) {
+	if s.held == nil {
+		s.held = make(map[*worker]int)
+	}
+	s.held[w]++
+	w.reserved = w.reserved.plus(s.demand)
+}
+
+// release ends the holds of a step.
+func (s *step) release() {
+	for w, n := range s.held {
+		for range n {
+			w.reserved = w.reserved.minus(s.demand)
+		}
+	}
+	s.held = nil
+}
+
+// renewHolds reserves the held resources in a new plan.
+func (c *Core) renewHolds() {
+	for s := range c.unplaced {
+		for w, n := range s.held {
+			if c.steps[s.key] != s || c.workers[w.Worker] != w {
+				delete(s.held, w)
+				continue
+			}
+			for range n {
+				w.reserved = w.reserved.plus(s.demand)
+			}
+		}
+	}
+}
+
+// fitGang returns a worker for each of n tasks, or nil. Tasks that prefer one rack
+// get it if a rack has the resources.
+func (s *step) fitGang(candidates []*worker, n int) []*worker {
+	if s.spec.GetSameRack() {
+		racks := make(map[string][]*worker)
+		var names []string
+		for _, w := range candidates {
+			if racks[w.rack] == nil {
+				names = append(names, w.rack)
+			}
+			racks[w.rack] = append(racks[w.rack], w)
+		}
+		for _, name := range names {
+			if chosen := s.fitGangAnyRack(racks[name], n); chosen != nil {
+				return chosen
+			}
+		}
+	}
+	return s.fitGangAnyRack(candidates, n)
+}
+
+func (s *step) fitGangAnyRack(candidates []*worker, n int) []*worker {
+	chosen := make([]*worker, 0, n)
+	for _, w := range candidates {
+		for range s.maxNewRuns(w, n-len(chosen)) {
+			chosen = append(chosen, w)
+		}
+		if len(chosen) == n {
+			return chosen
+		}
+	}
+	return nil
+}
+
+// reserveForGang reserves resources for a waiting gang of n tasks, beginning with the
+// workers that can take most of its tasks now: the rest of the resources is likely to
+// be free there soonest.
+func (c *Core) reserveForGang(s *step, n int, now time.Duration) {
+	q := c.queue(s.job)
+	var candidates []*worker
+	for _, w := range c.eligibleWorkers(s, q.GetService(), now) {
+		if q.GetAdvice() == nil || s.advice.allowed[w] {
+			candidates = append(candidates, w)
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b *worker) int {
+		return cmp.Compare(s.maxNewRuns(b, n), s.maxNewRuns(a, n))
+	})
+	for _, w := range candidates {
+		if n <= 0 {
+			return
+		}
+		fits := w.capacity.minus(w.reserved).fitCount(s.demand, n)
+		if limit := int(s.spec.GetMaxPerWorker()); limit > 0 {
+			fits = min(fits, limit)
+		}
+		for range fits {
+			w.reserved = w.reserved.plus(s.demand)
+		}
+		n -= fits
+	}
+}
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -28,6 +29,7 @@
 	asks       []dispatch.Ask
 	endBatches []dispatch.EndBatch
 	notices    []dispatch.Notice
+	present    []dispatch.StartOrder // runs that acceptAll accepted and endOne has not ended
 }
 
 func newHarness(t *testing.T, queues ...*egretmuxv1.Queue) *harness {
@@ -145,6 +147,29 @@
 	return accepted
 }
 
+// acceptAll answers all collected starts with Accepted and keeps them as present.
+func (h *harness) acceptAll() []dispatch.StartOrder {
+	accepted := h.acceptStarts()
+	h.present = append(h.present, accepted...)
+	return accepted
+}
+
+// endOne hands over the end of a run that acceptAll accepted, beside the other runs that
+// are present on its worker, stores it and plans.
+func (h *harness) endOne(ended dispatch.StartOrder) {
+	h.t.Helper()
+	h.present = slices.DeleteFunc(h.present, func(s dispatch.StartOrder) bool { return s.Task == ended.Task && s.Run == ended.Run })
+	var running []dispatch.ListedRun
+	for _, s := range h.present {
+		if s.Worker == ended.Worker {
+			running = append(running, listedRun(s))
+		}
+	}
+	h.handleListing(ended.Target, running, []dispatch.ListedEnd{h.listedEnd(ended, done)})
+	h.storeEnds()
+	h.plan()
+}
+
 func (h *harness) listedEnd(s dispatch.StartOrder, outcome egretmuxv1.RunOutcome) dispatch.ListedEnd {
 	h.endNumbers[s.Worker]++
 	return dispatch.ListedEnd{Number: h.endNumbers[s.Worker], Task: s.Task, Run: s.Run, Outcome: outcome, TaskParsed: true}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -13,13 +13,8 @@
 const (
 	maxPlanSteps  = 256 // steps considered in one plan; takes some milliseconds at large sites
 	rotatingSteps = 64  // a quarter of maxPlanSteps, picked round-robin from the steps beyond the first
-	// Gangs with reserved resources at a time: gangs start sooner one after the other
-	// than all at once. A late gang has a reservation of its own, or it would wait for as
-	// long as others come that are not late.
-	maxReservations     = 3
-	maxLateReservations = 1
-	expiryFactor        = 3   // multiple of the objective after which the end of a job is worth nothing
-	remotePenalty       = 1e6 // score of a worker on another rack than the data
+	expiryFactor  = 3   // multiple of the objective after which the end of a job is worth nothing
+	remotePenalty = 1e6 // score of a worker on another rack than the data
 	// reservedPenalty is the score of a worker with reserved resources: above the
 	// cpu score of any worker (thousandths of a core), below remotePenalty.
 	reservedPenalty = 5e5
@@ -34,45 +29,52 @@
 		w.reserved = resources{}
 	}
 	c.renewHolds()
-	reservations, lateReservations := 0, 0
+	p := &plan{now: now, unclaimed: c.newUnclaimedRoom(now)}
 	for _, s := range c.selectSteps(c.orderSteps(now)) {
 		waiting := s.waitingTasks()
 		if len(waiting) == 0 {
 			continue
 		}
-		if !s.spec.GetGang() {
-			c.placeTasks(s, waiting, now)
+		if s.spec.GetGang() {
+			c.planGang(p, s, waiting)
 			continue
 		}
-		s.release()
-		if s.runCount() > 0 { // members of an earlier run are still being stopped
-			continue
-		}
-		if c.placeGang(s, waiting, now) || c.awaitTickets(s, len(waiting), now) {
-			continue
+		pool := c.queue(s.job).GetService()
+		n := p.unclaimed.limit(pool, s, len(waiting), now)
+		if n > 0 {
+			p.unclaimed.use(pool, s, c.placeTasks(s, waiting[:n], now))
 		}
-		switch {
-		case s.lateness == onTime && reservations < maxReservations:
-			reservations++
-		case s.lateness != onTime && lateReservations < maxLateReservations:
-			lateReservations++
-		default:
-			continue
+		if n < len(waiting) {
+			c.noticeDeferral(s, now)
 		}
-		c.reserveForGang(s, len(waiting), now)
 	}
 }
 
-// selectSteps returns the steps that one plan considers: the first ones and,
-// round-robin, some of the others, so that steps that cannot be placed do not
-// starve the rest.
+// plan is the state of one plan.
+type plan struct {
+	now              time.Duration
+	unclaimed        *unclaimedRoom
+	reservations     int // gangs that have reserved resources, and are on time
+	lateReservations int // the same of late gangs
+}
+
+// selectSteps returns the steps that one plan considers: the first ones, those that hold
+// resources while their tickets are requested, and, round-robin, some of the others, so
+// that steps that cannot be placed do not starve the rest.
 func (c *Core) selectSteps(ordered []*step) []*step {
 	if len(ordered) <= maxPlanSteps {
 		return ordered
 	}
-	first, rest := ordered[:maxPlanSteps-rotatingSteps], ordered[maxPlanSteps-rotatingSteps:]
-	out := slices.Clone(first)
-	for range rotatingSteps {
+	out := slices.Clone(ordered[:maxPlanSteps-rotatingSteps])
+	var rest []*step
+	for _, s := range ordered[maxPlanSteps-rotatingSteps:] {
+		if len(s.held) > 0 {
+			out = append(out, s)
+		} else {
+			rest = append(rest, s)
+		}
+	}
+	for range min(rotatingSteps, len(rest)) {
 		c.rotation++
 		out = append(out, rest[c.rotation%len(rest)])
 	}
@@ -215,14 +217,14 @@
 	return max(0, n)
 }
 
-// placeTasks starts as many of the waiting tasks as fit, and requests advice for
-// the rest.
-func (c *Core) placeTasks(s *step, waiting []*task, now time.Duration) {
+// placeTasks starts as many of the waiting tasks as fit, requests advice for the rest,
+// and returns how many it started.
+func (c *Core) placeTasks(s *step, waiting []*task, now time.Duration) int {
 	q := c.queue(s.job)
 	unplaced := waiting
 	for _, w := range c.startableWorkers(s, q, now) {
 		if len(unplaced) == 0 {
-			return
+			break
 		}
 		n := s.maxNewRuns(w, len(unplaced))
 		for _, t := range unplaced[:n] {
@@ -233,6 +235,7 @@
 	if len(unplaced) > 0 && q.GetAdvice() != nil && c.mayRequestAdvice(s, q.GetAdvice(), now) {
 		c.requestAdvice(s, q.GetAdvice(), c.workersWithRoom(s, q.GetService(), now), len(unplaced), now)
 	}
+	return len(waiting) - len(unplaced)
 }
 
 // workersWithRoom returns the workers that have the resources for a task of the
@@ -248,167 +251,6 @@
 	return out
 }
 
-// placeGang starts all tasks of a gang at once under one run number, or none, and
-// reports whether it started them.
-func (c *Core) placeGang(s *step, waiting []*task, now time.Duration) bool {
-	chosen := s.fitGang(c.startableWorkers(s, c.queue(s.job), now), len(waiting))
-	if chosen == nil {
-		return false
-	}
-	number := uint64(0)
-	for _, t := range s.tasks {
-		number = max(number, t.highestRun+1)
-	}
-	for i, w := range chosen {
-		c.startTask(waiting[i], w, number, now)
-	}
-	return true
-}
-
-// awaitTickets handles a gang that cannot start with the tickets that it has. If it fits
-// on the workers that may run it, their resources are reserved and the missing tickets
-// requested, all at once: tickets expire before those of a later call arrive. It reports
-// whether the gang fits.
-func (c *Core) awaitTickets(s *step, n int, now time.Duration) bool {
-	q := c.queue(s.job)
-	if q.GetAdvice() == nil {
-		return false
-	}
-	allowed, capacity := c.allowedWorkers(s, q.GetService(), n, now)
-	chosen := s.fitGang(allowed, n)
-	for _, w := range chosen {
-		s.hold(w)
-	}
-	if !c.mayRequestAdvice(s, q.GetAdvice(), now) {
-		return chosen != nil
-	}
-	if chosen != nil {
-		c.requestTickets(s, q.GetAdvice(), chosen, now)
-		return true
-	}
-	// Where advice is quick, other workers with room are a better choice than the wait for
-	// room on those that are known.
-	if q.GetAdvice().GetDecideMs() < LongAdviceMs || float64(capacity) < gangChoiceFactor*float64(n) {
-		c.discoverAllowed(s, q, n, now)
-	}
-	return false
-}
-
-// allowedWorkers returns the workers that may run a step by the advice about it, and how
-// many of n tasks they would hold if they were idle. Those with a ticket, or asked about,
-// come first, so that a choice among them stays.
-func (c *Core) allowedWorkers(s *step, pool string, n int, now time.Duration) (allowed []*worker, capacity int) {
-	for w, mayRun := range s.advice.allowed {
-		if mayRun && c.workers[w.Worker] == w && s.canRunOn(w, pool, now) {
-			allowed = append(allowed, w)
-			capacity += w.capacity.fitCount(s.demand, n)
-		}
-	}
-	s.sortByScore(allowed)
-	slices.SortStableFunc(allowed, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(s.advice.ticketRank(a, now), s.advice.ticketRank(b, now)), cmp.Compare(s.maxNewRuns(b, n), s.maxNewRuns(a, n)))
-	})
-	return allowed, capacity
-}
-
-// hold reserves the resources for one task on a worker until the next plan has
-// considered the step. Steps that come before it in that plan cannot take them.
-func (s *step) hold(w *worker) {
-	if s.held == nil {
-		s.held = make(map[*worker]int)
-	}
-	s.held[w]++
-	w.reserved = w.reserved.plus(s.demand)
-}
-
-// release ends the holds of a step.
-func (s *step) release() {
-	for w, n := range s.held {
-		for range n {
-			w.reserved = w.reserved.minus(s.demand)
-		}
-	}
-	s.held = nil
-}
-
-// renewHolds reserves the held resources in a new plan.
-func (c *Core) renewHolds() {
-	for s := range c.unplaced {
-		for w, n := range s.held {
-			if c.steps[s.key] != s || c.workers[w.Worker] != w {
-				delete(s.held, w)
-				continue
-			}
-			for range n {
-				w.reserved = w.reserved.plus(s.demand)
-			}
-		}
-	}
-}
-
-// fitGang returns a worker for each of n tasks, or nil. Tasks that prefer one rack
-// get it if a rack has the resources.
-func (s *step) fitGang(candidates []*worker, n int) []*worker {
-	if s.spec.GetSameRack() {
-		racks := make(map[string][]*worker)
-		var names []string
-		for _, w := range candidates {
-			if racks[w.rack] == nil {
-				names = append(names, w.rack)
-			}
-			racks[w.rack] = append(racks[w.rack], w)
-		}
-		for _, name := range names {
-			if chosen := s.fitGangAnyRack(racks[name], n); chosen != nil {
-				return chosen
-			}
-		}
-	}
-	return s.fitGangAnyRack(candidates, n)
-}
-
-func (s *step) fitGangAnyRack(candidates []*worker, n int) []*worker {
-	chosen := make([]*worker, 0, n)
-	for _, w := range candidates {
-		for range s.maxNewRuns(w, n-len(chosen)) {
-			chosen = append(chosen, w)
-		}
-		if len(chosen) == n {
-			return chosen
-		}
-	}
-	return nil
-}
-
-// reserveForGang reserves resources for a waiting gang of n tasks, beginning with the
-// workers that can take most of its tasks now: the rest of the resources is likely to
-// be free there soonest.
-func (c *Core) reserveForGang(s *step, n int, now time.Duration) {
-	q := c.queue(s.job)
-	var candidates []*worker
-	for _, w := range c.eligibleWorkers(s, q.GetService(), now) {
-		if q.GetAdvice() == nil || s.advice.allowed[w] {
-			candidates = append(candidates, w)
-		}
-	}
-	slices.SortStableFunc(candidates, func(a, b *worker) int {
-		return cmp.Compare(s.maxNewRuns(b, n), s.maxNewRuns(a, n))
-	})
-	for _, w := range candidates {
-		if n <= 0 {
-			return
-		}
-		fits := w.capacity.minus(w.reserved).fitCount(s.demand, n)
-		if limit := int(s.spec.GetMaxPerWorker()); limit > 0 {
-			fits = min(fits, limit)
-		}
-		for range fits {
-			w.reserved = w.reserved.plus(s.demand)
-		}
-		n -= fits
-	}
-}
-
 // startTask adds a run of a task and orders its start.
 func (c *Core) startTask(t *task, w *worker, number uint64, now time.Duration) {
 	s := t.step
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -54,6 +54,7 @@
 	advice    advice
 	held      map[*worker]int // number of tasks for which resources are held while tickets are requested
 	runsOn    map[*worker]int // number of runs by worker
+	deferred  bool            // whether it has left room to gangs
 	urgent    bool            // whether its queue has priority 0, the highest
 }
 
--- /dev/null
+++ b/internal/dispatch/unclaimed.go
@@ -0,0 +1,74 @@
+package dispatch
+
+import "time"
+
+// maxClaimedShare is the largest fraction of a pool's cpu that waiting gangs claim. Steps
+// that can wait use the rest at any time, so that they are not held up while half of the
+// pool is idle, as when the gangs wait for tickets.
+const maxClaimedShare = 0.5
+
+// deferredSlackShare is the part of its slack for which a step leaves room to gangs.
+const deferredSlackShare = 0.5
+
+// unclaimedRoom is the free cpu of each pool less what the gangs considered so far in a
+// plan have claimed. A gang that cannot start yet claims the cpu of all its tasks, on any
+// worker: room that comes free a task at a time would otherwise always go to steps that
+// need it a task at a time, although these have the later latest start or are late.
+type unclaimedRoom struct {
+	free, capacity, claimed map[string]int64 // by pool, thousandths of a core
+}
+
+func (c *Core) newUnclaimedRoom(now time.Duration) *unclaimedRoom {
+	u := &unclaimedRoom{free: make(map[string]int64), capacity: make(map[string]int64), claimed: make(map[string]int64)}
+	for _, w := range c.workers {
+		pool := w.life.GetPool()
+		u.capacity[pool] += w.capacity.cpu
+		if w.acceptsRuns(now) {
+			u.free[pool] += max(0, w.free.cpu)
+		}
+	}
+	return u
+}
+
+// claim records that a gang waits for room for n tasks.
+func (u *unclaimedRoom) claim(pool string, s *step, n int) {
+	u.claimed[pool] += int64(n) * s.demand.cpu
+}
+
+// use records that n tasks of a step were started.
+func (u *unclaimedRoom) use(pool string, s *step, n int) {
+	u.free[pool] -= int64(n) * s.demand.cpu
+}
+
+// limit returns how many of n waiting tasks of a step may start. Urgent steps, steps that
+// are placed before any gang that waits, and steps that cannot wait are not limited.
+func (u *unclaimedRoom) limit(pool string, s *step, n int, now time.Duration) int {
+	claimed := min(u.claimed[pool], int64(maxClaimedShare*float64(u.capacity[pool])))
+	if s.urgent || claimed == 0 || !s.canWait(now) {
+		return n
+	}
+	return resources{cpu: u.free[pool] - claimed}.fitCount(resources{cpu: s.demand.cpu}, n)
+}
+
+// noticeDeferral logs, once for each step, that it leaves room to gangs.
+func (c *Core) noticeDeferral(s *step, now time.Duration) {
+	if s.deferred {
+		return
+	}
+	s.deferred = true
+	c.addNotice(Notice{Event: "step_deferred", Job: s.key.Job, Task: s.key.String(), Reason: [...]string{"can-wait", "late", "expired"}[s.lateness], Age: now - s.openedAt})
+}
+
+// canWait reports whether a step leaves room to gangs: until a part of the time is over
+// in which its start still meets the objective or, if it is late, is still worth
+// something.
+func (s *step) canWait(now time.Duration) bool {
+	from, until := s.dueAt, s.latestStart
+	switch s.lateness {
+	case late:
+		from, until = s.latestStart, s.latestStart+(expiryFactor-1)*s.objective
+	case expired:
+		return true
+	}
+	return now < from+time.Duration(deferredSlackShare*float64(until-from))
+}
--- a/internal/jobcell/drive.go
+++ b/internal/jobcell/drive.go
@@ -125,6 +125,7 @@
 }
 
 func (p *workerProxy) backOff(address string) {
+	p.cell.cfg.Logger.Warn().Str("event", "delegate_lost").Str("via", address).Int64("backoff_ms", delegateBackoff.Milliseconds()).Msg("calls to workers go through other instances")
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.avoidUntil[address] = time.Now().Add(delegateBackoff)
