dispatch: expected run times by regression on the estimates

Taken at their word up to a factor, long estimates made steps look as if they had time, short ones made them late at once, and the slowness learned of workers was mostly the noise of estimates. Also, runs adopted from an earlier leader were learned from as if they had begun with the tenure, and the path to the end left out the calls for advice that the objective includes.

Of a gang one member counts. Adopted runs and runs from a checkpoint teach nothing. The paths include advice.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -48,8 +48,8 @@
 	inheritedLeasesEnd time.Duration // when all leases from earlier leaders have expired
 	confirmedAt        time.Duration // when a quorum last confirmed this leader
 	actions            Actions
-	runTimeRatios      map[[2]string]*ratio  // by queue
-	allowedShare       map[[2]string]float64 // by queue: learned share of the workers in a call that its answer newly allows
+	runTimes           map[[2]string]*runTimes // by queue
+	allowedShare       map[[2]string]float64   // by queue: learned share of the workers in a call that its answer newly allows
 	notices            []Notice
 	urgentUsage        urgentUsage
 	rotation           int // round-robin position in the steps that a plan does not always consider
@@ -79,7 +79,7 @@
 		cfg: cfg, jobs: make(map[string]*job), steps: make(map[StepKey]*step), unplaced: make(map[*step]struct{}), callers: 1, adviceMs: make(map[bool]float64),
 		workers:            make(map[string]*worker),
 		inheritedLeasesEnd: inheritedLeaseWait(cfg.Lease),
-		runTimeRatios:      make(map[[2]string]*ratio), allowedShare: make(map[[2]string]float64),
+		runTimes:           make(map[[2]string]*runTimes), allowedShare: make(map[[2]string]float64),
 	}
 	for _, w := range cfg.Book.Workers() {
 		c.addWorker(w.Life)
@@ -196,7 +196,7 @@
 	j.steps[key] = s
 	c.steps[key] = s
 	c.unplaced[s] = struct{}{}
-	c.setLatestStart(s)
+	c.setLatestStart(s, now)
 }
 
 // adoptStoredRun adds a run whose start an earlier leader stored. Any listing of its
@@ -213,9 +213,10 @@
 
 // setLatestStart computes the latest start of a step that still meets the objective
 // of its job.
-func (c *Core) setLatestStart(s *step) {
-	paths := c.criticalPathsMs(s.job.spec)
+func (c *Core) setLatestStart(s *step, now time.Duration) {
+	s.estimatedAt = now
 	q := c.queue(s.job)
+	paths := c.criticalPathsMs(s.job.spec, q.GetAdvice())
 	slack := max(1, q.GetSlackFactor())
 	jobMs := slices.Max(paths)
 	s.objective = time.Duration(q.GetTargetLatencyMs())*time.Millisecond + milliseconds(slack*jobMs)
--- a/internal/dispatch/learn.go
+++ b/internal/dispatch/learn.go
@@ -8,23 +8,11 @@
 
 // Gains and bounds of what is learned from run times.
 const (
-	ratioGain    = 0.1 // weight of one run in a queue's ratio of run time to estimate
 	slownessGain = 0.2 // weight of one run in a worker's slowness
-	minRatio     = 0.2
-	maxRatio     = 5.0
+	maxSlowness  = 5.0 // largest ratio of run time to expectation that one run counts with
 )
 
-// ratio is the learned ratio of a queue's run times to the submitters' estimates.
-type ratio struct{ value float64 }
-
-func (c *Core) runTimeRatio(host, prefix string) float64 {
-	if r := c.runTimeRatios[[2]string{host, prefix}]; r != nil {
-		return r.value
-	}
-	return 1
-}
-
-// learnFromEnd updates the failures and the slowness of a worker and the ratio of a
+// learnFromEnd updates the failures and the slowness of a worker and the run times of a
 // queue with the outcome and the run time of a run.
 func (c *Core) learnFromEnd(r *run, outcome egretmuxv1.RunOutcome, now time.Duration) {
 	w := r.worker
@@ -46,17 +34,19 @@
 	}
 	s := r.task.step
 	took := float64(now-r.startedAt) / float64(time.Millisecond)
-	representative := s.spec.GetEstimateMs() > 0 && r.task.highestRun == r.number &&
+	representative := r.timed && s.spec.GetEstimateMs() > 0 && r.task.highestRun == r.number &&
 		(s.spec.GetDataRack() == "" || s.spec.GetDataRack() == w.rack)
 	if !representative || took <= 0 {
 		return
 	}
+	expected := c.estimateMs(s.job.spec, s.spec)
+	w.slowness += slownessGain * (min(maxSlowness, took/expected) - w.slowness)
+	if s.spec.GetGang() && r.task.index > 0 {
+		return // all members end together
+	}
 	key := queueKey(s.job)
-	observed := min(maxRatio, max(minRatio, took/float64(s.spec.GetEstimateMs())))
-	if c.runTimeRatios[key] == nil {
-		c.runTimeRatios[key] = &ratio{value: 1}
+	if c.runTimes[key] == nil {
+		c.runTimes[key] = newRunTimes(float64(s.spec.GetEstimateMs()))
 	}
-	expected := c.runTimeRatios[key].value
-	c.runTimeRatios[key].value += ratioGain * (observed - expected)
-	w.slowness += slownessGain * (min(maxRatio, observed/expected) - w.slowness)
+	c.runTimes[key].observe(float64(s.spec.GetEstimateMs()), took)
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -90,6 +90,9 @@
 			delete(c.unplaced, s)
 			continue
 		}
+		if now-s.estimatedAt >= latestStartMaxAge {
+			c.setLatestStart(s, now)
+		}
 		s.urgent = c.queue(s.job).GetPriority() == 0
 		s.lateness = latenessOf(s, now)
 		out = append(out, s)
@@ -261,6 +264,7 @@
 			checkpoint = rec.Task(s.key.Occurrence, s.key.Step, t.index).Checkpoint
 		}
 	})
+	r.timed = checkpoint == ""
 	order := StartOrder{
 		Target: w.Target, Task: t.key(), Run: number, Payload: s.job.spec.GetPayload(),
 		Checkpoint: checkpoint, LeaseUntil: w.lease.grant(c.confirmedAt), Clock: w.lease.clock,
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -47,6 +47,7 @@
 	dueAt       time.Duration // when the job was accepted or the occurrence was due
 	openedAt    time.Duration // when its predecessors were done
 	latestStart time.Duration // latest start that still meets the objective
+	estimatedAt time.Duration // when latestStart was computed
 	lateness    int           // onTime, late or expired
 	// objective is the latency objective of the job, counted from dueAt. A job that ends
 	// later is worth less, and after expiryFactor times the objective nothing.
@@ -78,23 +79,3 @@
 	}
 	return n
 }
-
-// estimateMs returns the expected run time of one task: the submitter's estimate,
-// corrected by the learned ratio of the queue.
-func (c *Core) estimateMs(j *egretmuxv1.Job, s *egretmuxv1.JobStep) float64 {
-	return max(1, float64(s.GetEstimateMs())) * c.runTimeRatio(j.GetHost(), j.GetPrefix())
-}
-
-// criticalPathsMs returns for each step the length of the critical path from its
-// start to the end of the job.
-func (c *Core) criticalPathsMs(j *egretmuxv1.Job) []float64 {
-	steps := j.GetSteps()
-	out := make([]float64, len(steps))
-	for i := len(steps) - 1; i >= 0; i-- {
-		out[i] += c.estimateMs(j, steps[i])
-		for _, predecessor := range steps[i].GetAfter() {
-			out[predecessor] = max(out[predecessor], out[i])
-		}
-	}
-	return out
-}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -136,6 +136,7 @@
 	state     runState
 	demand    resources
 	startedAt time.Duration // when it was ordered, accepted or adopted
+	timed     bool          // whether it does all its work after startedAt: this leader started it, without a checkpoint
 	// absenceProvable is set when the worker answers an order about the run or lists it,
 	// and for runs adopted from the log; it is cleared when a stop is ordered. While it
 	// is set, a complete listing that lacks the run proves that it is not on the worker,
