dispatch: headroom of a fifth of the urgent usage; claims count usable workers

Change: headroomShare 0.15 -> 0.20.

The bound on what gangs claim counts the workers that accept runs: of the others nothing could be started, by gangs or by anybody.

--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -9,7 +9,7 @@
 // these need not wait for other runs to end. It is kept in large pieces on a few
 // workers: spread evenly, no piece would hold a task.
 const (
-	headroomShare        = 0.15            // headroom as a fraction of the average urgent usage, which usually varies by that much
+	headroomShare        = 0.20            // headroom as a fraction of the average urgent usage, which usually varies by that much
 	headroomPerWorker    = 0.5             // headroom of a worker as a fraction of its cpu
 	maxHeadroomShare     = 0.5             // largest fraction of the workers that keep headroom
 	urgentTimeConstant   = 5 * time.Second // time constant of the average urgent usage; bursts last about as long
--- a/internal/dispatch/unclaimed.go
+++ b/internal/dispatch/unclaimed.go
@@ -15,15 +15,15 @@
 // worker: room that comes free a task at a time would otherwise always go to steps that
 // need it a task at a time, although these have the later latest start or are late.
 type unclaimedRoom struct {
-	free, capacity, claimed map[string]int64 // by pool, thousandths of a core
+	free, capacity, claimed map[string]int64 // by pool, thousandths of a core, of the workers that accept runs
 }
 
 func (c *Core) newUnclaimedRoom(now time.Duration) *unclaimedRoom {
 	u := &unclaimedRoom{free: make(map[string]int64), capacity: make(map[string]int64), claimed: make(map[string]int64)}
 	for _, w := range c.workers {
-		pool := w.life.GetPool()
-		u.capacity[pool] += w.capacity.cpu
 		if w.acceptsRuns(now) {
+			pool := w.life.GetPool()
+			u.capacity[pool] += w.capacity.cpu
 			u.free[pool] += max(0, w.free.cpu)
 		}
 	}
