jobcell: a pause of the leader is not taken for silence of its delegates

Cause, by reading: the timer of a stream's silence fires on time also when this process has not run for a while (slowed machine, quota, long plan), before the responses that wait in the socket are read. All delegates would be given up at once, under load.

--- a/internal/jobcell/drive.go
+++ b/internal/jobcell/drive.go
@@ -221,6 +221,7 @@
 	closeOnce sync.Once
 	onClose   func()
 	nextID    atomic.Uint64
+	received  atomic.Uint64 // responses
 
 	mu      sync.Mutex
 	pending map[uint64]chan *egretmuxv1.DriveAnswer
@@ -260,22 +261,16 @@
 	}()
 	go func() {
 		defer s.close()
-		// Armed by the first keepalive: instances of older versions send none.
-		var silence *time.Timer
+		watched := false
 		for {
 			msg, err := rpc.Receive()
 			if err != nil {
 				return
 			}
-			if silence != nil {
-				silence.Reset(driveSilenceTimeout)
-			} else if len(msg.GetAnswers()) == 0 {
-				silence = time.AfterFunc(driveSilenceTimeout, func() {
-					telemetry.CountRetry("driver-silent")
-					s.close()
-					cancel()
-				})
-				defer silence.Stop()
+			s.received.Add(1)
+			if !watched && len(msg.GetAnswers()) == 0 { // older versions send no keepalives
+				watched = true
+				go s.watchSilence(cancel)
 			}
 			for _, a := range msg.GetAnswers() {
 				s.deliver(a)
@@ -285,6 +280,30 @@
 	return s
 }
 
+// watchSilence closes the stream and cancels its RPC once no response has come for
+// driveSilenceTimeout. It counts steps of a keepalive's interval in which this process
+// ran, so that a pause of this process is not taken for the silence of the other.
+func (s *driveStream) watchSilence(cancel context.CancelFunc) {
+	ticker := time.NewTicker(driveKeepaliveInterval)
+	defer ticker.Stop()
+	seen, silent := s.received.Load(), time.Duration(0)
+	for silent < driveSilenceTimeout {
+		select {
+		case <-s.done:
+			return
+		case <-ticker.C:
+		}
+		if now := s.received.Load(); now != seen {
+			seen, silent = now, 0
+		} else {
+			silent += driveKeepaliveInterval
+		}
+	}
+	telemetry.CountRetry("driver-silent")
+	s.close()
+	cancel()
+}
+
 // receiveBatch waits for one item and then takes all that are queued. The callers
 // pause between two batches, so that items accumulate under load. The batch is empty if
 // keepalive fires first.
