dispatch: fast workers are left to urgent steps

Cause: since expected run times come from a regression, the learned slowness of workers tells the third that is 1.3 times slower from the others, and its penalty (4e4 a unit) outweighs the packing of 16 cores: steps of all queues fill the fast workers, and what is left for lookups, which have 0.3 of their run time to spare, are the slow ones.

Change: the penalty is 5e3 for steps that are not urgent.

TestFastWorkersAreLeftToUrgentSteps fails without it.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -18,8 +18,11 @@
 	// reservedPenalty is the score of a worker with reserved resources: above the
 	// cpu score of any worker (thousandths of a core), below remotePenalty.
 	reservedPenalty = 5e5
-	slownessPenalty = 4e4 // score of each unit of a worker's slowness
-	servingPenalty  = 2e4 // score of each serving task beside a filler
+	// Scores of each unit of a worker's slowness. Steps that are not urgent have time for a
+	// slower worker, and leave the fast ones to those that are.
+	slownessPenalty       = 5e3
+	urgentSlownessPenalty = 4e4
+	servingPenalty        = 2e4 // score of each serving task beside a filler
 )
 
 // Plan starts waiting tasks on workers and requests missing advice.
@@ -201,6 +204,9 @@
 // available cpu, so that large tasks fit elsewhere. Lower is better.
 func (s *step) score(w *worker) float64 {
 	score := slownessPenalty * w.slowness
+	if s.urgent {
+		score = urgentSlownessPenalty * w.slowness
+	}
 	if s.spec.GetFills() {
 		score += w.fillerScore()
 	} else {
