jobcell: a stream of orders begins with a keepalive

Cause, by reading: the leader times the silence of a delegate from the first response without answers on. Under load every response has answers, so that a stream that begins under load, as after a change of leader, may never be timed.

Change: the first response of a stream is a keepalive. TestFirstResponseOfAStreamIsAKeepalive fails without it.

--- a/internal/jobcell/drive_server.go
+++ b/internal/jobcell/drive_server.go
@@ -21,6 +21,9 @@
 	var sending sync.WaitGroup
 	sending.Go(func() {
 		defer cancel()
+		if stream.Send(&egretmuxv1.DriveResponse{}) != nil { // tells that keepalives follow
+			return
+		}
 		keepalive := time.NewTicker(driveKeepaliveInterval)
 		defer keepalive.Stop()
 		for {
--- a/internal/jobcell/drive_test.go
+++ b/internal/jobcell/drive_test.go
@@ -185,6 +185,21 @@
 	}
 }
 
+// Under load each response has answers. The leader must learn at the start of a stream
+// that keepalives follow, or it would not notice the silence of a busy instance.
+func TestFirstResponseOfAStreamIsAKeepalive(t *testing.T) {
+	delegate, err := New(Config{Address: "driver", Scheduler: scheduler.Config{WorkerClient: newFakeWorkers()}, Logger: zerolog.Nop()})
+	require.NoError(t, err)
+	server := serveCell(t, delegate)
+	rpc := delegate.dialer.Clients(server.Listener.Addr().String()).Jobs.Drive(contextWithTimeout(t, 10*time.Second))
+	order := newDriveOrder(dispatch.Target{Worker: "w"}, 3)
+	order.Order = &egretmuxv1.DriveOrder_Start{Start: &egretmuxv1.StartOrder{Task: &egretmuxv1.TaskRef{Job: "j"}}}
+	require.NoError(t, rpc.Send(&egretmuxv1.DriveRequest{Orders: []*egretmuxv1.DriveOrder{order}}))
+	first, err := rpc.Receive()
+	require.NoError(t, err)
+	require.Empty(t, first.GetAnswers())
+}
+
 func TestIdleStreamStaysOpen(t *testing.T) {
 	stream, _, _ := newTestDriveStream(t)
 	require.NotNil(t, sendStart(contextWithTimeout(t, 10*time.Second), stream))
