dispatch: long-running tasks do not leave room to gangs

Cause, by reading: a task that is to run all the time and fails is long past its objective, so its step counted as expired, and waited for as long as gangs claim room. Change: such steps are not limited. TestLongRunningTaskIsRestartedBesideWaitingGangs fails without it.

--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -154,6 +154,20 @@
 	return accepted
 }
 
+// handlePresent hands over a listing of all runs that are present, with progress.
+func (h *harness) handlePresent() {
+	running := make(map[dispatch.Target][]dispatch.ListedRun)
+	for _, s := range h.present {
+		listed := listedRun(s)
+		listed.ProgressPercent = h.now.Seconds()
+		running[s.Target] = append(running[s.Target], listed)
+	}
+	for target, runs := range running {
+		h.core.GrantLease(target)
+		h.handleListing(target, runs, nil)
+	}
+}
+
 // endOne hands over the end of a run that acceptAll accepted, beside the other runs that
 // are present on its worker, stores it and plans.
 func (h *harness) endOne(ended dispatch.StartOrder) {
--- a/internal/dispatch/unclaimed.go
+++ b/internal/dispatch/unclaimed.go
@@ -87,8 +87,11 @@
 
 // canWait reports whether a step leaves room to gangs: until a part of the time is over
 // in which its start still meets the objective or, if it is late, is still worth
-// something.
+// something. Long-running tasks are due whenever they do not run.
 func (s *step) canWait(now time.Duration) bool {
+	if s.spec.GetLongRunning() {
+		return false
+	}
 	from, until := s.dueAt, s.latestStart
 	switch s.lateness {
 	case late:
--- a/internal/dispatch/unclaimed_test.go
+++ b/internal/dispatch/unclaimed_test.go
@@ -114,6 +114,32 @@
 	require.Equal(t, id(3), h.starts[0].Task.Job)
 }
 
+// Load: a gang waits for whole workers when a task fails that is to run all the time, long
+// after its job was accepted.
+func TestLongRunningTaskIsRestartedBesideWaitingGangs(t *testing.T) {
+	h := newMixedHarness(t, "a", "b", "c", "d")
+	service := tasks(1, 1)
+	service.LongRunning = true
+	h.submitTo("/later/", id(1), service)
+	h.plan()
+	lasting := h.acceptAll()
+	h.submitTo("/later/", id(2), tasks(15, 1))
+	h.plan()
+	require.Len(t, h.acceptAll(), 15)
+	for range 70 { // seconds; a job with this objective is worth nothing after 61.5 s
+		h.advance(time.Second)
+		h.handlePresent()
+	}
+	gang := tasks(2, 4)
+	gang.Gang = true
+	h.submit(id(3), gang)
+	h.plan()
+	require.Empty(t, h.starts)
+	h.endOne(lasting[0])
+	require.Len(t, h.starts, 1)
+	require.Equal(t, id(1), h.starts[0].Task.Job)
+}
+
 // Load: gangs wait for tickets, not for room, and most of the pool is idle.
 func TestTasksThatCanWaitUseAnIdlePoolBesideWaitingGangs(t *testing.T) {
 	gangs, later := adviceQueue(), queue()
