explain: tells of jobs that left room to gangs

Cause: a job that waited had only the length of its wait in the verdict, though the leader logs why (step_deferred). The verdict names it, for jobs that ended and for those that never started. TestJobThatLeftRoomToGangsIsExplained fails without it.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -65,6 +65,16 @@
 	require.Equal(t, "tenure_began", timeline.Lines[2].Event)
 }
 
+func TestJobThatLeftRoomToGangsIsExplained(t *testing.T) {
+	waiting := `{"instance":"a","event":"job_accepted","job":"5c0e7a21d94b36f8","time":"2026-01-01T00:00:01Z"}
+{"instance":"a","event":"step_deferred","job":"5c0e7a21d94b36f8","task":"5c0e7a21d94b36f8.0.0","reason":"can-wait","time":"2026-01-01T00:00:01.1Z"}`
+	require.Contains(t, buildTimeline(t, waiting).Verdict, `never started: it left room to gangs ("can-wait")`)
+	require.Contains(t, buildTimeline(t, waiting+`
+{"instance":"a","event":"run_starting","job":"5c0e7a21d94b36f8","worker":"w1","time":"2026-01-01T00:00:05Z"}
+{"instance":"a","event":"job_ended","job":"5c0e7a21d94b36f8","reason":"completed","time":"2026-01-01T00:00:08Z"}`).Verdict,
+		`completed 7000 ms after it was accepted; it waited 4000 ms for its first start; it left room to gangs ("can-wait")`)
+}
+
 func TestVerdictOfUnknownID(t *testing.T) {
 	require.Contains(t, buildTimeline(t, "").Verdict, "nothing of this id")
 }
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -16,13 +16,17 @@
 	if len(lines) == 0 {
 		return "the logs hold nothing of this id; give the logs of all instances, and look for log_lines_dropped"
 	}
-	var accepted, firstStart, ended *Line
+	var accepted, deferred, firstStart, ended *Line
 	var refusals, unknownOutcomes, failedRuns, abandonedRuns []Line
 	for i := range lines {
 		line := &lines[i]
 		switch line.Event {
 		case "job_accepted":
 			accepted = line
+		case "step_deferred":
+			if deferred == nil {
+				deferred = line
+			}
 		case "run_starting":
 			if firstStart == nil {
 				firstStart = line
@@ -58,9 +62,9 @@
 	case ended != nil && ended.Reason == "failed":
 		return "failed: " + failureVerdict(failedRuns)
 	case ended == nil:
-		return unfinishedVerdict(firstStart, abandonedRuns)
+		return unfinishedVerdict(deferred, firstStart, abandonedRuns)
 	}
-	return completedVerdict(*accepted, *ended, firstStart, abandonedRuns)
+	return completedVerdict(*accepted, *ended, deferred, firstStart, abandonedRuns)
 }
 
 // notAcceptedVerdict tells refused calls from those whose outcome was not known: a job
@@ -91,8 +95,10 @@
 		len(failedRuns), len(workers), last.Task, last.Worker)
 }
 
-func unfinishedVerdict(firstStart *Line, abandonedRuns []Line) string {
+func unfinishedVerdict(deferred, firstStart *Line, abandonedRuns []Line) string {
 	switch {
+	case firstStart == nil && deferred != nil:
+		return fmt.Sprintf("accepted and never started: it left room to gangs (%q)", deferred.Reason)
 	case firstStart == nil:
 		return "accepted and never started: no worker had room, a ticket and the label that it asks for"
 	case len(abandonedRuns) > 0:
@@ -102,11 +108,14 @@
 	return "not ended within these logs; it runs"
 }
 
-func completedVerdict(accepted, ended Line, firstStart *Line, abandonedRuns []Line) string {
+func completedVerdict(accepted, ended Line, deferred, firstStart *Line, abandonedRuns []Line) string {
 	text := fmt.Sprintf("completed %d ms after it was accepted", ended.Time.Sub(accepted.Time).Milliseconds())
 	if firstStart != nil && firstStart.Time.Sub(accepted.Time) > longWait {
 		text += fmt.Sprintf("; it waited %d ms for its first start", firstStart.Time.Sub(accepted.Time).Milliseconds())
 	}
+	if deferred != nil {
+		text += fmt.Sprintf("; it left room to gangs (%q)", deferred.Reason)
+	}
 	if len(abandonedRuns) > 0 {
 		text += fmt.Sprintf("; %d runs of it were given up, first for %q on %s", len(abandonedRuns), abandonedRuns[0].Reason, abandonedRuns[0].Worker)
 	}
