--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -35,13 +35,7 @@
 // tasks that were done.
 func simulate(b *testing.B, workers, jobsPerSecond int, planEvery, length time.Duration) int {
 	book := job.NewBook()
-	apply := func(cmd *egretmuxv1.JobCommand) {
-		data, err := proto.Marshal(cmd)
-		if err != nil {
-			b.Fatal(err)
-		}
-		book.Apply(1, data)
-	}
+	apply := func(cmd *egretmuxv1.JobCommand) { applyTo(b, book, cmd) }
 	q := queue()
 	q.Advice = &egretmuxv1.QueueAdvice{DecideMs: 10, PerWorkerMs: 0.1, ValidityMs: 2000}
 	apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_PutCatalogue{PutCatalogue: &egretmuxv1.PutCatalogue{Catalogue: &egretmuxv1.Catalogue{
@@ -109,17 +103,19 @@
 	return tasksDone
 }
 
+func applyTo(b *testing.B, book *job.Book, cmd *egretmuxv1.JobCommand) {
+	data, err := proto.Marshal(cmd)
+	if err != nil {
+		b.Fatal(err)
+	}
+	book.Apply(1, data)
+}
+
 // BenchmarkPlanWithBacklog plans while the workers of a large site are full, and 60 gangs
 // and 200 steps that can wait have no room.
 func BenchmarkPlanWithBacklog(b *testing.B) {
 	book := job.NewBook()
-	apply := func(cmd *egretmuxv1.JobCommand) {
-		data, err := proto.Marshal(cmd)
-		if err != nil {
-			b.Fatal(err)
-		}
-		book.Apply(1, data)
-	}
+	apply := func(cmd *egretmuxv1.JobCommand) { applyTo(b, book, cmd) }
 	gangs, later := queue(), queue()
 	gangs.Priority = 1
 	gangs.Advice = &egretmuxv1.QueueAdvice{DecideMs: 600, PerWorkerMs: 9, ValidityMs: 1500}
