--- a/internal/jobcell/drive.go
+++ b/internal/jobcell/drive.go
@@ -305,8 +305,8 @@
 }
 
 // receiveBatch waits for one item and then takes all that are queued. The callers
-// pause between two batches, so that items accumulate under load. The batch is empty if
-// keepalive fires first.
+// pause between two batches, so that items accumulate under load. The batch may be
+// empty once keepalive fires.
 func receiveBatch[T any](done <-chan struct{}, in <-chan T, keepalive <-chan time.Time) (batch []T, open bool) {
 	select {
 	case <-done:
