--- a/internal/standin/jobs/client.go
+++ b/internal/standin/jobs/client.go
@@ -24,6 +24,7 @@
 	Host        string
 	Prefix      string
 	Ledger      *Ledger
+	HTTP        *http.Client // nil: a new connection for each call
 	nextAddress int
 }
 
@@ -39,8 +40,11 @@
 	}
 	req.Host = c.Host
 	req.Header.Set("Deadline-Ms", "3000")
-	req.Close = true
-	resp, err := http.DefaultClient.Do(req)
+	client := c.HTTP
+	if client == nil {
+		client, req.Close = http.DefaultClient, true
+	}
+	resp, err := client.Do(req)
 	if err != nil {
 		return 0, nil
 	}
@@ -115,6 +119,7 @@
 // Cancel sends a cancellation until an instance confirms it or the context ends,
 // and returns whether it was confirmed.
 func (c *Client) Cancel(ctx context.Context, id string) bool {
+	c.Ledger.RecordCancellation(id)
 	for ctx.Err() == nil {
 		if status, _ := c.call(ctx, http.MethodDelete, c.Prefix+id, nil); status == http.StatusOK || status == http.StatusGone {
 			return true
--- a/internal/standin/jobs/ledger.go
+++ b/internal/standin/jobs/ledger.go
@@ -39,13 +39,13 @@
 
 // Job is a job that a client submits.
 type Job struct {
-	ID       string
-	Spec     string
-	Steps    []Step
-	Attempts int
-	Accepted bool
-	Refused  bool // every answer said that the job will not run
-	Cancel   time.Time
+	ID        string
+	Spec      string
+	Steps     []Step
+	Attempts  int
+	Accepted  bool
+	Refused   bool // every answer said that the job will not run
+	Cancelled bool // its client has sent a cancellation
 }
 
 // Step is a set of identical tasks of a job.
@@ -106,6 +106,28 @@
 	}
 }
 
+// RecordCancellation records a cancellation. It is called before the first is sent.
+func (l *Ledger) RecordCancellation(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if j := l.submitted[id]; j != nil {
+		j.Cancelled = true
+	}
+}
+
+// AcceptedJobs returns the jobs whose acceptance their clients know of.
+func (l *Ledger) AcceptedJobs() []*Job {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var accepted []*Job
+	for _, j := range l.submitted {
+		if j.Accepted {
+			accepted = append(accepted, j)
+		}
+	}
+	return accepted
+}
+
 func (l *Ledger) hasRun(id string) bool {
 	for t := range l.runs {
 		if t.Job == id {
