dispatch: the core does not read the book inside a read of the book

What callers saw: nothing yet that is proven. A leader caught by this stops serving; its followers elect another one after the election timeout, calls that it held get no answer, and its replica is lost until the process is killed, also for graceful shutdown.

Cause: openReadySteps opened steps in the callback of Book.View, under the read lock, and setLatestStart read the catalogue there, which takes the read lock again. sync.RWMutex lets no reader in once a writer waits, so Book.Apply in between closes the circle.

Why this works: the callback only copies the progress of the tasks; steps are opened after it. View and Each say that their callbacks must not call the book. All their other callbacks were read: none does.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -161,6 +161,21 @@
 
 // openReadySteps opens the steps of an occurrence whose predecessors are done.
 func (c *Core) openReadySteps(j *job, occurrence uint32, due, now time.Duration) {
+	for _, s := range c.readySteps(j, occurrence) {
+		c.openStep(j, s.key, s.tasks, due, now)
+	}
+}
+
+// readyStep is a step that is ready to be opened, with the stored progress of its tasks.
+type readyStep struct {
+	key   StepKey
+	tasks []jobs.TaskState
+}
+
+// readySteps returns the steps of an occurrence that are not open yet and whose
+// predecessors are done.
+func (c *Core) readySteps(j *job, occurrence uint32) []readyStep {
+	var ready []readyStep
 	c.cfg.Book.View(j.id, func(r *jobs.Record) {
 		if r == nil || r.Ended() {
 			return
@@ -171,21 +186,21 @@
 				continue
 			}
 			if !slices.ContainsFunc(spec.GetAfter(), func(predecessor uint32) bool { return !r.StepDone(occurrence, predecessor) }) {
-				c.openStep(j, key, r, due, now)
+				ready = append(ready, readyStep{key, r.Tasks(occurrence, uint32(i))})
 			}
 		}
 	})
+	return ready
 }
 
-func (c *Core) openStep(j *job, key StepKey, r *jobs.Record, due, now time.Duration) {
+func (c *Core) openStep(j *job, key StepKey, tasks []jobs.TaskState, due, now time.Duration) {
 	spec := j.spec.GetSteps()[key.Step]
 	s := &step{
 		key: key, job: j, spec: spec, demand: demandOf(spec), dueAt: due, openedAt: now, runsOn: make(map[*worker]int),
 		advice: newAdvice(),
 	}
-	for i := range spec.GetCount() {
-		state := r.Task(key.Occurrence, key.Step, i)
-		t := &task{step: s, index: i, done: state.Done, highestRun: max(state.LastEndedRun, state.LastStartedRun)}
+	for i, state := range tasks {
+		t := &task{step: s, index: uint32(i), done: state.Done, highestRun: max(state.LastEndedRun, state.LastStartedRun)}
 		j.started = j.started || state.LastEndedRun > 0
 		if !t.done {
 			s.tasksLeft++
--- a/internal/job/book.go
+++ b/internal/job/book.go
@@ -144,14 +144,15 @@
 }
 
 // View runs f on a job's record, which is nil if the book does not have the job. f
-// must not retain the record.
+// must not retain the record, nor call the book: a second read lock would wait for a
+// writer that waits for the first.
 func (b *Book) View(id string, f func(*Record)) {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	f(b.jobs[id])
 }
 
-// Each runs f on every job's record. f must not retain the record.
+// Each runs f on every job's record. f must not retain the record, nor call the book.
 func (b *Book) Each(f func(id string, r *Record)) {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -59,6 +59,15 @@
 	return occ.steps[step].tasks[index]
 }
 
+// Tasks returns a copy of the progress of all tasks of a step.
+func (r *Record) Tasks(occurrence, step uint32) []TaskState {
+	out := make([]TaskState, r.Job.GetSteps()[step].GetCount())
+	if occ := r.occurrences[occurrence]; occ != nil {
+		copy(out, occ.steps[step].tasks)
+	}
+	return out
+}
+
 // StepDone reports whether all tasks of a step are done.
 func (r *Record) StepDone(occurrence, step uint32) bool {
 	occ := r.occurrences[occurrence]
