discovery: tests of a leader that lost its disk and is still named

What callers saw (incident of 2026-12-04): after a second lost disk no call was answered any more, for ever.

Evidence: both tests pass on this code.

The bound on the pauses is half of the time for which an instance counts as live.

--- a/internal/discovery/simulation_test.go
+++ b/internal/discovery/simulation_test.go
@@ -38,6 +38,7 @@
 	cut     func(a, b *simNode) bool
 	term    uint64
 	leader  *simNode
+	former  *simNode // the leader that the other replicas name until the next election
 	members []string // replicas once the cell is formed
 }
 
@@ -48,6 +49,7 @@
 	directory *Directory
 	life      int // incremented at each stop and start
 	running   bool
+	empty     bool // its replica lost its disk and knows nothing of the cell
 	wakeAt    time.Time
 	upFree    time.Time
 	downFree  time.Time
@@ -168,6 +170,20 @@
 	n.start()
 }
 
+// restartEmpty stops an instance and starts it again at once, without its memory and
+// with a new replica on an empty disk. The other replicas still name the leader that it
+// was.
+func (n *simNode) restartEmpty() {
+	if n.sim.leader == n {
+		n.sim.former = n
+	}
+	n.stop()
+	m := proto.CloneOf(n.member)
+	m.Replica, m.Empty = n.sim.random.Uint64(), true
+	n.member, n.empty = m, true
+	n.restart()
+}
+
 // formWhenSettled forms the cell once no new instance has appeared for a while.
 func (n *simNode) formWhenSettled() {
 	s, life := n.sim, n.life
@@ -193,7 +209,7 @@
 // first heartbeat.
 func (s *simulation) elect(address string) {
 	s.term++
-	s.leader = s.byName[address]
+	s.leader, s.former = s.byName[address], nil
 	for _, a := range s.members {
 		node := s.byName[a]
 		if node.running {
@@ -205,10 +221,13 @@
 
 func (n *simNode) local() Local {
 	s := n.sim
-	if s.members == nil || !slices.Contains(s.members, n.address()) {
+	if s.members == nil || !slices.Contains(s.members, n.address()) || n.empty {
 		return Local{}
 	}
 	l := Local{Replicas: s.members, Formed: true}
+	if s.former != nil {
+		l.Leader, l.Term = s.former.address(), s.term
+	}
 	if s.leader != nil && (s.cut == nil || n == s.leader || !s.cut(n, s.leader)) {
 		l.Leader, l.Term, l.Leads = s.leader.address(), s.term, s.leader == n
 	}
