--- /dev/null
+++ b/internal/scheduler/stalled_replica_test.go
@@ -0,0 +1,120 @@
+package scheduler_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/consensus/core"
+	"github.com/egretmux/egretmux/internal/refusal"
+	"github.com/egretmux/egretmux/internal/scheduler"
+)
+
+const (
+	callerPatience = 200 * time.Millisecond // deadline of a caller while the replica stands still
+	answerSlack    = 300 * time.Millisecond // between a caller's deadline and the answer
+)
+
+// stallReplica holds the replica's loop, as a write to a hanging disk does, until the
+// returned function is called.
+func stallReplica(t *testing.T, s *scheduler.Scheduler) (release func()) {
+	t.Helper()
+	released, stalled := make(chan struct{}), make(chan struct{})
+	go func() {
+		_ = s.Node().Do(context.Background(), func(*core.Core) error {
+			close(stalled)
+			<-released
+			return nil
+		})
+	}()
+	<-stalled
+	release = func() {
+		select {
+		case <-released:
+		default:
+			close(released)
+		}
+	}
+	t.Cleanup(release)
+	return release
+}
+
+// requireUnknownInTime calls f with a deadline of callerPatience and requires that f
+// reports an unknown outcome by then.
+func requireUnknownInTime(t *testing.T, f func(context.Context) error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), callerPatience)
+	defer cancel()
+	answered := make(chan error, 1)
+	go func() { answered <- f(ctx) }()
+	select {
+	case err := <-answered:
+		require.Error(t, err)
+		require.Equal(t, refusal.OutcomeUnknown, refusal.Of(err).Kind)
+		require.Equal(t, refusal.Unknown, refusal.Of(err).Ran)
+	case <-time.After(callerPatience + answerSlack):
+		require.FailNow(t, "no answer at the caller's deadline")
+	}
+}
+
+// Guards against calls that waited past their caller's deadline for as long as the
+// leader's disk hung, so that their clients got no answer at all.
+func TestCallsAreAnsweredAtTheirDeadlineWhileTheReplicaStandsStill(t *testing.T) {
+	worker := &egretmuxv1.WorkerLife{Worker: "w", BornUnixMs: 1, Address: "w:1", Pool: "p", CpuMillis: 4000, MemoryMib: 1000}
+	oneTask := &egretmuxv1.Job{Steps: []*egretmuxv1.JobStep{{Count: 1, CpuMillis: 1000, MemoryMib: 10, EstimateMs: 10}}}
+	calls := map[string]func(*scheduler.Scheduler, context.Context) error{
+		"submit": func(s *scheduler.Scheduler, ctx context.Context) error {
+			_, err := s.CallJob(ctx, &egretmuxv1.JobCall{Address: address(jobPath), Verb: egretmuxv1.JobVerb_JOB_VERB_SUBMIT, Job: oneTask})
+			return err
+		},
+		"cancel": func(s *scheduler.Scheduler, ctx context.Context) error {
+			_, err := s.CallJob(ctx, &egretmuxv1.JobCall{Address: address(jobPath), Verb: egretmuxv1.JobVerb_JOB_VERB_CANCEL})
+			return err
+		},
+		"configuration": func(s *scheduler.Scheduler, ctx context.Context) error {
+			_, err := s.PutCatalogue(ctx, catalogue(2, "two"))
+			return err
+		},
+		"heartbeat": func(s *scheduler.Scheduler, ctx context.Context) error {
+			return s.HandleHeartbeat(ctx, &egretmuxv1.WorkerBeat{Life: worker})
+		},
+		"wave": func(s *scheduler.Scheduler, ctx context.Context) error {
+			return s.StartWave(ctx, &egretmuxv1.Wave{Id: 1, Machines: []string{"m"}})
+		},
+	}
+	for name, call := range calls {
+		t.Run(name, func(t *testing.T) {
+			s := startLeader(t, &fakeWorkers{})
+			_, err := s.PutCatalogue(t.Context(), catalogue(1, "one"))
+			require.NoError(t, err)
+			stallReplica(t, s)
+			requireUnknownInTime(t, func(ctx context.Context) error { return call(s, ctx) })
+		})
+	}
+}
+
+// Guards against a job that is committed after its caller has given up and then never
+// reaches the core: it would stay queued until the next change of leader.
+func TestJobCommittedAfterItsCallerGaveUpRuns(t *testing.T) {
+	s := startLeader(t, &fakeWorkers{})
+	_, err := s.PutCatalogue(t.Context(), catalogue(1, "one"))
+	require.NoError(t, err)
+	release := stallReplica(t, s)
+	requireUnknownInTime(t, func(ctx context.Context) error {
+		return s.HandleHeartbeat(ctx, &egretmuxv1.WorkerBeat{Life: &egretmuxv1.WorkerLife{Worker: "w", BornUnixMs: 1, Address: "w:1", Pool: "p", CpuMillis: 4000, MemoryMib: 1000}})
+	})
+	requireUnknownInTime(t, func(ctx context.Context) error {
+		_, err := s.CallJob(ctx, &egretmuxv1.JobCall{Address: address(jobPath), Verb: egretmuxv1.JobVerb_JOB_VERB_SUBMIT, Job: &egretmuxv1.Job{
+			Steps: []*egretmuxv1.JobStep{{Count: 1, CpuMillis: 1000, MemoryMib: 10, EstimateMs: 10}},
+		}})
+		return err
+	})
+	release()
+	require.Eventually(t, func() bool {
+		answer, err := s.CallJob(t.Context(), &egretmuxv1.JobCall{Address: address(jobPath), Verb: egretmuxv1.JobVerb_JOB_VERB_SHOW})
+		return err == nil && answer.GetPhase() == egretmuxv1.JobPhase_JOB_PHASE_COMPLETED
+	}, 10*time.Second, 10*time.Millisecond)
+}
