scheduler: calls end at their caller's deadline while the replica stands still

What callers saw: on a leader whose disk hangs, a submit, cancel, configuration, heartbeat or wave got no answer until the disk went on. The client's deadline passed without the 504 that says that the outcome is unknown; it could not know that it had to send again.

Cause: tenure.propose waits on the context of the tenure, as the outcome must reach the core even if the caller has given up.

Change: the commands of calls are committed in a goroutine of their own, which also tells the core (JobAccepted, WorkerJoined and so on). The caller waits for it until its own context is done and then gets outcome-unknown. The command is encoded before, as a repeated call changes the job in place. A failure that no caller hears of is logged (proposal_failed). The time at which a draining worker leaves counts from its heartbeat, not from the commit, which may now come much later.

--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -54,14 +54,17 @@
 	j.Id, j.Host, j.Prefix = id, q.GetHost(), q.GetPrefix()
 	j.Attempts, j.Service = q.GetAttempts(), q.GetService()
 	j.AcceptedUnixMs = time.Now().UnixMilli()
-	result, err := t.propose(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_Submit{Submit: &egretmuxv1.SubmitJob{Job: j}}})
+	steps := len(j.GetSteps())
+	_, err = t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_Submit{Submit: &egretmuxv1.SubmitJob{Job: j}}}, func(result job.Result) {
+		if result.Known {
+			return
+		}
+		t.updateCore(func(c *dispatch.Core, now time.Duration) { c.JobAccepted(id, now) })
+		t.cfg.Logger.Info().Str("event", "job_accepted").Str("job", id).Str("queue", q.GetName()).Int("steps", steps).Msg("")
+	})
 	if err != nil {
 		return nil, err
 	}
-	if !result.Known {
-		t.updateCore(func(c *dispatch.Core, now time.Duration) { c.JobAccepted(id, now) })
-		t.cfg.Logger.Info().Str("event", "job_accepted").Str("job", id).Str("queue", q.GetName()).Int("steps", len(j.GetSteps())).Msg("")
-	}
 	return &egretmuxv1.JobAnswer{Found: true}, nil
 }
 
@@ -81,18 +84,22 @@
 	if q == nil {
 		return &egretmuxv1.JobAnswer{NoQueue: true}, nil
 	}
-	result, err := t.propose(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_Cancel{Cancel: &egretmuxv1.CancelJob{Job: id}}})
+	result, err := t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_Cancel{Cancel: &egretmuxv1.CancelJob{Job: id}}}, func(result job.Result) {
+		if !result.Known {
+			return
+		}
+		t.updateCore(func(c *dispatch.Core, _ time.Duration) {
+			c.JobEnded(id, "cancelled")
+			t.markEnded(id)
+		})
+		t.cfg.Logger.Info().Str("event", "job_cancelled").Str("job", id).Stringer("phase", result.Phase).Msg("")
+	})
 	if err != nil {
 		return nil, err
 	}
 	if !result.Known {
 		return &egretmuxv1.JobAnswer{}, nil
 	}
-	t.updateCore(func(c *dispatch.Core, _ time.Duration) {
-		c.JobEnded(id, "cancelled")
-		t.markEnded(id)
-	})
-	t.cfg.Logger.Info().Str("event", "job_cancelled").Str("job", id).Stringer("phase", result.Phase).Msg("")
 	return &egretmuxv1.JobAnswer{Found: true, Phase: result.Phase}, nil
 }
 
@@ -134,79 +141,87 @@
 
 // putCatalogue commits a catalogue. A version not above the one in force is
 // acknowledged without effect; the same version with other content is refused.
-func (t *tenure) putCatalogue(_ context.Context, c *egretmuxv1.Catalogue) (uint64, error) {
+func (t *tenure) putCatalogue(ctx context.Context, c *egretmuxv1.Catalogue) (uint64, error) {
 	if err := job.CheckCatalogue(c); err != nil {
 		return 0, err
 	}
-	result, err := t.propose(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_PutCatalogue{PutCatalogue: &egretmuxv1.PutCatalogue{Catalogue: c}}})
+	version := c.GetVersion()
+	result, err := t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_PutCatalogue{PutCatalogue: &egretmuxv1.PutCatalogue{Catalogue: c}}}, func(job.Result) {
+		t.updateCore(func(*dispatch.Core, time.Duration) {}) // requests a plan with the catalogue in the book
+	})
 	if err != nil {
 		return 0, err
 	}
 	if result.Conflict {
-		return 0, refusal.New(refusal.VersionConflict, "send the change under a higher version", "version %d was stored with other content", c.GetVersion())
+		return 0, refusal.New(refusal.VersionConflict, "send the change under a higher version", "version %d was stored with other content", version)
 	}
-	t.updateCore(func(*dispatch.Core, time.Duration) {}) // requests a plan with the catalogue in the book
-	t.cfg.Logger.Info().Str("event", "catalogue_put").Uint64("version", c.GetVersion()).Bool("changed", !result.Known).Msg("configuration acknowledged")
-	return c.GetVersion(), nil
+	t.cfg.Logger.Info().Str("event", "catalogue_put").Uint64("version", version).Bool("changed", !result.Known).Msg("configuration acknowledged")
+	return version, nil
 }
 
-// handleHeartbeat processes a worker's heartbeat. It returns once the resulting
+// handleHeartbeat processes a worker's heartbeat. It returns nil once the resulting
 // changes are stored.
-func (t *tenure) handleHeartbeat(_ context.Context, b *egretmuxv1.WorkerBeat) error {
+func (t *tenure) handleHeartbeat(ctx context.Context, b *egretmuxv1.WorkerBeat) error {
+	received := t.now()
 	life := b.GetLife()
 	target := targetOf(life)
 	if b.GetLeaving() {
-		return t.handleLeave(target)
+		return t.handleLeave(ctx, target)
 	}
 	t.mu.Lock()
 	known := t.core.Knows(target)
 	draining := known && t.core.Draining(target)
 	t.mu.Unlock()
 	if !known {
-		if stored, err := t.recordLife(life); err != nil || !stored {
+		if stored, err := t.recordLife(ctx, life); err != nil || !stored {
 			return err
 		}
 	}
-	if b.GetDraining() && !draining {
-		// With Draining set, EndLife does not end the life: it marks it as draining.
-		if _, err := t.propose(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_EndLife{
-			EndLife: &egretmuxv1.EndLife{Worker: life.GetWorker(), BornUnixMs: life.GetBornUnixMs(), Draining: true},
-		}}); err != nil {
-			return err
-		}
+	if !b.GetDraining() {
+		return nil
 	}
-	if b.GetDraining() {
-		t.updateCore(func(c *dispatch.Core, now time.Duration) {
-			c.WorkerDraining(target, time.Duration(b.GetRemainingMs())*time.Millisecond, now)
-		})
+	leavesAt := received + time.Duration(b.GetRemainingMs())*time.Millisecond
+	drain := func(job.Result) {
+		t.updateCore(func(c *dispatch.Core, now time.Duration) { c.WorkerDraining(target, max(0, leavesAt-now), now) })
 	}
-	return nil
+	if draining {
+		drain(job.Result{})
+		return nil
+	}
+	// With Draining set, EndLife does not end the life: it marks it as draining.
+	_, err := t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_EndLife{
+		EndLife: &egretmuxv1.EndLife{Worker: life.GetWorker(), BornUnixMs: life.GetBornUnixMs(), Draining: true},
+	}}, drain)
+	return err
 }
 
 // recordLife stores a life of a worker before anything is started on it. It
 // returns false if a newer life of the worker is known.
-func (t *tenure) recordLife(life *egretmuxv1.WorkerLife) (bool, error) {
-	if _, err := t.propose(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_RecordLife{RecordLife: &egretmuxv1.RecordLife{Life: life}}}); err != nil {
-		return false, err
-	}
+func (t *tenure) recordLife(ctx context.Context, life *egretmuxv1.WorkerLife) (bool, error) {
 	target := targetOf(life)
-	stored := false
-	t.updateCore(func(c *dispatch.Core, now time.Duration) {
-		c.WorkerJoined(life, now)
-		if stored = c.Knows(target); stored {
-			t.startPoller(target)
-		}
+	_, err := t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_RecordLife{RecordLife: &egretmuxv1.RecordLife{Life: life}}}, func(job.Result) {
+		t.updateCore(func(c *dispatch.Core, now time.Duration) {
+			c.WorkerJoined(life, now)
+			if c.Knows(target) {
+				t.startPoller(target)
+			}
+		})
 	})
-	return stored, nil
+	if err != nil {
+		return false, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.core.Knows(target), nil
 }
 
 // handleLeave ends the life of a worker that announced its departure. A report
 // about a superseded life changes nothing; one without a birth time ends the current
 // life.
-func (t *tenure) handleLeave(target dispatch.Target) error {
+func (t *tenure) handleLeave(ctx context.Context, target dispatch.Target) error {
 	for _, w := range t.book.Workers() {
 		if w.Life.GetWorker() == target.Worker && (target.Born == 0 || w.Life.GetBornUnixMs() == target.Born) {
-			return t.retireWorker(targetOf(w.Life), "left")
+			return t.retireWorker(ctx, targetOf(w.Life), "left")
 		}
 	}
 	return nil
--- a/internal/scheduler/poller.go
+++ b/internal/scheduler/poller.go
@@ -113,7 +113,7 @@
 				t.awaitEndsStored(ctx, p)
 			}
 		case PollAnotherIncarnation:
-			if err := t.retireWorker(target, "another-life"); err != nil {
+			if err := t.retireWorker(t.ctx, target, "another-life"); err != nil {
 				t.cfg.Logger.Warn().Err(err).Str("event", "worker_not_retired").Str("worker", target.Worker).Msg("the end of the worker's life was not stored")
 			}
 			pause = pollRetryPause
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -269,12 +269,12 @@
 }
 
 // StartWave stores a wave of planned machine upkeep.
-func (s *Scheduler) StartWave(_ context.Context, w *egretmuxv1.Wave) error {
+func (s *Scheduler) StartWave(ctx context.Context, w *egretmuxv1.Wave) error {
 	t, err := s.current()
 	if err != nil {
 		return err
 	}
-	return t.startWave(w)
+	return t.startWave(ctx, w)
 }
 
 // ShowWave reports whether a wave exists and is completed.
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -245,20 +245,18 @@
 		t.proposeLogged("jobs_not_forgotten", &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_ForgetJobs{ForgetJobs: &egretmuxv1.ForgetJobs{Jobs: ids}}})
 	}
 	for _, w := range silent {
-		if err := t.retireWorker(w, "silent"); err != nil {
+		if err := t.retireWorker(t.ctx, w, "silent"); err != nil {
 			t.cfg.Logger.Warn().Err(err).Str("event", "worker_not_retired").Str("worker", w.Worker).Msg("the end of the worker's life was not stored")
 		}
 	}
 }
 
-// retireWorker ends a worker's life in the book and in the core.
-func (t *tenure) retireWorker(w dispatch.Target, reason string) error {
-	_, err := t.propose(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_EndLife{EndLife: &egretmuxv1.EndLife{Worker: w.Worker, BornUnixMs: w.Born}}})
-	if err != nil {
-		return err
-	}
-	t.updateCore(func(c *dispatch.Core, _ time.Duration) { c.WorkerGone(w, reason) })
-	return nil
+// retireWorker ends a worker's life in the book and then in the core.
+func (t *tenure) retireWorker(ctx context.Context, w dispatch.Target, reason string) error {
+	_, err := t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_EndLife{EndLife: &egretmuxv1.EndLife{Worker: w.Worker, BornUnixMs: w.Born}}}, func(job.Result) {
+		t.updateCore(func(c *dispatch.Core, _ time.Duration) { c.WorkerGone(w, reason) })
+	})
+	return err
 }
 
 func (t *tenure) proposeLogged(event string, cmd *egretmuxv1.JobCommand) {
@@ -267,13 +265,48 @@
 	}
 }
 
-// propose commits a command in this term. It does not use the caller's context: the
-// outcome is needed even if the caller has given up.
+// propose commits a command in this term and waits for its outcome, or until the
+// tenure is over.
 func (t *tenure) propose(cmd *egretmuxv1.JobCommand) (job.Result, error) {
 	data, err := proto.Marshal(cmd)
 	if err != nil {
 		return job.Result{}, err
 	}
+	return t.commit(data)
+}
+
+// proposeForCaller is like propose, but returns an unknown outcome if ctx is done
+// first. The proposal outlives its caller: onCommit, unless nil, runs once the command
+// is committed, before proposeForCaller returns its result.
+func (t *tenure) proposeForCaller(ctx context.Context, cmd *egretmuxv1.JobCommand, onCommit func(job.Result)) (job.Result, error) {
+	data, err := proto.Marshal(cmd) // here, as the caller may change the command when it repeats its call
+	if err != nil {
+		return job.Result{}, err
+	}
+	type outcome struct {
+		result job.Result
+		err    error
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		result, err := t.commit(data)
+		if err == nil && onCommit != nil {
+			onCommit(result)
+		}
+		if err != nil && ctx.Err() != nil {
+			t.cfg.Logger.Warn().Err(err).Str("event", "proposal_failed").Uint64("term", t.term).Msg("a command whose caller had given up was not committed here")
+		}
+		done <- outcome{result, err}
+	}()
+	select {
+	case o := <-done:
+		return o.result, o.err
+	case <-ctx.Done():
+		return job.Result{}, outcomeUnknown("the call ended before the outcome was known").WithCause(ctx.Err())
+	}
+}
+
+func (t *tenure) commit(data []byte) (job.Result, error) {
 	began := time.Now()
 	value, err := t.node.ProposeInTerm(t.ctx, t.term, data)
 	telemetry.ObserveSeconds("commit", time.Since(began))
@@ -281,10 +314,14 @@
 	case errors.Is(err, consensus.ErrNotLeader):
 		return job.Result{}, noLeader()
 	case err != nil:
-		return job.Result{}, refusal.NewUnknown(refusal.OutcomeUnknown, "send it again", "leadership was lost before the outcome was known").WithCause(err)
+		return job.Result{}, outcomeUnknown("leadership was lost before the outcome was known").WithCause(err)
 	}
 	if failed, ok := value.(error); ok {
 		return job.Result{}, failed
 	}
 	return value.(job.Result), nil
 }
+
+func outcomeUnknown(message string) *refusal.Error {
+	return refusal.NewUnknown(refusal.OutcomeUnknown, "send it again", "%s", message)
+}
--- a/internal/scheduler/upkeep.go
+++ b/internal/scheduler/upkeep.go
@@ -175,11 +175,11 @@
 }
 
 // startWave stores a wave. Storing it again changes nothing.
-func (t *tenure) startWave(w *egretmuxv1.Wave) error {
+func (t *tenure) startWave(ctx context.Context, w *egretmuxv1.Wave) error {
 	if w.GetId() == 0 || len(w.GetMachines()) == 0 {
 		return refusal.New(refusal.Invalid, "give a number above zero and the machines", "the wave has no number or no machines")
 	}
-	_, err := t.propose(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_PutWave{PutWave: &egretmuxv1.PutWave{Wave: w}}})
+	_, err := t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_PutWave{PutWave: &egretmuxv1.PutWave{Wave: w}}}, nil)
 	if err == nil {
 		t.cfg.Logger.Info().Str("event", "wave_started").Uint64("wave", w.GetId()).Int("machines", len(w.GetMachines())).Uint32("max_down", w.GetMaxDown()).Msg("upkeep wave stored")
 	}
