--- /dev/null
+++ b/internal/jobcell/instance_test.go
@@ -0,0 +1,133 @@
+package jobcell
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretmux/egretmux/internal/consensus/core"
+	"github.com/egretmux/egretmux/internal/scheduler"
+)
+
+const (
+	testShutdownTime = 4 * time.Second
+	formationTimeout = 20 * time.Second // a cell with fewer replicas than wanted forms after smallCellSettleTime
+)
+
+// freeAddress returns a loopback address that no listener uses.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, l.Close()) }()
+	return l.Addr().String()
+}
+
+// runningInstance is an instance that forms a cell by itself.
+type runningInstance struct {
+	*Instance
+	callers  string        // address of the listener for callers
+	ended    chan struct{} // closed when Run has returned
+	stopOnce sync.Once
+}
+
+// startInstance runs an instance with the given handler for callers until it leads.
+func startInstance(t *testing.T, callers http.Handler) *runningInstance {
+	t.Helper()
+	address := freeAddress(t)
+	c, err := New(Config{
+		Name: "a", Zone: "z", Address: address, Seeds: []string{address}, Founding: true, DataFolder: t.TempDir(), Logger: zerolog.Nop(),
+		Scheduler: scheduler.Config{WorkerClient: newFakeWorkers(), Lease: 6 * time.Second, StatusKeep: time.Minute},
+	})
+	require.NoError(t, err)
+	i := &runningInstance{Instance: NewInstance(c, InstanceConfig{ShutdownTime: testShutdownTime, Logger: zerolog.Nop()}), callers: freeAddress(t), ended: make(chan struct{})}
+	i.Listen("callers", i.callers, callers)
+	i.ListenCell(address, c.Handler())
+	go func() {
+		defer close(i.ended)
+		assert.ErrorIs(t, i.Run(context.Background()), errStop)
+	}()
+	t.Cleanup(func() {
+		i.stop()
+		<-i.ended
+		c.scheduler.Node().Stop()
+	})
+	require.Eventually(t, c.scheduler.Leads, formationTimeout, 10*time.Millisecond)
+	return i
+}
+
+var errStop = errors.New("stopped by the test")
+
+// stop begins the shutdown, as a listener that fails does.
+func (i *runningInstance) stop() { i.stopOnce.Do(func() { i.failed <- errStop }) }
+
+// stallReplica holds the replica's loop, as a write to a hanging disk does, until the
+// test ends.
+func (i *runningInstance) stallReplica(t *testing.T) {
+	t.Helper()
+	stalled, released := make(chan struct{}), make(chan struct{})
+	go func() {
+		_ = i.cell.scheduler.Node().Do(context.Background(), func(*core.Core) error {
+			close(stalled)
+			<-released
+			return nil
+		})
+	}()
+	<-stalled
+	t.Cleanup(func() { close(released) })
+}
+
+// Guards against a shutdown that spent all its time on a hand-over by a replica that
+// stood still: the listeners took requests until the process was killed.
+func TestShutdownClosesTheListenersInTimeWhileTheReplicaStandsStill(t *testing.T) {
+	arrived, answer := make(chan struct{}), make(chan struct{})
+	i := startInstance(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(arrived)
+		<-answer
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	i.stallReplica(t)
+	status := make(chan int, 1)
+	go func() {
+		resp, err := http.Get("http://" + i.callers)
+		if !assert.NoError(t, err) {
+			status <- 0
+			return
+		}
+		status <- resp.StatusCode
+		assert.NoError(t, resp.Body.Close())
+	}()
+	<-arrived
+	i.stop()
+	assert.Eventually(t, func() bool {
+		conn, err := net.Dial("tcp", i.callers)
+		if err != nil {
+			return true
+		}
+		_ = conn.Close()
+		return false
+	}, testShutdownTime-exitReserve-listenerCloseTimeout/2, 20*time.Millisecond, "no time is left for requests in flight")
+	close(answer)
+	require.Equal(t, http.StatusNoContent, <-status)
+}
+
+// Guards against a process that ended only when it was killed, as it waited for a
+// replica that stood still.
+func TestInstanceEndsInTimeWhileItsReplicaStandsStill(t *testing.T) {
+	i := startInstance(t, http.NotFoundHandler())
+	i.stallReplica(t)
+	i.stop()
+	select {
+	case <-i.ended:
+	case <-time.After(testShutdownTime):
+		require.FailNow(t, "the instance still runs when its process is killed")
+	}
+}
