jobcell: a shutdown gives a replica that stands still 500 ms to hand leadership over

What callers saw: a stopped instance whose replica stood still (hanging or full disk) took requests until it was killed; those that it had just taken were cut.

Cause: drain waited for the hand-over with all the time of the shutdown, then for the balancers, and closed the listeners only after that, beyond the kill.

Change: the hand-over has 500 ms, within the time for the balancers to notice, so that the listeners close when they would close with a sound replica. A failed hand-over is logged (leadership_not_handed_over), also that of a slow leader.

Evidence: TestShutdownClosesTheListenersInTimeWhileTheReplicaStandsStill failed before (the listener took connections 2.55 s into a shutdown of 4 s) and passes.

--- a/internal/jobcell/cell.go
+++ b/internal/jobcell/cell.go
@@ -176,10 +176,12 @@
 }
 
 // HandOver transfers leadership to another replica before this instance stops.
-func (c *Cell) HandOver(ctx context.Context) {
-	if node := c.scheduler.Node(); node != nil {
-		scheduler.HandOver(ctx, node)
+func (c *Cell) HandOver(ctx context.Context) error {
+	node := c.scheduler.Node()
+	if node == nil {
+		return nil
 	}
+	return scheduler.HandOver(ctx, node)
 }
 
 // self returns the member entry that this instance announces to the others.
--- a/internal/jobcell/instance.go
+++ b/internal/jobcell/instance.go
@@ -21,6 +21,7 @@
 	readHeaderTimeout    = 3 * time.Second
 	idleTimeout          = 15 * time.Second
 	balancerNoticeTime   = 2500 * time.Millisecond // balancers need two checks a second apart to see that the instance is not ready
+	handOverTimeout      = 500 * time.Millisecond  // for the replica to begin the hand-over
 	listenerCloseTimeout = 1500 * time.Millisecond // time left for the last responses
 	exitReserve          = 700 * time.Millisecond  // margin before the process is killed
 	reloadPeriod         = 2 * time.Second
@@ -173,8 +174,9 @@
 	i.cfg.Logger.Info().Str("event", "readiness_dropped").Msg("shutting down; readiness checks fail from now on")
 	ctx, cancel := context.WithTimeout(context.Background(), max(listenerCloseTimeout, i.cfg.ShutdownTime-exitReserve))
 	defer cancel()
-	i.cell.HandOver(ctx)
-	time.Sleep(min(balancerNoticeTime, max(0, i.cfg.ShutdownTime-exitReserve-listenerCloseTimeout)))
+	noticed := time.After(min(balancerNoticeTime, max(0, i.cfg.ShutdownTime-exitReserve-listenerCloseTimeout)))
+	i.handOver(ctx)
+	<-noticed
 	for _, s := range i.servers {
 		if s.name == "cell" {
 			continue // still carries the last calls to the leader
@@ -184,3 +186,13 @@
 		}
 	}
 }
+
+// handOver hands leadership over. A replica that stands still, as on a hanging disk, must
+// not take the time that requests in flight need: the others elect a leader without it.
+func (i *Instance) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	if err := i.cell.HandOver(ctx); err != nil {
+		i.cfg.Logger.Warn().Err(err).Str("event", "leadership_not_handed_over").Msg("the replica does not react; the others elect a leader when they miss it")
+	}
+}
--- a/internal/scheduler/confirm.go
+++ b/internal/scheduler/confirm.go
@@ -59,10 +59,10 @@
 	return time.Duration(t.confirmLatency.Load()) > overloadConfirmThreshold
 }
 
-// HandOver transfers leadership to the replica with the most complete log, if this
-// one leads.
-func HandOver(ctx context.Context, node *consensus.Node) {
-	_ = node.Do(ctx, func(c *core.Core) error { // a replica that does not lead has nothing to hand over
+// HandOver begins to transfer leadership to the replica with the most complete log, if
+// this one leads. It fails if the replica does not react before ctx is done.
+func HandOver(ctx context.Context, node *consensus.Node) error {
+	return node.Do(ctx, func(c *core.Core) error { // a replica that does not lead has nothing to hand over
 		if to := c.Successor(); to != 0 {
 			c.TransferLeadership(to)
 		}
@@ -125,7 +125,9 @@
 		}
 		if slowConfirmScore >= slowConfirmScoreLimit {
 			t.cfg.Logger.Warn().Str("event", "leader_slow").Uint64("term", t.term).Int64("age_ms", took.Milliseconds()).Msg("handing over leadership: confirmations are slow")
-			HandOver(ctx, t.node)
+			if err := HandOver(ctx, t.node); err != nil {
+				t.cfg.Logger.Warn().Err(err).Str("event", "leadership_not_handed_over").Uint64("term", t.term).Msg("")
+			}
 			slowConfirmScore = 0
 		}
 		timer.Reset(confirmPeriod)
