jobcell: an instance ends in time while its replica stands still

What operators saw: an instance whose replica stood still did not end until it was killed.

Cause: Run waited without a bound for the loops of the cell and for the replica, which stops only between two steps of its loop.

Change: Run waits for both until 500 ms before the kill, then logs data_folder_not_closed and returns. The log is synced before anything is acknowledged, so that an end without closing it loses no more than a crash, which the data folder is made for.

--- a/internal/jobcell/instance.go
+++ b/internal/jobcell/instance.go
@@ -24,6 +24,7 @@
 	handOverTimeout      = 500 * time.Millisecond  // for the replica to begin the hand-over
 	listenerCloseTimeout = 1500 * time.Millisecond // time left for the last responses
 	exitReserve          = 700 * time.Millisecond  // margin before the process is killed
+	closeTimeout         = 200 * time.Millisecond  // part of exitReserve for closing the data folder, if nothing is left of the time before
 	reloadPeriod         = 2 * time.Second
 	maxHeaderBytes       = 16 << 10
 	maxCellStreams       = 4096
@@ -115,11 +116,21 @@
 	}()
 	log.Info().Str("event", "instance_started").Str("zone", i.cell.cfg.Zone).Bool("replica", i.cell.voter != nil).Bool("founding", i.cell.cfg.Founding).Strs("seeds", i.cell.cfg.Seeds).Msg("instance started")
 	err := i.waitForStop(ctx)
-	i.drain()
+	deadline := time.Now().Add(max(listenerCloseTimeout, i.cfg.ShutdownTime-exitReserve))
+	i.drain(deadline)
 	stop()
-	<-done
-	if closeErr := i.cell.Close(); closeErr != nil {
-		log.Warn().Err(closeErr).Str("event", "data_folder_not_closed").Msg("could not close the data folder")
+	closed := make(chan error, 1)
+	go func() {
+		<-done
+		closed <- i.cell.Close()
+	}()
+	select {
+	case closeErr := <-closed:
+		if closeErr != nil {
+			log.Warn().Err(closeErr).Str("event", "data_folder_not_closed").Msg("could not close the data folder")
+		}
+	case <-time.After(time.Until(deadline.Add(closeTimeout))):
+		log.Warn().Str("event", "data_folder_not_closed").Msg("the replica stands still; ending without it, which is as safe as a crash")
 	}
 	log.Info().Err(err).Str("event", "instance_stopped").Msg("instance stopped")
 	return err
@@ -168,11 +179,12 @@
 }
 
 // drain fails the readiness check, transfers leadership, waits for load balancers
-// to notice, and then closes the listeners once in-flight requests are answered.
-func (i *Instance) drain() {
+// to notice, and then closes the listeners once in-flight requests are answered, by the
+// deadline at the latest.
+func (i *Instance) drain(deadline time.Time) {
 	close(i.draining)
 	i.cfg.Logger.Info().Str("event", "readiness_dropped").Msg("shutting down; readiness checks fail from now on")
-	ctx, cancel := context.WithTimeout(context.Background(), max(listenerCloseTimeout, i.cfg.ShutdownTime-exitReserve))
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	noticed := time.After(min(balancerNoticeTime, max(0, i.cfg.ShutdownTime-exitReserve-listenerCloseTimeout)))
 	i.handOver(ctx)
