--- a/internal/daemon/shutdown_test.go
+++ b/internal/daemon/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/pem"
 	"io"
 	"net"
@@ -16,6 +17,8 @@
 	"github.com/stretchr/testify/require"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/consensus"
+	"github.com/egretmux/egretmux/internal/consensus/core"
 	"github.com/egretmux/egretmux/internal/settings"
 )
 
@@ -69,6 +72,40 @@
 	require.Contains(t, r.log.String(), `"event":"requests_cut","in_flight":1,"cause":"second signal"`)
 }
 
+// TestShutdownEndsWhileTheReplicaStandsStill guards against an instance that waited for
+// its replica without a bound, also after the second signal, when a write to its disk
+// hung.
+func TestShutdownEndsWhileTheReplicaStandsStill(t *testing.T) {
+	c := newCell(t, "a1")
+	r := c.start("a1", "")
+	<-r.relay.Ready()
+	stalled, released := make(chan struct{}), make(chan struct{})
+	go func() {
+		_ = r.leader.Replica().Do(context.Background(), func(*core.Core) error {
+			close(stalled)
+			<-released
+			return nil
+		})
+	}()
+	<-stalled
+	t.Cleanup(func() {
+		close(released)
+		require.Eventually(t, func() bool { // nothing writes to the data folder any more
+			return errors.Is(r.leader.Replica().Do(context.Background(), func(*core.Core) error { return nil }), consensus.ErrStopped)
+		}, time.Minute, time.Millisecond)
+	})
+	r.stop()
+	r.stopNow()
+	select {
+	case err, open := <-r.runError:
+		require.True(t, open)
+		require.NoError(t, err)
+		close(r.runError)
+	case <-time.After(2 * shutdownStepTimeout):
+		require.FailNow(t, "the instance waits for its replica after the second signal")
+	}
+}
+
 // TestCommandsOverTLS checks that workers get commands with the secret over TLS, and
 // that a worker whose certificate is not trusted gets neither.
 func TestCommandsOverTLS(t *testing.T) {
