daemon: a shutdown does not wait for a replica that stands still

What operators saw: an instance of the product whose replica stood still (hanging disk) did not end, not even at the second signal, which promises to wait for nothing.

Cause: close waited for the end of the replica's loop without a bound.

Change: closing the data folder has the time of every other step of the shutdown (2 s), then data_folder_not_closed is logged and the instance ends.

Evidence: TestShutdownEndsWhileTheReplicaStandsStill failed before (Run had not returned 4 s after the second signal) and passes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,7 +26,8 @@
 )
 
 // shutdownStepTimeout bounds each of these steps of a shutdown: the leadership
-// transfer, the notice to the leader and the closing of the listeners.
+// transfer, the notice to the leader, and the closing of the listeners and of the data
+// folder.
 const shutdownStepTimeout = 2 * time.Second
 
 // Daemon is one instance.
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -76,8 +76,23 @@
 	d.closeServers(ctx)
 	d.links.Close()
 	if d.voter != nil {
-		if err := d.voter.Close(); err != nil {
+		d.closeVoter()
+	}
+}
+
+// closeVoter closes the data folder. A replica that stands still, as on a hanging disk,
+// is left behind: the log is synced before anything is acknowledged.
+func (d *Daemon) closeVoter() {
+	closed := make(chan error, 1)
+	go func() { closed <- d.voter.Close() }()
+	timeout := time.NewTimer(shutdownStepTimeout)
+	defer timeout.Stop()
+	select {
+	case err := <-closed:
+		if err != nil {
 			d.logger.Warn().Err(err).Str("event", "data_folder_not_closed").Msg("could not close the data folder")
 		}
+	case <-timeout.C:
+		d.logger.Warn().Str("event", "data_folder_not_closed").Msg("the replica stands still; ending without it, which is as safe as a crash")
 	}
 }
