jobcell: logs and counts the voters that are missing

While an instance leads, it logs `voter_missing` when a voter has not replied for 3 s, or at once when the voter's instance announces another replica since it lost its disk, and `voter_returned` or `voter_replaced` at the end. New gauges: egretmux_voters and egretmux_voters_missing.

Cause: a lost voter left no line in any log, so that a cell whose repair had stopped looked healthy until the next loss took its majority.

Evidence: new behaviour. TestLossOfADiskIsReportedFromTheVotersEndToItsReplacement runs three instances and loses a disk; without the watch loop it fails with "Condition never satisfied" at the wait for voter_missing.

The leader's core knows the ticks since each replica replied, and the directory which replica each instance announces; nothing new is sent. A frozen leader counts no ticks, so it does not blame the others after it is thawed.

--- a/internal/jobcell/cell.go
+++ b/internal/jobcell/cell.go
@@ -156,6 +156,7 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { c.scheduler.Run(ctx) })
 	loops.Go(func() { c.membershipLoop(ctx, node) })
+	loops.Go(func() { c.voterWatchLoop(ctx, node) })
 	loops.Wait()
 }
 
