jobcell: logs a long search for the leader and its reason

An instance that has looked for the leader for 3 s logs `leader_missing` with age_ms and reason, again after growing pauses, and `leader_found` at the end. The reason tells a cell without a leader (`nobody-named`) from an instance that is cut off (`nobody-answers`), a leader that answers nobody (`leader-silent`), and one that came back with an empty disk while the others still take it for the leader (`itself-named`).

Cause: `leader_changed` with an empty leader is the same line for a change of leader of half a second and for a search that never ends.

The calls of discovery are the same as before; the directory only notes what the answers said.

--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -59,6 +59,7 @@
 	contactAt time.Time    // when the last call began that the leader answered as leader
 	suspect   leaderReport // the leader that did not answer the last call to it
 	suspectAt time.Time
+	search    leaderSearch
 
 	nextRound     time.Time
 	inFlight      map[string]bool // addresses with an unanswered announcement
--- a/internal/discovery/messages.go
+++ b/internal/discovery/messages.go
@@ -148,11 +148,15 @@
 			d.wantPeersAt = now.Add(d.jitter(peersSpread * d.announcePeriod()))
 		}
 		d.contactAt = began
+		d.search = leaderSearch{}
 		d.roundAt(began.Add(d.announcePeriod()))
 		d.suspect = leaderReport{}
 	} else if leader := d.leader(); leader.address == call.Address {
 		d.suspectLeader(leader, now) // it does not lead any more, or not yet
 	}
+	if resp.GetLeader() != call.Address {
+		d.search.noteAnswer(resp.GetLeader(), d.selfAddress, now)
+	}
 	d.learnLeader(leaderReport{address: resp.GetLeader(), control: resp.GetLeaderControl(), term: resp.GetLeaderTerm()}, now)
 }
 
--- a/internal/discovery/rounds.go
+++ b/internal/discovery/rounds.go
@@ -87,6 +87,9 @@
 	began := l.Leads && l.Term != d.noticeTerm
 	before := d.leader().address
 	d.local = l
+	if l.Leads {
+		d.search = leaderSearch{}
+	}
 	switch {
 	case began:
 		d.noticeTerm, d.leadsSince = l.Term, now
@@ -146,6 +149,7 @@
 		d.nextRound = now.Add(d.announcePeriod())
 		return d.announceTo(now, leader.address, leader.address)
 	}
+	d.search.begin(now)
 	var targets []string
 	if leader.address != "" && now.Sub(d.suspectAt) >= minAskPause {
 		targets = append(targets, leader.address) // a suspect may answer again
--- a/internal/jobcell/announce.go
+++ b/internal/jobcell/announce.go
@@ -22,6 +22,7 @@
 // discoveryLoop makes the calls by which this instance finds the others and the leader.
 func (c *Cell) discoveryLoop(ctx context.Context) {
 	leader := ""
+	watch := &leaderWatch{logger: c.cfg.Logger}
 	for ctx.Err() == nil {
 		now := time.Now()
 		c.directory.SetLocal(c.localState(), now)
@@ -29,6 +30,8 @@
 			leader = known
 			c.cfg.Logger.Info().Str("event", "leader_changed").Str("leader", leader).Msg("")
 		}
+		age, reason := c.directory.Search(now)
+		watch.update(age, reason, c.Ready())
 		calls, next := c.directory.Calls(now)
 		for _, call := range calls {
 			go c.makeCall(ctx, call)
