jobcell, platform: counts calls in progress and answers by status

A call that is still held after its deadline is logged once as `call_stalled`, with path, verb, source and age_ms; one that another instance passed on, after 3 s. New metrics: egretmux_calls_in_progress{verb,source} and egretmux_calls_total{verb,status}.

Cause: calls were logged and timed only at their end, so that a call without an end left no trace; and answers that callers cannot use, such as a 404, were not counted at all.

A call adds itself to a table and a gauge that are there; a pass each half second looks for stalled ones and writes 16 lines at most, as a leader that stands still holds many.

--- a/internal/jobcell/cell.go
+++ b/internal/jobcell/cell.go
@@ -19,6 +19,7 @@
 	"github.com/egretmux/egretmux/internal/discovery"
 	"github.com/egretmux/egretmux/internal/job"
 	"github.com/egretmux/egretmux/internal/peer"
+	"github.com/egretmux/egretmux/internal/periodic"
 	"github.com/egretmux/egretmux/internal/scheduler"
 	"github.com/egretmux/egretmux/internal/settings"
 	"github.com/egretmux/egretmux/internal/telemetry"
@@ -70,6 +71,7 @@
 	workers             *workerProxy
 	relay               *leaderRelay
 	heartbeats          *heartbeatCache
+	calls               *callWatch
 	failed              chan error
 	replicaStartAllowed chan struct{} // closed when an empty replica may start
 	startOnce           sync.Once
@@ -88,6 +90,7 @@
 	c.workers = newWorkerProxy(c, cfg.Scheduler.WorkerClient)
 	c.relay = newLeaderRelay(c)
 	c.heartbeats = newHeartbeatCache()
+	c.calls = newCallWatch()
 	cfg.Scheduler.AdviceClient = c.advice
 	cfg.Scheduler.WorkerClient = c.workers
 	cfg.Scheduler.Logger = cfg.Logger
@@ -124,6 +127,7 @@
 func (c *Cell) Run(ctx context.Context) {
 	var loops sync.WaitGroup
 	loops.Go(func() { c.discoveryLoop(ctx) })
+	loops.Go(func() { periodic.Run(ctx, callWatchPeriod, c.logStalledCalls) })
 	if c.cfg.Founding && len(c.cfg.Seeds) > 0 && c.cfg.Seeds[0] == c.cfg.Address {
 		loops.Go(func() { c.bootstrapLoop(ctx) })
 	}
--- a/internal/jobcell/forward.go
+++ b/internal/jobcell/forward.go
@@ -27,9 +27,11 @@
 // been executed is repeated until its outcome is known or the context ends.
 func (c *Cell) CallJob(ctx context.Context, call *egretmuxv1.JobCall) (*egretmuxv1.JobAnswer, error) {
 	start := time.Now()
+	c.calls.begin(ctx, call, fromClient)
+	defer c.calls.end(call, fromClient)
 	answer, err := c.callUntilOutcomeKnown(ctx, call)
 	elapsed := time.Since(start)
-	verb := verbName(call.GetVerb())
+	verb := VerbName(call.GetVerb())
 	telemetry.ObserveSeconds(`call{verb="`+verb+`"}`, elapsed)
 	if err != nil {
 		refused := refusal.Of(err)
@@ -40,7 +42,8 @@
 	return answer, err
 }
 
-func verbName(v egretmuxv1.JobVerb) string {
+// VerbName returns the name of a verb in logs and metrics.
+func VerbName(v egretmuxv1.JobVerb) string {
 	return strings.ToLower(strings.TrimPrefix(v.String(), "JOB_VERB_"))
 }
 
--- a/internal/jobcell/relay_test.go
+++ b/internal/jobcell/relay_test.go
@@ -36,7 +36,7 @@
 	return connect.NewResponse(&egretmuxv1.JobAnswer{Found: true}), nil
 }
 
-func serveLeader(t *testing.T, f *fakeLeader) string {
+func serveLeader(t *testing.T, f egretmuxv1connect.JobCellServiceHandler) string {
 	t.Helper()
 	mux := http.NewServeMux()
 	mux.Handle(egretmuxv1connect.NewJobCellServiceHandler(f))
--- a/internal/jobcell/serve.go
+++ b/internal/jobcell/serve.go
@@ -22,6 +22,8 @@
 
 // CallJob implements JobCellService.
 func (s *service) CallJob(ctx context.Context, req *connect.Request[egretmuxv1.JobCall]) (*connect.Response[egretmuxv1.JobAnswer], error) {
+	s.cell.calls.begin(ctx, req.Msg, fromInstance)
+	defer s.cell.calls.end(req.Msg, fromInstance)
 	if req.Msg.GetRelayed() && s.cell.directory.InContact(time.Now()) {
 		answer, err := s.cell.callJobOnLeader(ctx, req.Msg)
 		return reply(s.cell, answer, err)
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -67,10 +67,11 @@
 // Add adds n to a counter, named as in Count.
 func Add(name string, n int) { metrics.GetOrCreateCounter("egretmux_" + name).Add(n) }
 
+// Gauge returns a gauge, named as in Count.
+func Gauge(name string) *metrics.Gauge { return metrics.GetOrCreateGauge("egretmux_"+name, nil) }
+
 // SetGauge sets a gauge, named as in Count.
-func SetGauge(name string, value float64) {
-	metrics.GetOrCreateGauge("egretmux_"+name, nil).Set(value)
-}
+func SetGauge(name string, value float64) { Gauge(name).Set(value) }
 
 // ObserveSeconds records a duration in the histogram egretmux_NAME_seconds. The
 // name may end in labels.
