consensus: a failing test of proposals during a hand-over that fails

The log of the leader, soak-2 in term 4: leader_slow at 17.15 s, then ends_not_noted and starts_not_stored with "this instance does not lead" until 18.21 s and again at 21.56 s, and no change of role or term until 21.81 s. While a hand-over is tried, the core refuses proposals, also for the 600 ms after which it gives the hand-over up and leads on. The scheduler takes the refusal for the end of the term: it drops the ends and later acknowledges newer ends of the same workers, and the dropped ones with them; starts that were not stored are never sent.

--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -37,6 +38,31 @@
 	require.Len(t, old.machine.Changes, 2)
 }
 
+// Guards against ends of runs that were acknowledged and never stored: a leader refused
+// proposals during a hand-over that failed, and led on in the same term, while its users
+// took the refusal for the end of the term.
+func TestProposalIsNotRefusedByALeaderWhoseHandOverFails(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	c.run(3 * testElectionTicks)
+	leader := c.leader()
+	successor := c.slots[(leader.number+1)%len(c.slots)]
+	c.stop(successor)
+	require.True(t, leader.node.core.TransferLeadership(successor.id))
+	c.processOutput(leader)
+	proposed := pendingChange{"during the hand-over", make(chan result, 1)}
+	c.changes = append(c.changes, proposed)
+	leader.node.proposals <- proposal{term: leader.lastStatus.Term, data: []byte(proposed.change), done: proposed.done}
+	for range 3 * testElectionTicks {
+		ticks := make(chan time.Time, 1)
+		ticks <- time.Time{}
+		require.True(t, leader.node.handleEvents(ticks))
+		c.processOutput(leader)
+		c.run(1)
+	}
+	require.Same(t, leader, c.leader(), "the hand-over should have failed")
+	require.Contains(t, c.oracle.answers, proposed.change)
+}
+
 func TestPromiseTrackerRecordsOnlyPromises(t *testing.T) {
 	tracker := NewPromiseTracker()
 	tracker.Observe([]*egretmuxv1.Message{
