consensus: proposals wait while leadership is being handed over

Cause: the core refuses proposals while it hands leadership over, and the node passed that on as ErrNotLeader. The scheduler and the product's leader take ErrNotLeader for the end of the term, after which the next leader reads everything anew. But a hand-over that fails is given up after the election timeout, and the leader goes on in the same term with ends and starts missing that it believes to be stored.

Why this works: proposals stay in the queue of the node until the hand-over has ended. If it succeeds, the node is a follower and refuses them for good; if not, they are appended. ErrNotLeader is final in its term again, which ProposeInTerm now says.

--- a/internal/consensus/client.go
+++ b/internal/consensus/client.go
@@ -41,7 +41,7 @@
 
 // ProposeInTerm is like Propose, but returns ErrNotLeader unless this replica leads
 // in the given term. A decision made in that term therefore never enters the log
-// in a later one.
+// in a later one. ErrNotLeader is final: this replica will not lead in that term again.
 func (n *Node) ProposeInTerm(ctx context.Context, term uint64, data []byte) (any, error) {
 	p := proposal{term: term, data: data, done: make(chan result, 1)}
 	select {
--- a/internal/consensus/core/election.go
+++ b/internal/consensus/core/election.go
@@ -301,6 +301,10 @@
 	return true
 }
 
+// HandingOver reports whether a transfer of leadership is in progress. It ends with
+// another leader, or after the election timeout with this one.
+func (c *Core) HandingOver() bool { return c.transferTo != 0 }
+
 // Successor returns the live voter with the most up-to-date log, or zero when
 // there is none or this replica does not lead.
 func (c *Core) Successor() uint64 {
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -163,9 +163,10 @@
 }
 
 // admittedProposals returns the proposal queue, or nil while too many proposals
-// are pending.
+// are pending or leadership is being handed over: if that fails, the leader goes on in
+// the same term.
 func (n *Node) admittedProposals() <-chan proposal {
-	if len(n.pendingProposals) >= maxPendingProposals || n.pendingBytes >= maxPendingBytes {
+	if len(n.pendingProposals) >= maxPendingProposals || n.pendingBytes >= maxPendingBytes || n.core.HandingOver() {
 		return nil
 	}
 	return n.proposals
