--- a/internal/jobcell/instance_test.go
+++ b/internal/jobcell/instance_test.go
@@ -39,8 +39,9 @@
 	stopOnce sync.Once
 }
 
-// startInstance runs an instance with the given handler for callers until it leads.
-func startInstance(t *testing.T, callers http.Handler) *runningInstance {
+// startInstance runs an instance with the given handler for callers until it leads. It
+// re-reads its settings with reload, if not nil.
+func startInstance(t *testing.T, callers http.Handler, reload func() ([]string, error)) *runningInstance {
 	t.Helper()
 	address := freeAddress(t)
 	c, err := New(Config{
@@ -48,7 +49,7 @@
 		Scheduler: scheduler.Config{WorkerClient: newFakeWorkers(), Lease: 6 * time.Second, StatusKeep: time.Minute},
 	})
 	require.NoError(t, err)
-	i := &runningInstance{Instance: NewInstance(c, InstanceConfig{ShutdownTime: testShutdownTime, Logger: zerolog.Nop()}), callers: freeAddress(t), ended: make(chan struct{})}
+	i := &runningInstance{Instance: NewInstance(c, InstanceConfig{ShutdownTime: testShutdownTime, Reload: reload, Logger: zerolog.Nop()}), callers: freeAddress(t), ended: make(chan struct{})}
 	i.Listen("callers", i.callers, callers)
 	i.ListenCell(address, c.Handler())
 	go func() {
@@ -93,7 +94,7 @@
 		close(arrived)
 		<-answer
 		w.WriteHeader(http.StatusNoContent)
-	}))
+	}), nil)
 	i.stallReplica(t)
 	status := make(chan int, 1)
 	go func() {
@@ -122,7 +123,7 @@
 // Guards against a process that ended only when it was killed, as it waited for a
 // replica that stood still.
 func TestInstanceEndsInTimeWhileItsReplicaStandsStill(t *testing.T) {
-	i := startInstance(t, http.NotFoundHandler())
+	i := startInstance(t, http.NotFoundHandler(), nil)
 	i.stallReplica(t)
 	i.stop()
 	select {
@@ -131,3 +132,23 @@
 		require.FailNow(t, "the instance still runs when its process is killed")
 	}
 }
+
+// Guards against an instance that did not notice a stop signal while it read its
+// settings: a file that hung kept it running until it was killed.
+func TestInstanceStopsWhileItsSettingsHang(t *testing.T) {
+	reading, released := make(chan struct{}), make(chan struct{})
+	begin := sync.OnceFunc(func() { close(reading) })
+	i := startInstance(t, http.NotFoundHandler(), func() ([]string, error) {
+		begin()
+		<-released
+		return nil, errors.New("the settings cannot be read")
+	})
+	t.Cleanup(func() { close(released) })
+	<-reading
+	i.stop()
+	select {
+	case <-i.draining:
+	case <-time.After(exitReserve):
+		require.FailNow(t, "the instance does not notice that it has to stop")
+	}
+}
