jobcell: settings are read in a goroutine of their own

What operators saw: an instance whose settings file hung (disk or network file system) did not notice SIGTERM, SIGHUP or a failed listener; it ran on until it was killed, without having failed its readiness check.

Change: a goroutine reads the settings, periodically and on SIGHUP. A SIGHUP during a reading is followed by another one.

Evidence: TestInstanceStopsWhileItsSettingsHang failed before (no shutdown 0.7 s after its cause) and passes.

--- a/internal/jobcell/instance.go
+++ b/internal/jobcell/instance.go
@@ -136,14 +136,16 @@
 	return err
 }
 
-// waitForStop blocks until the instance has a reason to stop. Meanwhile it re-reads
-// the settings every reloadPeriod and at SIGHUP.
+// waitForStop blocks until the instance has a reason to stop. Meanwhile the settings are
+// re-read every reloadPeriod and at SIGHUP.
 func (i *Instance) waitForStop(ctx context.Context) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	reload := time.NewTicker(reloadPeriod)
-	defer reload.Stop()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	requests := make(chan struct{}, 1)
+	go i.reloadLoop(ctx, requests)
 	for {
 		select {
 		case <-ctx.Done():
@@ -152,13 +154,31 @@
 			return err
 		case err := <-i.cell.Failed():
 			return err
-		case <-reload.C:
-			i.reload("period")
 		case s := <-signals:
 			i.cfg.Logger.Info().Str("event", "signal_received").Stringer("signal", s).Msg("received a signal")
 			if s != syscall.SIGHUP {
 				return nil
 			}
+			select {
+			case requests <- struct{}{}:
+			default: // the reading that is about to begin sees the change
+			}
+		}
+	}
+}
+
+// reloadLoop re-reads the settings periodically and on request. It has a goroutine of its
+// own, as a file that hangs must not delay a stop.
+func (i *Instance) reloadLoop(ctx context.Context, requests <-chan struct{}) {
+	ticker := time.NewTicker(reloadPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			i.reload("period")
+		case <-requests:
 			i.reload("signal")
 		}
 	}
