jobcell: a test of calls on the leader itself while its replica stands still

It goes through Cell.CallJob, as the listener for clients does, and guards the whole path with its retries.

--- a/internal/jobcell/instance_test.go
+++ b/internal/jobcell/instance_test.go
@@ -13,7 +13,9 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/consensus/core"
+	"github.com/egretmux/egretmux/internal/refusal"
 	"github.com/egretmux/egretmux/internal/scheduler"
 )
 
@@ -152,3 +154,30 @@
 		require.FailNow(t, "the instance does not notice that it has to stop")
 	}
 }
+
+// Guards against a client's call on the leader itself that waited for as long as the
+// leader's disk hung: calls that come from other instances were bounded, these were not.
+func TestCallOnTheLeaderEndsAtItsDeadlineWhileTheReplicaStandsStill(t *testing.T) {
+	i := startInstance(t, http.NotFoundHandler(), nil)
+	require.NoError(t, i.cell.PutCatalogue(t.Context(), &egretmuxv1.Catalogue{
+		Version: 1, Pools: []*egretmuxv1.Pool{{Name: "p"}},
+		Queues: []*egretmuxv1.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "p", TimeoutMs: 1000, Attempts: 2, SlackFactor: 2}},
+	}))
+	i.stallReplica(t)
+	const patience = 2 * time.Second
+	ctx := contextWithTimeout(t, patience)
+	answered := make(chan error, 1)
+	go func() {
+		_, err := i.cell.CallJob(ctx, &egretmuxv1.JobCall{
+			Address: &egretmuxv1.QueueAddress{Host: "h", Path: "/q/00000000000000aa"}, Verb: egretmuxv1.JobVerb_JOB_VERB_SUBMIT,
+			Job: &egretmuxv1.Job{Steps: []*egretmuxv1.JobStep{{Count: 1}}},
+		})
+		answered <- err
+	}()
+	select {
+	case err := <-answered:
+		require.Equal(t, refusal.Unknown, refusal.Of(err).Ran)
+	case <-time.After(patience + leaderCallTimeout):
+		require.FailNow(t, "no answer at the caller's deadline")
+	}
+}
