--- a/internal/jobcell/instance_test.go
+++ b/internal/jobcell/instance_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -21,6 +24,7 @@
 
 const (
 	testShutdownTime = 4 * time.Second
+	maxBodyTime      = 30 * time.Second // that a listener may wait for the body of a request
 	formationTimeout = 20 * time.Second // a cell with fewer replicas than wanted forms after smallCellSettleTime
 )
 
@@ -181,3 +185,30 @@
 		require.FailNow(t, "no answer at the caller's deadline")
 	}
 }
+
+// deadlineRecorder records the read deadlines that a handler sets on its connection.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	deadlines []time.Time
+}
+
+// SetReadDeadline implements the method that http.ResponseController looks for.
+func (r *deadlineRecorder) SetReadDeadline(deadline time.Time) error {
+	r.deadlines = append(r.deadlines, deadline)
+	return nil
+}
+
+// Guards against requests that held a connection, and a shutdown, for as long as their
+// client kept back the rest of the body.
+func TestTimeForTheBodyOfARequestIsBounded(t *testing.T) {
+	i := NewInstance(newTestCell(t, "a"), InstanceConfig{Logger: zerolog.Nop()})
+	i.Listen("callers", "unused", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+	}))
+	w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+	began := time.Now()
+	i.servers[0].http.Handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/", strings.NewReader("body")))
+	require.Len(t, w.deadlines, 2)
+	require.WithinRange(t, w.deadlines[0], began, time.Now().Add(maxBodyTime))
+	require.Zero(t, w.deadlines[1], "the limit ends with the body")
+}
