jobcell: the time for the body of a request is bounded

Cause, by reading: the listeners of the job cell bound the header of a request but not its body. A client that kept back the rest held a connection and a handler for ever, and every shutdown waited for it until its deadline.

Change: edge.LimitBodyTime, as on the listeners of the product, with the product's default of 30 s; a configuration of 4 MB on the slowest link takes 16 s.

--- a/internal/jobcell/instance.go
+++ b/internal/jobcell/instance.go
@@ -19,6 +19,7 @@
 // Limits of an instance's listeners and timing of its shutdown.
 const (
 	readHeaderTimeout    = 3 * time.Second
+	bodyTimeout          = 30 * time.Second // for a client to send a request's body
 	idleTimeout          = 15 * time.Second
 	balancerNoticeTime   = 2500 * time.Millisecond // balancers need two checks a second apart to see that the instance is not ready
 	handOverTimeout      = 500 * time.Millisecond  // for the replica to begin the hand-over
@@ -63,7 +64,7 @@
 		return
 	}
 	i.servers = append(i.servers, &server{name: name, address: address, http: &http.Server{
-		Handler: edge.CloseAfter(i.draining, h), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: edge.CloseAfter(i.draining, edge.LimitBodyTime(bodyTimeout, h)), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}})
 }
 
