--- a/internal/jobcell/instance_test.go
+++ b/internal/jobcell/instance_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -13,12 +16,15 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/consensus/core"
+	"github.com/egretmux/egretmux/internal/refusal"
 	"github.com/egretmux/egretmux/internal/scheduler"
 )
 
 const (
 	testShutdownTime = 4 * time.Second
+	maxBodyTime      = 30 * time.Second // that a listener may wait for the body of a request
 	formationTimeout = 20 * time.Second // a cell with fewer replicas than wanted forms after smallCellSettleTime
 )
 
@@ -39,8 +45,9 @@
 	stopOnce sync.Once
 }
 
-// startInstance runs an instance with the given handler for callers until it leads.
-func startInstance(t *testing.T, callers http.Handler) *runningInstance {
+// startInstance runs an instance with the given handler for callers until it leads. It
+// re-reads its settings with reload, if not nil.
+func startInstance(t *testing.T, callers http.Handler, reload func() ([]string, error)) *runningInstance {
 	t.Helper()
 	address := freeAddress(t)
 	c, err := New(Config{
@@ -48,7 +55,7 @@
 		Scheduler: scheduler.Config{WorkerClient: newFakeWorkers(), Lease: 6 * time.Second, StatusKeep: time.Minute},
 	})
 	require.NoError(t, err)
-	i := &runningInstance{Instance: NewInstance(c, InstanceConfig{ShutdownTime: testShutdownTime, Logger: zerolog.Nop()}), callers: freeAddress(t), ended: make(chan struct{})}
+	i := &runningInstance{Instance: NewInstance(c, InstanceConfig{ShutdownTime: testShutdownTime, Reload: reload, Logger: zerolog.Nop()}), callers: freeAddress(t), ended: make(chan struct{})}
 	i.Listen("callers", i.callers, callers)
 	i.ListenCell(address, c.Handler())
 	go func() {
@@ -93,7 +100,7 @@
 		close(arrived)
 		<-answer
 		w.WriteHeader(http.StatusNoContent)
-	}))
+	}), nil)
 	i.stallReplica(t)
 	status := make(chan int, 1)
 	go func() {
@@ -122,7 +129,7 @@
 // Guards against a process that ended only when it was killed, as it waited for a
 // replica that stood still.
 func TestInstanceEndsInTimeWhileItsReplicaStandsStill(t *testing.T) {
-	i := startInstance(t, http.NotFoundHandler())
+	i := startInstance(t, http.NotFoundHandler(), nil)
 	i.stallReplica(t)
 	i.stop()
 	select {
@@ -131,3 +138,77 @@
 		require.FailNow(t, "the instance still runs when its process is killed")
 	}
 }
+
+// Guards against an instance that did not notice a stop signal while it read its
+// settings: a file that hung kept it running until it was killed.
+func TestInstanceStopsWhileItsSettingsHang(t *testing.T) {
+	reading, released := make(chan struct{}), make(chan struct{})
+	begin := sync.OnceFunc(func() { close(reading) })
+	i := startInstance(t, http.NotFoundHandler(), func() ([]string, error) {
+		begin()
+		<-released
+		return nil, errors.New("the settings cannot be read")
+	})
+	t.Cleanup(func() { close(released) })
+	<-reading
+	i.stop()
+	select {
+	case <-i.draining:
+	case <-time.After(exitReserve):
+		require.FailNow(t, "the instance does not notice that it has to stop")
+	}
+}
+
+// Guards against a client's call on the leader itself that waited for as long as the
+// leader's disk hung: calls that come from other instances were bounded, these were not.
+func TestCallOnTheLeaderEndsAtItsDeadlineWhileTheReplicaStandsStill(t *testing.T) {
+	i := startInstance(t, http.NotFoundHandler(), nil)
+	require.NoError(t, i.cell.PutCatalogue(t.Context(), &egretmuxv1.Catalogue{
+		Version: 1, Pools: []*egretmuxv1.Pool{{Name: "p"}},
+		Queues: []*egretmuxv1.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "p", TimeoutMs: 1000, Attempts: 2, SlackFactor: 2}},
+	}))
+	i.stallReplica(t)
+	const patience = 2 * time.Second
+	ctx := contextWithTimeout(t, patience)
+	answered := make(chan error, 1)
+	go func() {
+		_, err := i.cell.CallJob(ctx, &egretmuxv1.JobCall{
+			Address: &egretmuxv1.QueueAddress{Host: "h", Path: "/q/00000000000000aa"}, Verb: egretmuxv1.JobVerb_JOB_VERB_SUBMIT,
+			Job: &egretmuxv1.Job{Steps: []*egretmuxv1.JobStep{{Count: 1}}},
+		})
+		answered <- err
+	}()
+	select {
+	case err := <-answered:
+		require.Equal(t, refusal.Unknown, refusal.Of(err).Ran)
+	case <-time.After(patience + leaderCallTimeout):
+		require.FailNow(t, "no answer at the caller's deadline")
+	}
+}
+
+// deadlineRecorder records the read deadlines that a handler sets on its connection.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	deadlines []time.Time
+}
+
+// SetReadDeadline implements the method that http.ResponseController looks for.
+func (r *deadlineRecorder) SetReadDeadline(deadline time.Time) error {
+	r.deadlines = append(r.deadlines, deadline)
+	return nil
+}
+
+// Guards against requests that held a connection, and a shutdown, for as long as their
+// client kept back the rest of the body.
+func TestTimeForTheBodyOfARequestIsBounded(t *testing.T) {
+	i := NewInstance(newTestCell(t, "a"), InstanceConfig{Logger: zerolog.Nop()})
+	i.Listen("callers", "unused", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+	}))
+	w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+	began := time.Now()
+	i.servers[0].http.Handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/", strings.NewReader("body")))
+	require.Len(t, w.deadlines, 2)
+	require.WithinRange(t, w.deadlines[0], began, time.Now().Add(maxBodyTime))
+	require.Zero(t, w.deadlines[1], "the limit ends with the body")
+}
