consensus: logs a replica that stands still

When the loop of a replica has not passed for 2 s, a watch logs `replica_stalled` once, and `replica_resumed` with the length of the stall. New gauge: egretmux_replica_loop_age_seconds.

Cause: a loop that waits for ever, for a lock that its state machine needs or for a disk that hangs, left no line: it fails nothing, and the others merely elect another leader.

Evidence: new behaviour, TestReplicaThatStandsStillIsReportedOnceAndWhenItGoesOn. Without the count of passes it fails, as an idle replica is reported as stalled.

The loop only adds one to a counter. The watch counts its own ticks without a pass, so that a process that was frozen as a whole is not reported. It ends before Run returns.

--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -42,7 +42,8 @@
 	snapshotRunning    bool
 	snapshotResults    chan *egretmuxv1.SnapshotMeta // metadata of a finished snapshot; nil if it failed
 
-	appendTime atomic.Int64 // duration of the newest log append, in nanoseconds
+	passes     atomic.Uint64 // through the loop of Run
+	appendTime atomic.Int64  // duration of the newest log append, in nanoseconds
 
 	statusMu      sync.RWMutex
 	status        core.Status
@@ -92,9 +93,11 @@
 // is elected.
 func (n *Node) Run() {
 	defer close(n.stopped)
+	defer n.startWatch()()
 	ticker := time.NewTicker(n.cfg.Tick)
 	defer ticker.Stop()
 	for {
+		n.passes.Add(1)
 		if n.unpersisted == nil && !n.handleEvents(ticker.C) {
 			n.failAll(ErrStopped)
 			return
