explain: tells of calls that were held without an answer

The verdict counts the `call_stalled` lines of a job and names the first instance. The timeline of a job includes voter_missing, leader_missing, replica_stalled and replica_resumed between its first and last event.

Cause: a job without an answer was explained as one that runs or waits for room.

Evidence: TestCallsThatWereHeldAreExplained fails without it ("accepted and never started ..." without the calls).

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -54,6 +54,7 @@
 var contextEvents = []string{
 	"tenure_began", "tenure_ended", "worker_silent", "worker_gone", "worker_draining", "worker_resting",
 	"instance_started", "instance_stopped", "log_lines_dropped",
+	"voter_missing", "leader_missing", "replica_stalled", "replica_resumed",
 }
 
 // Read adds the events of one log. It ignores text before the first brace of a
@@ -137,7 +138,7 @@
 	timeline := Timeline{ID: r.id, Lines: r.lines, Skipped: r.skipped}
 	byTime := func(a, b Line) int { return a.Time.Compare(b.Time) }
 	slices.SortStableFunc(timeline.Lines, byTime)
-	timeline.Verdict = verdict(timeline.Lines)
+	timeline.Verdict = verdict(timeline.Lines) + stalledCallsVerdict(timeline.Lines)
 	if len(timeline.Lines) == 0 {
 		return timeline
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -78,3 +78,14 @@
 func TestVerdictOfUnknownID(t *testing.T) {
 	require.Contains(t, buildTimeline(t, "").Verdict, "nothing of this id")
 }
+
+// Guards against a job without an answer whose explanation does not say that an instance
+// held the calls about it.
+func TestCallsThatWereHeldAreExplained(t *testing.T) {
+	timeline := buildTimeline(t, `{"instance":"core-1","event":"job_accepted","job":"5c0e7a21d94b36f8","time":"2026-01-01T00:00:01Z"}
+{"instance":"core-1","event":"replica_stalled","age_ms":2000,"time":"2026-01-01T00:00:04Z"}
+{"instance":"core-1","event":"call_stalled","path":"/q/5c0e7a21d94b36f8","verb":"show","source":"instance","age_ms":3100,"time":"2026-01-01T00:00:05Z"}
+{"instance":"front-1","event":"call_stalled","path":"/q/5c0e7a21d94b36f8","verb":"show","source":"client","age_ms":3300,"time":"2026-01-01T00:00:06Z"}`)
+	require.Contains(t, timeline.Verdict, "; 2 calls about it were held without an answer, first at core-1")
+	require.Len(t, timeline.Lines, 4, "the stall of the replica is part of the timeline")
+}
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -82,6 +82,21 @@
 	return fmt.Sprintf("never accepted: refused %d times, last at %s for %q", len(refusals), last.Instance, last.Reason) + unknown
 }
 
+// stalledCallsVerdict names the calls about the job that instances held beyond their
+// deadline, or returns an empty string. Their callers got no answer.
+func stalledCallsVerdict(lines []Line) string {
+	var stalled []Line
+	for _, l := range lines {
+		if l.Event == "call_stalled" {
+			stalled = append(stalled, l)
+		}
+	}
+	if len(stalled) == 0 {
+		return ""
+	}
+	return fmt.Sprintf("; %d calls about it were held without an answer, first at %s", len(stalled), stalled[0].Instance)
+}
+
 func failureVerdict(failedRuns []Line) string {
 	if len(failedRuns) == 0 {
 		return "the last failed run is not in these logs"
