voter: a lost replica is removed before its successor becomes a voter

What callers see: nothing while one disk is lost. A cell no longer loses its majority for good when the same instance loses its disk again before its repair is complete, and the last step of the repair no longer needs three of four voters.

Cause: an instance that lost its disk joined as a new replica and became a voter beside its former one, which had lost its disk. Of these four voters three were needed until the former one was removed, at least one membership check (200 ms) later. Another loss of the new one in that time left two, for ever.

Evidence: TestReplicaWithAnEmptyDiskTakesItsOldPlaceAndMayBeLostAgainAtEachStep failed before, "2" is not greater than "2" after [1 2 3 22(learner) 1 2 3 22]. It passes now, as do the replica tests of jobcell (the whole-cell one included), leader, voter and daemon.

Why it works: without the former voter the same replicas are needed as with it, all others of three of which one is dead. Its successor then is one of three. The former voter is removed only once the successor holds the log up to the membership, so that the time with two voters is short, and a late announcement of a replica that is gone removes nothing that is up (TestFormerVoterIsKeptUntilTheNewReplicaHoldsTheLog).

TestReplicaWithAnEmptyDiskTakesItsOldPlace asserted the old order at the end; it is replaced by a test of each step, with the same end and a check of the majority.

--- a/internal/jobcell/membership.go
+++ b/internal/jobcell/membership.go
@@ -35,7 +35,7 @@
 		if leadingSince.IsZero() {
 			leadingSince = now
 		}
-		next, reason := c.nextMembership(status.Membership, now, leadingSince)
+		next, reason := c.nextMembership(status, now, leadingSince)
 		if next == nil {
 			return
 		}
@@ -54,7 +54,8 @@
 
 // nextMembership returns the membership that is one change closer to the target,
 // and the reason for the change, or nil if no change is needed.
-func (c *Cell) nextMembership(current *egretmuxv1.Membership, now, leadingSince time.Time) (*egretmuxv1.Membership, string) {
+func (c *Cell) nextMembership(status core.Status, now, leadingSince time.Time) (*egretmuxv1.Membership, string) {
+	current := status.Membership
 	live := c.directory.Live(now)
 	live = append(live, c.self())
 	for _, m := range live {
@@ -65,7 +66,7 @@
 		if r == nil || (r.GetId() == m.GetReplica() && !r.GetLearner() && countReplicasAt(current, m.GetAddress()) == 1) {
 			continue
 		}
-		return advanceReplica(current, m), "replica-returned"
+		return advanceReplica(status, m), "replica-returned"
 	}
 	voters, lost := 0, (*egretmuxv1.Replica)(nil)
 	for _, r := range current.GetReplicas() {
@@ -81,7 +82,7 @@
 		}
 	}
 	if spare := findSpare(live, current); spare != nil && (voters < c.targetVoters() || (lost != nil && voters == c.targetVoters())) {
-		return advanceReplica(current, spare), "replica-missing"
+		return advanceReplica(status, spare), "replica-missing"
 	}
 	if lost != nil && voters > c.targetVoters() {
 		return withoutReplica(current, lost), "replica-lost"
@@ -91,8 +92,8 @@
 
 // advanceReplica returns the membership that brings an instance's replica one step
 // closer to being a voter, or nil if it is one.
-func advanceReplica(current *egretmuxv1.Membership, m *egretmuxv1.Member) *egretmuxv1.Membership {
-	next, done := voter.NextMembership(current, &egretmuxv1.JoinReplicaRequest{Instance: m.GetAddress(), Address: m.GetAddress(), Replica: m.GetReplica()})
+func advanceReplica(status core.Status, m *egretmuxv1.Member) *egretmuxv1.Membership {
+	next, done := voter.NextMembership(status, &egretmuxv1.JoinReplicaRequest{Instance: m.GetAddress(), Address: m.GetAddress(), Replica: m.GetReplica()})
 	if done {
 		return nil
 	}
--- a/internal/jobcell/membership_test.go
+++ b/internal/jobcell/membership_test.go
@@ -1,6 +1,8 @@
 package jobcell
 
 import (
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -8,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/consensus/core"
 	"github.com/egretmux/egretmux/internal/scheduler"
 )
 
@@ -39,6 +42,29 @@
 	return m
 }
 
+// caughtUp returns the status of a leader whose replicas all hold its log, which ends with
+// the membership at the given index.
+func caughtUp(m *egretmuxv1.Membership, index uint64) core.Status {
+	s := core.Status{Membership: m, MembershipIndex: index, Match: make(map[uint64]uint64)}
+	for _, r := range m.GetReplicas() {
+		s.Match[r.GetId()] = index
+	}
+	return s
+}
+
+// describe lists the replicas of a membership.
+func describe(m *egretmuxv1.Membership) string {
+	var out []string
+	for _, r := range m.GetReplicas() {
+		item := strconv.FormatUint(r.GetId(), 10)
+		if r.GetLearner() {
+			item += "(learner)"
+		}
+		out = append(out, item)
+	}
+	return strings.Join(out, " ")
+}
+
 func TestFirstReplicasAreSpreadOverZones(t *testing.T) {
 	c := newTestCell(t, "seed")
 	now := time.Now()
@@ -58,20 +84,49 @@
 	require.Nil(t, c.chooseInitialMembership())
 }
 
-func TestReplicaWithAnEmptyDiskTakesItsOldPlace(t *testing.T) {
+// Guards against a majority that is lost for good, since the instance that lost its disk
+// loses it again while both of its replicas are voters.
+func TestReplicaWithAnEmptyDiskTakesItsOldPlaceAndMayBeLostAgainAtEachStep(t *testing.T) {
+	const lostReplica, newReplica = 2, 22
 	c := newTestCell(t, "lead")
 	now := time.Now()
-	current := newMembership("lead", 1, "b", 2, "c", 3)
-	for _, m := range []*egretmuxv1.Member{newMember("b", "b", 22), newMember("c", "c", 3)} {
+	for _, m := range []*egretmuxv1.Member{newMember("b", "b", newReplica), newMember("c", "c", 3)} {
 		meet(c, m, now)
 	}
-	next, reason := c.nextMembership(current, now, now)
-	require.Equal(t, "replica-returned", reason)
-	require.Len(t, next.GetReplicas(), 4)
-	require.True(t, next.GetReplicas()[3].GetLearner())
-	next.Replicas[3].Learner = false
-	next, _ = c.nextMembership(next, now, now)
-	require.Len(t, next.GetReplicas(), 3, "the former replica is removed")
+	status := caughtUp(newMembership("lead", 1, "b", lostReplica, "c", 3), 1)
+	var steps []string
+	for next, reason := c.nextMembership(status, now, now); next != nil; next, reason = c.nextMembership(status, now, now) {
+		require.Equal(t, "replica-returned", reason)
+		require.Less(t, len(steps), 3)
+		steps = append(steps, describe(next))
+		voters, surviving := 0, 0
+		for _, r := range next.GetReplicas() {
+			if r.GetLearner() {
+				continue
+			}
+			voters++
+			if r.GetId() != lostReplica && r.GetId() != newReplica {
+				surviving++
+			}
+		}
+		require.Greater(t, surviving, voters/2, "after %v", steps)
+		status = caughtUp(next, status.MembershipIndex+1)
+	}
+	require.Equal(t, []string{"1 2 3 22(learner)", "1 3 22(learner)", "1 3 22"}, steps)
+}
+
+// Guards against the removal of a voter that is up, because of a late announcement of a
+// replica that its instance had before.
+func TestFormerVoterIsKeptUntilTheNewReplicaHoldsTheLog(t *testing.T) {
+	c := newTestCell(t, "lead")
+	now := time.Now()
+	meet(c, newMember("b", "b", 22), now)
+	current := newMembership("lead", 1, "b", 2, "c", 3, "b", 22)
+	current.Replicas[3].Learner = true
+	status := caughtUp(current, 7)
+	status.Match[22] = status.MembershipIndex - 1
+	next, _ := c.nextMembership(status, now, now)
+	require.Contains(t, describe(next), "1 2 3 22")
 }
 
 func TestSpareReplacesAReplicaOnlyAfterALongSilence(t *testing.T) {
@@ -81,7 +136,7 @@
 	nextAt := func(now time.Time) (*egretmuxv1.Membership, string) {
 		meet(c, newMember("b", "b", 2), now)
 		meet(c, newMember("spare", "d", 9), now)
-		return c.nextMembership(current, now, began)
+		return c.nextMembership(caughtUp(current, 1), now, began)
 	}
 	next, _ := nextAt(began.Add(replicaLostAfter - time.Second))
 	require.Nil(t, next)
--- a/internal/leader/replicas.go
+++ b/internal/leader/replicas.go
@@ -19,7 +19,7 @@
 		return err
 	}
 	err := l.replica.Do(ctx, func(c *core.Core) error {
-		next, done := voter.NextMembership(c.Status().Membership, req)
+		next, done := voter.NextMembership(c.Status(), req)
 		if done {
 			return nil
 		}
--- a/internal/voter/membership.go
+++ b/internal/voter/membership.go
@@ -4,13 +4,18 @@
 	"google.golang.org/protobuf/proto"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/consensus/core"
 )
 
 // NextMembership returns the membership after the next single change towards one
 // in which the requesting replica is a voter at its address and the only replica
 // of its instance. It returns done if no change is left.
-func NextMembership(current *egretmuxv1.Membership, req *egretmuxv1.JoinReplicaRequest) (next *egretmuxv1.Membership, done bool) {
-	next = proto.Clone(current).(*egretmuxv1.Membership)
+//
+// An earlier replica of the instance is removed before the new one becomes a voter, but
+// not before the new one holds the log up to this membership. The earlier one has lost its
+// disk: if both were voters, a second loss would leave the others without a majority.
+func NextMembership(leader core.Status, req *egretmuxv1.JoinReplicaRequest) (next *egretmuxv1.Membership, done bool) {
+	next = proto.Clone(leader.Membership).(*egretmuxv1.Membership)
 	var own *egretmuxv1.Replica
 	stale := -1
 	for i, r := range next.GetReplicas() {
@@ -26,10 +31,10 @@
 		next.Replicas = append(next.Replicas, &egretmuxv1.Replica{
 			Id: req.GetReplica(), Instance: req.GetInstance(), Address: req.GetAddress(), Learner: true,
 		})
+	case stale >= 0 && (!own.GetLearner() || leader.Match[own.GetId()] >= leader.MembershipIndex):
+		next.Replicas = append(next.Replicas[:stale], next.Replicas[stale+1:]...)
 	case own.GetLearner():
 		own.Learner = false
-	case stale >= 0:
-		next.Replicas = append(next.Replicas[:stale], next.Replicas[stale+1:]...)
 	case own.GetAddress() != req.GetAddress():
 		own.Address = req.GetAddress()
 	default:
