peer: a redirect is followed against the hint of a replica that stands still

What callers saw: an instance whose disk is full, or whose replica stands still for another reason, sent all its calls to an earlier leader that is up, and never to the present one.

Cause: the address that the local replica names went before the one of a redirect, and an instance that redirects does not become a suspect. A replica that stands still gets no ticks and names the leader that it knew for ever. On the platform the directory corrects it, with the next announcement.

Evidence: TestRedirectIsFollowedAgainstAStaleHint failed before, "no-leader: another instance leads", after 34 tries in a second, all of the earlier leader. It passes now.

Why it works: for the time for which other failed instances are skipped, the redirect goes before the hint of the instance that sent it. After that the hint is tried again (TestHintIsFollowedAgainAfterARedirect).

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -140,6 +140,13 @@
 	lastLeader  string
 	nextVoter   int
 	lastFailure map[string]time.Time // by address
+	redirected  redirection          // newest answer that another instance leads
+}
+
+// redirection is the answer of an instance that another one leads.
+type redirection struct {
+	from string
+	at   time.Time
 }
 
 // NewLeaderClient returns a client that looks for the leader at the given
@@ -154,7 +161,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	address := l.lastLeader
-	if hint != "" {
+	// The hint is stale if the local replica stands still, as on a full disk.
+	if hint != "" && (hint != l.redirected.from || time.Since(l.redirected.at) >= suspectDuration) {
 		address = hint
 	}
 	for tries := 0; tries < len(l.voters) && (address == "" || l.isSuspect(address)); tries++ {
@@ -188,15 +196,16 @@
 
 // updateLeader records whether the tried instance is the leader, or else the
 // address it redirected to, if any.
-func (l *LeaderClient) updateLeader(tried, redirect string, isLeader bool) {
+func (l *LeaderClient) updateLeader(tried, redirectTo string, isLeader bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
 	case isLeader:
 		l.lastLeader = tried
 		delete(l.lastFailure, tried)
-	case redirect != "" && redirect != tried:
-		l.lastLeader = redirect
+	case redirectTo != "" && redirectTo != tried:
+		l.lastLeader = redirectTo
+		l.redirected = redirection{from: tried, at: time.Now()}
 	case l.lastLeader == tried:
 		l.lastLeader = ""
 	}
--- a/internal/peer/client_test.go
+++ b/internal/peer/client_test.go
@@ -57,3 +57,56 @@
 	})
 	require.Equal(t, refusal.No, refusal.Of(err).Ran)
 }
+
+// Guards against calls that never reach the leader, since the replica of this instance
+// stands still and names an earlier leader, which answers that another one leads.
+func TestRedirectIsFollowedAgainstAStaleHint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const earlier, leading, third = "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"
+		dialer, err := NewDialer("key", "")
+		require.NoError(t, err)
+		client := NewLeaderClient(dialer, []string{earlier, leading, third}, func() string { return earlier })
+		for range 5 {
+			var tried []string
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			require.NoError(t, client.Call(ctx, func(_ context.Context, c *Clients) error {
+				tried = append(tried, c.Address)
+				if c.Address != leading {
+					return refusalrpc.ErrorWithLeader(refusal.New(refusal.NoLeader, "", "another instance leads"), leading)
+				}
+				return nil
+			}), "tried %v", tried)
+			cancel()
+			require.LessOrEqual(t, len(tried), 2)
+			time.Sleep(700 * time.Millisecond)
+		}
+	})
+}
+
+// The hint is followed again once the redirect is old or itself wrong.
+func TestHintIsFollowedAgainAfterARedirect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hinted, other = "127.0.0.1:1", "127.0.0.1:2"
+		dialer, err := NewDialer("key", "")
+		require.NoError(t, err)
+		client := NewLeaderClient(dialer, []string{hinted, other}, func() string { return hinted })
+		leading := other
+		call := func() (tried []string) {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			require.NoError(t, client.Call(ctx, func(_ context.Context, c *Clients) error {
+				tried = append(tried, c.Address)
+				if c.Address != leading {
+					return refusalrpc.ErrorWithLeader(refusal.New(refusal.NoLeader, "", "another instance leads"), leading)
+				}
+				return nil
+			}))
+			return tried
+		}
+		require.Equal(t, []string{hinted, other}, call())
+		leading = hinted
+		require.Equal(t, []string{other, hinted}, call())
+		time.Sleep(2 * suspectDuration)
+		require.Equal(t, []string{hinted}, call())
+	})
+}
