voter: a replica joins until the leader lists it, whatever its own log says

What callers saw: a cell of three voters had two, and the third logged replica_joined.

Cause: Join was done as soon as the replica's own log listed it as a voter. When a data folder is put back whose replica another one of its instance had replaced, that log is complete for its identity, so it is not set aside, and it still lists the replica. The leader lists the other one, which is gone; nobody ever repaired that.

Evidence: TestReplicaJoinsUntilTheLeaderListsItWhateverItsOwnLogSays failed before: expected 3 calls to the leader, actual 0. It passes now, as do all tests of voter and daemon.

Why it works: the leader answers the call without an error only when no change is left. The replica's own log must list it too, since the leader's newest membership may not be committed yet.

--- a/internal/voter/restart_test.go
+++ b/internal/voter/restart_test.go
@@ -1,17 +1,25 @@
 package voter
 
 import (
+	"context"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/gen/egretmux/v1/egretmuxv1connect"
 	"github.com/egretmux/egretmux/internal/peer"
+	"github.com/egretmux/egretmux/internal/refusal"
+	"github.com/egretmux/egretmux/internal/refusal/refusalrpc"
 )
 
 // TestRestoredBackupIsSetAside restores an older copy of a data folder. The other
@@ -93,3 +101,36 @@
 		require.NoError(b, v.Close())
 	}
 }
+
+// fakeLeader refuses the first calls by which a replica joins.
+type fakeLeader struct {
+	egretmuxv1connect.UnimplementedCellServiceHandler
+	refusals int64
+	calls    atomic.Int64
+}
+
+func (f *fakeLeader) JoinReplica(context.Context, *connect.Request[egretmuxv1.JoinReplicaRequest]) (*connect.Response[egretmuxv1.JoinReplicaResponse], error) {
+	if f.calls.Add(1) <= f.refusals {
+		return nil, refusalrpc.Error(refusal.New(refusal.Draining, "the instance repeats the call by itself", "not a voter yet"))
+	}
+	return connect.NewResponse(&egretmuxv1.JoinReplicaResponse{}), nil
+}
+
+// Guards against a voter that is missing for good: a data folder that another one had
+// replaced is put back, and its log still lists its replica as a voter.
+func TestReplicaJoinsUntilTheLeaderListsItWhateverItsOwnLogSays(t *testing.T) {
+	cell := startCell(t, 1)
+	awaitLeader(t, cell)
+	require.Eventually(t, cell[0].voter.isJoined, time.Minute, time.Millisecond)
+	leader := &fakeLeader{refusals: 2}
+	mux := http.NewServeMux()
+	mux.Handle(egretmuxv1connect.NewCellServiceHandler(leader))
+	server := httptest.NewUnstartedServer(mux)
+	server.Config.Protocols = new(http.Protocols)
+	server.Config.Protocols.SetUnencryptedHTTP2(true)
+	server.Start()
+	t.Cleanup(server.Close)
+	client := peer.NewLeaderClient(cell[0].voter.dialer, []string{server.Listener.Addr().String()}, func() string { return "" })
+	cell[0].voter.Join(t.Context(), client)
+	require.Equal(t, leader.refusals+1, leader.calls.Load())
+}
--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -160,11 +160,16 @@
 }
 
 // Join makes the replica a voter at its current address, replacing any earlier
-// replicas of its instance. It returns when that is done or the context ends.
+// replicas of its instance. It returns when that is done or the context ends. The
+// replica's own log does not suffice: if it was removed, the log still lists it.
 func (v *Voter) Join(ctx context.Context, leader *peer.LeaderClient) {
 	lastError := ""
-	for !v.isJoined() {
-		if err := v.joinOnce(ctx, leader); err != nil && err.Error() != lastError {
+	for {
+		err := v.joinOnce(ctx, leader)
+		if err == nil && v.isJoined() {
+			break
+		}
+		if err != nil && err.Error() != lastError {
 			lastError = err.Error()
 			v.logger.Info().Err(err).Str("event", "replica_joining").Msg("could not join the cell yet; trying again")
 		}
