jobcell: a spare replaces a voter that does not reply though its instance is up

What callers saw: nothing, until the next replica was lost: the cell then had no majority, though an instance with a spare disk had been there all the time.

Cause: whether a voter is lost was judged by the announcements of its instance alone. An instance whose disk hangs or is full, or that runs without its data folder now, announces itself while its replica takes no part in the log.

Evidence: TestSpareReplacesAReplicaThatDoesNotReplyThoughItsInstanceIsUp failed before in both cases: expected "replica-missing", actual "". It passes now, as do jobcell, the whole-cell test included, and consensus/core.

Why it works: the leader's core counts the ticks since each replica replied. A voter whose count exceeds the time after which a silent one counts as lost is lost as well.

--- a/internal/consensus/core/core.go
+++ b/internal/consensus/core/core.go
@@ -187,6 +187,19 @@
 	return s
 }
 
+// SilentTicks returns the ticks since each other replica last replied, by replica, or
+// nil if this replica does not lead.
+func (c *Core) SilentTicks() map[uint64]int {
+	if c.role != Leader {
+		return nil
+	}
+	out := make(map[uint64]int, len(c.progress))
+	for _, id := range c.peers() {
+		out[id] = c.progress[id].ticksSinceReply
+	}
+	return out
+}
+
 // Role returns the current role.
 func (c *Core) Role() Role { return c.role }
 
--- a/internal/consensus/core/core_test.go
+++ b/internal/consensus/core/core_test.go
@@ -392,3 +392,19 @@
 	}
 	require.True(t, resent)
 }
+
+func TestLeaderCountsTheTicksSinceEachReplicaReplied(t *testing.T) {
+	c := newLeader(t)
+	silent := func() map[uint64]int {
+		c.Output()
+		c.MarkPersisted()
+		return c.SilentTicks()
+	}
+	for range 5 {
+		c.Tick()
+	}
+	c.Step(message(egretmuxv1.MessageKind_MESSAGE_KIND_HEARTBEAT_REPLY, 2, 1, c.Term()))
+	require.Equal(t, map[uint64]int{2: 0, 3: 5}, silent())
+	c.Step(message(egretmuxv1.MessageKind_MESSAGE_KIND_HEARTBEAT, 3, 1, c.Term()+1))
+	require.Nil(t, silent(), "it does not lead any more")
+}
--- a/internal/jobcell/membership.go
+++ b/internal/jobcell/membership.go
@@ -27,15 +27,22 @@
 func (c *Cell) membershipLoop(ctx context.Context, node *consensus.Node) {
 	var leadingSince time.Time // zero while not leading
 	periodic.Run(ctx, membershipCheckPeriod, func(now time.Time) {
-		status, _ := node.Status()
-		if status.Role != core.Leader {
+		if status, _ := node.Status(); status.Role != core.Leader {
 			leadingSince = time.Time{}
 			return
 		}
+		var status core.Status
+		var silentTicks map[uint64]int
+		if err := node.Do(ctx, func(co *core.Core) error {
+			status, silentTicks = co.Status(), co.SilentTicks()
+			return nil
+		}); err != nil || status.Role != core.Leader {
+			return // the replica stops, or has lost leadership by now
+		}
 		if leadingSince.IsZero() {
 			leadingSince = now
 		}
-		next, reason := c.nextMembership(status, now, leadingSince)
+		next, reason := c.nextMembership(status, silentTicks, now, leadingSince)
 		if next == nil {
 			return
 		}
@@ -53,8 +60,9 @@
 }
 
 // nextMembership returns the membership that is one change closer to the target,
-// and the reason for the change, or nil if no change is needed.
-func (c *Cell) nextMembership(status core.Status, now, leadingSince time.Time) (*egretmuxv1.Membership, string) {
+// and the reason for the change, or nil if no change is needed. silentTicks are the ticks
+// since each replica last replied.
+func (c *Cell) nextMembership(status core.Status, silentTicks map[uint64]int, now, leadingSince time.Time) (*egretmuxv1.Membership, string) {
 	current := status.Membership
 	live := c.directory.Live(now)
 	live = append(live, c.self())
@@ -77,7 +85,9 @@
 		if !r.GetLearner() {
 			voters++
 		}
-		if silent && lost == nil {
+		// An instance may be up without its replica, as on a disk that hangs.
+		withoutReplies := time.Duration(silentTicks[r.GetId()])*tickInterval > replicaLostAfter
+		if lost == nil && (silent || withoutReplies && !r.GetLearner()) {
 			lost = r
 		}
 	}
--- a/internal/jobcell/membership_test.go
+++ b/internal/jobcell/membership_test.go
@@ -42,6 +42,31 @@
 	return m
 }
 
+// Guards against a voter that is missing for good while its instance is up: its disk
+// hangs or is full, or the instance runs without a data folder now.
+func TestSpareReplacesAReplicaThatDoesNotReplyThoughItsInstanceIsUp(t *testing.T) {
+	const replyTicks = int(replicaLostAfter / tickInterval)
+	now := time.Now()
+	for name, announced := range map[string]uint64{"same replica": 2, "no replica": 0} {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCell(t, "lead")
+			for _, m := range []*egretmuxv1.Member{newMember("b", "b", announced), newMember("c", "c", 3), newMember("spare", "d", 9)} {
+				meet(c, m, now)
+			}
+			status := caughtUp(newMembership("lead", 1, "b", 2, "c", 3), 1)
+			next, _ := c.nextMembership(status, map[uint64]int{2: replyTicks - 1}, now, now)
+			require.Nil(t, next)
+			next, reason := c.nextMembership(status, map[uint64]int{2: replyTicks + 1}, now, now)
+			require.Equal(t, "replica-missing", reason)
+			require.Equal(t, "1 2 3 9(learner)", describe(next))
+			next.Replicas[3].Learner = false
+			next, reason = c.nextMembership(caughtUp(next, 2), map[uint64]int{2: replyTicks + 1}, now, now)
+			require.Equal(t, "replica-lost", reason)
+			require.Equal(t, "1 3 9", describe(next))
+		})
+	}
+}
+
 // caughtUp returns the status of a leader whose replicas all hold its log, which ends with
 // the membership at the given index.
 func caughtUp(m *egretmuxv1.Membership, index uint64) core.Status {
@@ -95,7 +120,7 @@
 	}
 	status := caughtUp(newMembership("lead", 1, "b", lostReplica, "c", 3), 1)
 	var steps []string
-	for next, reason := c.nextMembership(status, now, now); next != nil; next, reason = c.nextMembership(status, now, now) {
+	for next, reason := c.nextMembership(status, nil, now, now); next != nil; next, reason = c.nextMembership(status, nil, now, now) {
 		require.Equal(t, "replica-returned", reason)
 		require.Less(t, len(steps), 3)
 		steps = append(steps, describe(next))
@@ -125,7 +150,7 @@
 	current.Replicas[3].Learner = true
 	status := caughtUp(current, 7)
 	status.Match[22] = status.MembershipIndex - 1
-	next, _ := c.nextMembership(status, now, now)
+	next, _ := c.nextMembership(status, nil, now, now)
 	require.Contains(t, describe(next), "1 2 3 22")
 }
 
@@ -136,7 +161,7 @@
 	nextAt := func(now time.Time) (*egretmuxv1.Membership, string) {
 		meet(c, newMember("b", "b", 2), now)
 		meet(c, newMember("spare", "d", 9), now)
-		return c.nextMembership(caughtUp(current, 1), now, began)
+		return c.nextMembership(caughtUp(current, 1), nil, now, began)
 	}
 	next, _ := nextAt(began.Add(replicaLostAfter - time.Second))
 	require.Nil(t, next)
