jobcell: a replica that does not catch up holds up no other

What callers saw: nothing, until a third replica of five was lost: the second lost disk had never been repaired.

Cause: the membership changes one step at a time, and the first returned replica by address took every turn. While it did not hold the log, as on a disk that hangs, its promotion was refused five times a second, and no other replica was added.

Evidence: TestReplicaThatDoesNotCatchUpHoldsUpNoOther failed before: expected "1 2 3 4 5 22(learner) 33(learner)", actual "1 2 3 4 5 22". It passes now, as does all of jobcell.

Why it works: a learner that does not hold the log up to the membership is left for the end among the returned replicas.

--- a/internal/jobcell/membership.go
+++ b/internal/jobcell/membership.go
@@ -66,6 +66,7 @@
 	current := status.Membership
 	live := c.directory.Live(now)
 	live = append(live, c.self())
+	var waiting *egretmuxv1.Member // with a learner that does not hold the log yet
 	for _, m := range live {
 		if m.GetReplica() == 0 {
 			continue
@@ -74,8 +75,15 @@
 		if r == nil || (r.GetId() == m.GetReplica() && !r.GetLearner() && countReplicasAt(current, m.GetAddress()) == 1) {
 			continue
 		}
+		if isLearner(current, m.GetReplica()) && status.Match[m.GetReplica()] < status.MembershipIndex {
+			waiting = m
+			continue
+		}
 		return advanceReplica(status, m), "replica-returned"
 	}
+	if waiting != nil {
+		return advanceReplica(status, waiting), "replica-returned"
+	}
 	voters, lost := 0, (*egretmuxv1.Replica)(nil)
 	for _, r := range current.GetReplicas() {
 		silent := r.GetAddress() != c.cfg.Address && c.directory.SilentFor(r.GetAddress(), now, leadingSince) > replicaLostAfter
@@ -119,6 +127,15 @@
 	return nil
 }
 
+func isLearner(membership *egretmuxv1.Membership, id uint64) bool {
+	for _, r := range membership.GetReplicas() {
+		if r.GetId() == id {
+			return r.GetLearner()
+		}
+	}
+	return false
+}
+
 func countReplicasAt(membership *egretmuxv1.Membership, address string) int {
 	n := 0
 	for _, r := range membership.GetReplicas() {
--- a/internal/jobcell/membership_test.go
+++ b/internal/jobcell/membership_test.go
@@ -140,6 +140,27 @@
 	require.Equal(t, []string{"1 2 3 22(learner)", "1 3 22(learner)", "1 3 22"}, steps)
 }
 
+// Guards against a second lost disk that is not repaired for good, since the replica of
+// the first does not catch up.
+func TestReplicaThatDoesNotCatchUpHoldsUpNoOther(t *testing.T) {
+	c := newTestCell(t, "lead")
+	now := time.Now()
+	for _, m := range []*egretmuxv1.Member{newMember("b", "b", 22), newMember("c", "c", 33), newMember("d", "d", 4), newMember("e", "e", 5)} {
+		meet(c, m, now)
+	}
+	current := newMembership("lead", 1, "b", 2, "c", 3, "d", 4, "e", 5, "b", 22)
+	current.Replicas[5].Learner = true
+	status := caughtUp(current, 7)
+	status.Match[22] = 0
+	next, reason := c.nextMembership(status, nil, now, now)
+	require.Equal(t, "replica-returned", reason)
+	require.Equal(t, "1 2 3 4 5 22(learner) 33(learner)", describe(next))
+	status = caughtUp(next, 8)
+	status.Match[22] = 0
+	next, _ = c.nextMembership(status, nil, now, now)
+	require.Equal(t, "1 2 4 5 22(learner) 33(learner)", describe(next))
+}
+
 // Guards against the removal of a voter that is up, because of a late announcement of a
 // replica that its instance had before.
 func TestFormerVoterIsKeptUntilTheNewReplicaHoldsTheLog(t *testing.T) {
