discovery: an instance that does not lead takes no notice that it does

What callers could see: an instance that is ready and whose calls are all refused, as it counts as in contact with a leader that does not lead.

Cause: reports of a leader in answers and announcements are ignored if they name the instance itself; those in notices were not. It then named itself to all others, which took each of its answers for contact with the leader, until one of a newer term was elected.

Evidence: TestInstanceThatDoesNotLeadNeverTakesItselfForTheLeader/notice failed before: "Should be empty, but was 10.0.0.1:7720". It passes now, as does all of discovery. With the guard of the other reports removed in a scratch edit, its other two cases fail.

--- a/internal/discovery/messages.go
+++ b/internal/discovery/messages.go
@@ -69,7 +69,7 @@
 	d.refreshSelf()
 	report := leaderReport{address: req.GetLeader(), control: req.GetLeaderControl(), term: req.GetTerm()}
 	if known := d.leader(); report.term >= known.term {
-		if report.term > known.term || known.address == "" {
+		if report.address != d.selfAddress && (report.term > known.term || known.address == "") {
 			d.heard = report
 			d.reportedSize = int(req.GetMembers())
 			// All instances hear of the leader at once. They spread their announcements.
--- a/internal/discovery/restart_test.go
+++ b/internal/discovery/restart_test.go
@@ -99,6 +99,33 @@
 	}
 }
 
+// Guards against instances that count as in contact with a leader, since one that does not
+// lead was told that it does and repeats it.
+func TestInstanceThatDoesNotLeadNeverTakesItselfForTheLeader(t *testing.T) {
+	named := leaderReport{address: restartedAt, term: formerTerm}
+	voters := []string{restartedAt, electedAt, bystanderAt}
+	for report, tell := range map[string]func(r *restarted){
+		"answer": func(r *restarted) { r.run(t, time.Second) },
+		"announcement": func(r *restarted) {
+			r.directory.HandleAnnouncement(&egretmuxv1.AnnounceMemberRequest{
+				Member: &egretmuxv1.Member{Address: bystanderAt}, Leader: named.address, LeaderTerm: named.term,
+			}, r.now)
+		},
+		"notice": func(r *restarted) {
+			r.directory.HandleNotice(&egretmuxv1.AnnounceLeaderRequest{Leader: named.address, Term: named.term, Voters: voters}, r.now)
+		},
+	} {
+		t.Run(report, func(t *testing.T) {
+			r := newRestarted(named)
+			tell(r)
+			answer := r.directory.HandleAnnouncement(&egretmuxv1.AnnounceMemberRequest{Member: &egretmuxv1.Member{Address: bystanderAt}}, r.now)
+			require.Empty(t, answer.GetLeader())
+			address, _ := r.directory.Leader()
+			require.Empty(t, address)
+		})
+	}
+}
+
 // Guards against the incident of 2026-12-04, over the simulated network: each leader in
 // turn loses its memory and its disk and starts again at once, while the other replicas
 // name it and no other can be elected.
