jobcell: a shutdown waits a second for a replica that stands still

Closing the data folder had all the time that was left until the kill, so that an instance with a hanging disk ended only half a second before it, and its test had that much slack. It has a second now, or what is left.

--- a/internal/jobcell/instance.go
+++ b/internal/jobcell/instance.go
@@ -25,7 +25,8 @@
 	handOverTimeout      = 500 * time.Millisecond  // for the replica to begin the hand-over
 	listenerCloseTimeout = 1500 * time.Millisecond // time left for the last responses
 	exitReserve          = 700 * time.Millisecond  // margin before the process is killed
-	closeTimeout         = 200 * time.Millisecond  // part of exitReserve for closing the data folder, if nothing is left of the time before
+	closeTimeout         = time.Second             // for the replica to stop and the data folder to close
+	closeReserve         = 200 * time.Millisecond  // part of exitReserve for that, if nothing is left of the time before
 	reloadPeriod         = 2 * time.Second
 	maxHeaderBytes       = 16 << 10
 	maxCellStreams       = 4096
@@ -130,7 +131,7 @@
 		if closeErr != nil {
 			log.Warn().Err(closeErr).Str("event", "data_folder_not_closed").Msg("could not close the data folder")
 		}
-	case <-time.After(time.Until(deadline.Add(closeTimeout))):
+	case <-time.After(min(closeTimeout, time.Until(deadline.Add(closeReserve)))):
 		log.Warn().Str("event", "data_folder_not_closed").Msg("the replica stands still; ending without it, which is as safe as a crash")
 	}
 	log.Info().Err(err).Str("event", "instance_stopped").Msg("instance stopped")
