consensus: a failing test of a transfer of leadership that is requested again

Found in review. A leader gives up a transfer after the election timeout, but each further request for one starts the time anew, and proposals wait meanwhile.

--- a/internal/consensus/core/core_test.go
+++ b/internal/consensus/core/core_test.go
@@ -408,3 +408,23 @@
 	c.Step(message(egretmuxv1.MessageKind_MESSAGE_KIND_HEARTBEAT, 3, 1, c.Term()+1))
 	require.Nil(t, silent(), "it does not lead any more")
 }
+
+// Guards against proposals that wait without a bound, since a leader that is asked again
+// and again to hand over leadership, as one with a slow disk is, never gives up a transfer
+// that fails.
+func TestFailedTransferIsGivenUpAfterTheElectionTimeoutHoweverOftenItIsRequested(t *testing.T) {
+	c := newLeader(t)
+	require.True(t, c.TransferLeadership(2))
+	for range electionTicks {
+		require.True(t, c.HandingOver())
+		c.TransferLeadership(2)
+		c.Step(message(egretmuxv1.MessageKind_MESSAGE_KIND_HEARTBEAT_REPLY, 2, 1, c.Term()))
+		c.Tick()
+		c.Output()
+		c.MarkPersisted()
+	}
+	require.Equal(t, core.Leader, c.Role())
+	require.False(t, c.HandingOver())
+	require.True(t, c.TransferLeadership(3), "the next one begins anew")
+	require.True(t, c.HandingOver())
+}
