jobcell: a failing test of a spare beside a returned replica that hangs

Found in review. An instance that lost its disk is back and announces a new replica, which gives no reply, as on a disk that hangs. The leader tries to advance that replica at each check, which the core refuses, and never comes to the spare. The next loss leaves the cell without a majority. Fails each time: reason "replica-returned", not "replica-missing".

--- a/internal/jobcell/membership_test.go
+++ b/internal/jobcell/membership_test.go
@@ -161,6 +161,29 @@
 	require.Equal(t, "1 2 4 5 22(learner) 33(learner)", describe(next))
 }
 
+// Guards against redundancy that is lost for good beside a spare, since an instance that lost
+// its disk is up with a replica that gives no reply, as on a disk that hangs.
+func TestSpareIsUsedWhileAReturnedReplicaGivesNoReply(t *testing.T) {
+	c := newTestCell(t, "lead")
+	now := time.Now()
+	for _, m := range []*egretmuxv1.Member{newMember("b", "b", 22), newMember("c", "c", 3), newMember("spare", "d", 9)} {
+		meet(c, m, now)
+	}
+	current := newMembership("lead", 1, "b", 2, "c", 3, "b", 22)
+	current.Replicas[3].Learner = true
+	for _, held := range []uint64{0, 7} { // nothing of the log, or all of it when the replica fell silent
+		status := caughtUp(current, 7)
+		status.Match[22] = held
+		silent := int(replicaLostAfter/tickInterval) + 1
+		next, reason := c.nextMembership(status, map[uint64]int{2: silent, 22: silent - 1}, now, now)
+		require.Equal(t, "replica-returned", reason)
+		require.NotContains(t, describe(next), "9")
+		next, reason = c.nextMembership(status, map[uint64]int{2: silent, 22: silent}, now, now)
+		require.Equal(t, "replica-missing", reason)
+		require.Equal(t, "1 2 3 22(learner) 9(learner)", describe(next))
+	}
+}
+
 // Guards against the removal of a voter that is up, because of a late announcement of a
 // replica that its instance had before.
 func TestFormerVoterIsKeptUntilTheNewReplicaHoldsTheLog(t *testing.T) {
