dispatch: ends are acknowledged only once all earlier ones are stored

What callers see: no end of a run is lost if the leader is lost while batches of ends are on their way to the log, or if one of them is not stored.

Cause: EndsStored took the highest cursor of any stored batch for the cursor up to which all ends are stored. Batches are proposed by goroutines of their own, one each 4 ms, and a worker is polled again after 1 s though its ends are not stored; nothing kept their order, and nothing kept the cursor behind a batch that failed. The worker forgets what is acknowledged, so the next leader never saw the ends and ran their tasks again.

Evidence: TestEndsAreAcknowledgedOnlyOnceAllEarlierOnesAreStored failed before, cursor 2 while end 1 was not stored.

Why it works: the core keeps the batches of a worker in the order of their ends and moves the cursor only to the last batch before the first that is not stored.

--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -96,6 +96,7 @@
 		return
 	}
 	w.storingCursor = highest
+	w.endBatches = append(w.endBatches, endBatchState{cursor: highest})
 	c.actions.EndBatches = append(c.actions.EndBatches, EndBatch{Target: w.Target, Ends: newEnds, Cursor: highest})
 }
 
@@ -219,7 +220,7 @@
 func (c *Core) EndsStored(t Target, cursor uint64, ends []*egretmuxv1.RunEnd, now time.Duration) {
 	w := c.workers[t.Worker]
 	if w != nil && w.Born == t.Born {
-		w.storedCursor = max(w.storedCursor, cursor)
+		w.markEndsStored(cursor)
 	} else {
 		w = nil
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -67,6 +67,7 @@
 	lease         lease
 	storedCursor  uint64 // ends up to this number are stored in the log
 	storingCursor uint64 // ends up to this number are stored or being stored
+	endBatches    []endBatchState
 	// withheldEnd is the number of the first end that must not be acknowledged;
 	// zero means none.
 	withheldEnd uint64
@@ -79,6 +80,28 @@
 	fillerPaceChangedAt time.Duration // when fillerPace last changed
 }
 
+// endBatchState is the state of a batch of ends that was to be stored, or whose
+// predecessor is not stored yet.
+type endBatchState struct {
+	cursor uint64 // number of the last end
+	stored bool
+}
+
+// markEndsStored records that a batch of ends is stored. Batches are stored
+// independently, but a number acknowledges all ends up to it: storedCursor stays before
+// the first batch that is not stored.
+func (w *worker) markEndsStored(cursor uint64) {
+	for i := range w.endBatches {
+		if w.endBatches[i].cursor == cursor {
+			w.endBatches[i].stored = true
+		}
+	}
+	for len(w.endBatches) > 0 && w.endBatches[0].stored {
+		w.storedCursor = w.endBatches[0].cursor
+		w.endBatches = w.endBatches[1:]
+	}
+}
+
 type runKey struct {
 	task   TaskKey
 	number uint64
