consensus: a transfer of leadership ends in its time though it is requested again

What callers see: a submit, a configuration or the end of a run waits for a failed hand-over at most one election timeout, also while the leader's disk is slow.

Cause: each request for a transfer started its time anew. The leader requests one when confirmations were slow for 480 ms, and gives a transfer up after 600 ms. While it is tried nothing is appended, so the append time by which the leader judges its disk stays as it was, and the requests go on.

Evidence: TestFailedTransferIsGivenUpAfterTheElectionTimeoutHoweverOftenItIsRequested failed before, the transfer was still in progress.

Why it works: only a request while no transfer is in progress starts the time. A further one may still name another successor.

--- a/internal/consensus/core/election.go
+++ b/internal/consensus/core/election.go
@@ -289,14 +289,17 @@
 }
 
 // TransferLeadership transfers leadership to the given voter once its log is
-// complete. It reports whether the transfer was started.
+// complete. It reports whether the transfer was started. A request during a transfer
+// changes at most its target: it ends in its time, as proposals wait for that.
 func (c *Core) TransferLeadership(to uint64) bool {
 	p := c.progress[to]
 	if c.role != Leader || to == c.cfg.ID || p == nil || !c.members.isVoter(to) {
 		return false
 	}
+	if c.transferTo == 0 {
+		c.transferElapsed = 0
+	}
 	c.transferTo = to
-	c.transferElapsed = 0
 	c.transferIfCaughtUp(to, p)
 	return true
 }
