jobcell: a spare replaces a lost voter though its successor gives no reply

What callers see: nothing, until the next voter is lost: then a cell with a spare still has its majority.

Cause: an instance that is back without its data is brought in before any spare is looked for. If its new replica gives no reply, as on a disk that hangs, the core refuses each step (learner not caught up), at each check of 200 ms for ever, and the spare stayed unused.

Evidence: TestSpareIsUsedWhileAReturnedReplicaGivesNoReply failed before: reason "replica-returned", expected "replica-missing".

Why it works: a learner without replies for replicaLostAfter, the silence after which a spare replaces a voter too, takes no turn. It stays in the membership and goes on when it replies.

--- a/internal/jobcell/membership.go
+++ b/internal/jobcell/membership.go
@@ -66,6 +66,10 @@
 	current := status.Membership
 	live := c.directory.Live(now)
 	live = append(live, c.self())
+	// An instance may be up without its replica, as on a disk that hangs.
+	withoutReplies := func(replica uint64) bool {
+		return time.Duration(silentTicks[replica])*tickInterval > replicaLostAfter
+	}
 	var waiting *egretmuxv1.Member // with a learner that does not hold the log yet
 	for _, m := range live {
 		if m.GetReplica() == 0 {
@@ -75,9 +79,14 @@
 		if r == nil || (r.GetId() == m.GetReplica() && !r.GetLearner() && countReplicasAt(current, m.GetAddress()) == 1) {
 			continue
 		}
-		if isLearner(current, m.GetReplica()) && status.Match[m.GetReplica()] < status.MembershipIndex {
-			waiting = m
-			continue
+		if isLearner(current, m.GetReplica()) {
+			if withoutReplies(m.GetReplica()) {
+				continue // it cannot become a voter
+			}
+			if status.Match[m.GetReplica()] < status.MembershipIndex {
+				waiting = m
+				continue
+			}
 		}
 		return advanceReplica(status, m), "replica-returned"
 	}
@@ -93,9 +102,7 @@
 		if !r.GetLearner() {
 			voters++
 		}
-		// An instance may be up without its replica, as on a disk that hangs.
-		withoutReplies := time.Duration(silentTicks[r.GetId()])*tickInterval > replicaLostAfter
-		if lost == nil && (silent || withoutReplies && !r.GetLearner()) {
+		if lost == nil && (silent || withoutReplies(r.GetId()) && !r.GetLearner()) {
 			lost = r
 		}
 	}
