--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -108,9 +108,11 @@
 			case <-n.stop:
 				n.failAll(ErrStopped)
 				return
+			case meta := <-n.snapshotsWhileFull():
+				n.finishSnapshot(meta)
 			case <-time.After(diskFullRetryPause):
-				continue
 			}
+			continue
 		}
 		if err != nil {
 			n.cfg.Logger.Error().Err(err).Str("event", "replica_stopped").Msg("replica stopped after a failure")
@@ -123,6 +125,17 @@
 	}
 }
 
+// snapshotsWhileFull returns the channel of finished snapshots, which cover entries that
+// are stored already, so that the log can be compacted to make room. It returns nil while a
+// snapshot from the leader is being stored: the core has dropped the log for it, the disk
+// must not yet.
+func (n *Node) snapshotsWhileFull() <-chan *egretmuxv1.SnapshotMeta {
+	if len(n.unpersisted.Chunks) > 0 {
+		return nil
+	}
+	return n.snapshotResults
+}
+
 // Stop ends Run and waits for it.
 func (n *Node) Stop() {
 	n.stopOnce.Do(func() { close(n.stop) })
