--- a/internal/consensus/core/election.go
+++ b/internal/consensus/core/election.go
@@ -289,18 +289,25 @@
 }
 
 // TransferLeadership transfers leadership to the given voter once its log is
-// complete. It reports whether the transfer was started.
+// complete. It reports whether the transfer was started. A request during a transfer
+// changes at most its target: it ends in its time, as proposals wait for that.
 func (c *Core) TransferLeadership(to uint64) bool {
 	p := c.progress[to]
 	if c.role != Leader || to == c.cfg.ID || p == nil || !c.members.isVoter(to) {
 		return false
 	}
+	if c.transferTo == 0 {
+		c.transferElapsed = 0
+	}
 	c.transferTo = to
-	c.transferElapsed = 0
 	c.transferIfCaughtUp(to, p)
 	return true
 }
 
+// HandingOver reports whether a transfer of leadership is in progress. It ends with
+// another leader, or after the election timeout with this one.
+func (c *Core) HandingOver() bool { return c.transferTo != 0 }
+
 // Successor returns the live voter with the most up-to-date log, or zero when
 // there is none or this replica does not lead.
 func (c *Core) Successor() uint64 {
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -42,7 +42,8 @@
 	snapshotRunning    bool
 	snapshotResults    chan *egretmuxv1.SnapshotMeta // metadata of a finished snapshot; nil if it failed
 
-	appendTime atomic.Int64 // duration of the newest log append, in nanoseconds
+	passes     atomic.Uint64 // through the loop of Run
+	appendTime atomic.Int64  // duration of the newest log append, in nanoseconds
 
 	statusMu      sync.RWMutex
 	status        core.Status
@@ -92,9 +93,11 @@
 // is elected.
 func (n *Node) Run() {
 	defer close(n.stopped)
+	defer n.startWatch()()
 	ticker := time.NewTicker(n.cfg.Tick)
 	defer ticker.Stop()
 	for {
+		n.passes.Add(1)
 		if n.unpersisted == nil && !n.handleEvents(ticker.C) {
 			n.failAll(ErrStopped)
 			return
@@ -105,9 +108,11 @@
 			case <-n.stop:
 				n.failAll(ErrStopped)
 				return
+			case meta := <-n.snapshotsWhileFull():
+				n.finishSnapshot(meta)
 			case <-time.After(diskFullRetryPause):
-				continue
 			}
+			continue
 		}
 		if err != nil {
 			n.cfg.Logger.Error().Err(err).Str("event", "replica_stopped").Msg("replica stopped after a failure")
@@ -120,6 +125,17 @@
 	}
 }
 
+// snapshotsWhileFull returns the channel of finished snapshots, which cover entries that
+// are stored already, so that the log can be compacted to make room. It returns nil while a
+// snapshot from the leader is being stored: the core has dropped the log for it, the disk
+// must not yet.
+func (n *Node) snapshotsWhileFull() <-chan *egretmuxv1.SnapshotMeta {
+	if len(n.unpersisted.Chunks) > 0 {
+		return nil
+	}
+	return n.snapshotResults
+}
+
 // Stop ends Run and waits for it.
 func (n *Node) Stop() {
 	n.stopOnce.Do(func() { close(n.stop) })
@@ -163,9 +179,10 @@
 }
 
 // admittedProposals returns the proposal queue, or nil while too many proposals
-// are pending.
+// are pending or leadership is being handed over: if that fails, the leader goes on in
+// the same term.
 func (n *Node) admittedProposals() <-chan proposal {
-	if len(n.pendingProposals) >= maxPendingProposals || n.pendingBytes >= maxPendingBytes {
+	if len(n.pendingProposals) >= maxPendingProposals || n.pendingBytes >= maxPendingBytes || n.core.HandingOver() {
 		return nil
 	}
 	return n.proposals
--- a/internal/discovery/messages.go
+++ b/internal/discovery/messages.go
@@ -69,7 +69,7 @@
 	d.refreshSelf()
 	report := leaderReport{address: req.GetLeader(), control: req.GetLeaderControl(), term: req.GetTerm()}
 	if known := d.leader(); report.term >= known.term {
-		if report.term > known.term || known.address == "" {
+		if report.address != d.selfAddress && (report.term > known.term || known.address == "") {
 			d.heard = report
 			d.reportedSize = int(req.GetMembers())
 			// All instances hear of the leader at once. They spread their announcements.
@@ -148,11 +148,15 @@
 			d.wantPeersAt = now.Add(d.jitter(peersSpread * d.announcePeriod()))
 		}
 		d.contactAt = began
+		d.search = leaderSearch{}
 		d.roundAt(began.Add(d.announcePeriod()))
 		d.suspect = leaderReport{}
 	} else if leader := d.leader(); leader.address == call.Address {
 		d.suspectLeader(leader, now) // it does not lead any more, or not yet
 	}
+	if resp.GetLeader() != call.Address {
+		d.search.noteAnswer(resp.GetLeader(), d.selfAddress, now)
+	}
 	d.learnLeader(leaderReport{address: resp.GetLeader(), control: resp.GetLeaderControl(), term: resp.GetLeaderTerm()}, now)
 }
 
--- a/internal/jobcell/cell.go
+++ b/internal/jobcell/cell.go
@@ -19,6 +19,7 @@
 	"github.com/egretmux/egretmux/internal/discovery"
 	"github.com/egretmux/egretmux/internal/job"
 	"github.com/egretmux/egretmux/internal/peer"
+	"github.com/egretmux/egretmux/internal/periodic"
 	"github.com/egretmux/egretmux/internal/scheduler"
 	"github.com/egretmux/egretmux/internal/settings"
 	"github.com/egretmux/egretmux/internal/telemetry"
@@ -70,6 +71,7 @@
 	workers             *workerProxy
 	relay               *leaderRelay
 	heartbeats          *heartbeatCache
+	calls               *callWatch
 	failed              chan error
 	replicaStartAllowed chan struct{} // closed when an empty replica may start
 	startOnce           sync.Once
@@ -88,6 +90,7 @@
 	c.workers = newWorkerProxy(c, cfg.Scheduler.WorkerClient)
 	c.relay = newLeaderRelay(c)
 	c.heartbeats = newHeartbeatCache()
+	c.calls = newCallWatch()
 	cfg.Scheduler.AdviceClient = c.advice
 	cfg.Scheduler.WorkerClient = c.workers
 	cfg.Scheduler.Logger = cfg.Logger
@@ -124,6 +127,7 @@
 func (c *Cell) Run(ctx context.Context) {
 	var loops sync.WaitGroup
 	loops.Go(func() { c.discoveryLoop(ctx) })
+	loops.Go(func() { periodic.Run(ctx, callWatchPeriod, c.logStalledCalls) })
 	if c.cfg.Founding && len(c.cfg.Seeds) > 0 && c.cfg.Seeds[0] == c.cfg.Address {
 		loops.Go(func() { c.bootstrapLoop(ctx) })
 	}
@@ -156,6 +160,7 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { c.scheduler.Run(ctx) })
 	loops.Go(func() { c.membershipLoop(ctx, node) })
+	loops.Go(func() { c.voterWatchLoop(ctx, node) })
 	loops.Wait()
 }
 
@@ -176,10 +181,12 @@
 }
 
 // HandOver transfers leadership to another replica before this instance stops.
-func (c *Cell) HandOver(ctx context.Context) {
-	if node := c.scheduler.Node(); node != nil {
-		scheduler.HandOver(ctx, node)
+func (c *Cell) HandOver(ctx context.Context) error {
+	node := c.scheduler.Node()
+	if node == nil {
+		return nil
 	}
+	return scheduler.HandOver(ctx, node)
 }
 
 // self returns the member entry that this instance announces to the others.
--- a/internal/jobcell/instance.go
+++ b/internal/jobcell/instance.go
@@ -19,10 +19,14 @@
 // Limits of an instance's listeners and timing of its shutdown.
 const (
 	readHeaderTimeout    = 3 * time.Second
+	bodyTimeout          = 30 * time.Second // for a client to send a request's body
 	idleTimeout          = 15 * time.Second
 	balancerNoticeTime   = 2500 * time.Millisecond // balancers need two checks a second apart to see that the instance is not ready
+	handOverTimeout      = 500 * time.Millisecond  // for the replica to begin the hand-over
 	listenerCloseTimeout = 1500 * time.Millisecond // time left for the last responses
 	exitReserve          = 700 * time.Millisecond  // margin before the process is killed
+	closeTimeout         = time.Second             // for the replica to stop and the data folder to close
+	closeReserve         = 200 * time.Millisecond  // part of exitReserve for that, if nothing is left of the time before
 	reloadPeriod         = 2 * time.Second
 	maxHeaderBytes       = 16 << 10
 	maxCellStreams       = 4096
@@ -61,7 +65,7 @@
 		return
 	}
 	i.servers = append(i.servers, &server{name: name, address: address, http: &http.Server{
-		Handler: edge.CloseAfter(i.draining, h), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: edge.CloseAfter(i.draining, edge.LimitBodyTime(bodyTimeout, h)), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}})
 }
 
@@ -114,24 +118,36 @@
 	}()
 	log.Info().Str("event", "instance_started").Str("zone", i.cell.cfg.Zone).Bool("replica", i.cell.voter != nil).Bool("founding", i.cell.cfg.Founding).Strs("seeds", i.cell.cfg.Seeds).Msg("instance started")
 	err := i.waitForStop(ctx)
-	i.drain()
+	deadline := time.Now().Add(max(listenerCloseTimeout, i.cfg.ShutdownTime-exitReserve))
+	i.drain(deadline)
 	stop()
-	<-done
-	if closeErr := i.cell.Close(); closeErr != nil {
-		log.Warn().Err(closeErr).Str("event", "data_folder_not_closed").Msg("could not close the data folder")
+	closed := make(chan error, 1)
+	go func() {
+		<-done
+		closed <- i.cell.Close()
+	}()
+	select {
+	case closeErr := <-closed:
+		if closeErr != nil {
+			log.Warn().Err(closeErr).Str("event", "data_folder_not_closed").Msg("could not close the data folder")
+		}
+	case <-time.After(min(closeTimeout, time.Until(deadline.Add(closeReserve)))):
+		log.Warn().Str("event", "data_folder_not_closed").Msg("the replica stands still; ending without it, which is as safe as a crash")
 	}
 	log.Info().Err(err).Str("event", "instance_stopped").Msg("instance stopped")
 	return err
 }
 
-// waitForStop blocks until the instance has a reason to stop. Meanwhile it re-reads
-// the settings every reloadPeriod and at SIGHUP.
+// waitForStop blocks until the instance has a reason to stop. Meanwhile the settings are
+// re-read every reloadPeriod and at SIGHUP.
 func (i *Instance) waitForStop(ctx context.Context) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	reload := time.NewTicker(reloadPeriod)
-	defer reload.Stop()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	requests := make(chan struct{}, 1)
+	go i.reloadLoop(ctx, requests)
 	for {
 		select {
 		case <-ctx.Done():
@@ -140,13 +156,31 @@
 			return err
 		case err := <-i.cell.Failed():
 			return err
-		case <-reload.C:
-			i.reload("period")
 		case s := <-signals:
 			i.cfg.Logger.Info().Str("event", "signal_received").Stringer("signal", s).Msg("received a signal")
 			if s != syscall.SIGHUP {
 				return nil
 			}
+			select {
+			case requests <- struct{}{}:
+			default: // the reading that is about to begin sees the change
+			}
+		}
+	}
+}
+
+// reloadLoop re-reads the settings periodically and on request. It has a goroutine of its
+// own, as a file that hangs must not delay a stop.
+func (i *Instance) reloadLoop(ctx context.Context, requests <-chan struct{}) {
+	ticker := time.NewTicker(reloadPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			i.reload("period")
+		case <-requests:
 			i.reload("signal")
 		}
 	}
@@ -167,14 +201,16 @@
 }
 
 // drain fails the readiness check, transfers leadership, waits for load balancers
-// to notice, and then closes the listeners once in-flight requests are answered.
-func (i *Instance) drain() {
+// to notice, and then closes the listeners once in-flight requests are answered, by the
+// deadline at the latest.
+func (i *Instance) drain(deadline time.Time) {
 	close(i.draining)
 	i.cfg.Logger.Info().Str("event", "readiness_dropped").Msg("shutting down; readiness checks fail from now on")
-	ctx, cancel := context.WithTimeout(context.Background(), max(listenerCloseTimeout, i.cfg.ShutdownTime-exitReserve))
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	i.cell.HandOver(ctx)
-	time.Sleep(min(balancerNoticeTime, max(0, i.cfg.ShutdownTime-exitReserve-listenerCloseTimeout)))
+	noticed := time.After(min(balancerNoticeTime, max(0, i.cfg.ShutdownTime-exitReserve-listenerCloseTimeout)))
+	i.handOver(ctx)
+	<-noticed
 	for _, s := range i.servers {
 		if s.name == "cell" {
 			continue // still carries the last calls to the leader
@@ -184,3 +220,13 @@
 		}
 	}
 }
+
+// handOver hands leadership over. A replica that stands still, as on a hanging disk, must
+// not take the time that requests in flight need: the others elect a leader without it.
+func (i *Instance) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	if err := i.cell.HandOver(ctx); err != nil {
+		i.cfg.Logger.Warn().Err(err).Str("event", "leadership_not_handed_over").Msg("the replica does not react; the others elect a leader when they miss it")
+	}
+}
--- a/internal/jobcell/membership.go
+++ b/internal/jobcell/membership.go
@@ -27,15 +27,22 @@
 func (c *Cell) membershipLoop(ctx context.Context, node *consensus.Node) {
 	var leadingSince time.Time // zero while not leading
 	periodic.Run(ctx, membershipCheckPeriod, func(now time.Time) {
-		status, _ := node.Status()
-		if status.Role != core.Leader {
+		if status, _ := node.Status(); status.Role != core.Leader {
 			leadingSince = time.Time{}
 			return
 		}
+		var status core.Status
+		var silentTicks map[uint64]int
+		if err := node.Do(ctx, func(co *core.Core) error {
+			status, silentTicks = co.Status(), co.SilentTicks()
+			return nil
+		}); err != nil || status.Role != core.Leader {
+			return // the replica stops, or has lost leadership by now
+		}
 		if leadingSince.IsZero() {
 			leadingSince = now
 		}
-		next, reason := c.nextMembership(status.Membership, now, leadingSince)
+		next, reason := c.nextMembership(status, silentTicks, now, leadingSince)
 		if next == nil {
 			return
 		}
@@ -53,10 +60,17 @@
 }
 
 // nextMembership returns the membership that is one change closer to the target,
-// and the reason for the change, or nil if no change is needed.
-func (c *Cell) nextMembership(current *egretmuxv1.Membership, now, leadingSince time.Time) (*egretmuxv1.Membership, string) {
+// and the reason for the change, or nil if no change is needed. silentTicks are the ticks
+// since each replica last replied.
+func (c *Cell) nextMembership(status core.Status, silentTicks map[uint64]int, now, leadingSince time.Time) (*egretmuxv1.Membership, string) {
+	current := status.Membership
 	live := c.directory.Live(now)
 	live = append(live, c.self())
+	// An instance may be up without its replica, as on a disk that hangs.
+	withoutReplies := func(replica uint64) bool {
+		return time.Duration(silentTicks[replica])*tickInterval > replicaLostAfter
+	}
+	var waiting *egretmuxv1.Member // with a learner that does not hold the log yet
 	for _, m := range live {
 		if m.GetReplica() == 0 {
 			continue
@@ -65,7 +79,19 @@
 		if r == nil || (r.GetId() == m.GetReplica() && !r.GetLearner() && countReplicasAt(current, m.GetAddress()) == 1) {
 			continue
 		}
-		return advanceReplica(current, m), "replica-returned"
+		if isLearner(current, m.GetReplica()) {
+			if withoutReplies(m.GetReplica()) {
+				continue // it cannot become a voter
+			}
+			if status.Match[m.GetReplica()] < status.MembershipIndex {
+				waiting = m
+				continue
+			}
+		}
+		return advanceReplica(status, m), "replica-returned"
+	}
+	if waiting != nil {
+		return advanceReplica(status, waiting), "replica-returned"
 	}
 	voters, lost := 0, (*egretmuxv1.Replica)(nil)
 	for _, r := range current.GetReplicas() {
@@ -76,12 +102,12 @@
 		if !r.GetLearner() {
 			voters++
 		}
-		if silent && lost == nil {
+		if lost == nil && (silent || withoutReplies(r.GetId()) && !r.GetLearner()) {
 			lost = r
 		}
 	}
 	if spare := findSpare(live, current); spare != nil && (voters < c.targetVoters() || (lost != nil && voters == c.targetVoters())) {
-		return advanceReplica(current, spare), "replica-missing"
+		return advanceReplica(status, spare), "replica-missing"
 	}
 	if lost != nil && voters > c.targetVoters() {
 		return withoutReplica(current, lost), "replica-lost"
@@ -91,8 +117,8 @@
 
 // advanceReplica returns the membership that brings an instance's replica one step
 // closer to being a voter, or nil if it is one.
-func advanceReplica(current *egretmuxv1.Membership, m *egretmuxv1.Member) *egretmuxv1.Membership {
-	next, done := voter.NextMembership(current, &egretmuxv1.JoinReplicaRequest{Instance: m.GetAddress(), Address: m.GetAddress(), Replica: m.GetReplica()})
+func advanceReplica(status core.Status, m *egretmuxv1.Member) *egretmuxv1.Membership {
+	next, done := voter.NextMembership(status, &egretmuxv1.JoinReplicaRequest{Instance: m.GetAddress(), Address: m.GetAddress(), Replica: m.GetReplica()})
 	if done {
 		return nil
 	}
@@ -108,6 +134,15 @@
 	return nil
 }
 
+func isLearner(membership *egretmuxv1.Membership, id uint64) bool {
+	for _, r := range membership.GetReplicas() {
+		if r.GetId() == id {
+			return r.GetLearner()
+		}
+	}
+	return false
+}
+
 func countReplicasAt(membership *egretmuxv1.Membership, address string) int {
 	n := 0
 	for _, r := range membership.GetReplicas() {
--- a/internal/jobcell/membership_test.go
+++ b/internal/jobcell/membership_test.go
@@ -1,6 +1,8 @@
 package jobcell
 
 import (
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -8,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/consensus/core"
 	"github.com/egretmux/egretmux/internal/scheduler"
 )
 
@@ -39,6 +42,54 @@
 	return m
 }
 
+// Guards against a voter that is missing for good while its instance is up: its disk
+// hangs or is full, or the instance runs without a data folder now.
+func TestSpareReplacesAReplicaThatDoesNotReplyThoughItsInstanceIsUp(t *testing.T) {
+	const replyTicks = int(replicaLostAfter / tickInterval)
+	now := time.Now()
+	for name, announced := range map[string]uint64{"same replica": 2, "no replica": 0} {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCell(t, "lead")
+			for _, m := range []*egretmuxv1.Member{newMember("b", "b", announced), newMember("c", "c", 3), newMember("spare", "d", 9)} {
+				meet(c, m, now)
+			}
+			status := caughtUp(newMembership("lead", 1, "b", 2, "c", 3), 1)
+			next, _ := c.nextMembership(status, map[uint64]int{2: replyTicks - 1}, now, now)
+			require.Nil(t, next)
+			next, reason := c.nextMembership(status, map[uint64]int{2: replyTicks + 1}, now, now)
+			require.Equal(t, "replica-missing", reason)
+			require.Equal(t, "1 2 3 9(learner)", describe(next))
+			next.Replicas[3].Learner = false
+			next, reason = c.nextMembership(caughtUp(next, 2), map[uint64]int{2: replyTicks + 1}, now, now)
+			require.Equal(t, "replica-lost", reason)
+			require.Equal(t, "1 3 9", describe(next))
+		})
+	}
+}
+
+// caughtUp returns the status of a leader whose replicas all hold its log, which ends with
+// the membership at the given index.
+func caughtUp(m *egretmuxv1.Membership, index uint64) core.Status {
+	s := core.Status{Membership: m, MembershipIndex: index, Match: make(map[uint64]uint64)}
+	for _, r := range m.GetReplicas() {
+		s.Match[r.GetId()] = index
+	}
+	return s
+}
+
+// describe lists the replicas of a membership.
+func describe(m *egretmuxv1.Membership) string {
+	var out []string
+	for _, r := range m.GetReplicas() {
+		item := strconv.FormatUint(r.GetId(), 10)
+		if r.GetLearner() {
+			item += "(learner)"
+		}
+		out = append(out, item)
+	}
+	return strings.Join(out, " ")
+}
+
 func TestFirstReplicasAreSpreadOverZones(t *testing.T) {
 	c := newTestCell(t, "seed")
 	now := time.Now()
@@ -58,20 +109,93 @@
 	require.Nil(t, c.chooseInitialMembership())
 }
 
-func TestReplicaWithAnEmptyDiskTakesItsOldPlace(t *testing.T) {
+// Guards against a majority that is lost for good, since the instance that lost its disk
+// loses it again while both of its replicas are voters.
+func TestReplicaWithAnEmptyDiskTakesItsOldPlaceAndMayBeLostAgainAtEachStep(t *testing.T) {
+	const lostReplica, newReplica = 2, 22
 	c := newTestCell(t, "lead")
 	now := time.Now()
-	current := newMembership("lead", 1, "b", 2, "c", 3)
-	for _, m := range []*egretmuxv1.Member{newMember("b", "b", 22), newMember("c", "c", 3)} {
+	for _, m := range []*egretmuxv1.Member{newMember("b", "b", newReplica), newMember("c", "c", 3)} {
 		meet(c, m, now)
 	}
-	next, reason := c.nextMembership(current, now, now)
+	status := caughtUp(newMembership("lead", 1, "b", lostReplica, "c", 3), 1)
+	var steps []string
+	for next, reason := c.nextMembership(status, nil, now, now); next != nil; next, reason = c.nextMembership(status, nil, now, now) {
+		require.Equal(t, "replica-returned", reason)
+		require.Less(t, len(steps), 3)
+		steps = append(steps, describe(next))
+		voters, surviving := 0, 0
+		for _, r := range next.GetReplicas() {
+			if r.GetLearner() {
+				continue
+			}
+			voters++
+			if r.GetId() != lostReplica && r.GetId() != newReplica {
+				surviving++
+			}
+		}
+		require.Greater(t, surviving, voters/2, "after %v", steps)
+		status = caughtUp(next, status.MembershipIndex+1)
+	}
+	require.Equal(t, []string{"1 2 3 22(learner)", "1 3 22(learner)", "1 3 22"}, steps)
+}
+
+// Guards against a second lost disk that is not repaired for good, since the replica of
+// the first does not catch up.
+func TestReplicaThatDoesNotCatchUpHoldsUpNoOther(t *testing.T) {
+	c := newTestCell(t, "lead")
+	now := time.Now()
+	for _, m := range []*egretmuxv1.Member{newMember("b", "b", 22), newMember("c", "c", 33), newMember("d", "d", 4), newMember("e", "e", 5)} {
+		meet(c, m, now)
+	}
+	current := newMembership("lead", 1, "b", 2, "c", 3, "d", 4, "e", 5, "b", 22)
+	current.Replicas[5].Learner = true
+	status := caughtUp(current, 7)
+	status.Match[22] = 0
+	next, reason := c.nextMembership(status, nil, now, now)
 	require.Equal(t, "replica-returned", reason)
-	require.Len(t, next.GetReplicas(), 4)
-	require.True(t, next.GetReplicas()[3].GetLearner())
-	next.Replicas[3].Learner = false
-	next, _ = c.nextMembership(next, now, now)
-	require.Len(t, next.GetReplicas(), 3, "the former replica is removed")
+	require.Equal(t, "1 2 3 4 5 22(learner) 33(learner)", describe(next))
+	status = caughtUp(next, 8)
+	status.Match[22] = 0
+	next, _ = c.nextMembership(status, nil, now, now)
+	require.Equal(t, "1 2 4 5 22(learner) 33(learner)", describe(next))
+}
+
+// Guards against redundancy that is lost for good beside a spare, since an instance that lost
+// its disk is up with a replica that gives no reply, as on a disk that hangs.
+func TestSpareIsUsedWhileAReturnedReplicaGivesNoReply(t *testing.T) {
+	c := newTestCell(t, "lead")
+	now := time.Now()
+	for _, m := range []*egretmuxv1.Member{newMember("b", "b", 22), newMember("c", "c", 3), newMember("spare", "d", 9)} {
+		meet(c, m, now)
+	}
+	current := newMembership("lead", 1, "b", 2, "c", 3, "b", 22)
+	current.Replicas[3].Learner = true
+	for _, held := range []uint64{0, 7} { // nothing of the log, or all of it when the replica fell silent
+		status := caughtUp(current, 7)
+		status.Match[22] = held
+		silent := int(replicaLostAfter/tickInterval) + 1
+		next, reason := c.nextMembership(status, map[uint64]int{2: silent, 22: silent - 1}, now, now)
+		require.Equal(t, "replica-returned", reason)
+		require.NotContains(t, describe(next), "9")
+		next, reason = c.nextMembership(status, map[uint64]int{2: silent, 22: silent}, now, now)
+		require.Equal(t, "replica-missing", reason)
+		require.Equal(t, "1 2 3 22(learner) 9(learner)", describe(next))
+	}
+}
+
+// Guards against the removal of a voter that is up, because of a late announcement of a
+// replica that its instance had before.
+func TestFormerVoterIsKeptUntilTheNewReplicaHoldsTheLog(t *testing.T) {
+	c := newTestCell(t, "lead")
+	now := time.Now()
+	meet(c, newMember("b", "b", 22), now)
+	current := newMembership("lead", 1, "b", 2, "c", 3, "b", 22)
+	current.Replicas[3].Learner = true
+	status := caughtUp(current, 7)
+	status.Match[22] = status.MembershipIndex - 1
+	next, _ := c.nextMembership(status, nil, now, now)
+	require.Contains(t, describe(next), "1 2 3 22")
 }
 
 func TestSpareReplacesAReplicaOnlyAfterALongSilence(t *testing.T) {
@@ -81,7 +205,7 @@
 	nextAt := func(now time.Time) (*egretmuxv1.Membership, string) {
 		meet(c, newMember("b", "b", 2), now)
 		meet(c, newMember("spare", "d", 9), now)
-		return c.nextMembership(current, now, began)
+		return c.nextMembership(caughtUp(current, 1), nil, now, began)
 	}
 	next, _ := nextAt(began.Add(replicaLostAfter - time.Second))
 	require.Nil(t, next)
