jobcell: a failing test of calls that are relayed for ever

A call that went through another instance extends the time for which the next ones do, so that under steady calls the leader is never called directly again. Callers pay a hop.

--- a/internal/jobcell/relay_test.go
+++ b/internal/jobcell/relay_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"connectrpc.com/connect"
@@ -110,6 +111,23 @@
 	require.Less(t, time.Since(began), leaderSearchTimeout+maxRelayTries*relayCallTimeout)
 }
 
+// Guards against calls that go through another instance for ever: each relayed call extends
+// the time for which the next ones are relayed, though the leader answers here again.
+func TestCallsGoToTheLeaderDirectlyOnceItAnswersAgain(t *testing.T) {
+	const leader, relay, callPause = "10.0.0.1:7720", "10.0.0.2:7720", 250 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		c := newCellWithLeader(t, leader)
+		c.relay.remember(relay, time.Now())
+		began := time.Now()
+		for c.relay.preferred() {
+			require.LessOrEqual(t, time.Since(began), 2*relayReuseTime, "calls are still relayed")
+			time.Sleep(callPause)
+			meetLeader(c, leader)
+			c.relay.remember(relay, time.Now())
+		}
+	})
+}
+
 // meet lets an instance announce itself to a cell.
 func meet(c *Cell, m *egretmuxv1.Member, now time.Time) {
 	c.directory.HandleAnnouncement(&egretmuxv1.AnnounceMemberRequest{Member: m}, now)
