--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -20,7 +20,7 @@
 )
 
 // fakeWorkers implements scheduler.WorkerClient in memory. Each run ends as done at the
-// next poll.
+// next poll, unless it is held.
 type fakeWorkers struct {
 	mu             sync.Mutex
 	running        []dispatch.StartOrder
@@ -31,6 +31,7 @@
 	starts         int
 	// refuse, if set, answers a start unless it returns Accepted.
 	refuse func(ctx context.Context, earlierStarts int) dispatch.StartResult
+	held   func(dispatch.StartOrder) bool // reports whether a run goes on; nil if none does
 }
 
 func (f *fakeWorkers) Start(ctx context.Context, s dispatch.StartOrder, _ uint64) (dispatch.StartResult, int64) {
@@ -60,11 +61,19 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.cursor = max(f.cursor, poll.Cursor)
+	listing := dispatch.Listing{Clock: time.Now().UnixMilli(), Complete: true}
+	var running []dispatch.StartOrder
 	for _, s := range f.running {
+		if f.held != nil && f.held(s) {
+			running = append(running, s)
+			listing.Running = append(listing.Running, dispatch.ListedRun{Task: s.Task, Run: s.Run})
+			continue
+		}
 		f.ended = append(f.ended, dispatch.ListedEnd{Number: uint64(len(f.ended) + 1), Task: s.Task, Run: s.Run, Outcome: egretmuxv1.RunOutcome_RUN_OUTCOME_DONE, TaskParsed: true})
 	}
-	f.running = nil
-	return dispatch.Listing{Clock: time.Now().UnixMilli(), Ended: f.ended[min(uint64(len(f.ended)), poll.Cursor):], Complete: true}, scheduler.PollAnswered
+	f.running = running
+	listing.Ended = f.ended[min(uint64(len(f.ended)), poll.Cursor):]
+	return listing, scheduler.PollAnswered
 }
 
 // noAdvice implements scheduler.AdviceClient. No step here needs advice.
--- a/internal/scheduler/transfer_test.go
+++ b/internal/scheduler/transfer_test.go
@@ -22,37 +22,6 @@
 	"github.com/egretmux/egretmux/internal/voter"
 )
 
-// pausedWorkers ends only the runs of the first tasks of a step.
-type pausedWorkers struct {
-	fakeWorkers
-	endingTasks atomic.Uint32
-	listedEnds  atomic.Uint32 // in the newest listing or acknowledged
-}
-
-func (p *pausedWorkers) Poll(ctx context.Context, poll scheduler.Poll) (dispatch.Listing, scheduler.PollResult) {
-	var paused []dispatch.StartOrder
-	p.mu.Lock()
-	ending := p.running[:0:0]
-	for _, s := range p.running {
-		if s.Task.Index < p.endingTasks.Load() {
-			ending = append(ending, s)
-		} else {
-			paused = append(paused, s)
-		}
-	}
-	p.running = ending
-	p.mu.Unlock()
-	listing, result := p.fakeWorkers.Poll(ctx, poll)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.running = append(p.running, paused...)
-	for _, s := range p.running {
-		listing.Running = append(listing.Running, dispatch.ListedRun{Task: s.Task, Run: s.Run})
-	}
-	p.listedEnds.Store(uint32(len(p.ended)))
-	return listing, result
-}
-
 // A leader gives up a transfer of leadership after transferTicks.
 const (
 	transferTick  = 10 * time.Millisecond
@@ -108,12 +77,15 @@
 	return leader, book, members.GetReplicas()[2].GetId()
 }
 
-// Soak seed 20031: the ends listed while a transfer of leadership was tried were dropped,
+// Guards against soak seed 20031: the ends listed while a transfer of leadership was tried were dropped,
 // and later ends of the same worker acknowledged them.
 func TestEndListedDuringATransferThatFailsIsStoredBeforeItIsAcknowledged(t *testing.T) {
 	node, book, silent := startVoters(t)
-	p := &pausedWorkers{}
-	p.stored = func(dispatch.StartOrder) bool { return true }
+	var endingTasks atomic.Uint32 // runs of the first tasks of the step, which end
+	p := &fakeWorkers{
+		stored: func(dispatch.StartOrder) bool { return true },
+		held:   func(s dispatch.StartOrder) bool { return s.Task.Index >= endingTasks.Load() },
+	}
 	s := scheduler.New(scheduler.Config{WorkerClient: p, AdviceClient: noAdvice{}, Lease: 6 * time.Second, FarFactor: 1, StatusKeep: time.Minute, Logger: zerolog.Nop()})
 	s.SetReplica(node, book)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -138,13 +110,17 @@
 		require.True(t, c.TransferLeadership(silent))
 		return nil
 	}))
-	p.endingTasks.Store(1)
-	require.Eventually(t, func() bool { return p.listedEnds.Load() == 1 }, 10*time.Second, time.Millisecond)
+	endingTasks.Store(1)
+	require.Eventually(t, func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return len(p.ended) == 1
+	}, 10*time.Second, time.Millisecond)
 	require.Eventually(t, func() bool {
 		status, _ := node.Status()
 		return status.TransferInProgressTo == 0
 	}, 10*time.Second, transferTick)
-	p.endingTasks.Store(2)
+	endingTasks.Store(2)
 	require.Eventually(t, func() bool {
 		p.mu.Lock()
 		defer p.mu.Unlock()
