dispatch: crashes of workers are logged with what they took along

run_lost had no age, so a task that crashes its worker looked like one that was there by chance; worker_gone did not tell how many runs were lost and since when the worker had been silent. Log volume: no new line.

--- a/internal/dispatch/answers.go
+++ b/internal/dispatch/answers.go
@@ -48,7 +48,7 @@
 		c.stopRun(r, "start-unanswered")
 		c.stopGang(r, "gang-member-unsure")
 	case AnotherIncarnation:
-		c.loseRun(r, answer.String())
+		c.loseRun(r, answer.String(), now)
 	default:
 		if r.state != ordered && r.state != stopping {
 			return
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -68,9 +68,10 @@
 	Worker string
 	Run    uint64
 	Reason string
-	Age    time.Duration // time since the job, order, call or progress that it is about
+	Age    time.Duration // time since the job, order, call, run or last answer that it is about
 	Asked  int           // number of workers in a call for advice
 	Good   int           // number of these that may run the step
+	Lost   int           // number of runs that a worker which is gone took along
 }
 
 // New returns the core of a new tenure, with the state that the book holds.
@@ -299,9 +300,9 @@
 
 // loseRun removes a run that is gone without a listed end, and stops the rest of
 // its gang.
-func (c *Core) loseRun(r *run, reason string) {
+func (c *Core) loseRun(r *run, reason string, now time.Duration) {
 	c.removeRun(r)
-	c.addNotice(Notice{Event: "run_lost", Job: r.task.step.key.Job, Task: r.task.key().String(), Worker: r.worker.Worker, Run: r.number, Reason: reason})
+	c.addNotice(Notice{Event: "run_lost", Job: r.task.step.key.Job, Task: r.task.key().String(), Worker: r.worker.Worker, Run: r.number, Reason: reason, Age: now - r.startedAt})
 	c.stopGang(r, "gang-member-lost")
 }
 
@@ -364,7 +365,7 @@
 	}
 	sortWorkers(expiredWorkers)
 	for _, w := range expiredWorkers {
-		c.endLease(w)
+		c.endLease(w, now)
 	}
 	c.moveRunsAtRisk(now)
 }
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -53,7 +53,7 @@
 		}
 	}
 	if l.Complete {
-		c.loseMissingRuns(w, listed, asked)
+		c.loseMissingRuns(w, listed, asked, now)
 	}
 	c.paceFillers(w, now)
 	if first {
@@ -202,7 +202,7 @@
 
 // loseMissingRuns removes the runs that a complete listing lacks, if their absence
 // was provable before the listing was requested.
-func (c *Core) loseMissingRuns(w *worker, listed map[runKey]bool, asked time.Duration) {
+func (c *Core) loseMissingRuns(w *worker, listed map[runKey]bool, asked, now time.Duration) {
 	var missing []*run
 	for key, r := range w.runs {
 		if !listed[key] && r.absenceProvable && r.absenceProvableAfter < asked && r.state != ended {
@@ -211,7 +211,7 @@
 	}
 	sortRuns(missing)
 	for _, r := range missing {
-		c.loseRun(r, "not-listed")
+		c.loseRun(r, "not-listed", now)
 	}
 }
 
--- a/internal/dispatch/membership.go
+++ b/internal/dispatch/membership.go
@@ -35,6 +35,14 @@
 	return w != nil && w.Born == t.Born
 }
 
+// Life returns the stored incarnation of a worker, or nil if it is not the current one.
+func (c *Core) Life(t Target) *egretmuxv1.WorkerLife {
+	if !c.Knows(t) {
+		return nil
+	}
+	return c.workers[t.Worker].life
+}
+
 // WorkerJoined adds a stored incarnation of a worker. Earlier incarnations of the
 // worker and earlier workers at the same address have ended.
 func (c *Core) WorkerJoined(life *egretmuxv1.WorkerLife, now time.Duration) {
@@ -44,7 +52,7 @@
 			return
 		}
 		if sameWorker || (w.Address == life.GetAddress() && w.Born < life.GetBornUnixMs()) {
-			c.WorkerGone(w.Target, "replaced")
+			c.WorkerGone(w.Target, "replaced", now)
 		}
 	}
 	c.addWorker(life)
@@ -52,16 +60,17 @@
 }
 
 // WorkerGone removes an incarnation that has certainly ended, with its runs.
-func (c *Core) WorkerGone(t Target, reason string) {
+func (c *Core) WorkerGone(t Target, reason string, now time.Duration) {
 	w := c.workers[t.Worker]
 	if w == nil || w.Born != t.Born {
 		return
 	}
-	for _, r := range w.sortedRuns() {
-		c.loseRun(r, "worker-"+reason)
+	lost := w.sortedRuns()
+	for _, r := range lost {
+		c.loseRun(r, "worker-"+reason, now)
 	}
 	delete(c.workers, t.Worker)
-	c.addNotice(Notice{Event: "worker_gone", Worker: t.Worker, Reason: reason})
+	c.addNotice(Notice{Event: "worker_gone", Worker: t.Worker, Reason: reason, Age: now - w.answeredAt, Lost: len(lost)})
 }
 
 // WorkerDraining records that a worker takes no new runs and stays for at least
@@ -91,10 +100,10 @@
 }
 
 // endLease removes the runs of a worker whose lease has certainly expired.
-func (c *Core) endLease(w *worker) {
+func (c *Core) endLease(w *worker, now time.Duration) {
 	for _, r := range w.sortedRuns() {
 		if r.state != ended {
-			c.loseRun(r, "lease-ended")
+			c.loseRun(r, "lease-ended", now)
 		}
 	}
 }
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -59,7 +59,7 @@
 	t.updateCore(func(c *dispatch.Core, now time.Duration) {
 		c.StartAnswered(s, answer, sent, now)
 		if answer == dispatch.AnotherIncarnation {
-			c.WorkerGone(s.Target, "another-life")
+			c.WorkerGone(s.Target, "another-life", now)
 		}
 	})
 	if answer == dispatch.StaleFence {
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -202,6 +202,9 @@
 	if n.Asked != 0 {
 		e = e.Int("asked", n.Asked).Int("good", n.Good)
 	}
+	if n.Lost != 0 {
+		e = e.Int("lost", n.Lost)
+	}
 	e.Msg("")
 }
 
@@ -254,7 +257,7 @@
 // retireWorker ends a worker's life in the book and then in the core.
 func (t *tenure) retireWorker(ctx context.Context, w dispatch.Target, reason string) error {
 	_, err := t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_EndLife{EndLife: &egretmuxv1.EndLife{Worker: w.Worker, BornUnixMs: w.Born}}}, func(job.Result) {
-		t.updateCore(func(c *dispatch.Core, _ time.Duration) { c.WorkerGone(w, reason) })
+		t.updateCore(func(c *dispatch.Core, now time.Duration) { c.WorkerGone(w, reason, now) })
 	})
 	return err
 }
