--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -60,3 +60,57 @@
 	require.Equal(t, 2, gone[0].Lost)
 	require.Equal(t, 3*time.Second, gone[0].Age)
 }
+
+// startAndCrash plans, accepts the starts and crashes the workers that started a task of
+// the job. It returns the starts of that job.
+func (h *harness) startAndCrash(deadly string) []dispatch.StartOrder {
+	h.t.Helper()
+	h.plan()
+	var started []dispatch.StartOrder
+	for _, s := range h.acceptStarts() {
+		if s.Task.Job == deadly {
+			started = append(started, s)
+		}
+	}
+	h.advance(40 * time.Millisecond)
+	for _, s := range started {
+		h.crashWorker(s.Target)
+	}
+	return started
+}
+
+// Guards against a task that crashes each worker that starts it and is started again and
+// again: a crash lists no end, so it did not count as an attempt (BUDGET).
+func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	h := newHarness(t)
+	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		h.addWorker(name, 4)
+	}
+	h.submit(id(1), tasks(1, 1))
+	crashes := 0
+	for range 8 {
+		crashes += len(h.startAndCrash(id(1)))
+	}
+	require.Equal(t, 2, crashes, "two crashed workers are enough to give a task up")
+	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_FAILED, h.phase(id(1)))
+}
+
+// Guards against a count of crashes in the memory of one leader: a task that crashes its
+// workers is often started by a leader that is lost soon after.
+func TestCrashesAreRememberedByTheNextLeader(t *testing.T) {
+	h := newHarness(t)
+	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		h.addWorker(name, 4)
+	}
+	h.submit(id(1), tasks(1, 1))
+	crashes := 0
+	for range 5 {
+		crashes += len(h.startAndCrash(id(1)))
+		h.beginTenure()
+		for _, w := range h.book.Workers() {
+			h.handleListing(targetOf(w.Life), nil, nil)
+		}
+	}
+	require.Equal(t, 2, crashes)
+	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_FAILED, h.phase(id(1)))
+}
