A task under which workers crash is isolated, and given up

Cause: a crash lists no end, and only ends listed as failed counted as attempts. A run that was lost with its worker left no trace, and its task was started again without a limit.

Evidence: within one tenure 8 starts crash 8 workers (TestTaskThatCrashesItsWorkersIsGivenUp, red before), so no change of leader is needed; runs are numbered anew with each start, so no start was repeated on another life.

Change: the end of a worker's life is stored with the runs that it took along (EndLife), so the count outlives the leader. A task whose worker crashed during its startup, or twice in all, is a suspect: it starts alone on a worker of its own, the one with the least to lose. It is given up after two crashes if the second can have no other cause, or after three.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -201,7 +201,7 @@
 		advice: newAdvice(),
 	}
 	for i, state := range tasks {
-		t := &task{step: s, index: uint32(i), done: state.Done, highestRun: max(state.LastEndedRun, state.LastStartedRun)}
+		t := &task{step: s, index: uint32(i), done: state.Done, highestRun: max(state.LastEndedRun, state.LastStartedRun), crashes: state.Crashes, startupCrashes: state.StartupCrashes}
 		j.started = j.started || state.LastEndedRun > 0
 		if !t.done {
 			s.tasksLeft++
@@ -250,6 +250,12 @@
 	return &egretmuxv1.Queue{Service: j.spec.GetService(), Attempts: j.spec.GetAttempts(), SlackFactor: 1}
 }
 
+// endJob removes a job that the book has as ended.
+func (c *Core) endJob(j *job, phase egretmuxv1.JobPhase, now time.Duration) {
+	c.addNotice(Notice{Event: "job_ended", Job: j.id, Queue: c.queue(j).GetName(), Reason: phaseName(phase), Age: now - j.acceptedAt})
+	c.JobEnded(j.id, "job-ended")
+}
+
 // JobEnded removes a job that was cancelled or has ended, and stops its runs.
 func (c *Core) JobEnded(id string, reason string) {
 	j := c.jobs[id]
--- /dev/null
+++ b/internal/dispatch/crash.go
@@ -0,0 +1,174 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	jobs "github.com/egretmux/egretmux/internal/job"
+)
+
+// Crashes of workers. A task may crash each worker that starts it. Such a crash lists no
+// end, and takes along all other runs of the worker. So the runs that were lost are stored
+// with the end of the worker's life, and a task under which a worker crashed during its
+// startup is a suspect: its next run starts on a worker that gets no other runs until the
+// startup is over. If that worker crashes as well, the task is the cause.
+
+// startupPeriod is the time after which a run that its worker lists did not crash it by
+// being started.
+const startupPeriod = 500 * time.Millisecond
+
+// startingPenalty is the score, for a suspect, of a worker on which other runs are
+// starting: if it crashed, the cause would not be known.
+const startingPenalty = 1e6
+
+// maxUnisolatedCrashes is the number of crashes under a task beyond which its runs are
+// isolated for as long as they take, whatever the time of the crashes.
+const maxUnisolatedCrashes = 1
+
+// suspect reports whether a task may have crashed a worker.
+func (t *task) suspect() bool { return t.startupCrashes > 0 || t.crashes > maxUnisolatedCrashes }
+
+// splitSuspects separates the suspects from the other tasks.
+func splitSuspects(tasks []*task) (suspects, others []*task) {
+	if !slices.ContainsFunc(tasks, (*task).suspect) {
+		return nil, tasks
+	}
+	for _, t := range tasks {
+		if t.suspect() {
+			suspects = append(suspects, t)
+		} else {
+			others = append(others, t)
+		}
+	}
+	return suspects, others
+}
+
+// placeSuspects starts each suspect on a worker of its own, and returns those for which
+// there is none.
+func (c *Core) placeSuspects(s *step, suspects []*task, now time.Duration) []*task {
+	if len(suspects) == 0 {
+		return nil
+	}
+	candidates, _ := s.withRoom(c.startableWorkers(s, c.queue(s.job), now), 1)
+	s.sortByRisk(candidates, now)
+	for len(suspects) > 0 && len(candidates) > 0 {
+		t := suspects[0]
+		c.startTask(t, candidates[0], t.highestRun+1, now)
+		suspects, candidates = suspects[1:], candidates[1:]
+	}
+	return suspects
+}
+
+// sortByRisk puts the workers first whose crash would tell most and cost least.
+func (s *step) sortByRisk(workers []*worker, now time.Duration) {
+	for _, w := range workers {
+		w.stepScore = s.score(w)
+		for _, r := range w.runs {
+			w.stepScore += float64(r.demand.cpu) * (now - r.startedAt).Seconds()
+			if r.starting(now) {
+				w.stepScore += startingPenalty
+			}
+		}
+	}
+	slices.SortFunc(workers, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(a.stepScore, b.stepScore), cmp.Compare(a.Worker, b.Worker))
+	})
+}
+
+// starting reports whether the startup of a run may not have been over at the given time.
+func (r *run) starting(at time.Duration) bool {
+	return r.state != ended && at-r.startedAt < startupPeriod
+}
+
+// endIsolation opens a worker to other runs once its isolated run needs it no more.
+func (w *worker) endIsolation(now time.Duration) {
+	r := w.isolated
+	if r == nil {
+		return
+	}
+	present := r.state != ended && w.runs[runKey{r.task.key(), r.number}] == r
+	whole := r.task.crashes > maxUnisolatedCrashes && !r.task.step.spec.GetLongRunning()
+	if !present || !(whole || r.starting(now)) {
+		w.isolated = nil
+	}
+}
+
+// CrashedRuns returns the runs that are lost if a worker has crashed. There are none if it
+// was to leave or to be maintained.
+func (c *Core) CrashedRuns(t Target) []*egretmuxv1.CrashedRun {
+	w := c.workers[t.Worker]
+	if w == nil || w.Born != t.Born || w.draining || w.cordoned {
+		return nil
+	}
+	return append(slices.Clone(w.lapsedRuns), w.crashedRuns()...)
+}
+
+// crashedRuns returns the runs that may have begun on a worker, with the evidence that each
+// of them crashed it.
+func (w *worker) crashedRuns() []*egretmuxv1.CrashedRun {
+	var out []*egretmuxv1.CrashedRun
+	for _, r := range w.sortedRuns() {
+		if r.state == ordered || r.state == ended {
+			continue
+		}
+		key := r.task.key()
+		out = append(out, &egretmuxv1.CrashedRun{
+			Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Index: key.Index, Run: r.number, Evidence: w.evidenceOf(r),
+		})
+	}
+	return out
+}
+
+func (w *worker) evidenceOf(r *run) egretmuxv1.CrashEvidence {
+	if !r.starting(w.answeredAt) {
+		return egretmuxv1.CrashEvidence_CRASH_EVIDENCE_UNSPECIFIED
+	}
+	for _, other := range w.runs {
+		if other.task.step.job != r.task.step.job && other.starting(w.answeredAt) {
+			return egretmuxv1.CrashEvidence_CRASH_EVIDENCE_STARTUP
+		}
+	}
+	return egretmuxv1.CrashEvidence_CRASH_EVIDENCE_SOLE_STARTUP
+}
+
+// updateCrashes takes over what the book has counted for the tasks of lost runs, and
+// removes the jobs that it has given up.
+func (c *Core) updateCrashes(lost []*run, now time.Duration) {
+	// The task at fault first, as the job that it ends is logged with it.
+	slices.SortStableFunc(lost, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(b.task.startupCrashes, a.task.startupCrashes), cmp.Compare(b.task.crashes, a.task.crashes))
+	})
+	for _, r := range lost {
+		key := r.task.key()
+		j := c.jobs[key.Job]
+		if j == nil {
+			continue
+		}
+		phase := egretmuxv1.JobPhase_JOB_PHASE_UNSPECIFIED
+		c.cfg.Book.View(key.Job, func(rec *jobs.Record) {
+			if rec == nil || rec.Ended() {
+				phase = phaseOf(rec)
+				return
+			}
+			state := rec.Task(key.Occurrence, key.Step, key.Index)
+			r.task.crashes, r.task.startupCrashes = state.Crashes, state.StartupCrashes
+		})
+		if phase == egretmuxv1.JobPhase_JOB_PHASE_FAILED {
+			c.addNotice(Notice{Event: "task_given_up", Job: key.Job, Task: key.String(), Worker: r.worker.Worker, Run: r.number, Reason: "workers-crashed"})
+		}
+		if phase != egretmuxv1.JobPhase_JOB_PHASE_UNSPECIFIED {
+			c.endJob(j, phase, now)
+		}
+	}
+}
+
+// phaseOf returns the phase of a record that has ended. A record that is gone counts as
+// cancelled.
+func phaseOf(rec *jobs.Record) egretmuxv1.JobPhase {
+	if rec == nil {
+		return egretmuxv1.JobPhase_JOB_PHASE_CANCELLED
+	}
+	return rec.Phase
+}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -19,6 +19,10 @@
 	h.advance(3 * time.Second)
 	next := proto.CloneOf(h.core.Life(crashed))
 	next.BornUnixMs++
+	h.apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_EndLife{EndLife: &egretmuxv1.EndLife{
+		Worker: crashed.Worker, BornUnixMs: crashed.Born, CrashedRuns: h.core.CrashedRuns(crashed),
+	}}})
+	h.core.WorkerGone(crashed, "replaced", h.now)
 	h.apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_RecordLife{RecordLife: &egretmuxv1.RecordLife{Life: next}}})
 	h.core.WorkerJoined(next, h.now)
 	h.endNumbers[next.GetWorker()] = 0
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -36,6 +36,7 @@
 	w.answeredAt, w.missedPolls = now, 0
 	first := !w.synced
 	w.synced = true
+	w.lapsedRuns = nil // the worker has not crashed
 	listed := make(map[runKey]bool, len(l.Running)+len(l.Ended))
 	previousStops := w.orphans
 	w.orphans = make(map[runKey]time.Duration)
@@ -182,6 +183,9 @@
 	t.runs = append(t.runs, r)
 	t.highestRun = max(t.highestRun, number)
 	t.step.runsOn[w]++
+	if t.suspect() && state != ended && w.isolated == nil {
+		w.isolated = r
+	}
 	return r
 }
 
@@ -248,10 +252,7 @@
 	stepDone := false
 	c.cfg.Book.View(key.Job, func(rec *jobs.Record) {
 		if rec == nil || rec.Ended() {
-			jobPhase = egretmuxv1.JobPhase_JOB_PHASE_CANCELLED
-			if rec != nil {
-				jobPhase = rec.Phase
-			}
+			jobPhase = phaseOf(rec)
 			return
 		}
 		for _, t := range s.tasks {
@@ -266,13 +267,12 @@
 	})
 	c.addNotice(Notice{Event: "run_ended", Job: key.Job, Task: key.String(), Worker: workerOf(r), Run: e.GetRun(), Reason: outcomeName(e.GetOutcome())})
 	if jobPhase != egretmuxv1.JobPhase_JOB_PHASE_UNSPECIFIED {
-		c.addNotice(Notice{Event: "job_ended", Job: key.Job, Queue: c.queue(j).GetName(), Reason: phaseName(jobPhase), Age: now - j.acceptedAt})
 		if jobPhase == egretmuxv1.JobPhase_JOB_PHASE_COMPLETED {
 			for _, t := range s.tasks {
 				t.done = true
 			}
 		}
-		c.JobEnded(key.Job, "job-ended")
+		c.endJob(j, jobPhase, now)
 		return
 	}
 	t := s.tasks[key.Index]
--- a/internal/dispatch/membership.go
+++ b/internal/dispatch/membership.go
@@ -43,17 +43,26 @@
 	return c.workers[t.Worker].life
 }
 
+// ReplacedBy returns the incarnations that have ended if the given one exists: earlier ones
+// of the same worker, and of other workers at its address.
+func (c *Core) ReplacedBy(life *egretmuxv1.WorkerLife) []Target {
+	var out []Target
+	for _, w := range c.sortedWorkers() {
+		if (w.Worker == life.GetWorker() || w.Address == life.GetAddress()) && w.Born < life.GetBornUnixMs() {
+			out = append(out, w.Target)
+		}
+	}
+	return out
+}
+
 // WorkerJoined adds a stored incarnation of a worker. Earlier incarnations of the
 // worker and earlier workers at the same address have ended.
 func (c *Core) WorkerJoined(life *egretmuxv1.WorkerLife, now time.Duration) {
-	for _, w := range c.sortedWorkers() {
-		sameWorker := w.Worker == life.GetWorker()
-		if sameWorker && w.Born >= life.GetBornUnixMs() {
-			return
-		}
-		if sameWorker || (w.Address == life.GetAddress() && w.Born < life.GetBornUnixMs()) {
-			c.WorkerGone(w.Target, "replaced", now)
-		}
+	if w := c.workers[life.GetWorker()]; w != nil && w.Born >= life.GetBornUnixMs() {
+		return
+	}
+	for _, t := range c.ReplacedBy(life) {
+		c.WorkerGone(t, "replaced", now)
 	}
 	c.addWorker(life)
 	c.addNotice(Notice{Event: "worker_joined", Worker: life.GetWorker()})
@@ -70,6 +79,7 @@
 		c.loseRun(r, "worker-"+reason, now)
 	}
 	delete(c.workers, t.Worker)
+	c.updateCrashes(lost, now)
 	c.addNotice(Notice{Event: "worker_gone", Worker: t.Worker, Reason: reason, Age: now - w.answeredAt, Lost: len(lost)})
 }
 
@@ -101,6 +111,7 @@
 
 // endLease removes the runs of a worker whose lease has certainly expired.
 func (c *Core) endLease(w *worker, now time.Duration) {
+	w.lapsedRuns = append(w.lapsedRuns, w.crashedRuns()...)
 	for _, r := range w.sortedRuns() {
 		if r.state != ended {
 			c.loseRun(r, "lease-ended", now)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -30,6 +30,7 @@
 	c.updateHeadroom(now)
 	for _, w := range c.workers {
 		w.reserved = resources{}
+		w.endIsolation(now)
 	}
 	c.renewHolds()
 	p := &plan{now: now, unclaimed: c.newUnclaimedRoom(now)}
@@ -239,7 +240,7 @@
 // limit.
 func (s *step) maxNewRuns(w *worker, limit int) int {
 	usable := w.available()
-	if s.urgent && !w.probing() {
+	if s.urgent && !w.closed() {
 		usable = w.free // reserved resources too: the gang can wait a little longer
 	}
 	usable.cpu -= s.requiredHeadroom(w)
@@ -257,8 +258,9 @@
 // and returns how many it started.
 func (c *Core) placeTasks(s *step, waiting []*task, now time.Duration) int {
 	q := c.queue(s.job)
-	unplaced := waiting
-	candidates, _ := s.withRoom(c.startableWorkers(s, q, now), len(waiting))
+	suspects, unplaced := splitSuspects(waiting)
+	suspects = c.placeSuspects(s, suspects, now)
+	candidates, _ := s.withRoom(c.startableWorkers(s, q, now), len(unplaced))
 	s.sortByScore(candidates)
 	for _, w := range candidates {
 		if len(unplaced) == 0 {
@@ -270,6 +272,7 @@
 		}
 		unplaced = unplaced[n:]
 	}
+	unplaced = append(unplaced, suspects...)
 	if len(unplaced) > 0 && q.GetAdvice() != nil && c.mayRequestAdvice(s, q.GetAdvice(), now) {
 		c.requestAdvice(s, q.GetAdvice(), c.workersWithRoom(s, q.GetService(), now), len(unplaced), now)
 	}
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -24,6 +24,9 @@
 	done       bool
 	runs       []*run
 	highestRun uint64 // highest run number that is stored, ordered or listed
+
+	crashes        uint32 // workers that crashed under a run of it
+	startupCrashes uint32 // those of them that crashed during its startup
 }
 
 func (t *task) key() TaskKey { return TaskKey{t.step.key, t.index} }
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -72,6 +72,10 @@
 	// zero means none.
 	withheldEnd uint64
 	runs        map[runKey]*run
+	isolated    *run // run of a suspect; while it is set, the worker gets no other runs
+	// lapsedRuns are the runs that were given up when the lease expired. They were lost in a
+	// crash if the worker never answers again.
+	lapsedRuns []*egretmuxv1.CrashedRun
 	// orphans are listed runs whose step is not open any more, with the time at
 	// which their stop was last sent.
 	orphans map[runKey]time.Duration
@@ -117,16 +121,19 @@
 
 // acceptsRuns reports whether the worker may get new runs.
 func (w *worker) acceptsRuns(now time.Duration) bool {
-	return w.synced && !w.draining && !w.cordoned && len(w.orphans) == 0 && w.missedPolls <= maxMissedPolls && now >= w.backoffUntil
+	return w.synced && w.isolated == nil && !w.draining && !w.cordoned && len(w.orphans) == 0 && w.missedPolls <= maxMissedPolls && now >= w.backoffUntil
 }
 
 // probing reports whether a worker with too many failures still has runs. It gets
 // another run only once these have ended or one has succeeded.
 func (w *worker) probing() bool { return w.failures >= maxFailures && len(w.runs) > 0 }
 
+// closed reports whether a worker gets no further runs for now, whatever it has free.
+func (w *worker) closed() bool { return w.probing() || w.isolated != nil }
+
 // available returns the resources that are neither in use nor reserved.
 func (w *worker) available() resources {
-	if w.probing() {
+	if w.closed() {
 		return resources{}
 	}
 	return w.free.minus(w.reserved)
--- a/internal/job/book.go
+++ b/internal/job/book.go
@@ -122,8 +122,9 @@
 	b.workers[life.GetWorker()] = &Worker{Life: life}
 }
 
-// endLife removes a worker's life or, if the command says so, marks it as draining.
-// A command about another life of the worker changes nothing.
+// endLife removes a worker's life, with the runs that were lost if it crashed, or, if the
+// command says so, marks it as draining. A command about another life of the worker
+// changes nothing, so that a crash is counted once.
 func (b *Book) endLife(c *egretmuxv1.EndLife) {
 	stored := b.workers[c.GetWorker()]
 	if stored == nil || stored.Life.GetBornUnixMs() != c.GetBornUnixMs() {
@@ -134,6 +135,11 @@
 		return
 	}
 	delete(b.workers, c.GetWorker())
+	for _, e := range c.GetCrashedRuns() {
+		if r := b.jobs[e.GetJob()]; r != nil {
+			r.applyCrash(e)
+		}
+	}
 }
 
 // Catalogue returns the catalogue in force, or nil before the first.
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -35,6 +35,8 @@
 	LastStartedRun uint64 // highest run that may have been started
 	Worker         string // worker to which LastStartedRun was assigned
 	Born           int64  // birth time of that worker, in Unix milliseconds; identifies its life
+	Crashes        uint32 // workers that crashed under a run of the task
+	StartupCrashes uint32 // those of them that crashed during its startup
 }
 
 // Outstanding reports whether a run may have been started whose end is not stored.
@@ -236,6 +238,7 @@
 			out.Tasks = append(out.Tasks, &egretmuxv1.TaskRecord{
 				Index: uint32(i), Done: t.Done, Failures: t.Failures, LastRun: t.LastEndedRun, Checkpoint: t.Checkpoint,
 				Started: t.LastStartedRun, Worker: t.Worker, BornUnixMs: t.Born,
+				Crashes: t.Crashes, StartupCrashes: t.StartupCrashes,
 			})
 		}
 	}
@@ -257,6 +260,7 @@
 			s.tasks[t.GetIndex()] = TaskState{
 				Done: t.GetDone(), Failures: t.GetFailures(), LastEndedRun: t.GetLastRun(), Checkpoint: t.GetCheckpoint(),
 				LastStartedRun: t.GetStarted(), Worker: t.GetWorker(), Born: t.GetBornUnixMs(),
+				Crashes: t.GetCrashes(), StartupCrashes: t.GetStartupCrashes(),
 			}
 			if t.GetDone() {
 				s.openTasks--
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -195,10 +195,19 @@
 	return err
 }
 
-// recordLife stores a life of a worker before anything is started on it. It
+// recordLife stores a life of a worker before anything is started on it, after the end of
+// the lives that it replaces. It
 // returns false if a newer life of the worker is known.
 func (t *tenure) recordLife(ctx context.Context, life *egretmuxv1.WorkerLife) (bool, error) {
 	target := targetOf(life)
+	t.mu.Lock()
+	replaced := t.core.ReplacedBy(life)
+	t.mu.Unlock()
+	for _, old := range replaced {
+		if err := t.retireCrashed(ctx, old, "replaced"); err != nil {
+			return false, err
+		}
+	}
 	_, err := t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_RecordLife{RecordLife: &egretmuxv1.RecordLife{Life: life}}}, func(job.Result) {
 		t.updateCore(func(c *dispatch.Core, now time.Duration) {
 			c.WorkerJoined(life, now)
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -45,23 +45,26 @@
 func (t *tenure) sendStart(s dispatch.StartOrder) {
 	sent := t.now()
 	answer, clock := t.tryStart(s, t.answerWait())
-	if answer == dispatch.Unanswered && t.stillWanted(s) {
+	repeated := answer == dispatch.Unanswered && t.stillWanted(s)
+	if repeated {
 		answer, clock = t.repeatStart(s)
 	}
+	anotherLife := answer == dispatch.AnotherIncarnation
 	if clock != 0 && clock < s.Clock {
 		// The clock went back: another life of the worker accepted the order.
 		t.undoStart(s)
-		answer = dispatch.AnotherIncarnation
+		answer, anotherLife = dispatch.AnotherIncarnation, true
+	}
+	if anotherLife && repeated {
+		answer = dispatch.Unanswered // the first try may have crashed the life that is gone
 	}
 	took := t.now() - sent
 	telemetry.ObserveSeconds("worker_start", took)
 	t.startLatency.Store(t.startLatency.Load() + int64(float64(int64(took)-t.startLatency.Load())*startLatencyWeight))
-	t.updateCore(func(c *dispatch.Core, now time.Duration) {
-		c.StartAnswered(s, answer, sent, now)
-		if answer == dispatch.AnotherIncarnation {
-			c.WorkerGone(s.Target, "another-life", now)
-		}
-	})
+	t.updateCore(func(c *dispatch.Core, now time.Duration) { c.StartAnswered(s, answer, sent, now) })
+	if anotherLife {
+		t.retireAnotherLife(s.Target)
+	}
 	if answer == dispatch.StaleFence {
 		t.requestConfirmation()
 	}
--- a/internal/scheduler/poller.go
+++ b/internal/scheduler/poller.go
@@ -113,9 +113,7 @@
 				t.awaitEndsStored(ctx, p)
 			}
 		case PollAnotherIncarnation:
-			if err := t.retireWorker(t.ctx, target, "another-life"); err != nil {
-				t.cfg.Logger.Warn().Err(err).Str("event", "worker_not_retired").Str("worker", target.Worker).Msg("the end of the worker's life was not stored")
-			}
+			t.retireAnotherLife(target)
 			pause = pollRetryPause
 		default:
 			telemetry.CountRetry("worker-silent")
@@ -133,6 +131,13 @@
 	}
 }
 
+// retireAnotherLife ends a life in whose place another one has answered.
+func (t *tenure) retireAnotherLife(target dispatch.Target) {
+	if err := t.retireCrashed(t.ctx, target, "another-life"); err != nil {
+		t.cfg.Logger.Warn().Err(err).Str("event", "worker_not_retired").Str("worker", target.Worker).Msg("the end of the worker's life was not stored")
+	}
+}
+
 func (t *tenure) sendPoll(ctx context.Context, poll Poll) (dispatch.Listing, PollResult) {
 	ctx, cancel := context.WithTimeout(ctx, poll.Wait+t.answerWait())
 	defer cancel()
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -256,8 +256,28 @@
 
 // retireWorker ends a worker's life in the book and then in the core.
 func (t *tenure) retireWorker(ctx context.Context, w dispatch.Target, reason string) error {
-	_, err := t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_EndLife{EndLife: &egretmuxv1.EndLife{Worker: w.Worker, BornUnixMs: w.Born}}}, func(job.Result) {
-		t.updateCore(func(c *dispatch.Core, now time.Duration) { c.WorkerGone(w, reason, now) })
+	return t.endLife(ctx, w, reason, nil)
+}
+
+// retireCrashed is like retireWorker for a life that has ended without a drain. The runs
+// that it took along are stored with its end, so that later leaders know of them.
+func (t *tenure) retireCrashed(ctx context.Context, w dispatch.Target, reason string) error {
+	t.mu.Lock()
+	crashed := t.core.CrashedRuns(w)
+	t.mu.Unlock()
+	return t.endLife(ctx, w, reason, crashed)
+}
+
+func (t *tenure) endLife(ctx context.Context, w dispatch.Target, reason string, crashed []*egretmuxv1.CrashedRun) error {
+	_, err := t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_EndLife{
+		EndLife: &egretmuxv1.EndLife{Worker: w.Worker, BornUnixMs: w.Born, CrashedRuns: crashed},
+	}}, func(job.Result) {
+		t.updateCore(func(c *dispatch.Core, now time.Duration) {
+			c.WorkerGone(w, reason, now)
+			for _, r := range crashed {
+				t.markEnded(r.GetJob())
+			}
+		})
 	})
 	return err
 }
