dispatch: a suspect starts only where no other run is starting

A worker is now kept for the suspect until the runs before it have started, at most a quarter of a pool at a time, and an accepted start counts as a sign of life like a poll.

--- a/internal/dispatch/answers.go
+++ b/internal/dispatch/answers.go
@@ -33,6 +33,7 @@
 	switch answer {
 	case Accepted:
 		r.absenceProvableAfter, r.absenceProvable = now, true
+		r.worker.heardAt = max(r.worker.heardAt, now)
 		c.markJobStarted(r.task.step.job, now)
 		if r.state == ordered {
 			r.state = running
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -12,17 +12,25 @@
 // Crashes of workers. A task may crash each worker that starts it. Such a crash lists no
 // end, and takes along all other runs of the worker. So the runs that were lost are stored
 // with the end of the worker's life, and a task under which a worker crashed during its
-// startup is a suspect: its next run starts on a worker that gets no other runs until the
-// startup is over. If that worker crashes as well, the task is the cause.
+// startup is a suspect: its next run starts on a worker on which no other run is starting,
+// and which gets no other runs until the startup is over. If that worker crashes as well,
+// the task is the cause.
 
 // startupPeriod is the time after which a run that its worker lists did not crash it by
 // being started.
 const startupPeriod = 500 * time.Millisecond
 
-// startingPenalty is the score, for a suspect, of a worker on which other runs are
-// starting: if it crashed, the cause would not be known.
+// startingPenalty is the score, for a suspect, of each run that is starting on a worker:
+// the suspect would have to wait for it.
 const startingPenalty = 1e6
 
+// maxIsolatedShare is the largest fraction of a pool's workers that are kept for suspects, so
+// that many suspects at once, as after the failure of a rack, leave room for other work.
+const maxIsolatedShare = 0.25
+
+// maxKeptPeriod is how long a worker is kept for a suspect that does not start there.
+const maxKeptPeriod = 2 * startupPeriod
+
 // maxUnisolatedCrashes is the number of crashes under a task beyond which its runs are
 // isolated for as long as they take, whatever the time of the crashes.
 const maxUnisolatedCrashes = 1
@@ -45,20 +53,59 @@
 	return suspects, others
 }
 
-// placeSuspects starts each suspect on a worker of its own, and returns those for which
-// there is none.
+// placeSuspects starts each suspect on a worker of its own, and returns those that wait for
+// one. A worker on which runs are starting is kept for the suspect until they have started.
 func (c *Core) placeSuspects(s *step, suspects []*task, now time.Duration) []*task {
 	if len(suspects) == 0 {
 		return nil
 	}
-	candidates, _ := s.withRoom(c.startableWorkers(s, c.queue(s.job), now), 1)
+	for _, t := range suspects {
+		if t.kept != nil && t.kept.keptFor == t {
+			t.kept.keptFor = nil
+		}
+	}
+	q := c.queue(s.job)
+	candidates, _ := s.withRoom(c.startableWorkers(s, q, now), 1)
 	s.sortByRisk(candidates, now)
-	for len(suspects) > 0 && len(candidates) > 0 {
-		t := suspects[0]
-		c.startTask(t, candidates[0], t.highestRun+1, now)
-		suspects, candidates = suspects[1:], candidates[1:]
+	allowed := c.isolationsLeft(q.GetService())
+	var waiting []*task
+	for _, t := range suspects {
+		if len(candidates) == 0 || allowed <= 0 {
+			t.kept = nil
+			waiting = append(waiting, t)
+			continue
+		}
+		i := max(0, slices.Index(candidates, t.kept))
+		w := candidates[i]
+		candidates = slices.Delete(candidates, i, i+1)
+		allowed--
+		if w.startingRuns(now) == 0 {
+			t.kept = nil
+			c.startTask(t, w, t.highestRun+1, now)
+			continue
+		}
+		if t.kept != w {
+			t.kept, w.keptSince = w, now
+		}
+		w.keptFor = t
+		waiting = append(waiting, t)
+	}
+	return waiting
+}
+
+// isolationsLeft returns how many more workers of a pool may be kept for suspects.
+func (c *Core) isolationsLeft(pool string) int {
+	total, isolated := 0, 0
+	for _, w := range c.workers {
+		if w.life.GetPool() != pool {
+			continue
+		}
+		total++
+		if w.keptForSuspect() {
+			isolated++
+		}
 	}
-	return suspects
+	return max(1, int(maxIsolatedShare*float64(total))) - isolated
 }
 
 // sortByRisk puts the workers first whose crash would tell most and cost least.
@@ -67,10 +114,8 @@
 		w.stepScore = s.score(w)
 		for _, r := range w.runs {
 			w.stepScore += float64(r.demand.cpu) * (now - r.startedAt).Seconds()
-			if r.starting(now) {
-				w.stepScore += startingPenalty
-			}
 		}
+		w.stepScore += startingPenalty * float64(w.startingRuns(now))
 	}
 	slices.SortFunc(workers, func(a, b *worker) int {
 		return cmp.Or(cmp.Compare(a.stepScore, b.stepScore), cmp.Compare(a.Worker, b.Worker))
@@ -82,8 +127,25 @@
 	return r.state != ended && at-r.startedAt < startupPeriod
 }
 
-// endIsolation opens a worker to other runs once its isolated run needs it no more.
+// startingRuns returns how many runs are starting on a worker.
+func (w *worker) startingRuns(now time.Duration) int {
+	n := 0
+	for _, r := range w.runs {
+		if r.starting(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// keptForSuspect reports whether a worker gets no runs but those of one suspect.
+func (w *worker) keptForSuspect() bool { return w.isolated != nil || w.keptFor != nil }
+
+// endIsolation opens a worker to other runs once its suspect needs it no more.
 func (w *worker) endIsolation(now time.Duration) {
+	if t := w.keptFor; t != nil && (!t.waits() || t.kept != w || now-w.keptSince > maxKeptPeriod) {
+		w.keptFor = nil
+	}
 	r := w.isolated
 	if r == nil {
 		return
@@ -122,11 +184,11 @@
 }
 
 func (w *worker) evidenceOf(r *run) egretmuxv1.CrashEvidence {
-	if !r.starting(w.answeredAt) {
+	if !r.starting(w.heardAt) {
 		return egretmuxv1.CrashEvidence_CRASH_EVIDENCE_UNSPECIFIED
 	}
 	for _, other := range w.runs {
-		if other.task.step.job != r.task.step.job && other.starting(w.answeredAt) {
+		if other.task.step.job != r.task.step.job && other.starting(w.heardAt) {
 			return egretmuxv1.CrashEvidence_CRASH_EVIDENCE_STARTUP
 		}
 	}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -118,3 +118,175 @@
 	require.Equal(t, 2, crashes)
 	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_FAILED, h.phase(id(1)))
 }
+
+// Guards against a task that is given up although another one crashed its workers: only
+// the one that was started on a worker of its own counts as the cause.
+func TestTasksBesideOneThatCrashesItsWorkersAreNotGivenUp(t *testing.T) {
+	h := newHarness(t)
+	a := h.addWorker("a", 4)
+	startedJobs := func() (ids []string) {
+		h.plan()
+		for _, s := range h.acceptStarts() {
+			ids = append(ids, s.Task.Job)
+		}
+		return ids
+	}
+	h.submit(id(1), tasks(1, 1))
+	h.submit(id(2), tasks(1, 1))
+	require.Equal(t, []string{id(1), id(2)}, startedJobs())
+	a = h.crashWorker(a)
+
+	// The worker is kept for one suspect until the run that is starting there has started.
+	h.submit(id(3), tasks(1, 1))
+	require.Equal(t, []string{id(3)}, startedJobs())
+	h.submit(id(4), tasks(1, 1))
+	require.Empty(t, startedJobs())
+	h.advance(600 * time.Millisecond)
+	require.Equal(t, []string{id(1)}, startedJobs())
+	a = h.crashWorker(a)
+	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_FAILED, h.phase(id(1)))
+
+	// The other suspect survives its startup, and the worker is open to all again.
+	require.ElementsMatch(t, []string{id(3), id(4)}, startedJobs())
+	h.advance(600 * time.Millisecond)
+	require.Equal(t, []string{id(2)}, startedJobs())
+	h.submit(id(5), tasks(1, 1))
+	require.Empty(t, startedJobs())
+	h.advance(600 * time.Millisecond)
+	require.Equal(t, []string{id(5)}, startedJobs())
+
+	// A crash at any other time is not held against it.
+	h.crashWorker(a)
+	for _, n := range []int{2, 3, 4, 5} {
+		require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_UNSPECIFIED, h.phase(id(n)))
+	}
+}
+
+// Guards against a task that crashes its workers late, beside others that start there all
+// the time: the third crash under it is enough, and its third run is isolated throughout.
+func TestTaskThatCrashesItsWorkersLateIsIsolatedAndGivenUp(t *testing.T) {
+	h := newHarness(t)
+	a := h.addWorker("a", 4)
+	h.submit(id(1), tasks(1, 1))
+	for crash := range 3 {
+		h.plan()
+		started := h.acceptStarts()
+		require.Equal(t, id(1), started[0].Task.Job)
+		h.advance(2 * time.Second)
+		h.handleListing(a, []dispatch.ListedRun{listedRun(started[0])}, nil)
+		h.submit(id(10+crash), tasks(1, 1))
+		h.plan()
+		beside := len(h.starts)
+		if crash == 2 {
+			require.Zero(t, beside, "a task under which two workers have crashed runs alone")
+		} else {
+			require.Positive(t, beside)
+		}
+		h.acceptStarts()
+		a = h.crashWorker(a)
+		for _, other := range []int{10, 11, 12} {
+			h.core.JobEnded(id(other), "cancelled")
+		}
+		h.takeActions()
+	}
+	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_FAILED, h.phase(id(1)))
+}
+
+// Guards against a cause that stays unknown because the worker was not polled between two
+// starts: an accepted start tells as well that the runs before it have not crashed it.
+func TestAcceptedStartClearsTheRunsBeforeIt(t *testing.T) {
+	h := newHarness(t)
+	a := h.addWorker("a", 4)
+	h.submit(id(1), tasks(1, 1))
+	h.plan()
+	h.acceptStarts()
+	h.advance(600 * time.Millisecond)
+	h.submit(id(2), tasks(1, 1))
+	h.plan()
+	h.acceptStarts()
+	crashed := h.core.CrashedRuns(a)
+	require.Len(t, crashed, 2)
+	require.Equal(t, egretmuxv1.CrashEvidence_CRASH_EVIDENCE_UNSPECIFIED, crashed[0].GetEvidence())
+	require.Equal(t, egretmuxv1.CrashEvidence_CRASH_EVIDENCE_SOLE_STARTUP, crashed[1].GetEvidence())
+}
+
+// Guards against tasks that are given up for the planned end of their workers.
+func TestPlannedEndOfAWorkerIsNoCrash(t *testing.T) {
+	h := newHarness(t)
+	a := h.addWorker("a", 4)
+	h.submit(id(1), tasks(1, 1))
+	h.plan()
+	h.acceptStarts()
+	require.Len(t, h.core.CrashedRuns(a), 1)
+	h.core.WorkerDraining(a, time.Second, h.now)
+	require.Empty(t, h.core.CrashedRuns(a))
+}
+
+// Guards against crashes that are not counted because the worker is away for longer than
+// its lease, and against a silence that is taken for a crash.
+func TestRunsGivenUpWithTheLeaseCountOnlyIfTheWorkerCrashed(t *testing.T) {
+	h := newHarness(t)
+	a := h.addWorker("a", 4)
+	h.submit(id(1), tasks(1, 1))
+	h.plan()
+	started := h.acceptStarts()
+	h.core.PollUnanswered(a)
+	h.advance(testLease + time.Second)
+	require.Len(t, h.noticesOf("run_lost"), 1)
+	require.Len(t, h.core.CrashedRuns(a), 1)
+	h.handleListing(a, nil, []dispatch.ListedEnd{h.listedEnd(started[0], egretmuxv1.RunOutcome_RUN_OUTCOME_LAPSED)})
+	require.Empty(t, h.core.CrashedRuns(a))
+}
+
+// Guards against a service that is given up after the third crash of a worker in its life:
+// it has worked on each of them.
+func TestLongRunningTaskIsGivenUpOnlyForCrashesDuringItsStartup(t *testing.T) {
+	h := newHarness(t)
+	a := h.addWorker("a", 4)
+	service := tasks(1, 1)
+	service.LongRunning = true
+	h.submit(id(1), service)
+	for range 4 {
+		h.plan()
+		started := h.acceptStarts()
+		require.Len(t, started, 1)
+		h.advance(2 * time.Second)
+		h.handleListing(a, []dispatch.ListedRun{listedRun(started[0])}, nil)
+		a = h.crashWorker(a)
+	}
+	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_UNSPECIFIED, h.phase(id(1)))
+	for range 2 {
+		h.plan()
+		require.Len(t, h.acceptStarts(), 1)
+		a = h.crashWorker(a)
+	}
+	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_FAILED, h.phase(id(1)))
+}
+
+// Guards against a gang that crashes worker after worker by one of its members.
+func TestGangWithAMemberThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	h := newHarness(t)
+	targets := make(map[string]dispatch.Target)
+	for _, name := range []string{"a", "b", "c"} {
+		targets[name] = h.addWorker(name, 1)
+	}
+	gang := tasks(3, 1)
+	gang.Gang = true
+	h.submit(id(1), gang)
+	crashes := 0
+	for range 4 {
+		h.plan()
+		started := h.acceptStarts()
+		if len(started) == 0 {
+			break
+		}
+		crashes++
+		h.crashWorker(started[1].Target)
+		for _, s := range []dispatch.StartOrder{started[0], started[2]} {
+			h.handleListing(s.Target, nil, []dispatch.ListedEnd{h.listedEnd(s, egretmuxv1.RunOutcome_RUN_OUTCOME_STOPPED)})
+		}
+		h.storeEnds()
+	}
+	require.Equal(t, 2, crashes)
+	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_FAILED, h.phase(id(1)))
+}
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -33,7 +33,7 @@
 		return
 	}
 	w.lease.observeClock(l.Clock, now)
-	w.answeredAt, w.missedPolls = now, 0
+	w.answeredAt, w.heardAt, w.missedPolls = now, now, 0
 	first := !w.synced
 	w.synced = true
 	w.lapsedRuns = nil // the worker has not crashed
--- a/internal/dispatch/membership.go
+++ b/internal/dispatch/membership.go
@@ -80,7 +80,7 @@
 	}
 	delete(c.workers, t.Worker)
 	c.updateCrashes(lost, now)
-	c.addNotice(Notice{Event: "worker_gone", Worker: t.Worker, Reason: reason, Age: now - w.answeredAt, Lost: len(lost)})
+	c.addNotice(Notice{Event: "worker_gone", Worker: t.Worker, Reason: reason, Age: now - w.heardAt, Lost: len(lost)})
 }
 
 // WorkerDraining records that a worker takes no new runs and stays for at least
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -25,8 +25,9 @@
 	runs       []*run
 	highestRun uint64 // highest run number that is stored, ordered or listed
 
-	crashes        uint32 // workers that crashed under a run of it
-	startupCrashes uint32 // those of them that crashed during its startup
+	crashes        uint32  // workers that crashed under a run of it
+	startupCrashes uint32  // those of them that crashed during its startup
+	kept           *worker // worker that is kept for it until no other run is starting there
 }
 
 func (t *task) key() TaskKey { return TaskKey{t.step.key, t.index} }
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -57,6 +57,7 @@
 	cordoned      bool          // its machine is about to be maintained: it gets no new runs
 	drainDeadline time.Duration // earliest time at which a draining worker may be gone
 	answeredAt    time.Duration // when it last answered a poll
+	heardAt       time.Duration // when it last answered a poll or accepted a start
 	missedPolls   int           // consecutive polls without an answer
 	backoffUntil  time.Duration // it gets no starts before
 	stepScore     float64       // score for the step being placed; lower is better
@@ -72,7 +73,9 @@
 	// zero means none.
 	withheldEnd uint64
 	runs        map[runKey]*run
-	isolated    *run // run of a suspect; while it is set, the worker gets no other runs
+	isolated    *run          // run of a suspect; while it is set, the worker gets no other runs
+	keptFor     *task         // suspect that starts here next; while it is set, the worker gets no other runs
+	keptSince   time.Duration // when keptFor was last changed
 	// lapsedRuns are the runs that were given up when the lease expired. They were lost in a
 	// crash if the worker never answers again.
 	lapsedRuns []*egretmuxv1.CrashedRun
@@ -121,7 +124,7 @@
 
 // acceptsRuns reports whether the worker may get new runs.
 func (w *worker) acceptsRuns(now time.Duration) bool {
-	return w.synced && w.isolated == nil && !w.draining && !w.cordoned && len(w.orphans) == 0 && w.missedPolls <= maxMissedPolls && now >= w.backoffUntil
+	return w.synced && !w.keptForSuspect() && !w.draining && !w.cordoned && len(w.orphans) == 0 && w.missedPolls <= maxMissedPolls && now >= w.backoffUntil
 }
 
 // probing reports whether a worker with too many failures still has runs. It gets
@@ -129,7 +132,7 @@
 func (w *worker) probing() bool { return w.failures >= maxFailures && len(w.runs) > 0 }
 
 // closed reports whether a worker gets no further runs for now, whatever it has free.
-func (w *worker) closed() bool { return w.probing() || w.isolated != nil }
+func (w *worker) closed() bool { return w.probing() || w.keptForSuspect() }
 
 // available returns the resources that are neither in use nor reserved.
 func (w *worker) available() resources {
