A worker's capacity follows its heartbeats

What callers would see: a worker that has shrunk is started beyond its capacity for as long as it lives (LIMIT).

Cause: only the first heartbeat of a life was looked at; for a known life the leader read the draining state alone.

Evidence: TestHeartbeatWithASmallerCapacityLimitsTheStarts fails before: 3 starts on a worker that has room for one.

Change: a changed capacity is stored with the sequence number of its heartbeat, so that it outlives the leader and an older heartbeat changes nothing. An instance withholds an unchanged heartbeat only if it got the one before it: otherwise another instance may have passed on other content. The test of that cache now numbers its heartbeats one by one.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -71,6 +71,7 @@
 	Age    time.Duration // time since the job, order, call, run or last answer that it is about
 	Asked  int           // number of workers in a call for advice
 	Good   int           // number of these that may run the step
+	CPU    int64         // capacity of a worker, thousandths of a core
 	Lost   int           // number of runs that a worker which is gone took along
 }
 
@@ -85,6 +86,7 @@
 	for _, w := range cfg.Book.Workers() {
 		c.addWorker(w.Life)
 		c.workers[w.Life.GetWorker()].draining = w.Draining
+		c.workers[w.Life.GetWorker()].reportSequence = w.Sequence
 		c.workers[w.Life.GetWorker()].lease.expiresAt = c.inheritedLeasesEnd
 	}
 	var ids []string
--- a/internal/dispatch/membership.go
+++ b/internal/dispatch/membership.go
@@ -20,8 +20,12 @@
 	return ""
 }
 
+func capacityOf(life *egretmuxv1.WorkerLife) resources {
+	return resources{life.GetCpuMillis(), life.GetMemoryMib(), life.GetAccelerators()}
+}
+
 func (c *Core) addWorker(life *egretmuxv1.WorkerLife) {
-	size := resources{life.GetCpuMillis(), life.GetMemoryMib(), life.GetAccelerators()}
+	size := capacityOf(life)
 	c.workers[life.GetWorker()] = &worker{
 		Target: Target{Worker: life.GetWorker(), Born: life.GetBornUnixMs(), Address: life.GetAddress()},
 		life:   life, capacity: size, free: size, rack: rackOf(life.GetLabels()), slowness: 1,
@@ -83,6 +87,35 @@
 	c.addNotice(Notice{Event: "worker_gone", Worker: t.Worker, Reason: reason, Age: now - w.heardAt, Lost: len(lost)})
 }
 
+// CapacityChanged reports whether a heartbeat of a known life has another capacity than the
+// one in use. Heartbeats may overtake each other; an older one has none.
+func (c *Core) CapacityChanged(life *egretmuxv1.WorkerLife, sequence uint64) bool {
+	w := c.workers[life.GetWorker()]
+	if w == nil || w.Born != life.GetBornUnixMs() || sequence < w.reportSequence {
+		return false
+	}
+	w.reportSequence = sequence
+	return capacityOf(life) != w.capacity
+}
+
+// WorkerResized takes over the capacity of a stored heartbeat, unless a newer one came
+// meanwhile. Runs beyond a smaller capacity go on; the worker gets no others until it has
+// room again.
+func (c *Core) WorkerResized(life *egretmuxv1.WorkerLife, sequence uint64) {
+	w := c.workers[life.GetWorker()]
+	if w == nil || w.Born != life.GetBornUnixMs() || sequence < w.reportSequence {
+		return
+	}
+	w.reportSequence = sequence
+	size := capacityOf(life)
+	if size == w.capacity {
+		return
+	}
+	w.free = w.free.plus(size).minus(w.capacity)
+	w.capacity, w.life = size, life
+	c.addNotice(Notice{Event: "worker_resized", Worker: w.Worker, CPU: size.cpu})
+}
+
 // WorkerDraining records that a worker takes no new runs and stays for at least
 // the remaining time.
 func (c *Core) WorkerDraining(t Target, remaining, now time.Duration) {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -52,18 +52,19 @@
 	headroom int64     // cpu that is kept free for urgent steps
 	rack     string
 
-	synced        bool // whether it has seen this leader's fencing token and listed its runs
-	draining      bool
-	cordoned      bool          // its machine is about to be maintained: it gets no new runs
-	drainDeadline time.Duration // earliest time at which a draining worker may be gone
-	answeredAt    time.Duration // when it last answered a poll
-	heardAt       time.Duration // when it last answered a poll or accepted a start
-	missedPolls   int           // consecutive polls without an answer
-	backoffUntil  time.Duration // it gets no starts before
-	stepScore     float64       // score for the step being placed; lower is better
-	stepRank      int           // rank for the step being placed, as its callers sort by it
-	slowness      float64       // its run times relative to the mean of its queues; 1 is average
-	failures      float64       // failed runs since the last successful one; at least maxFailures after a run without progress
+	synced         bool // whether it has seen this leader's fencing token and listed its runs
+	draining       bool
+	cordoned       bool          // its machine is about to be maintained: it gets no new runs
+	drainDeadline  time.Duration // earliest time at which a draining worker may be gone
+	reportSequence uint64        // of its newest heartbeat that reached this leader
+	answeredAt     time.Duration // when it last answered a poll
+	heardAt        time.Duration // when it last answered a poll or accepted a start
+	missedPolls    int           // consecutive polls without an answer
+	backoffUntil   time.Duration // it gets no starts before
+	stepScore      float64       // score for the step being placed; lower is better
+	stepRank       int           // rank for the step being placed, as its callers sort by it
+	slowness       float64       // its run times relative to the mean of its queues; 1 is average
+	failures       float64       // failed runs since the last successful one; at least maxFailures after a run without progress
 
 	lease         lease
 	storedCursor  uint64 // ends up to this number are stored in the log
--- a/internal/job/book.go
+++ b/internal/job/book.go
@@ -16,6 +16,7 @@
 type Worker struct {
 	Life     *egretmuxv1.WorkerLife
 	Draining bool
+	Sequence uint64 // of the heartbeat that Life is from
 }
 
 // Book is the replicated state: the catalogue in force, the jobs, the upkeep waves,
@@ -69,7 +70,7 @@
 			}
 		}
 	case *egretmuxv1.JobCommand_RecordLife:
-		b.recordLife(c.RecordLife.GetLife())
+		b.recordLife(c.RecordLife)
 	case *egretmuxv1.JobCommand_EndLife:
 		b.endLife(c.EndLife)
 	case *egretmuxv1.JobCommand_PutWave:
@@ -114,12 +115,17 @@
 	return Result{}
 }
 
-func (b *Book) recordLife(life *egretmuxv1.WorkerLife) {
+// recordLife stores a new life of a worker, or what a later heartbeat of the stored life
+// says, such as another capacity.
+func (b *Book) recordLife(c *egretmuxv1.RecordLife) {
+	life := c.GetLife()
 	stored := b.workers[life.GetWorker()]
-	if stored != nil && stored.Life.GetBornUnixMs() >= life.GetBornUnixMs() {
-		return
+	switch {
+	case stored == nil || stored.Life.GetBornUnixMs() < life.GetBornUnixMs():
+		b.workers[life.GetWorker()] = &Worker{Life: life, Sequence: c.GetSequence()}
+	case stored.Life.GetBornUnixMs() == life.GetBornUnixMs() && stored.Sequence < c.GetSequence():
+		b.workers[life.GetWorker()] = &Worker{Life: life, Draining: stored.Draining, Sequence: c.GetSequence()}
 	}
-	b.workers[life.GetWorker()] = &Worker{Life: life}
 }
 
 // endLife removes a worker's life, with the runs that were lost if it crashed, or, if the
@@ -131,7 +137,7 @@
 		return
 	}
 	if c.GetDraining() {
-		b.workers[c.GetWorker()] = &Worker{Life: stored.Life, Draining: true}
+		b.workers[c.GetWorker()] = &Worker{Life: stored.Life, Draining: true, Sequence: stored.Sequence}
 		return
 	}
 	delete(b.workers, c.GetWorker())
@@ -190,7 +196,7 @@
 		snap.Jobs = append(snap.Jobs, r.toProto())
 	}
 	for _, w := range b.workers {
-		snap.Workers = append(snap.Workers, &egretmuxv1.WorkerRecord{Life: w.Life, Draining: w.Draining})
+		snap.Workers = append(snap.Workers, &egretmuxv1.WorkerRecord{Life: w.Life, Draining: w.Draining, Sequence: w.Sequence})
 	}
 	for _, w := range b.waves {
 		snap.Waves = append(snap.Waves, w)
@@ -217,7 +223,7 @@
 	}
 	workers := make(map[string]*Worker, len(snap.GetWorkers()))
 	for _, w := range snap.GetWorkers() {
-		workers[w.GetLife().GetWorker()] = &Worker{Life: w.GetLife(), Draining: w.GetDraining()}
+		workers[w.GetLife().GetWorker()] = &Worker{Life: w.GetLife(), Draining: w.GetDraining(), Sequence: w.GetSequence()}
 	}
 	waves := make(map[uint64]*egretmuxv1.Wave, len(snap.GetWaves()))
 	for _, w := range snap.GetWaves() {
--- a/internal/jobcell/drive_test.go
+++ b/internal/jobcell/drive_test.go
@@ -226,7 +226,10 @@
 	c.store(b, now)
 	b.Sequence = 2
 	require.True(t, c.isUnchanged(b, now.Add(time.Second)))
+	b.Sequence = 3
 	require.False(t, c.isUnchanged(b, now.Add(heartbeatCacheTTL+time.Second)), "must be sent again: the leader may have changed")
+	b.Sequence = 4
+	require.False(t, c.isUnchanged(b, now), "must be sent again: heartbeat 3 may have reached another instance")
 	reborn := &egretmuxv1.WorkerBeat{Life: &egretmuxv1.WorkerLife{Worker: "w", BornUnixMs: 2}}
 	require.False(t, c.isUnchanged(reborn, now))
 	b.Draining = true
--- a/internal/jobcell/heartbeat_cache.go
+++ b/internal/jobcell/heartbeat_cache.go
@@ -25,13 +25,15 @@
 
 type cachedLife struct {
 	life       *egretmuxv1.WorkerLife
+	sequence   uint64 // of the last heartbeat that came here
 	acceptedAt time.Time
 }
 
 func newHeartbeatCache() *heartbeatCache { return &heartbeatCache{lives: make(map[string]cachedLife)} }
 
 // isUnchanged reports whether the leader recently accepted a heartbeat of the same
-// incarnation. Heartbeats of draining or leaving workers always go to the leader, and
+// incarnation with the same content, and all heartbeats since came here: another instance
+// may have passed on one with other content, after which the same content is news. Heartbeats of draining or leaving workers always go to the leader, and
 // remove the worker's entry.
 func (c *heartbeatCache) isUnchanged(b *egretmuxv1.WorkerBeat, now time.Time) bool {
 	c.mu.Lock()
@@ -41,7 +43,12 @@
 		return false
 	}
 	cached, ok := c.lives[b.GetLife().GetWorker()]
-	return ok && now.Sub(cached.acceptedAt) < heartbeatCacheTTL && proto.Equal(cached.life, b.GetLife())
+	if !ok || now.Sub(cached.acceptedAt) >= heartbeatCacheTTL || b.GetSequence() != cached.sequence+1 || !proto.Equal(cached.life, b.GetLife()) {
+		return false
+	}
+	cached.sequence = b.GetSequence()
+	c.lives[b.GetLife().GetWorker()] = cached
+	return true
 }
 
 func (c *heartbeatCache) store(b *egretmuxv1.WorkerBeat, now time.Time) {
@@ -50,7 +57,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lives[b.GetLife().GetWorker()] = cachedLife{b.GetLife(), now}
+	c.lives[b.GetLife().GetWorker()] = cachedLife{b.GetLife(), b.GetSequence(), now}
 	for id, cached := range c.lives {
 		if now.Sub(cached.acceptedAt) > cachedLifeRetention {
 			delete(c.lives, id)
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -171,9 +171,15 @@
 	t.mu.Lock()
 	known := t.core.Knows(target)
 	draining := known && t.core.Draining(target)
+	resized := known && t.core.CapacityChanged(life, b.GetSequence())
 	t.mu.Unlock()
 	if !known {
-		if stored, err := t.recordLife(ctx, life); err != nil || !stored {
+		if stored, err := t.recordLife(ctx, life, b.GetSequence()); err != nil || !stored {
+			return err
+		}
+	}
+	if resized {
+		if err := t.resizeWorker(ctx, life, b.GetSequence()); err != nil {
 			return err
 		}
 	}
@@ -198,7 +204,7 @@
 // recordLife stores a life of a worker before anything is started on it, after the end of
 // the lives that it replaces. It
 // returns false if a newer life of the worker is known.
-func (t *tenure) recordLife(ctx context.Context, life *egretmuxv1.WorkerLife) (bool, error) {
+func (t *tenure) recordLife(ctx context.Context, life *egretmuxv1.WorkerLife, sequence uint64) (bool, error) {
 	target := targetOf(life)
 	t.mu.Lock()
 	replaced := t.core.ReplacedBy(life)
@@ -208,9 +214,10 @@
 			return false, err
 		}
 	}
-	_, err := t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_RecordLife{RecordLife: &egretmuxv1.RecordLife{Life: life}}}, func(job.Result) {
+	_, err := t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_RecordLife{RecordLife: &egretmuxv1.RecordLife{Life: life, Sequence: sequence}}}, func(job.Result) {
 		t.updateCore(func(c *dispatch.Core, now time.Duration) {
 			c.WorkerJoined(life, now)
+			c.WorkerResized(life, sequence) // if it is known since another heartbeat
 			if c.Knows(target) {
 				t.startPoller(target)
 			}
@@ -224,6 +231,15 @@
 	return t.core.Knows(target), nil
 }
 
+// resizeWorker stores a heartbeat with another capacity, so that the next leader does not
+// start from the one before, and then uses it.
+func (t *tenure) resizeWorker(ctx context.Context, life *egretmuxv1.WorkerLife, sequence uint64) error {
+	_, err := t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_RecordLife{RecordLife: &egretmuxv1.RecordLife{Life: life, Sequence: sequence}}}, func(job.Result) {
+		t.updateCore(func(c *dispatch.Core, _ time.Duration) { c.WorkerResized(life, sequence) })
+	})
+	return err
+}
+
 // handleLeave ends the life of a worker that announced its departure. A report
 // about a superseded life changes nothing; one without a birth time ends the current
 // life.
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -269,3 +269,32 @@
 	}})
 	require.Equal(t, []uint64{2}, runs)
 }
+
+// Guards against heartbeats of a known worker whose capacity is not looked at (LIMIT).
+func TestHeartbeatWithASmallerCapacityLimitsTheStarts(t *testing.T) {
+	f := &fakeWorkers{held: func(dispatch.StartOrder) bool { return true }}
+	s := startLeader(t, f)
+	ctx := t.Context()
+	_, err := s.PutCatalogue(ctx, catalogue(1, "one"))
+	require.NoError(t, err)
+	beat := &egretmuxv1.WorkerBeat{Life: &egretmuxv1.WorkerLife{Worker: "w", BornUnixMs: 1, Address: "w:1", Pool: "p", CpuMillis: 4000, MemoryMib: 1000}, Sequence: 1}
+	require.NoError(t, s.HandleHeartbeat(ctx, beat))
+	beat = &egretmuxv1.WorkerBeat{Life: &egretmuxv1.WorkerLife{Worker: "w", BornUnixMs: 1, Address: "w:1", Pool: "p", CpuMillis: 1000, MemoryMib: 1000}, Sequence: 2}
+	require.NoError(t, s.HandleHeartbeat(ctx, beat))
+	require.NoError(t, untilNotShed(func() error {
+		_, err := s.CallJob(ctx, &egretmuxv1.JobCall{Address: address(jobPath), Verb: egretmuxv1.JobVerb_JOB_VERB_SUBMIT, Job: &egretmuxv1.Job{Steps: []*egretmuxv1.JobStep{
+			{Count: 3, CpuMillis: 1000, MemoryMib: 10, EstimateMs: 10},
+		}}})
+		return err
+	}))
+	require.Eventually(t, func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.running) == 1
+	}, 10*time.Second, 5*time.Millisecond)
+	require.Never(t, func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.starts > 1
+	}, 500*time.Millisecond, 20*time.Millisecond)
+}
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -202,6 +202,9 @@
 	if n.Asked != 0 {
 		e = e.Int("asked", n.Asked).Int("good", n.Good)
 	}
+	if n.Event == "worker_resized" {
+		e = e.Int64("cpu", n.CPU)
+	}
 	if n.Lost != 0 {
 		e = e.Int("lost", n.Lost)
 	}
