state: attempts lost with their workers back off and are limited

Evidence: TestTaskThatCrashesItsWorkersBacksOffAndFails fails before (no backoff grows, the task never ends). Losses in a row now back off like failures; after five, the task fails if the last worker is known to have restarted. A worker that is only silent may be cut off, so its tasks are not given up.

--- a/internal/state/attempts.go
+++ b/internal/state/attempts.go
@@ -89,7 +89,7 @@
 	case egretmuxv1.AttemptPhase_ATTEMPT_PHASE_FAILED:
 		s.handleFailure(t, a)
 	case egretmuxv1.AttemptPhase_ATTEMPT_PHASE_LOST:
-		s.handleLoss(t, a)
+		s.handleLoss(t, a, c.GetWorkerRestarted())
 	case egretmuxv1.AttemptPhase_ATTEMPT_PHASE_STOPPED:
 		s.handleStop(t, a)
 	case egretmuxv1.AttemptPhase_ATTEMPT_PHASE_REFUSED:
@@ -146,7 +146,7 @@
 	}
 	t.Failures[a.GetMember()]++
 	failures := t.Failures[a.GetMember()]
-	t.NotBeforeUnixMs = s.now + min(maxFailureBackoffMs, int64(failureBackoffMs)<<min(failures-1, 10))
+	t.NotBeforeUnixMs = s.now + backoffMs(failures)
 	if t.GetSpec().GetKind() == egretmuxv1.TaskKind_TASK_KIND_SERVICE {
 		return
 	}
@@ -156,15 +156,42 @@
 }
 
 // handleLoss delays the retry of the member if the task may run twice; else it
-// ends the task as unknown.
-func (s *Store) handleLoss(t *egretmuxv1.Task, a *egretmuxv1.Attempt) {
+// ends the task as unknown. A task may crash each worker that starts it, so retries
+// back off as after failures, and are limited if the worker is known to have restarted: one
+// that is only silent may be cut off.
+func (s *Store) handleLoss(t *egretmuxv1.Task, a *egretmuxv1.Attempt, workerRestarted bool) {
 	if task.Restartable(t.GetSpec()) {
+		losses := countLoss(t, a)
 		s.delayPlacement(t, int64(t.GetId()*lostRetryStep%lostRetrySpreadMs))
+		if losses > 1 {
+			s.delayPlacement(t, backoffMs(losses-1))
+		}
+		if workerRestarted && losses >= maxLosses && t.GetSpec().GetKind() != egretmuxv1.TaskKind_TASK_KIND_SERVICE {
+			s.endTask(t, egretmuxv1.TaskPhase_TASK_PHASE_FAILED, "member "+formatUint(uint64(a.GetMember()))+" was lost with its worker "+formatUint(uint64(losses))+" times in a row; it may be what crashes them")
+		}
 		return
 	}
 	s.endTask(t, egretmuxv1.TaskPhase_TASK_PHASE_UNKNOWN, "worker "+a.GetWorker()+" was lost while it may have been running; look at the task's own records before submitting it again")
 }
 
+// countLoss returns how many attempts of the member in a row were lost with their worker,
+// this one included.
+func countLoss(t *egretmuxv1.Task, a *egretmuxv1.Attempt) int32 {
+	for int(a.GetMember()) >= len(t.Losses) {
+		t.Losses = append(t.Losses, 0)
+	}
+	if a.GetConfirmedUnixMs() > 0 && a.GetEndedUnixMs()-a.GetConfirmedUnixMs() > lossForgottenMs {
+		t.Losses[a.GetMember()] = 0
+	}
+	t.Losses[a.GetMember()]++
+	return t.Losses[a.GetMember()]
+}
+
+// backoffMs returns the delay after the nth failure in a row.
+func backoffMs(n int32) int64 {
+	return min(maxFailureBackoffMs, int64(failureBackoffMs)<<min(n-1, 10))
+}
+
 // handleStop ends a task that must not run twice as unknown, unless the
 // attempt can resume from a checkpoint.
 func (s *Store) handleStop(t *egretmuxv1.Task, a *egretmuxv1.Attempt) {
--- a/internal/state/plan_test.go
+++ b/internal/state/plan_test.go
@@ -227,3 +227,35 @@
 	require.Equal(t, first.Task.GetId(), again.Task.GetId())
 	require.Equal(t, refusal.KeyConflict, other.Err.Kind)
 }
+
+// Guards against a task that crashes each worker that starts it and is started again
+// without a limit: a lost attempt is not a failed one.
+func TestTaskThatCrashesItsWorkersBacksOffAndFails(t *testing.T) {
+	s := newPlanStore(t)
+	id := s.submit(batch, 1, 1000, true)
+	silent := s.submit(batch, 1, 1000, true)
+	backoff := int64(0)
+	for n := range maxLosses {
+		require.Equal(t, egretmuxv1.TaskPhase_TASK_PHASE_QUEUED, s.Task(id).GetPhase())
+		require.Equal(t, 1, s.commit(startPlan(planStart(id, 0, "w1", s.Worker("w1").GetEpoch()))))
+		s.register("w1")
+		if n > 1 {
+			delay := s.Task(id).GetNotBeforeUnixMs() - s.now
+			require.Greater(t, delay, backoff)
+			backoff = delay
+		}
+	}
+	require.Equal(t, egretmuxv1.TaskPhase_TASK_PHASE_FAILED, s.Task(id).GetPhase())
+	require.Contains(t, s.Task(id).GetReason(), "lost with its worker")
+
+	// A worker that is only silent may be cut off: its tasks are not given up.
+	for range maxLosses + 1 {
+		s.register("w2")
+		require.Equal(t, 1, s.commit(startPlan(planStart(silent, 0, "w2", s.Worker("w2").GetEpoch()))))
+		w := s.Worker("w2")
+		s.propose(&egretmuxv1.Command{Body: &egretmuxv1.Command_SetWorkerPhase{SetWorkerPhase: &egretmuxv1.SetWorkerPhase{
+			Worker: w.GetId(), Epoch: w.GetEpoch(), Phase: egretmuxv1.WorkerPhase_WORKER_PHASE_LOST,
+		}}})
+	}
+	require.Equal(t, egretmuxv1.TaskPhase_TASK_PHASE_QUEUED, s.Task(silent).GetPhase())
+}
--- a/internal/state/tasks.go
+++ b/internal/state/tasks.go
@@ -15,8 +15,10 @@
 	maxEndedAttempts    = 8     // kept in a task's record
 	failureBackoffMs    = 1000  // after the first failure of a member; doubles with each further one
 	maxFailureBackoffMs = 60000
-	refusedBackoffMs    = 200  // after a worker refused an attempt
-	lostRetrySpreadMs   = 1000 // retries after the loss of a worker are spread over this time
+	maxLosses           = 5       // of one member in a row, at which a task that may end fails
+	lossForgottenMs     = 600_000 // an attempt that ran for so long does not crash its workers
+	refusedBackoffMs    = 200     // after a worker refused an attempt
+	lostRetrySpreadMs   = 1000    // retries after the loss of a worker are spread over this time
 )
 
 // putTask stores a task and updates the totals of its workers and its customer.
--- a/internal/state/workers.go
+++ b/internal/state/workers.go
@@ -141,7 +141,7 @@
 	for _, id := range c.GetRunning() {
 		running[id] = true
 	}
-	s.markAttemptsLost(c.GetWorker().GetId(), "the worker registered anew without it", func(a uint64) bool { return !running[a] })
+	s.markAttemptsLost(c.GetWorker().GetId(), "the worker registered anew without it", true, func(a uint64) bool { return !running[a] })
 	s.mu.Lock()
 	s.lastIDs.workerEpoch++
 	epoch := s.lastIDs.workerEpoch
@@ -199,20 +199,20 @@
 	}
 	s.storeWorker(next)
 	if c.GetPhase() == egretmuxv1.WorkerPhase_WORKER_PHASE_LOST {
-		s.markAttemptsLost(w.GetId(), c.GetReason(), func(uint64) bool { return true })
+		s.markAttemptsLost(w.GetId(), c.GetReason(), false, func(uint64) bool { return true })
 	}
 	return &Result{Worker: next, Applied: 1}
 }
 
 // markAttemptsLost marks the live attempts of a worker that match as lost.
-func (s *Store) markAttemptsLost(id, reason string, match func(attempt uint64) bool) {
+func (s *Store) markAttemptsLost(id, reason string, restarted bool, match func(attempt uint64) bool) {
 	for _, live := range s.workers.liveAttempts(id) {
 		if !match(live.attempt) {
 			continue
 		}
 		next := clone(s.tasks.get(live.task))
 		s.changeAttempt(next, task.FindAttempt(next, live.attempt), &egretmuxv1.AttemptChange{
-			Task: live.task, Attempt: live.attempt, Phase: egretmuxv1.AttemptPhase_ATTEMPT_PHASE_LOST, Detail: reason,
+			Task: live.task, Attempt: live.attempt, Phase: egretmuxv1.AttemptPhase_ATTEMPT_PHASE_LOST, Detail: reason, WorkerRestarted: restarted,
 		})
 		s.updateTask(next)
 	}
