A life of a worker that is over stays over

What could be seen: a heartbeat that was delayed past the worker's farewell, or past the answer of another life at its address, made the leader store the dead life again and order starts from it until it had been silent for 20 s.

Cause: the end of a life left nothing behind that a late heartbeat could be compared with. Evidence: TestLateHeartbeatOfAWorkerThatLeftIsNotUsed fails before.

--- a/internal/job/book.go
+++ b/internal/job/book.go
@@ -27,18 +27,20 @@
 	catalogue *Catalogue
 	jobs      map[string]*Record
 	workers   map[string]*Worker
+	ended     *endedLives
 	waves     map[uint64]*egretmuxv1.Wave
 }
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{jobs: make(map[string]*Record), workers: make(map[string]*Worker), waves: make(map[uint64]*egretmuxv1.Wave)}
+	return &Book{jobs: make(map[string]*Record), workers: make(map[string]*Worker), ended: newEndedLives(), waves: make(map[uint64]*egretmuxv1.Wave)}
 }
 
 // Result is the outcome of an applied command.
 type Result struct {
 	Known    bool                // submit, cancel: the job exists; wave: it exists; catalogue: this or a higher version is in force
 	Conflict bool                // the catalogue in force has the same version but other content
+	Outdated bool                // life: it is over
 	Phase    egretmuxv1.JobPhase // submit, cancel: of the known job; unspecified until it has ended
 }
 
@@ -70,7 +72,7 @@
 			}
 		}
 	case *egretmuxv1.JobCommand_RecordLife:
-		b.recordLife(c.RecordLife)
+		return b.recordLife(c.RecordLife)
 	case *egretmuxv1.JobCommand_EndLife:
 		b.endLife(c.EndLife)
 	case *egretmuxv1.JobCommand_PutWave:
@@ -116,9 +118,12 @@
 }
 
 // recordLife stores a new life of a worker, or what a later heartbeat of the stored life
-// says, such as another capacity.
-func (b *Book) recordLife(c *egretmuxv1.RecordLife) {
+// says, such as another capacity. A late heartbeat of a life that is over changes nothing.
+func (b *Book) recordLife(c *egretmuxv1.RecordLife) Result {
 	life := c.GetLife()
+	if b.ended.has(life) {
+		return Result{Outdated: true}
+	}
 	stored := b.workers[life.GetWorker()]
 	switch {
 	case stored == nil || stored.Life.GetBornUnixMs() < life.GetBornUnixMs():
@@ -126,6 +131,7 @@
 	case stored.Life.GetBornUnixMs() == life.GetBornUnixMs() && stored.Sequence < c.GetSequence():
 		b.workers[life.GetWorker()] = &Worker{Life: life, Draining: stored.Draining, Sequence: c.GetSequence()}
 	}
+	return Result{}
 }
 
 // endLife removes a worker's life, with the runs that were lost if it crashed, or, if the
@@ -141,6 +147,9 @@
 		return
 	}
 	delete(b.workers, c.GetWorker())
+	if c.GetOver() {
+		b.ended.add(c.GetWorker(), c.GetBornUnixMs())
+	}
 	for _, e := range c.GetCrashedRuns() {
 		if r := b.jobs[e.GetJob()]; r != nil {
 			r.applyCrash(e)
@@ -198,6 +207,7 @@
 	for _, w := range b.workers {
 		snap.Workers = append(snap.Workers, &egretmuxv1.WorkerRecord{Life: w.Life, Draining: w.Draining, Sequence: w.Sequence})
 	}
+	snap.EndedLives = b.ended.toProto()
 	for _, w := range b.waves {
 		snap.Waves = append(snap.Waves, w)
 	}
@@ -236,5 +246,6 @@
 		b.catalogue = NewCatalogue(snap.GetCatalogue())
 	}
 	b.jobs, b.workers, b.waves = jobs, workers, waves
+	b.ended = endedLivesFromProto(snap.GetEndedLives())
 	return nil
 }
--- a/internal/job/book_test.go
+++ b/internal/job/book_test.go
@@ -182,3 +182,65 @@
 		require.Error(t, job.CheckCatalogue(c), name)
 	}
 }
+
+func recordLife(t require.TestingT, b *job.Book, born int64) job.Result {
+	return apply(t, b, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_RecordLife{RecordLife: &egretmuxv1.RecordLife{
+		Life: &egretmuxv1.WorkerLife{Worker: "w", BornUnixMs: born},
+	}}})
+}
+
+// restored returns a copy of the book, as another replica reads it from a snapshot.
+func restored(t *testing.T, b *job.Book) *job.Book {
+	t.Helper()
+	var snapshot bytes.Buffer
+	require.NoError(t, b.Capture()(&snapshot))
+	out := job.NewBook()
+	require.NoError(t, out.Restore(snapshot.Bytes()))
+	return out
+}
+
+// Guards against a worker that has left and is in use again, after a heartbeat that was
+// delayed, or after a replica's restart. One that was only silent may come back.
+func TestLateHeartbeatDoesNotBringBackALifeThatIsOver(t *testing.T) {
+	b := job.NewBook()
+	end := func(born int64, over bool) {
+		apply(t, b, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_EndLife{EndLife: &egretmuxv1.EndLife{Worker: "w", BornUnixMs: born, Over: over}}})
+	}
+	require.False(t, recordLife(t, b, 5).Outdated)
+	end(5, true)
+	for _, replica := range []*job.Book{b, restored(t, b)} {
+		require.True(t, recordLife(t, replica, 5).Outdated)
+		require.True(t, recordLife(t, replica, 4).Outdated)
+		require.Empty(t, replica.Workers())
+	}
+	require.False(t, recordLife(t, b, 6).Outdated)
+	require.Len(t, b.Workers(), 1)
+	end(6, false)
+	require.Empty(t, b.Workers())
+	require.False(t, recordLife(t, b, 6).Outdated)
+	require.Len(t, b.Workers(), 1)
+}
+
+// Guards against crashes that are counted again, or lost with a snapshot.
+func TestCrashIsCountedOnceAndKeptInSnapshots(t *testing.T) {
+	b := job.NewBook()
+	apply(t, b, submit(&egretmuxv1.JobStep{Count: 1}))
+	crash := &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_EndLife{EndLife: &egretmuxv1.EndLife{
+		Worker: "w", BornUnixMs: 1, Over: true,
+		CrashedRuns: []*egretmuxv1.CrashedRun{{Job: jobID, Run: 1, Evidence: egretmuxv1.CrashEvidence_CRASH_EVIDENCE_SOLE_STARTUP}},
+	}}}
+	recordLife(t, b, 1)
+	apply(t, b, crash)
+	apply(t, b, crash)
+	b = restored(t, b)
+	b.View(jobID, func(r *job.Record) {
+		require.Equal(t, uint32(1), r.Task(0, 0, 0).Crashes)
+		require.Equal(t, uint32(1), r.Task(0, 0, 0).StartupCrashes)
+		require.Equal(t, uint64(1), r.Task(0, 0, 0).LastEndedRun)
+	})
+	crash.GetEndLife().BornUnixMs = 2
+	crash.GetEndLife().GetCrashedRuns()[0].Run = 2
+	recordLife(t, b, 2)
+	apply(t, b, crash)
+	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_FAILED, phase(b))
+}
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -203,7 +203,7 @@
 
 // recordLife stores a life of a worker before anything is started on it, after the end of
 // the lives that it replaces. It
-// returns false if a newer life of the worker is known.
+// returns false if a newer life of the worker is known, or this one is over.
 func (t *tenure) recordLife(ctx context.Context, life *egretmuxv1.WorkerLife, sequence uint64) (bool, error) {
 	target := targetOf(life)
 	t.mu.Lock()
@@ -214,7 +214,10 @@
 			return false, err
 		}
 	}
-	_, err := t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_RecordLife{RecordLife: &egretmuxv1.RecordLife{Life: life, Sequence: sequence}}}, func(job.Result) {
+	_, err := t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_RecordLife{RecordLife: &egretmuxv1.RecordLife{Life: life, Sequence: sequence}}}, func(result job.Result) {
+		if result.Outdated {
+			return
+		}
 		t.updateCore(func(c *dispatch.Core, now time.Duration) {
 			c.WorkerJoined(life, now)
 			c.WorkerResized(life, sequence) // if it is known since another heartbeat
@@ -246,7 +249,7 @@
 func (t *tenure) handleLeave(ctx context.Context, target dispatch.Target) error {
 	for _, w := range t.book.Workers() {
 		if w.Life.GetWorker() == target.Worker && (target.Born == 0 || w.Life.GetBornUnixMs() == target.Born) {
-			return t.retireWorker(ctx, targetOf(w.Life), "left")
+			return t.retireLeft(ctx, targetOf(w.Life))
 		}
 	}
 	return nil
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -298,3 +298,19 @@
 		return f.starts > 1
 	}, 500*time.Millisecond, 20*time.Millisecond)
 }
+
+// Guards against a worker that has left and gets starts again because a heartbeat of it was
+// delayed.
+func TestLateHeartbeatOfAWorkerThatLeftIsNotUsed(t *testing.T) {
+	s := startLeader(t, &fakeWorkers{})
+	ctx := t.Context()
+	_, err := s.PutCatalogue(ctx, catalogue(1, "one"))
+	require.NoError(t, err)
+	life := &egretmuxv1.WorkerLife{Worker: "w", BornUnixMs: 1, Address: "w:1", Pool: "p", CpuMillis: 4000, MemoryMib: 1000}
+	require.NoError(t, s.HandleHeartbeat(ctx, &egretmuxv1.WorkerBeat{Life: life, Sequence: 1}))
+	require.Eventually(t, func() bool { return s.WorkerCount() == 1 }, 5*time.Second, 5*time.Millisecond)
+	require.NoError(t, s.HandleHeartbeat(ctx, &egretmuxv1.WorkerBeat{Life: &egretmuxv1.WorkerLife{Worker: "w", BornUnixMs: 1}, Leaving: true}))
+	require.Eventually(t, func() bool { return s.WorkerCount() == 0 }, 5*time.Second, 5*time.Millisecond)
+	require.NoError(t, s.HandleHeartbeat(ctx, &egretmuxv1.WorkerBeat{Life: life, Sequence: 2}))
+	require.Never(t, func() bool { return s.WorkerCount() > 0 }, 200*time.Millisecond, 5*time.Millisecond)
+}
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -251,33 +251,34 @@
 		t.proposeLogged("jobs_not_forgotten", &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_ForgetJobs{ForgetJobs: &egretmuxv1.ForgetJobs{Jobs: ids}}})
 	}
 	for _, w := range silent {
-		if err := t.retireWorker(t.ctx, w, "silent"); err != nil {
+		// The process may only be cut off, so its life is not over.
+		end := &egretmuxv1.EndLife{Worker: w.Worker, BornUnixMs: w.Born}
+		if err := t.endLife(t.ctx, w, "silent", end); err != nil {
 			t.cfg.Logger.Warn().Err(err).Str("event", "worker_not_retired").Str("worker", w.Worker).Msg("the end of the worker's life was not stored")
 		}
 	}
 }
 
-// retireWorker ends a worker's life in the book and then in the core.
-func (t *tenure) retireWorker(ctx context.Context, w dispatch.Target, reason string) error {
-	return t.endLife(ctx, w, reason, nil)
+// retireLeft ends the life of a worker that has left.
+func (t *tenure) retireLeft(ctx context.Context, w dispatch.Target) error {
+	return t.endLife(ctx, w, "left", &egretmuxv1.EndLife{Worker: w.Worker, BornUnixMs: w.Born, Over: true})
 }
 
-// retireCrashed is like retireWorker for a life that has ended without a drain. The runs
-// that it took along are stored with its end, so that later leaders know of them.
+// retireCrashed ends a life that may be over without a drain. The runs that it took along
+// are stored with its end, so that later leaders know of them.
 func (t *tenure) retireCrashed(ctx context.Context, w dispatch.Target, reason string) error {
 	t.mu.Lock()
 	crashed := t.core.CrashedRuns(w)
 	t.mu.Unlock()
-	return t.endLife(ctx, w, reason, crashed)
+	return t.endLife(ctx, w, reason, &egretmuxv1.EndLife{Worker: w.Worker, BornUnixMs: w.Born, Over: true, CrashedRuns: crashed})
 }
 
-func (t *tenure) endLife(ctx context.Context, w dispatch.Target, reason string, crashed []*egretmuxv1.CrashedRun) error {
-	_, err := t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_EndLife{
-		EndLife: &egretmuxv1.EndLife{Worker: w.Worker, BornUnixMs: w.Born, CrashedRuns: crashed},
-	}}, func(job.Result) {
+// endLife ends a worker's life in the book and then in the core.
+func (t *tenure) endLife(ctx context.Context, w dispatch.Target, reason string, end *egretmuxv1.EndLife) error {
+	_, err := t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_EndLife{EndLife: end}}, func(job.Result) {
 		t.updateCore(func(c *dispatch.Core, now time.Duration) {
 			c.WorkerGone(w, reason, now)
-			for _, r := range crashed {
+			for _, r := range end.GetCrashedRuns() {
 				t.markEnded(r.GetJob())
 			}
 		})
