dispatch: occurrences that are due at once are opened a few at a time

Evidence: TestOccurrencesThatAreDueAtOnceAreOpenedAFewAtATime opens 40,000 tasks before, 20,000 now. Steps that are done are no longer kept with the job either.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -148,10 +148,16 @@
 	c.openReadySteps(j, 0, j.acceptedAt, now)
 }
 
-// openDueOccurrences opens the occurrences of a periodic job that are due.
+// maxOpenTasks bounds the tasks of a periodic job whose steps are open: all its occurrences
+// may be due at once, which would take more memory than an instance has, and that of each
+// leader after it.
+const maxOpenTasks = 20_000
+
+// openDueOccurrences opens the occurrences of a periodic job that are due. Beyond
+// maxOpenTasks, the next one waits until earlier ones are done.
 func (c *Core) openDueOccurrences(j *job, now time.Duration) {
 	unix := c.cfg.UnixMs(now)
-	for j.nextDue < j.spec.GetRepeats() {
+	for j.nextDue < j.spec.GetRepeats() && j.openTasks < maxOpenTasks {
 		at := j.spec.GetFirstDueUnixMs() + int64(j.nextDue)*j.spec.GetIntervalMs()
 		if unix < at {
 			return
@@ -212,6 +218,7 @@
 		c.adoptStoredRun(t, state, now)
 	}
 	j.steps[key] = s
+	j.openTasks += len(s.tasks)
 	c.steps[key] = s
 	c.unplaced[s] = struct{}{}
 	c.setLatestStart(s, now)
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -286,6 +286,8 @@
 	}
 	if stepDone {
 		delete(c.steps, s.key)
+		delete(j.steps, s.key)
+		j.openTasks -= len(s.tasks)
 		c.openReadySteps(j, key.Occurrence, s.dueAt, now)
 	}
 }
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -11,10 +11,11 @@
 type job struct {
 	id         string
 	spec       *egretmuxv1.Job
-	acceptedAt time.Duration // negative if before this tenure
-	started    bool          // whether a worker has started a run of it
-	steps      map[StepKey]*step
-	nextDue    uint32 // lowest occurrence that is not due yet
+	acceptedAt time.Duration     // negative if before this tenure
+	started    bool              // whether a worker has started a run of it
+	steps      map[StepKey]*step // open ones
+	openTasks  int               // tasks of open steps
+	nextDue    uint32            // lowest occurrence that is not due yet
 }
 
 // task is one task of an open step.
