--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -89,3 +89,13 @@
 	require.Contains(t, timeline.Verdict, "; 2 calls about it were held without an answer, first at core-1")
 	require.Len(t, timeline.Lines, 4, "the stall of the replica is part of the timeline")
 }
+
+func TestJobWhoseTaskCrashedItsWorkersIsExplained(t *testing.T) {
+	timeline := buildTimeline(t, `{"instance":"a","event":"job_accepted","job":"5c0e7a21d94b36f8","time":"2026-01-01T00:00:01Z"}
+{"instance":"a","event":"run_starting","job":"5c0e7a21d94b36f8","task":"5c0e7a21d94b36f8.0.0.1","worker":"w1","run":1,"time":"2026-01-01T00:00:02Z"}
+{"instance":"a","event":"run_lost","job":"5c0e7a21d94b36f8","task":"5c0e7a21d94b36f8.0.0.1","worker":"w1","reason":"worker-replaced","run":1,"time":"2026-01-01T00:00:05Z"}
+{"instance":"a","event":"run_lost","job":"5c0e7a21d94b36f8","task":"5c0e7a21d94b36f8.0.0.1","worker":"w2","reason":"worker-another-life","run":2,"time":"2026-01-01T00:00:09Z"}
+{"instance":"a","event":"task_given_up","job":"5c0e7a21d94b36f8","task":"5c0e7a21d94b36f8.0.0.1","worker":"w2","reason":"workers-crashed","run":2,"time":"2026-01-01T00:00:09Z"}
+{"instance":"a","event":"job_ended","job":"5c0e7a21d94b36f8","reason":"failed","time":"2026-01-01T00:00:09.1Z"}`)
+	require.Contains(t, timeline.Verdict, "task 5c0e7a21d94b36f8.0.0.1 was given up, as workers crashed under it: w1, w2")
+}
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/egretmux/egretmux/internal/refusal"
@@ -16,7 +17,7 @@
 	if len(lines) == 0 {
 		return "the logs hold nothing of this id; give the logs of all instances, and look for log_lines_dropped"
 	}
-	var accepted, deferred, firstStart, ended *Line
+	var accepted, deferred, firstStart, givenUp, ended *Line
 	var refusals, unknownOutcomes, failedRuns, abandonedRuns []Line
 	for i := range lines {
 		line := &lines[i]
@@ -41,6 +42,8 @@
 			if line.Reason == "failed" {
 				failedRuns = append(failedRuns, *line)
 			}
+		case "task_given_up":
+			givenUp = line
 		case "run_lost", "run_stopping":
 			if line.Reason != "job-ended" && line.Reason != "task-done" {
 				abandonedRuns = append(abandonedRuns, *line)
@@ -60,6 +63,9 @@
 	case ended != nil && ended.Event == "job_cancelled":
 		return "cancelled by its client"
 	case ended != nil && ended.Reason == "failed":
+		if givenUp != nil {
+			return "failed: " + crashVerdict(*givenUp, abandonedRuns)
+		}
 		return "failed: " + failureVerdict(failedRuns)
 	case ended == nil:
 		return unfinishedVerdict(deferred, firstStart, abandonedRuns)
@@ -97,6 +103,17 @@
 	return fmt.Sprintf("; %d calls about it were held without an answer, first at %s", len(stalled), stalled[0].Instance)
 }
 
+// crashVerdict names the workers that crashed under a task that was given up for it.
+func crashVerdict(givenUp Line, abandonedRuns []Line) string {
+	workers := []string{}
+	for _, r := range abandonedRuns {
+		if r.Event == "run_lost" && r.Task == givenUp.Task {
+			workers = append(workers, r.Worker)
+		}
+	}
+	return fmt.Sprintf("task %s was given up, as workers crashed under it: %s", givenUp.Task, strings.Join(workers, ", "))
+}
+
 func failureVerdict(failedRuns []Line) string {
 	if len(failedRuns) == 0 {
 		return "the last failed run is not in these logs"
