jobcell: an unknown result of a start counts as unanswered

The result of a start that another instance sent was used as an index when it was logged; one of a later release ended the leader's process, and that of each leader after it (TestUnknownResultOfAStartCountsAsUnanswered: the value panics).

--- a/internal/dispatch/actions.go
+++ b/internal/dispatch/actions.go
@@ -131,14 +131,18 @@
 	NotSent                        // the start was withdrawn before it was sent
 )
 
-// String returns the result as it appears in logs and metrics.
-func (r StartResult) String() string {
-	return [...]string{
-		"accepted", "unanswered", "stale-fence", "old-run", "lease-too-old", "no-room",
-		"ticket-refused", "not-understood", "worker-unwell", "another-life", "connect-refused", "not-sent",
-	}[r]
+// startResultNames are the results as they appear in logs and metrics.
+var startResultNames = [...]string{
+	"accepted", "unanswered", "stale-fence", "old-run", "lease-too-old", "no-room",
+	"ticket-refused", "not-understood", "worker-unwell", "another-life", "connect-refused", "not-sent",
 }
 
+// Known reports whether the value is one of the results.
+func (r StartResult) Known() bool { return r >= 0 && int(r) < len(startResultNames) }
+
+// String returns the result as it appears in logs and metrics.
+func (r StartResult) String() string { return startResultNames[r] }
+
 // ListedRun is a run that a worker reports as present.
 type ListedRun struct {
 	Task            TaskKey
--- a/internal/jobcell/drive.go
+++ b/internal/jobcell/drive.go
@@ -158,7 +158,18 @@
 	if answer == nil {
 		return dispatch.Unanswered, 0
 	}
-	return dispatch.StartResult(answer.GetResult()), answer.GetClock()
+	return decodeStartResult(answer), answer.GetClock()
+}
+
+// decodeStartResult returns the result of a start that another instance sent. One that
+// this release does not know leaves open whether the run began.
+func decodeStartResult(answer *egretmuxv1.DriveAnswer) dispatch.StartResult {
+	result := dispatch.StartResult(answer.GetResult())
+	if !result.Known() {
+		telemetry.CountRetry("start-result-unknown")
+		return dispatch.Unanswered
+	}
+	return result
 }
 
 // Stop implements scheduler.WorkerClient. A missing answer counts as result 0 (see
--- a/internal/jobcell/drive_test.go
+++ b/internal/jobcell/drive_test.go
@@ -237,3 +237,13 @@
 	b.Draining = false
 	require.False(t, c.isUnchanged(b, now), "must be sent again after draining")
 }
+
+// Guards against an instance of another release that takes the leader down: a result that
+// the leader does not know ended its process when it was logged.
+func TestUnknownResultOfAStartCountsAsUnanswered(t *testing.T) {
+	for _, unknown := range []int32{-1, 99} {
+		require.Equal(t, dispatch.Unanswered, decodeStartResult(&egretmuxv1.DriveAnswer{Result: unknown}))
+	}
+	require.Equal(t, dispatch.NoRoom, decodeStartResult(&egretmuxv1.DriveAnswer{Result: int32(dispatch.NoRoom)}))
+	require.Panics(t, func() { _ = dispatch.StartResult(99).String() }, "values from outside are checked where they are decoded")
+}
