job: lives that are over are compared one by one

Clocks may go back between two lives, so a lower birth time does not make a life an earlier one; and a farewell without a birth time may be from an earlier life, so it keeps none away.

--- a/internal/job/book.go
+++ b/internal/job/book.go
@@ -148,7 +148,7 @@
 	}
 	delete(b.workers, c.GetWorker())
 	if c.GetOver() {
-		b.ended.add(c.GetWorker(), c.GetBornUnixMs())
+		b.ended.add(lifeKey{c.GetWorker(), c.GetBornUnixMs()})
 	}
 	for _, e := range c.GetCrashedRuns() {
 		if r := b.jobs[e.GetJob()]; r != nil {
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -249,7 +249,9 @@
 func (t *tenure) handleLeave(ctx context.Context, target dispatch.Target) error {
 	for _, w := range t.book.Workers() {
 		if w.Life.GetWorker() == target.Worker && (target.Born == 0 || w.Life.GetBornUnixMs() == target.Born) {
-			return t.retireLeft(ctx, targetOf(w.Life))
+			// A report without a birth time may be late, and then be from an earlier life.
+			over := target.Born != 0
+			return t.retireLeft(ctx, targetOf(w.Life), over)
 		}
 	}
 	return nil
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -259,9 +259,10 @@
 	}
 }
 
-// retireLeft ends the life of a worker that has left.
-func (t *tenure) retireLeft(ctx context.Context, w dispatch.Target) error {
-	return t.endLife(ctx, w, "left", &egretmuxv1.EndLife{Worker: w.Worker, BornUnixMs: w.Born, Over: true})
+// retireLeft ends the life of a worker that has left. over tells that it is certainly this
+// life that is over, so that it does not come back.
+func (t *tenure) retireLeft(ctx context.Context, w dispatch.Target, over bool) error {
+	return t.endLife(ctx, w, "left", &egretmuxv1.EndLife{Worker: w.Worker, BornUnixMs: w.Born, Over: over})
 }
 
 // retireCrashed ends a life that may be over without a drain. The runs that it took along
