dispatch: crashes known after the lease reach the core; suspects ask for no more advice than needed

Found by a test of the limit below. A worker that is back after its lease has its crash counted in the book, but the runs were gone from the core, which did not look: the core went on with a job that the book had failed, and isolated no suspect (TestTaskIsGivenUpForAWorkerThatComesBackAfterItsLease). The scheduler now hands over the stored crashes themselves.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -53,11 +53,12 @@
 	return suspects, others
 }
 
-// placeSuspects starts each suspect on a worker of its own, and returns those that wait for
-// one. A worker on which runs are starting is kept for the suspect until they have started.
-func (c *Core) placeSuspects(s *step, suspects []*task, now time.Duration) []*task {
+// placeSuspects starts each suspect on a worker of its own. A worker on which runs are
+// starting is kept for the suspect until they have started. It returns how many suspects it
+// started, and how many have no worker that may run them.
+func (c *Core) placeSuspects(s *step, suspects []*task, now time.Duration) (started, without int) {
 	if len(suspects) == 0 {
-		return nil
+		return 0, 0
 	}
 	for _, t := range suspects {
 		if t.kept != nil && t.kept.keptFor == t {
@@ -68,11 +69,12 @@
 	candidates, _ := s.withRoom(c.startableWorkers(s, q, now), 1)
 	s.sortByRisk(candidates, now)
 	allowed := c.isolationsLeft(q.GetService())
-	var waiting []*task
 	for _, t := range suspects {
 		if len(candidates) == 0 || allowed <= 0 {
 			t.kept = nil
-			waiting = append(waiting, t)
+			if len(candidates) == 0 {
+				without++
+			}
 			continue
 		}
 		i := max(0, slices.Index(candidates, t.kept))
@@ -82,18 +84,19 @@
 		if w.startingRuns(now) == 0 {
 			t.kept = nil
 			c.startTask(t, w, t.highestRun+1, now)
+			started++
 			continue
 		}
 		if t.kept != w {
 			t.kept, w.keptSince = w, now
 		}
 		w.keptFor = t
-		waiting = append(waiting, t)
 	}
-	return waiting
+	return started, without
 }
 
-// isolationsLeft returns how many more workers of a pool may be kept for suspects.
+// isolationsLeft returns how many more workers of a pool may be kept for suspects. Silent
+// ones, which a suspect may have crashed, get no runs in any case.
 func (c *Core) isolationsLeft(pool string) int {
 	total, isolated := 0, 0
 	for _, w := range c.workers {
@@ -101,7 +104,7 @@
 			continue
 		}
 		total++
-		if w.keptForSuspect() {
+		if w.keptForSuspect() && w.missedPolls == 0 {
 			isolated++
 		}
 	}
@@ -164,7 +167,10 @@
 	if w == nil || w.Born != t.Born || w.draining || w.cordoned {
 		return nil
 	}
-	return append(slices.Clone(w.lapsedRuns), w.crashedRuns()...)
+	crashed := append(slices.Clone(w.lapsedRuns), w.crashedRuns()...)
+	// The most likely cause first, as the job that it ends is logged with it.
+	slices.SortStableFunc(crashed, func(a, b *egretmuxv1.CrashedRun) int { return cmp.Compare(b.GetEvidence(), a.GetEvidence()) })
+	return crashed
 }
 
 // crashedRuns returns the runs that may have begun on a worker, with the evidence that each
@@ -195,34 +201,33 @@
 	return egretmuxv1.CrashEvidence_CRASH_EVIDENCE_SOLE_STARTUP
 }
 
-// updateCrashes takes over what the book has counted for the tasks of lost runs, and
-// removes the jobs that it has given up.
-func (c *Core) updateCrashes(lost []*run, now time.Duration) {
-	// The task at fault first, as the job that it ends is logged with it.
-	slices.SortStableFunc(lost, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(b.task.startupCrashes, a.task.startupCrashes), cmp.Compare(b.task.crashes, a.task.crashes))
-	})
-	for _, r := range lost {
-		key := r.task.key()
-		j := c.jobs[key.Job]
+// CrashesStored takes over what the book has counted for the runs that a crashed worker took
+// along, and removes the jobs that it has given up.
+func (c *Core) CrashesStored(t Target, crashed []*egretmuxv1.CrashedRun, now time.Duration) {
+	for _, r := range crashed {
+		j := c.jobs[r.GetJob()]
 		if j == nil {
 			continue
 		}
-		phase := egretmuxv1.JobPhase_JOB_PHASE_UNSPECIFIED
+		key := TaskKey{StepKey{r.GetJob(), r.GetOccurrence(), r.GetStep()}, r.GetIndex()}
+		phase, state := egretmuxv1.JobPhase_JOB_PHASE_UNSPECIFIED, jobs.TaskState{}
 		c.cfg.Book.View(key.Job, func(rec *jobs.Record) {
 			if rec == nil || rec.Ended() {
 				phase = phaseOf(rec)
 				return
 			}
-			state := rec.Task(key.Occurrence, key.Step, key.Index)
-			r.task.crashes, r.task.startupCrashes = state.Crashes, state.StartupCrashes
+			state = rec.Task(key.Occurrence, key.Step, key.Index)
 		})
-		if phase == egretmuxv1.JobPhase_JOB_PHASE_FAILED {
-			c.addNotice(Notice{Event: "task_given_up", Job: key.Job, Task: key.String(), Worker: r.worker.Worker, Run: r.number, Reason: "workers-crashed"})
+		if phase == egretmuxv1.JobPhase_JOB_PHASE_UNSPECIFIED {
+			if s := c.steps[key.StepKey]; s != nil {
+				s.tasks[key.Index].crashes, s.tasks[key.Index].startupCrashes = state.Crashes, state.StartupCrashes
+			}
+			continue
 		}
-		if phase != egretmuxv1.JobPhase_JOB_PHASE_UNSPECIFIED {
-			c.endJob(j, phase, now)
+		if phase == egretmuxv1.JobPhase_JOB_PHASE_FAILED {
+			c.addNotice(Notice{Event: "task_given_up", Job: key.Job, Task: key.String(), Worker: t.Worker, Run: r.GetRun(), Reason: "workers-crashed"})
 		}
+		c.endJob(j, phase, now)
 	}
 }
 
--- a/internal/dispatch/membership.go
+++ b/internal/dispatch/membership.go
@@ -83,7 +83,6 @@
 		c.loseRun(r, "worker-"+reason, now)
 	}
 	delete(c.workers, t.Worker)
-	c.updateCrashes(lost, now)
 	c.addNotice(Notice{Event: "worker_gone", Worker: t.Worker, Reason: reason, Age: now - w.heardAt, Lost: len(lost)})
 }
 
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -259,7 +259,7 @@
 func (c *Core) placeTasks(s *step, waiting []*task, now time.Duration) int {
 	q := c.queue(s.job)
 	suspects, unplaced := splitSuspects(waiting)
-	suspects = c.placeSuspects(s, suspects, now)
+	started, without := c.placeSuspects(s, suspects, now)
 	candidates, _ := s.withRoom(c.startableWorkers(s, q, now), len(unplaced))
 	s.sortByScore(candidates)
 	for _, w := range candidates {
@@ -271,12 +271,12 @@
 			c.startTask(t, w, t.highestRun+1, now)
 		}
 		unplaced = unplaced[n:]
+		started += n
 	}
-	unplaced = append(unplaced, suspects...)
-	if len(unplaced) > 0 && q.GetAdvice() != nil && c.mayRequestAdvice(s, q.GetAdvice(), now) {
-		c.requestAdvice(s, q.GetAdvice(), c.workersWithRoom(s, q.GetService(), now), len(unplaced), now)
+	if without += len(unplaced); without > 0 && q.GetAdvice() != nil && c.mayRequestAdvice(s, q.GetAdvice(), now) {
+		c.requestAdvice(s, q.GetAdvice(), c.workersWithRoom(s, q.GetService(), now), without, now)
 	}
-	return len(waiting) - len(unplaced)
+	return started
 }
 
 // workersWithRoom returns the workers that have the resources for a task of the
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -279,6 +279,7 @@
 	_, err := t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_EndLife{EndLife: end}}, func(job.Result) {
 		t.updateCore(func(c *dispatch.Core, now time.Duration) {
 			c.WorkerGone(w, reason, now)
+			c.CrashesStored(w, end.GetCrashedRuns(), now)
 			for _, r := range end.GetCrashedRuns() {
 				t.markEnded(r.GetJob())
 			}
