--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -189,6 +189,8 @@
 	return out
 }
 
+// evidenceOf returns the evidence that a run crashed its worker, from when the worker was
+// last heard of.
 func (w *worker) evidenceOf(r *run) egretmuxv1.CrashEvidence {
 	if !r.starting(w.heardAt) {
 		return egretmuxv1.CrashEvidence_CRASH_EVIDENCE_UNSPECIFIED
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -67,6 +67,17 @@
 	require.Equal(t, 3*time.Second, gone[0].Age)
 }
 
+// newHarnessWithDeadlyJob returns a harness with six workers and job 1, which has one task.
+func newHarnessWithDeadlyJob(t *testing.T) *harness {
+	t.Helper()
+	h := newHarness(t)
+	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		h.addWorker(name, 4)
+	}
+	h.submit(id(1), tasks(1, 1))
+	return h
+}
+
 // startAndCrash plans, accepts the starts and crashes the workers that started a task of
 // the job. It returns the starts of that job.
 func (h *harness) startAndCrash(deadly string) []dispatch.StartOrder {
@@ -88,11 +99,7 @@
 // Guards against a task that crashes each worker that starts it and is started again and
 // again: a crash lists no end, so it did not count as an attempt (BUDGET).
 func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
-	h := newHarness(t)
-	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
-		h.addWorker(name, 4)
-	}
-	h.submit(id(1), tasks(1, 1))
+	h := newHarnessWithDeadlyJob(t)
 	crashes := 0
 	for range 8 {
 		crashes += len(h.startAndCrash(id(1)))
@@ -104,11 +111,7 @@
 // Guards against a count of crashes in the memory of one leader: a task that crashes its
 // workers is often started by a leader that is lost soon after.
 func TestCrashesAreRememberedByTheNextLeader(t *testing.T) {
-	h := newHarness(t)
-	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
-		h.addWorker(name, 4)
-	}
-	h.submit(id(1), tasks(1, 1))
+	h := newHarnessWithDeadlyJob(t)
 	crashes := 0
 	for range 5 {
 		crashes += len(h.startAndCrash(id(1)))
--- a/internal/dispatch/membership.go
+++ b/internal/dispatch/membership.go
@@ -86,8 +86,9 @@
 	c.addNotice(Notice{Event: "worker_gone", Worker: t.Worker, Reason: reason, Age: now - w.heardAt, Lost: len(lost)})
 }
 
-// CapacityChanged reports whether a heartbeat of a known life has another capacity than the
-// one in use. Heartbeats may overtake each other; an older one has none.
+// CapacityChanged takes note of a heartbeat of a known life and reports whether it has
+// another capacity than the one in use. Heartbeats may overtake each other: one that is older
+// than another that was noted changes nothing.
 func (c *Core) CapacityChanged(life *egretmuxv1.WorkerLife, sequence uint64) bool {
 	w := c.workers[life.GetWorker()]
 	if w == nil || w.Born != life.GetBornUnixMs() || sequence < w.reportSequence {
--- a/internal/jobcell/heartbeat_cache.go
+++ b/internal/jobcell/heartbeat_cache.go
@@ -33,8 +33,9 @@
 
 // isUnchanged reports whether the leader recently accepted a heartbeat of the same
 // incarnation with the same content, and all heartbeats since came here: another instance
-// may have passed on one with other content, after which the same content is news. Heartbeats of draining or leaving workers always go to the leader, and
-// remove the worker's entry.
+// may have passed on one with other content, after which the same content is news.
+// Heartbeats of draining or leaving workers always go to the leader, and remove the worker's
+// entry.
 func (c *heartbeatCache) isUnchanged(b *egretmuxv1.WorkerBeat, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -202,8 +202,8 @@
 }
 
 // recordLife stores a life of a worker before anything is started on it, after the end of
-// the lives that it replaces. It
-// returns false if a newer life of the worker is known, or this one is over.
+// the lives that it replaces. It returns false if a newer life of the worker is known, or
+// this one is over.
 func (t *tenure) recordLife(ctx context.Context, life *egretmuxv1.WorkerLife, sequence uint64) (bool, error) {
 	target := targetOf(life)
 	t.mu.Lock()
