--- a/gen/egretmux/v1/egretmuxv1connect/job.connect.go
+++ b/gen/egretmux/v1/egretmuxv1connect/job.connect.go
@@ -64,6 +64,9 @@
 	JobCellServiceShowWaveProcedure = "/egretmux.v1.JobCellService/ShowWave"
 	// JobCellServiceAdviseProcedure is the fully-qualified name of the JobCellService's Advise RPC.
 	JobCellServiceAdviseProcedure = "/egretmux.v1.JobCellService/Advise"
+	// JobCellServiceShowCustomersProcedure is the fully-qualified name of the JobCellService's
+	// ShowCustomers RPC.
+	JobCellServiceShowCustomersProcedure = "/egretmux.v1.JobCellService/ShowCustomers"
 )
 
 // JobCellServiceClient is a client for the egretmux.v1.JobCellService service.
@@ -80,6 +83,7 @@
 	StartWave(context.Context, *connect.Request[v1.StartWaveRequest]) (*connect.Response[v1.StartWaveResponse], error)
 	ShowWave(context.Context, *connect.Request[v1.ShowWaveRequest]) (*connect.Response[v1.ShowWaveResponse], error)
 	Advise(context.Context, *connect.Request[v1.AdviseRequest]) (*connect.Response[v1.AdviseResponse], error)
+	ShowCustomers(context.Context, *connect.Request[v1.ShowCustomersRequest]) (*connect.Response[v1.ShowCustomersResponse], error)
 }
 
 // NewJobCellServiceClient constructs a client for the egretmux.v1.JobCellService service. By
@@ -159,6 +163,12 @@
 			connect.WithSchema(jobCellServiceMethods.ByName("Advise")),
 			connect.WithClientOptions(opts...),
 		),
+		showCustomers: connect.NewClient[v1.ShowCustomersRequest, v1.ShowCustomersResponse](
+			httpClient,
+			baseURL+JobCellServiceShowCustomersProcedure,
+			connect.WithSchema(jobCellServiceMethods.ByName("ShowCustomers")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -175,6 +185,7 @@
 	startWave      *connect.Client[v1.StartWaveRequest, v1.StartWaveResponse]
 	showWave       *connect.Client[v1.ShowWaveRequest, v1.ShowWaveResponse]
 	advise         *connect.Client[v1.AdviseRequest, v1.AdviseResponse]
+	showCustomers  *connect.Client[v1.ShowCustomersRequest, v1.ShowCustomersResponse]
 }
 
 // AnnounceMember calls egretmux.v1.JobCellService.AnnounceMember.
@@ -232,6 +243,11 @@
 	return c.advise.CallUnary(ctx, req)
 }
 
+// ShowCustomers calls egretmux.v1.JobCellService.ShowCustomers.
+func (c *jobCellServiceClient) ShowCustomers(ctx context.Context, req *connect.Request[v1.ShowCustomersRequest]) (*connect.Response[v1.ShowCustomersResponse], error) {
+	return c.showCustomers.CallUnary(ctx, req)
+}
+
 // JobCellServiceHandler is an implementation of the egretmux.v1.JobCellService service.
 type JobCellServiceHandler interface {
 	AnnounceMember(context.Context, *connect.Request[v1.AnnounceMemberRequest]) (*connect.Response[v1.AnnounceMemberResponse], error)
@@ -246,6 +262,7 @@
 	StartWave(context.Context, *connect.Request[v1.StartWaveRequest]) (*connect.Response[v1.StartWaveResponse], error)
 	ShowWave(context.Context, *connect.Request[v1.ShowWaveRequest]) (*connect.Response[v1.ShowWaveResponse], error)
 	Advise(context.Context, *connect.Request[v1.AdviseRequest]) (*connect.Response[v1.AdviseResponse], error)
+	ShowCustomers(context.Context, *connect.Request[v1.ShowCustomersRequest]) (*connect.Response[v1.ShowCustomersResponse], error)
 }
 
 // NewJobCellServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -321,6 +338,12 @@
 		connect.WithSchema(jobCellServiceMethods.ByName("Advise")),
 		connect.WithHandlerOptions(opts...),
 	)
+	jobCellServiceShowCustomersHandler := connect.NewUnaryHandler(
+		JobCellServiceShowCustomersProcedure,
+		svc.ShowCustomers,
+		connect.WithSchema(jobCellServiceMethods.ByName("ShowCustomers")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/egretmux.v1.JobCellService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case JobCellServiceAnnounceMemberProcedure:
@@ -345,6 +368,8 @@
 			jobCellServiceShowWaveHandler.ServeHTTP(w, r)
 		case JobCellServiceAdviseProcedure:
 			jobCellServiceAdviseHandler.ServeHTTP(w, r)
+		case JobCellServiceShowCustomersProcedure:
+			jobCellServiceShowCustomersHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -397,3 +422,7 @@
 func (UnimplementedJobCellServiceHandler) Advise(context.Context, *connect.Request[v1.AdviseRequest]) (*connect.Response[v1.AdviseResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("egretmux.v1.JobCellService.Advise is not implemented"))
 }
+
+func (UnimplementedJobCellServiceHandler) ShowCustomers(context.Context, *connect.Request[v1.ShowCustomersRequest]) (*connect.Response[v1.ShowCustomersResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("egretmux.v1.JobCellService.ShowCustomers is not implemented"))
+}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -45,6 +45,8 @@
 	unplaced           map[*step]struct{} // open steps that may have tasks without a run
 	periodic           []*job             // jobs with occurrences that are not due yet
 	workers            map[string]*worker
+	customers          map[string]*customer
+	customersVersion   uint64        // version of the catalogue from which customers have their limits
 	inheritedLeasesEnd time.Duration // when all leases from earlier leaders have expired
 	confirmedAt        time.Duration // when a quorum last confirmed this leader
 	actions            Actions
@@ -79,7 +81,7 @@
 func New(cfg Config) *Core {
 	c := &Core{
 		cfg: cfg, jobs: make(map[string]*job), steps: make(map[StepKey]*step), unplaced: make(map[*step]struct{}), callers: 1, adviceMs: make(map[bool]float64),
-		workers:            make(map[string]*worker),
+		workers: make(map[string]*worker), customers: make(map[string]*customer),
 		inheritedLeasesEnd: inheritedLeaseWait(cfg.Lease),
 		runTimes:           make(map[[2]string]*runTimes), allowedShare: make(map[[2]string]float64),
 	}
@@ -138,7 +140,7 @@
 		return
 	}
 	age := max(0, c.cfg.UnixMs(now)-spec.GetAcceptedUnixMs())
-	j := &job{id: id, spec: spec, steps: make(map[StepKey]*step), acceptedAt: now - time.Duration(age)*time.Millisecond}
+	j := &job{id: id, spec: spec, steps: make(map[StepKey]*step), acceptedAt: now - time.Duration(age)*time.Millisecond, customer: c.customerOf(spec)}
 	c.jobs[id] = j
 	if spec.GetRepeats() > 0 {
 		c.periodic = append(c.periodic, j)
@@ -205,7 +207,7 @@
 func (c *Core) openStep(j *job, key StepKey, tasks []jobs.TaskState, due, now time.Duration) {
 	spec := j.spec.GetSteps()[key.Step]
 	s := &step{
-		key: key, job: j, spec: spec, demand: demandOf(spec), dueAt: due, openedAt: now, runsOn: make(map[*worker]int),
+		key: key, job: j, spec: spec, demand: demandOf(spec), usage: usageOf(spec), dueAt: due, openedAt: now, runsOn: make(map[*worker]int),
 		advice: newAdvice(),
 	}
 	for i, state := range tasks {
@@ -302,7 +304,7 @@
 // removeRun removes a run that is no longer on its worker.
 func (c *Core) removeRun(r *run) {
 	if r.state != ended {
-		r.worker.free = r.worker.free.plus(r.demand)
+		r.vacate()
 	}
 	delete(r.worker.runs, runKey{r.task.key(), r.number})
 	r.task.removeRun(r)
--- /dev/null
+++ b/internal/dispatch/customer.go
@@ -0,0 +1,99 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+)
+
+// customer is the state of a customer that has open jobs or runs.
+type customer struct {
+	name   string
+	limits *egretmuxv1.Customer // of the catalogue in force; nil once it is not listed there
+	// inUse is what its runs use together: all that are or may be present on workers, also
+	// those that are being stopped.
+	inUse resources
+}
+
+// customerOf returns the customer of a job, or nil if the job came without a credential.
+func (c *Core) customerOf(spec *egretmuxv1.Job) *customer {
+	name := spec.GetCustomer()
+	if name == "" {
+		return nil
+	}
+	if c.customers[name] == nil {
+		c.customers[name] = &customer{name: name, limits: c.cfg.Book.Catalogue().Customer(name)}
+	}
+	return c.customers[name]
+}
+
+// updateCustomers takes over the limits of a new catalogue.
+func (c *Core) updateCustomers() {
+	catalogue := c.cfg.Book.Catalogue()
+	if catalogue == nil || catalogue.Version == c.customersVersion {
+		return
+	}
+	c.customersVersion = catalogue.Version
+	for _, customer := range c.customers {
+		customer.limits = catalogue.Customer(customer.name)
+	}
+}
+
+// occupy takes the resources of a run from its worker and counts them for its customer.
+func (r *run) occupy() {
+	r.worker.free = r.worker.free.minus(r.demand)
+	if customer := r.task.step.job.customer; customer != nil {
+		customer.inUse = customer.inUse.plus(r.task.step.usage)
+	}
+}
+
+// vacate gives the resources of a run back.
+func (r *run) vacate() {
+	r.worker.free = r.worker.free.plus(r.demand)
+	if customer := r.task.step.job.customer; customer != nil {
+		customer.inUse = customer.inUse.minus(r.task.step.usage)
+	}
+}
+
+// usageOf returns what one task of a step counts with towards its customer's quota. Unlike
+// its demand, it includes the cpu of a filler.
+func usageOf(s *egretmuxv1.JobStep) resources {
+	return resources{s.GetCpuMillis(), s.GetMemoryMib(), s.GetAccelerators()}
+}
+
+// CustomerUsage returns what each customer of the catalogue in force uses and waits for.
+func (c *Core) CustomerUsage() []*egretmuxv1.CustomerUsage {
+	catalogue := c.cfg.Book.Catalogue()
+	if catalogue == nil {
+		return nil
+	}
+	out := make([]*egretmuxv1.CustomerUsage, 0, len(catalogue.Message.GetCustomers()))
+	byName := make(map[string]*egretmuxv1.CustomerUsage)
+	for _, limits := range catalogue.Message.GetCustomers() {
+		u := &egretmuxv1.CustomerUsage{Name: limits.GetName(), Weight: limits.GetWeight(), JobsPerSecond: limits.GetJobsPerSecond(), Quota: limits.GetQuota()}
+		if customer := c.customers[limits.GetName()]; customer != nil {
+			u.InUse = customer.inUse.toProto()
+		}
+		out, byName[u.GetName()] = append(out, u), u
+	}
+	for _, j := range c.jobs {
+		u := byName[j.spec.GetCustomer()]
+		if u == nil {
+			continue
+		}
+		u.OpenJobs++
+		if j.spec.GetOverRate() {
+			u.OverRateJobs++
+		}
+		for _, s := range j.steps {
+			u.WaitingTasks += uint64(len(s.waitingTasks()))
+		}
+	}
+	slices.SortFunc(out, func(a, b *egretmuxv1.CustomerUsage) int { return cmp.Compare(a.GetName(), b.GetName()) })
+	return out
+}
+
+func (r resources) toProto() *egretmuxv1.Resources {
+	return &egretmuxv1.Resources{CpuMillis: r.cpu, MemoryMib: r.memory, Accelerators: r.accelerators}
+}
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -82,7 +82,7 @@
 			c.learnFromEnd(r, e.Outcome, now)
 			r.state = ended
 			c.markJobStarted(r.task.step.job, now)
-			w.free = w.free.plus(r.demand)
+			r.vacate()
 			newEnds = append(newEnds, runEndOf(e))
 		} else if r == nil && e.TaskParsed && c.endCounts(e) {
 			// The task gets no new run until this end is stored, as for a known run.
@@ -178,7 +178,7 @@
 	r := &run{task: t, worker: w, number: number, state: state, demand: t.step.demand, startedAt: now, progressAt: now, confirmedPace: fullPace}
 	w.runs[runKey{t.key(), number}] = r
 	if state != ended {
-		w.free = w.free.minus(r.demand)
+		r.occupy()
 	}
 	t.runs = append(t.runs, r)
 	t.highestRun = max(t.highestRun, number)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -27,6 +27,7 @@
 
 // Plan starts waiting tasks on workers and requests missing advice.
 func (c *Core) Plan(now time.Duration) {
+	c.updateCustomers()
 	c.updateHeadroom(now)
 	for _, w := range c.workers {
 		w.reserved = resources{}
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -11,6 +11,7 @@
 type job struct {
 	id         string
 	spec       *egretmuxv1.Job
+	customer   *customer         // nil if it came without a credential
 	acceptedAt time.Duration     // negative if before this tenure
 	started    bool              // whether a worker has started a run of it
 	steps      map[StepKey]*step // open ones
@@ -48,6 +49,7 @@
 	job         *job
 	spec        *egretmuxv1.JobStep
 	demand      resources
+	usage       resources // of one task, counted towards the customer's quota
 	tasks       []*task
 	tasksLeft   int           // number of tasks that are not done
 	dueAt       time.Duration // when the job was accepted or the occurrence was due
--- a/internal/job/catalogue.go
+++ b/internal/job/catalogue.go
@@ -11,10 +11,12 @@
 // Catalogue is a complete configuration, indexed for lookups. Its queues are the routes
 // of the operator's configuration file, its pools the services. It is immutable.
 type Catalogue struct {
-	Version uint64
-	Message *egretmuxv1.Catalogue
-	byHost  map[string][]*egretmuxv1.Queue
-	pools   map[string]*egretmuxv1.Pool
+	Version      uint64
+	Message      *egretmuxv1.Catalogue
+	byHost       map[string][]*egretmuxv1.Queue
+	pools        map[string]*egretmuxv1.Pool
+	customers    map[string]*egretmuxv1.Customer
+	byCredential map[CredentialHash]*egretmuxv1.Customer
 }
 
 // NewCatalogue indexes a checked catalogue.
@@ -22,6 +24,7 @@
 	c := &Catalogue{
 		Version: m.GetVersion(), Message: m,
 		byHost: make(map[string][]*egretmuxv1.Queue), pools: make(map[string]*egretmuxv1.Pool),
+		customers: make(map[string]*egretmuxv1.Customer), byCredential: make(map[CredentialHash]*egretmuxv1.Customer),
 	}
 	for _, q := range m.GetQueues() {
 		host := strings.ToLower(q.GetHost())
@@ -30,6 +33,12 @@
 	for _, p := range m.GetPools() {
 		c.pools[p.GetName()] = p
 	}
+	for _, customer := range m.GetCustomers() {
+		c.customers[customer.GetName()] = customer
+		for _, hash := range customer.GetCredentialSha256() {
+			c.byCredential[CredentialHash(hash)] = customer
+		}
+	}
 	return c
 }
 
@@ -109,5 +118,5 @@
 		}
 		routesByKey[key] = q.GetName()
 	}
-	return nil
+	return checkCustomers(m)
 }
--- /dev/null
+++ b/internal/job/customer.go
@@ -0,0 +1,81 @@
+package job
+
+import (
+	"crypto/sha256"
+	"math"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/refusal"
+)
+
+// CredentialHash is the SHA-256 of a credential. Credentials themselves are kept only in
+// the operator's text of the configuration.
+type CredentialHash [sha256.Size]byte
+
+// HashCredential returns the hash of a credential as callers send it.
+func HashCredential(credential string) []byte {
+	hash := sha256.Sum256([]byte(credential))
+	return hash[:]
+}
+
+// VersionOrZero returns the version, or zero if there is no catalogue.
+func (c *Catalogue) VersionOrZero() uint64 {
+	if c == nil {
+		return 0
+	}
+	return c.Version
+}
+
+// Customer returns the customer with the name, or nil.
+func (c *Catalogue) Customer(name string) *egretmuxv1.Customer {
+	if c == nil {
+		return nil
+	}
+	return c.customers[name]
+}
+
+// CustomerOf returns the customer to which a credential belongs, by its hash, or nil.
+func (c *Catalogue) CustomerOf(credentialSha256 []byte) *egretmuxv1.Customer {
+	if c == nil || len(credentialSha256) != sha256.Size {
+		return nil
+	}
+	return c.byCredential[CredentialHash(credentialSha256)]
+}
+
+// NeedsCredential reports whether calls to a queue need the credential of a customer.
+func (c *Catalogue) NeedsCredential(q *egretmuxv1.Queue) bool {
+	return c.Message.GetCredentialsRequired() && !q.GetPublic()
+}
+
+// checkCustomers returns a refusal if the customers of a catalogue are invalid.
+func checkCustomers(m *egretmuxv1.Catalogue) error {
+	invalid := func(remedy, format string, args ...any) error {
+		return refusal.New(refusal.Invalid, remedy, format, args...)
+	}
+	names := make(map[string]bool, len(m.GetCustomers()))
+	owners := make(map[CredentialHash]string)
+	emptyCredential := CredentialHash(HashCredential(""))
+	for _, c := range m.GetCustomers() {
+		if c.GetName() == "" || names[c.GetName()] {
+			return invalid("name each customer once", "customer %.100q is listed twice or has no name", c.GetName())
+		}
+		names[c.GetName()] = true
+		if !(c.GetWeight() >= 0 && c.GetJobsPerSecond() >= 0) || math.IsInf(c.GetWeight(), 1) {
+			return invalid("give a weight of zero or more", "customer %.100q has a weight that is negative or not a number", c.GetName())
+		}
+		if q := c.GetQuota(); min(q.GetCpuMillis(), q.GetMemoryMib(), q.GetAccelerators()) < 0 {
+			return invalid("give limits of zero or more; zero is no limit", "customer %.100q has a negative limit", c.GetName())
+		}
+		for _, hash := range c.GetCredentialSha256() {
+			key := CredentialHash(hash)
+			if key == emptyCredential {
+				return invalid("give each key at least one character", "customer %.100q has an empty key", c.GetName())
+			}
+			if owner, taken := owners[key]; taken && owner != c.GetName() {
+				return invalid("give each customer keys of its own", "customers %.100q and %.100q share a key", owner, c.GetName())
+			}
+			owners[key] = c.GetName()
+		}
+	}
+	return nil
+}
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -215,7 +215,9 @@
 // finish sets the final phase and drops the state that only an active job needs.
 func (r *Record) finish(phase egretmuxv1.JobPhase) {
 	r.Phase = phase
-	r.Job = &egretmuxv1.Job{Id: r.Job.GetId(), Host: r.Job.GetHost(), Prefix: r.Job.GetPrefix(), Service: r.Job.GetService()}
+	r.Job = &egretmuxv1.Job{
+		Id: r.Job.GetId(), Host: r.Job.GetHost(), Prefix: r.Job.GetPrefix(), Service: r.Job.GetService(), Customer: r.Job.GetCustomer(),
+	}
 	r.occurrences = nil
 }
 
--- a/internal/jobcell/serve.go
+++ b/internal/jobcell/serve.go
@@ -69,6 +69,12 @@
 	return connect.NewResponse(resp), nil
 }
 
+// ShowCustomers implements JobCellService.
+func (s *service) ShowCustomers(context.Context, *connect.Request[egretmuxv1.ShowCustomersRequest]) (*connect.Response[egretmuxv1.ShowCustomersResponse], error) {
+	resp, err := s.cell.scheduler.ShowCustomers()
+	return reply(s.cell, resp, err)
+}
+
 // StartWave implements JobCellService.
 func (s *service) StartWave(ctx context.Context, req *connect.Request[egretmuxv1.StartWaveRequest]) (*connect.Response[egretmuxv1.StartWaveResponse], error) {
 	return reply(s.cell, &egretmuxv1.StartWaveResponse{}, s.cell.scheduler.StartWave(ctx, req.Msg.GetWave()))
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -41,6 +41,10 @@
 	if q == nil {
 		return &egretmuxv1.JobAnswer{NoQueue: true}, nil
 	}
+	customer, err := t.identify(ctx, q, call)
+	if err != nil {
+		return nil, err
+	}
 	j := call.GetJob()
 	if !job.ValidID(id) {
 		return nil, refusal.New(refusal.Invalid, "end the path with 16 hexadecimal digits", "%.100q is not a job id", id)
@@ -48,11 +52,14 @@
 	if err := job.Check(j); err != nil {
 		return nil, err
 	}
+	if err := t.checkOwner(q, id, customer); err != nil {
+		return nil, err
+	}
 	if t.overloaded() && !t.isStored(id) {
 		return nil, refusal.New(refusal.Shed, "retry later", "the leader is overloaded").WithRetryAfter(time.Second)
 	}
 	j.Id, j.Host, j.Prefix = id, q.GetHost(), q.GetPrefix()
-	j.Attempts, j.Service = q.GetAttempts(), q.GetService()
+	j.Attempts, j.Service, j.Customer = q.GetAttempts(), q.GetService(), customer.GetName()
 	j.AcceptedUnixMs = time.Now().UnixMilli()
 	steps := len(j.GetSteps())
 	_, err = t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_Submit{Submit: &egretmuxv1.SubmitJob{Job: j}}}, func(result job.Result) {
@@ -84,6 +91,13 @@
 	if q == nil {
 		return &egretmuxv1.JobAnswer{NoQueue: true}, nil
 	}
+	customer, err := t.identify(ctx, q, call)
+	if err != nil {
+		return nil, err
+	}
+	if err := t.checkOwner(q, id, customer); err != nil {
+		return nil, err
+	}
 	result, err := t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_Cancel{Cancel: &egretmuxv1.CancelJob{Job: id}}}, func(result job.Result) {
 		if !result.Known {
 			return
@@ -116,6 +130,13 @@
 	if q == nil {
 		return &egretmuxv1.JobAnswer{NoQueue: true}, nil
 	}
+	customer, err := t.identify(ctx, q, call)
+	if err != nil {
+		return nil, err
+	}
+	if err := t.checkOwner(q, id, customer); err != nil {
+		return nil, err
+	}
 	if id == "" {
 		t.mu.Lock()
 		defer t.mu.Unlock()
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -251,6 +251,15 @@
 	return nil, noCatalogue()
 }
 
+// ShowCustomers returns what the customers of the catalogue in force use and are held by.
+func (s *Scheduler) ShowCustomers() (*egretmuxv1.ShowCustomersResponse, error) {
+	t, err := s.current()
+	if err != nil {
+		return nil, err
+	}
+	return t.showCustomers(), nil
+}
+
 // HandleHeartbeat processes a heartbeat. It returns once the resulting changes are
 // stored.
 func (s *Scheduler) HandleHeartbeat(ctx context.Context, b *egretmuxv1.WorkerBeat) error {
