jobcell: calls leave the relay once the leader answers here again

Cause: each relayed call extended the time for which the next ones were relayed, so calls kept the hop for as long as there were calls, though the leader answered this instance directly again.

Change: the path is given up once the leader answers an announcement sent after it was chosen. The directory sends these in any case, so an instance that is still cut off pays for no extra call. One call at a time then tries the leader directly, once, without a search; the others are relayed until it succeeds. A call that was relayed before that does not bring the relay back. A failed try is repeated only after another answer to an announcement. An instance that leads does not relay.

Weighed: a timed direct try every relayReuseTime; it costs an instance that stays cut off a timeout each time and finds the leader later than its answer.

--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -206,6 +206,14 @@
 	return !d.contactAt.IsZero() && now.Sub(d.contactAt) < d.scaled(contactFactor)
 }
 
+// ContactedSince reports whether the leader answered an announcement that was sent after
+// the given time.
+func (d *Directory) ContactedSince(at time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.contactAt.After(at)
+}
+
 // Members returns the other known members, sorted by address.
 func (d *Directory) Members() []*egretmuxv1.Member {
 	d.mu.Lock()
--- a/internal/jobcell/forward.go
+++ b/internal/jobcell/forward.go
@@ -59,9 +59,10 @@
 		}
 		unknown = latestUnknown(unknown, err)
 	}
-	searchCtx, cancel := context.WithTimeout(ctx, leaderSearchTimeout)
-	answer, err := c.callJobOnLeader(searchCtx, call)
+	directCtx, cancel := context.WithTimeout(ctx, c.relay.directTimeout())
+	answer, err := c.callJobOnLeader(directCtx, call)
 	cancel()
+	c.relay.directEnded(answeredByLeader(err))
 	if err == nil || isFinal(err, unknown) {
 		return answer, err
 	}
@@ -95,6 +96,16 @@
 	return status < http.StatusInternalServerError && (status != http.StatusTooManyRequests || unknown == nil)
 }
 
+// answeredByLeader reports whether the outcome of a direct call shows that the leader
+// was reached. Its refusals do.
+func answeredByLeader(err error) bool {
+	if err == nil {
+		return true
+	}
+	kind := refusal.Of(err).Kind
+	return kind != refusal.NoLeader && kind != refusal.OutcomeUnknown
+}
+
 // latestUnknown returns the latest error of an attempt that may have been executed:
 // err if its outcome is unknown, else the earlier one.
 func latestUnknown(earlier *refusal.Error, err error) *refusal.Error {
--- a/internal/jobcell/relay.go
+++ b/internal/jobcell/relay.go
@@ -22,8 +22,11 @@
 	// relay, as there may be no leader.
 	relayBackoff = 300 * time.Millisecond
 	// relayReuseTime is the time for which calls go through an instance that relayed
-	// one, before the leader is called directly again.
+	// one, unless the leader is reached directly before.
 	relayReuseTime = 2 * time.Second
+	// directProbeTimeout limits the call that checks whether the leader is reached
+	// directly again: one try, no search for the leader.
+	directProbeTimeout = leaderCallTimeout
 )
 
 // leaderRelay makes clients' calls to the leader through other instances, for an
@@ -34,19 +37,64 @@
 
 	mu           sync.Mutex
 	via          string    // the instance that relayed the last call
-	viaUntil     time.Time // when direct calls are tried again
+	viaUntil     time.Time // when the path through it is given up, unless another call is relayed
+	cutOffAt     time.Time // when the leader was last found not to be reached directly
+	probeUntil   time.Time // deadline of the direct call that probes the leader
+	directAt     time.Time // when the leader last answered a direct call
 	pausedUntil  time.Time // end of the backoff
 	nextInstance int       // round-robin position in the known instances
 }
 
 func newLeaderRelay(c *Cell) *leaderRelay { return &leaderRelay{cell: c} }
 
-// preferred reports whether calls go through another instance first, since the
-// leader could recently be reached only that way.
+// preferred reports whether a call goes through another instance first, since the
+// leader could recently be reached only that way. Once the leader has answered an
+// announcement of this instance, one call at a time gets false and probes the direct
+// path; the others are relayed until it succeeds.
 func (r *leaderRelay) preferred() bool {
+	leads := r.cell.scheduler.Leads()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Now().Before(r.viaUntil)
+	now := time.Now()
+	if leads || !now.Before(r.viaUntil) {
+		return false
+	}
+	if now.Before(r.probeUntil) || !r.cell.directory.ContactedSince(r.cutOffAt) {
+		return true
+	}
+	r.probeUntil = now.Add(directProbeTimeout)
+	return false
+}
+
+// directTimeout returns the limit on a direct call: a search for the leader, or the
+// time of a probe while there is a path through another instance.
+func (r *leaderRelay) directTimeout() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if time.Now().Before(r.viaUntil) {
+		return directProbeTimeout
+	}
+	return leaderSearchTimeout
+}
+
+// directEnded records whether a direct call reached the leader.
+func (r *leaderRelay) directEnded(reached bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	r.probeUntil = time.Time{}
+	if !reached {
+		if now.Before(r.viaUntil) {
+			telemetry.CountRetry("leader-probe-failed")
+		}
+		r.cutOffAt = now
+		return
+	}
+	r.directAt = now
+	if now.Before(r.viaUntil) {
+		r.cell.cfg.Logger.Info().Str("event", "leader_reached_directly").Str("via", r.via).Msg("the leader answers here again; calls go to it directly")
+	}
+	r.viaUntil = time.Time{}
 }
 
 // allowed reports whether a call that did not reach the leader may be relayed.
@@ -64,12 +112,13 @@
 	var unknown *refusal.Error
 	last := refusal.New(refusal.NoLeader, "retry shortly", "no other instance reaches the leader").WithRetryAfter(time.Second)
 	for _, address := range r.candidates(time.Now()) {
+		began := time.Now()
 		tryCtx, cancel := context.WithTimeout(ctx, relayCallTimeout)
 		resp, err := r.cell.dialer.Clients(address).Jobs.CallJob(tryCtx, connect.NewRequest(relayed))
 		cancel()
 		if err == nil {
 			telemetry.CountRetry("relayed")
-			r.remember(address, time.Now())
+			r.remember(address, began)
 			return resp.Msg, nil
 		}
 		last, _ = refusalrpc.From(err)
@@ -115,11 +164,20 @@
 	return out
 }
 
-func (r *leaderRelay) remember(address string, now time.Time) {
+// remember makes the instance that relayed a call the path of the next ones. A call
+// that began before the leader last answered directly is no reason for that.
+func (r *leaderRelay) remember(address string, began time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.via != address || now.After(r.viaUntil) {
+	if began.Before(r.directAt) {
+		return
+	}
+	inUse := began.Before(r.viaUntil)
+	if !inUse {
+		r.cutOffAt = began
+	}
+	if r.via != address || !inUse {
 		r.cell.cfg.Logger.Info().Str("event", "leader_reached_through").Str("via", address).Msg("leader not reachable directly; calls go through another instance")
 	}
-	r.via, r.viaUntil = address, now.Add(relayReuseTime)
+	r.via, r.viaUntil = address, began.Add(relayReuseTime)
 }
--- a/internal/jobcell/relay_test.go
+++ b/internal/jobcell/relay_test.go
@@ -128,6 +128,92 @@
 	})
 }
 
+// newRelayingCell returns a cell whose calls go through another instance, though the
+// leader has answered an announcement since.
+func newRelayingCell(t *testing.T) *Cell {
+	t.Helper()
+	const leader = "10.0.0.1:7720"
+	c := newCellWithLeader(t, leader)
+	c.relay.remember("10.0.0.2:7720", time.Now())
+	require.True(t, c.relay.preferred(), "the leader has not answered since")
+	time.Sleep(time.Second)
+	meetLeader(c, leader)
+	return c
+}
+
+// Answers the return of a leader's link under load: a path that turns out to be cut for
+// calls must not hold all of them.
+func TestOneCallAtATimeProbesTheDirectPath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newRelayingCell(t)
+		require.False(t, c.relay.preferred(), "one call probes")
+		require.Equal(t, directProbeTimeout, c.relay.directTimeout(), "a probe does not search for the leader")
+		for range 100 {
+			require.True(t, c.relay.preferred(), "the others are relayed meanwhile")
+		}
+		c.relay.directEnded(true)
+		require.False(t, c.relay.preferred())
+		require.Equal(t, leaderSearchTimeout, c.relay.directTimeout())
+	})
+}
+
+// Answers a link on which announcements pass and calls do not.
+func TestFailedProbeIsRepeatedOnlyAfterAnotherAnswerOfTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newRelayingCell(t)
+		require.False(t, c.relay.preferred())
+		time.Sleep(directProbeTimeout)
+		c.relay.directEnded(false)
+		for range 10 * int(relayReuseTime/time.Second) {
+			require.True(t, c.relay.preferred())
+			c.relay.remember("10.0.0.2:7720", time.Now())
+			time.Sleep(time.Second)
+		}
+		meetLeader(c, "10.0.0.1:7720")
+		require.False(t, c.relay.preferred())
+	})
+}
+
+func TestCallRelayedBeforeTheLeaderAnsweredDirectlyDoesNotBringTheRelayBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newRelayingCell(t)
+		began := time.Now()
+		time.Sleep(10 * time.Millisecond)
+		c.relay.directEnded(true)
+		c.relay.remember("10.0.0.2:7720", began)
+		require.False(t, c.relay.preferred())
+	})
+}
+
+// Guards against a search for a leader that left while calls were relayed: the next one
+// has not answered here, so its term begins with relayed calls.
+func TestCallsStayRelayedUnderANewLeaderThatHasNotAnsweredHere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newRelayingCell(t)
+		require.False(t, c.relay.preferred())
+		c.relay.directEnded(false)
+		c.directory.HandleNotice(&egretmuxv1.AnnounceLeaderRequest{Leader: "10.0.0.3:7720", Term: 2}, time.Now())
+		require.True(t, c.relay.preferred())
+		time.Sleep(10 * time.Millisecond)
+		now := time.Now()
+		c.directory.Answered(discovery.Call{Address: "10.0.0.3:7720", Announce: &egretmuxv1.AnnounceMemberRequest{}},
+			&egretmuxv1.AnnounceMemberResponse{Leader: "10.0.0.3:7720", LeaderTerm: 2}, now, now)
+		require.False(t, c.relay.preferred())
+	})
+}
+
+// Answers a direct path that comes back: a call that is relayed by habit reaches the
+// leader directly as soon as that has answered.
+func TestCallOfACellThatReachesTheLeaderAgainEndsTheRelay(t *testing.T) {
+	leader := serveLeader(t, &fakeLeader{refuseWith: refusal.New(refusal.Invalid, "send another", "no such job")})
+	c := newCellWithLeader(t, leader)
+	c.relay.remember(unreachable, time.Now())
+	meetLeader(c, leader)
+	_, err := c.CallJob(t.Context(), &egretmuxv1.JobCall{Verb: egretmuxv1.JobVerb_JOB_VERB_SHOW})
+	require.Equal(t, refusal.Invalid, refusal.Of(err).Kind)
+	require.Equal(t, leaderSearchTimeout, c.relay.directTimeout(), "a refusal of the leader is its answer")
+}
+
 // meet lets an instance announce itself to a cell.
 func meet(c *Cell, m *egretmuxv1.Member, now time.Time) {
 	c.directory.HandleAnnouncement(&egretmuxv1.AnnounceMemberRequest{Member: m}, now)
