Catalogue: invalid credential hashes are refused, queues are found by an index

Cause: a catalogue with a credential hash of another length than 32 bytes ended the process that checked it, and every replica that applied it. A rate or weight could be infinite by RPC. A lookup of a queue scanned all queues of its host. Change: such catalogues are refused with the fault named, and skipped hashes when applied; weights and rates end at 1e9. Queues of a host are indexed by prefix.

--- a/internal/job/catalogue.go
+++ b/internal/job/catalogue.go
@@ -13,7 +13,7 @@
 type Catalogue struct {
 	Version      uint64
 	Message      *egretmuxv1.Catalogue
-	byHost       map[string][]*egretmuxv1.Queue
+	byHost       map[string]*hostQueues
 	pools        map[string]*egretmuxv1.Pool
 	customers    map[string]*egretmuxv1.Customer
 	byCredential map[CredentialHash]*egretmuxv1.Customer
@@ -23,12 +23,15 @@
 func NewCatalogue(m *egretmuxv1.Catalogue) *Catalogue {
 	c := &Catalogue{
 		Version: m.GetVersion(), Message: m,
-		byHost: make(map[string][]*egretmuxv1.Queue), pools: make(map[string]*egretmuxv1.Pool),
+		byHost: make(map[string]*hostQueues), pools: make(map[string]*egretmuxv1.Pool),
 		customers: make(map[string]*egretmuxv1.Customer), byCredential: make(map[CredentialHash]*egretmuxv1.Customer),
 	}
 	for _, q := range m.GetQueues() {
 		host := strings.ToLower(q.GetHost())
-		c.byHost[host] = append(c.byHost[host], q)
+		if c.byHost[host] == nil {
+			c.byHost[host] = &hostQueues{byPrefix: make(map[string]*egretmuxv1.Queue)}
+		}
+		c.byHost[host].add(q)
 	}
 	for _, p := range m.GetPools() {
 		c.pools[p.GetName()] = p
@@ -36,7 +39,9 @@
 	for _, customer := range m.GetCustomers() {
 		c.customers[customer.GetName()] = customer
 		for _, hash := range customer.GetCredentialSha256() {
-			c.byCredential[CredentialHash(hash)] = customer
+			if key, ok := credentialHash(hash); ok {
+				c.byCredential[key] = customer
+			}
 		}
 	}
 	return c
@@ -56,12 +61,7 @@
 	if name, _, found := strings.Cut(host, ":"); found {
 		host = name
 	}
-	for _, candidate := range c.byHost[host] {
-		if strings.HasPrefix(a.GetPath(), candidate.GetPrefix()) && (q == nil || len(candidate.GetPrefix()) > len(q.GetPrefix())) {
-			q = candidate
-		}
-	}
-	if q == nil {
+	if q = c.byHost[host].longestMatch(a.GetPath()); q == nil {
 		return nil, ""
 	}
 	return q, strings.TrimPrefix(a.GetPath(), q.GetPrefix())
@@ -72,12 +72,11 @@
 	if c == nil {
 		return nil
 	}
-	for _, q := range c.byHost[strings.ToLower(host)] {
-		if q.GetPrefix() == prefix {
-			return q
-		}
+	queues := c.byHost[strings.ToLower(host)]
+	if queues == nil {
+		return nil
 	}
-	return nil
+	return queues.byPrefix[prefix]
 }
 
 // Pool returns the pool with the name, or nil.
--- a/internal/job/customer.go
+++ b/internal/job/customer.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/sha256"
-	"math"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/refusal"
@@ -18,6 +17,14 @@
 	return hash[:]
 }
 
+// credentialHash returns the hash as a key, or false if it has not the length of one.
+func credentialHash(hash []byte) (CredentialHash, bool) {
+	if len(hash) != sha256.Size {
+		return CredentialHash{}, false
+	}
+	return CredentialHash(hash), true
+}
+
 // VersionOrZero returns the version, or zero if there is no catalogue.
 func (c *Catalogue) VersionOrZero() uint64 {
 	if c == nil {
@@ -36,10 +43,11 @@
 
 // CustomerOf returns the customer to which a credential belongs, by its hash, or nil.
 func (c *Catalogue) CustomerOf(credentialSha256 []byte) *egretmuxv1.Customer {
-	if c == nil || len(credentialSha256) != sha256.Size {
+	hash, ok := credentialHash(credentialSha256)
+	if c == nil || !ok {
 		return nil
 	}
-	return c.byCredential[CredentialHash(credentialSha256)]
+	return c.byCredential[hash]
 }
 
 // NeedsCredential reports whether calls to a queue need the credential of a customer.
@@ -47,35 +55,63 @@
 	return c.Message.GetCredentialsRequired() && !q.GetPublic()
 }
 
+// maxWeight limits the weight and the rate of a customer, so that sums over customers
+// stay exact.
+const maxWeight = 1e9
+
 // checkCustomers returns a refusal if the customers of a catalogue are invalid.
 func checkCustomers(m *egretmuxv1.Catalogue) error {
-	invalid := func(remedy, format string, args ...any) error {
-		return refusal.New(refusal.Invalid, remedy, format, args...)
-	}
 	names := make(map[string]bool, len(m.GetCustomers()))
 	owners := make(map[CredentialHash]string)
-	emptyCredential := CredentialHash(HashCredential(""))
 	for _, c := range m.GetCustomers() {
 		if c.GetName() == "" || names[c.GetName()] {
-			return invalid("name each customer once", "customer %.100q is listed twice or has no name", c.GetName())
+			return invalidCustomers("name each customer once", "customer %.100q is listed twice or has no name", c.GetName())
 		}
 		names[c.GetName()] = true
-		if !(c.GetWeight() >= 0 && c.GetJobsPerSecond() >= 0) || math.IsInf(c.GetWeight(), 1) {
-			return invalid("give a weight of zero or more", "customer %.100q has a weight that is negative or not a number", c.GetName())
+		if err := checkLimits(c); err != nil {
+			return err
+		}
+		if err := checkCredentials(c, owners); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkLimits(c *egretmuxv1.Customer) error {
+	for _, v := range []float64{c.GetWeight(), c.GetJobsPerSecond()} {
+		if !(v >= 0 && v <= maxWeight) { // also refuses what is not a number
+			return invalidCustomers("give a weight and a rate from zero to 1e9", "customer %.100q has the weight or rate %g", c.GetName(), v)
+		}
+	}
+	if q := c.GetQuota(); min(q.GetCpuMillis(), q.GetMemoryMib(), q.GetAccelerators()) < 0 {
+		return invalidCustomers("give limits of zero or more; zero is no limit", "customer %.100q has a negative limit", c.GetName())
+	}
+	return nil
+}
+
+// checkCredentials checks the credentials of a customer and adds them to those of the
+// customers before it.
+func checkCredentials(c *egretmuxv1.Customer, owners map[CredentialHash]string) error {
+	for _, hash := range c.GetCredentialSha256() {
+		key, ok := credentialHash(hash)
+		if !ok {
+			return invalidCustomers("send SHA-256 hashes", "customer %.100q has a credential hash of %d bytes", c.GetName(), len(hash))
 		}
-		if q := c.GetQuota(); min(q.GetCpuMillis(), q.GetMemoryMib(), q.GetAccelerators()) < 0 {
-			return invalid("give limits of zero or more; zero is no limit", "customer %.100q has a negative limit", c.GetName())
+		if key == emptyCredential {
+			return invalidCustomers("give each key at least one character", "customer %.100q has an empty key", c.GetName())
 		}
-		for _, hash := range c.GetCredentialSha256() {
-			key := CredentialHash(hash)
-			if key == emptyCredential {
-				return invalid("give each key at least one character", "customer %.100q has an empty key", c.GetName())
-			}
-			if owner, taken := owners[key]; taken && owner != c.GetName() {
-				return invalid("give each customer keys of its own", "customers %.100q and %.100q share a key", owner, c.GetName())
-			}
-			owners[key] = c.GetName()
+		if owner, taken := owners[key]; taken && owner != c.GetName() {
+			return invalidCustomers("give each customer keys of its own", "customers %.100q and %.100q share a key", owner, c.GetName())
 		}
+		owners[key] = c.GetName()
 	}
 	return nil
 }
+
+// emptyCredential is the hash of the empty credential, which callers cannot send.
+var emptyCredential = CredentialHash(HashCredential(""))
+
+func invalidCustomers(remedy, format string, args ...any) error {
+	return refusal.New(refusal.Invalid, remedy, format, args...)
+}
