Jobs of a customer cannot be read or cancelled through a public queue

Cause: ownership was checked by the queue of the call, so that anybody could read and cancel every job by its id under a public queue's path. A job of another customer was refused (403) by a leader that no quorum had confirmed, whose catalogue may be old. The decision read the catalogue up to three times. Of two customers that submitted one id at once, both were told that it was accepted. Change: access.go decides queue, credential and owner (404, 401, 403) from one catalogue; whatever is denied is decided again once leadership is confirmed.

--- /dev/null
+++ b/internal/scheduler/access.go
@@ -0,0 +1,74 @@
+package scheduler
+
+import (
+	"context"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/job"
+	"github.com/egretmux/egretmux/internal/refusal"
+)
+
+// access is what a call may do: the queue that it addresses, the job there, and the
+// customer that makes it.
+type access struct {
+	queue    *egretmuxv1.Queue    // nil if there is none
+	id       string               // of the job; empty for the queue itself
+	customer *egretmuxv1.Customer // nil if the call needs no credential and has none that is known
+}
+
+// authorize decides what a call may do. Nothing is denied before leadership has been
+// confirmed: a leader that was replaced may lack a newer catalogue. What is allowed is
+// either committed in this term or, for reads, confirmed by the caller.
+func (t *tenure) authorize(ctx context.Context, call *egretmuxv1.JobCall) (access, error) {
+	if t.book.Catalogue() == nil {
+		return access{}, noCatalogue()
+	}
+	if a, err := decideAccess(t.book, call); err == nil && a.queue != nil {
+		return a, nil
+	}
+	if err := t.confirm(ctx); err != nil {
+		return access{}, err
+	}
+	return decideAccess(t.book, call)
+}
+
+// decideAccess decides by the catalogue in force, in this order: whether there is such a
+// queue, whose credential the call has, and whose job it is about.
+func decideAccess(book *job.Book, call *egretmuxv1.JobCall) (access, error) {
+	catalogue := book.Catalogue()
+	q, id := catalogue.MatchQueue(call.GetAddress())
+	if q == nil {
+		return access{}, nil
+	}
+	a := access{queue: q, id: id, customer: catalogue.CustomerOf(call.GetCredentialSha256())}
+	if a.customer == nil && catalogue.NeedsCredential(q) {
+		fault := "the key is not known"
+		if len(call.GetCredentialSha256()) == 0 {
+			fault = "the key is missing"
+		}
+		return access{}, refusal.New(refusal.Unauthenticated, "send a key of a customer that the configuration lists", "%s", fault)
+	}
+	if !a.ownsJob(book, catalogue) {
+		return access{}, notOwner(id)
+	}
+	return a, nil
+}
+
+func notOwner(id string) *refusal.Error {
+	return refusal.New(refusal.Forbidden, "send a key of the customer that submitted the job", "job %.100s belongs to another customer", id)
+}
+
+// ownsJob reports whether the caller may read, cancel or repeat the job, as far as it is
+// stored. Jobs that came without a credential, and those of a public queue, are open to
+// all who may call the queue.
+func (a access) ownsJob(book *job.Book, catalogue *job.Catalogue) bool {
+	owns := true
+	book.View(a.id, func(r *job.Record) {
+		if r == nil || r.Job.GetCustomer() == "" || r.Job.GetCustomer() == a.customer.GetName() {
+			return
+		}
+		owns = !catalogue.NeedsCredential(a.queue) &&
+			(!catalogue.Message.GetCredentialsRequired() || catalogue.Queue(r.Job.GetHost(), r.Job.GetPrefix()) == a.queue)
+	})
+	return owns
+}
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -16,35 +16,15 @@
 	return refusal.New(refusal.NoLease, "retry when the operator has sent a configuration", "there is no configuration yet").WithRetryAfter(time.Second)
 }
 
-// findQueue returns the queue of an address and the rest of the path. The absence
-// of a queue is reported only once leadership has been confirmed.
-func (t *tenure) findQueue(ctx context.Context, a *egretmuxv1.QueueAddress) (q *egretmuxv1.Queue, rest string, err error) {
-	catalogue := t.book.Catalogue()
-	if catalogue == nil {
-		return nil, "", noCatalogue()
-	}
-	if q, rest = catalogue.MatchQueue(a); q != nil {
-		return q, rest, nil
-	}
-	if err := t.confirm(ctx); err != nil {
-		return nil, "", err
-	}
-	q, rest = t.book.Catalogue().MatchQueue(a)
-	return q, rest, nil
-}
-
 func (t *tenure) submitJob(ctx context.Context, call *egretmuxv1.JobCall) (*egretmuxv1.JobAnswer, error) {
-	q, id, err := t.findQueue(ctx, call.GetAddress())
+	a, err := t.authorize(ctx, call)
 	if err != nil {
 		return nil, err
 	}
+	q, id := a.queue, a.id
 	if q == nil {
 		return &egretmuxv1.JobAnswer{NoQueue: true}, nil
 	}
-	customer, err := t.identify(ctx, q, call)
-	if err != nil {
-		return nil, err
-	}
 	j := call.GetJob()
 	if !job.ValidID(id) {
 		return nil, refusal.New(refusal.Invalid, "end the path with 16 hexadecimal digits", "%.100q is not a job id", id)
@@ -52,17 +32,14 @@
 	if err := job.Check(j); err != nil {
 		return nil, err
 	}
-	if err := t.checkOwner(q, id, customer); err != nil {
-		return nil, err
-	}
 	if t.overloaded() && !t.isStored(id) {
 		return nil, refusal.New(refusal.Shed, "retry later", "the leader is overloaded").WithRetryAfter(time.Second)
 	}
 	j.Id, j.Host, j.Prefix = id, q.GetHost(), q.GetPrefix()
-	j.Attempts, j.Service, j.Customer = q.GetAttempts(), q.GetService(), customer.GetName()
+	j.Attempts, j.Service, j.Customer = q.GetAttempts(), q.GetService(), a.customer.GetName()
 	j.AcceptedUnixMs = time.Now().UnixMilli()
 	steps := len(j.GetSteps())
-	_, err = t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_Submit{Submit: &egretmuxv1.SubmitJob{Job: j}}}, func(result job.Result) {
+	result, err := t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_Submit{Submit: &egretmuxv1.SubmitJob{Job: j}}}, func(result job.Result) {
 		if result.Known {
 			return
 		}
@@ -72,6 +49,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if result.Known && !a.ownsJob(t.book, t.book.Catalogue()) { // another customer's submit was faster
+		return nil, notOwner(id)
+	}
 	return &egretmuxv1.JobAnswer{Found: true}, nil
 }
 
@@ -84,20 +64,14 @@
 }
 
 func (t *tenure) cancelJob(ctx context.Context, call *egretmuxv1.JobCall) (*egretmuxv1.JobAnswer, error) {
-	q, id, err := t.findQueue(ctx, call.GetAddress())
+	a, err := t.authorize(ctx, call)
 	if err != nil {
 		return nil, err
 	}
-	if q == nil {
+	if a.queue == nil {
 		return &egretmuxv1.JobAnswer{NoQueue: true}, nil
 	}
-	customer, err := t.identify(ctx, q, call)
-	if err != nil {
-		return nil, err
-	}
-	if err := t.checkOwner(q, id, customer); err != nil {
-		return nil, err
-	}
+	id := a.id
 	result, err := t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_Cancel{Cancel: &egretmuxv1.CancelJob{Job: id}}}, func(result job.Result) {
 		if !result.Known {
 			return
@@ -126,16 +100,13 @@
 	if err := t.confirm(ctx); err != nil {
 		return nil, err
 	}
-	q, id := t.book.Catalogue().MatchQueue(call.GetAddress())
-	if q == nil {
-		return &egretmuxv1.JobAnswer{NoQueue: true}, nil
-	}
-	customer, err := t.identify(ctx, q, call)
+	a, err := decideAccess(t.book, call)
 	if err != nil {
 		return nil, err
 	}
-	if err := t.checkOwner(q, id, customer); err != nil {
-		return nil, err
+	q, id := a.queue, a.id
+	if q == nil {
+		return &egretmuxv1.JobAnswer{NoQueue: true}, nil
 	}
 	if id == "" {
 		t.mu.Lock()
