Calls: a denial after an attempt of unknown outcome is no definite refusal

Cause: a submit whose first attempt was stored, but got no answer, was answered 401, 403 or 404 when its credential or queue was withdrawn before the next attempt through another route. The client was told that it does not run, and it ran. A missing queue is no error, so that it was passed on even from the same route. Change: attempts.go settles what the attempts of one call tell together; after an attempt that may have been executed no denial of a submit or cancel is definite (504 to the client). Reads are answered as before.

--- a/internal/jobcell/forward.go
+++ b/internal/jobcell/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"strings"
 	"time"
 
@@ -51,74 +50,70 @@
 // the leader cannot be reached. It reports the call as not executed only if that
 // holds for every attempt.
 func (c *Cell) callUntilOutcomeKnown(ctx context.Context, call *egretmuxv1.JobCall) (*egretmuxv1.JobAnswer, error) {
-	var unknown *refusal.Error // from an attempt that may have been executed
+	tried := attempts{call: call}
 	if c.relay.preferred() {
-		answer, err := c.relay.call(ctx, call)
-		if err == nil || isFinal(err, unknown) {
+		if final, answer, err := tried.settle(c.relay.call(ctx, call)); final {
 			return answer, err
 		}
-		unknown = latestUnknown(unknown, err)
 	}
 	searchCtx, cancel := context.WithTimeout(ctx, leaderSearchTimeout)
-	answer, err := c.callJobOnLeader(searchCtx, call)
+	final, answer, err := tried.settle(c.callJobOnLeader(searchCtx, call))
 	cancel()
-	if err == nil || isFinal(err, unknown) {
+	if final {
 		return answer, err
 	}
-	unknown = latestUnknown(unknown, err)
 	if c.relay.allowed() && ctx.Err() == nil {
-		answer, relayErr := c.relay.call(ctx, call)
-		if relayErr == nil || isFinal(relayErr, unknown) {
+		if final, answer, relayErr := tried.settle(c.relay.call(ctx, call)); final {
 			return answer, relayErr
 		}
-		unknown = latestUnknown(unknown, relayErr)
 	}
-	if unknown == nil {
+	if tried.unknown == nil {
 		return nil, err
 	}
 	if ctx.Err() != nil {
-		return nil, unknown
+		return nil, tried.unknown
 	}
 	telemetry.CountRetry(refusal.OutcomeUnknown)
-	if answer, err = c.callJobOnLeader(ctx, call); err == nil || isFinal(err, unknown) {
+	if final, answer, err := tried.settle(c.callJobOnLeader(ctx, call)); final {
 		return answer, err
 	}
-	return nil, unknown
-}
-
-// isFinal reports whether a refusal ends a call without further attempts. A client
-// error (4xx) does, since the leader would refuse the call again. So does a lack of
-// capacity (429), unless an earlier attempt may have been executed: the refusal says
-// nothing of that attempt's outcome.
-func isFinal(err error, unknown *refusal.Error) bool {
-	status := refusal.Of(err).Kind.HTTPStatus()
-	return status < http.StatusInternalServerError && (status != http.StatusTooManyRequests || unknown == nil)
-}
-
-// latestUnknown returns the latest error of an attempt that may have been executed:
-// err if its outcome is unknown, else the earlier one.
-func latestUnknown(earlier *refusal.Error, err error) *refusal.Error {
-	if r := refusal.Of(err); r.Ran == refusal.Unknown {
-		return r
-	}
-	return earlier
+	return nil, tried.unknown
 }
 
 func (c *Cell) callJobOnLeader(ctx context.Context, call *egretmuxv1.JobCall) (*egretmuxv1.JobAnswer, error) {
+	tried := attempts{call: call}
 	var out *egretmuxv1.JobAnswer
 	err := c.callLeader(ctx, func(ctx context.Context, p *peer.Clients) error {
-		if c.scheduler.Leads() {
-			var err error
-			out, err = c.scheduler.CallJob(ctx, call)
-			return refusalrpc.Error(err)
-		}
-		resp, err := p.Jobs.CallJob(ctx, connect.NewRequest(call))
-		if err == nil {
-			out = resp.Msg
+		answer, err := c.callJobOnce(ctx, p, call)
+		if err != nil {
+			tried.record(refusalOf(err))
 		}
+		out = answer
 		return err
 	})
-	return out, err
+	if err != nil {
+		return nil, err // the leader's client tells of earlier attempts by itself
+	}
+	_, answer, err := tried.settle(out, nil)
+	return answer, err
+}
+
+func (c *Cell) callJobOnce(ctx context.Context, p *peer.Clients, call *egretmuxv1.JobCall) (*egretmuxv1.JobAnswer, error) {
+	if c.scheduler.Leads() {
+		answer, err := c.scheduler.CallJob(ctx, call)
+		return answer, refusalrpc.Error(err)
+	}
+	resp, err := p.Jobs.CallJob(ctx, connect.NewRequest(call))
+	if err != nil {
+		return nil, err
+	}
+	return resp.Msg, nil
+}
+
+// refusalOf returns the refusal that an RPC error carries.
+func refusalOf(err error) *refusal.Error {
+	refused, _ := refusalrpc.From(err)
+	return refused
 }
 
 // PutCatalogue forwards a configuration to the leader. For a large one it returns
--- a/internal/jobcell/relay.go
+++ b/internal/jobcell/relay.go
@@ -10,7 +10,6 @@
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/refusal"
-	"github.com/egretmux/egretmux/internal/refusal/refusalrpc"
 	"github.com/egretmux/egretmux/internal/telemetry"
 )
 
@@ -61,7 +60,7 @@
 func (r *leaderRelay) call(ctx context.Context, call *egretmuxv1.JobCall) (*egretmuxv1.JobAnswer, error) {
 	relayed := proto.CloneOf(call)
 	relayed.Relayed = true
-	var unknown *refusal.Error
+	tried := attempts{call: call}
 	last := refusal.New(refusal.NoLeader, "retry shortly", "no other instance reaches the leader").WithRetryAfter(time.Second)
 	for _, address := range r.candidates(time.Now()) {
 		tryCtx, cancel := context.WithTimeout(ctx, relayCallTimeout)
@@ -70,13 +69,13 @@
 		if err == nil {
 			telemetry.CountRetry("relayed")
 			r.remember(address, time.Now())
-			return resp.Msg, nil
+			_, answer, err := tried.settle(resp.Msg, nil)
+			return answer, err
 		}
-		last, _ = refusalrpc.From(err)
-		if isFinal(last, unknown) {
-			return nil, last
+		last = refusalOf(err)
+		if final, _, err := tried.settle(nil, last); final {
+			return nil, err
 		}
-		unknown = latestUnknown(unknown, last)
 		if ctx.Err() != nil {
 			break
 		}
@@ -84,8 +83,8 @@
 	r.mu.Lock()
 	r.viaUntil, r.pausedUntil = time.Time{}, time.Now().Add(relayBackoff)
 	r.mu.Unlock()
-	if unknown != nil {
-		return nil, unknown
+	if tried.unknown != nil {
+		return nil, tried.unknown
 	}
 	return nil, last
 }
