dispatch: rates, shares and admission of customers under contention

Cause: a customer that sent many times its usual pushed everybody else back; the order of steps knew deadlines only, and only an overloaded leader turned work away. Change: a token bucket for each customer marks jobs over rate at acceptance (Job.over_rate). In a plan, steps over rate come after those within, leave them the room that they wait for, keep half of the calls for advice free, and reserve and claim nothing. In a full pool steps that can wait come by the weighted dominant share of their customers. A submit over rate is refused while the customer's own jobs over rate wait for more than comes free in time; each refused caller is told another time to return. Rate left unused later serves waiting jobs over rate as within it.

--- /dev/null
+++ b/internal/dispatch/admission.go
@@ -0,0 +1,184 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	jobs "github.com/egretmux/egretmux/internal/job"
+)
+
+// maxRetryAfter bounds the time after which a refused caller is told to return. Callers
+// beyond it are spread over the same span again.
+const maxRetryAfter = 30 * time.Second
+
+// ReasonOverRate is the reason of a refused submit: it is beyond the rate of its customer,
+// whose jobs over rate already wait for more room than comes free for them in time.
+const ReasonOverRate = "over-rate"
+
+// Admission is the decision about a submit.
+type Admission struct {
+	OverRate   bool
+	Refused    bool
+	RetryAfter time.Duration // of a refused submit
+}
+
+// admitted is an accepted submit that is not stored yet.
+type admitted struct {
+	customer *customer
+	overRate bool
+	pool     string
+	cpu      int64 // of its first tasks, thousandths of a core
+}
+
+// IsAdmitted reports whether a submit of a customer was accepted and is not stored yet.
+func (c *Core) IsAdmitted(id string) bool {
+	_, storing := c.admitted[id]
+	return storing
+}
+
+// AdmissionSettled drops the admission of a job that turned out to be stored already.
+func (c *Core) AdmissionSettled(id string) { delete(c.admitted, id) }
+
+// Admit decides whether a submit of a customer of the catalogue in force is accepted, and
+// whether it is over rate. A repeated submit of a job that is stored, or being stored, takes
+// no token and is never refused. Once an accepted job is stored, JobAccepted must follow; a
+// job that is never stored ends with the tenure.
+func (c *Core) Admit(spec *egretmuxv1.Job, now time.Duration) Admission {
+	c.updateCustomers()
+	if a, storing := c.admitted[spec.GetId()]; storing {
+		return Admission{OverRate: a.overRate}
+	}
+	stored := false
+	c.cfg.Book.View(spec.GetId(), func(r *jobs.Record) { stored = r != nil })
+	customer := c.customerOf(spec)
+	if stored || customer == nil {
+		return Admission{}
+	}
+	overRate := !customer.withinRate(now)
+	if overRate && !startsLater(spec) && c.backlogTooLong(customer, spec, now) {
+		customer.countRefusal(ReasonOverRate)
+		c.addNotice(Notice{Event: "submit_refused", Job: spec.GetId(), Customer: customer.name, Reason: ReasonOverRate})
+		return Admission{OverRate: true, Refused: true, RetryAfter: customer.retryAfter(now)}
+	}
+	c.admitted[spec.GetId()] = admitted{customer, overRate, spec.GetService(), firstTasksCPU(spec)}
+	return Admission{OverRate: overRate}
+}
+
+// startsLater reports whether the room that a job needs does not depend on that of the
+// moment when it is submitted.
+func startsLater(spec *egretmuxv1.Job) bool {
+	return spec.GetRepeats() > 0 || slices.ContainsFunc(spec.GetSteps(), (*egretmuxv1.JobStep).GetLongRunning)
+}
+
+// firstTasksCPU returns the cpu of the tasks that a job could start at once.
+func firstTasksCPU(spec *egretmuxv1.Job) int64 {
+	cpu := int64(0)
+	for _, s := range spec.GetSteps() {
+		if len(s.GetAfter()) == 0 {
+			cpu += int64(s.GetCount()) * demandOf(s).cpu
+		}
+	}
+	return cpu
+}
+
+// bucket returns the customer's token bucket, which is full at first.
+func (c *customer) bucket(now time.Duration) *tokenBucket {
+	if c.tokens == nil {
+		c.tokens = newTokenBucket(c.limits.GetJobsPerSecond(), now)
+	}
+	return c.tokens
+}
+
+// withinRate takes a token if the customer's rate is limited, and reports whether there was one.
+func (c *customer) withinRate(now time.Duration) bool {
+	rate := c.limits.GetJobsPerSecond()
+	return rate == 0 || c.bucket(now).take(rate, now)
+}
+
+func (c *customer) countRefusal(reason string) {
+	if c.refused == nil {
+		c.refused = make(map[string]uint64)
+	}
+	c.refused[reason]++
+}
+
+// backlogTooLong reports whether a job over rate would start too late: its customer's jobs
+// over rate already wait, and together with it they need more room than is free now, less
+// what jobs within their rates wait for, and what its jobs over rate get until then.
+func (c *Core) backlogTooLong(customer *customer, spec *egretmuxv1.Job, now time.Duration) bool {
+	backlog, wanted := c.backlogs(customer, spec.GetService())
+	if backlog == 0 {
+		return false
+	}
+	room := max(0, c.usableRoom(spec, now)-wanted)
+	comingFree := customer.averages.overRateCPU * c.slackOf(spec).Seconds()
+	return float64(backlog+firstTasksCPU(spec)) > float64(room)+comingFree
+}
+
+// backlogs returns the cpu that a customer's jobs over rate wait for in a pool, and what the
+// jobs within their rates wait for there. Jobs that are being stored are included.
+func (c *Core) backlogs(customer *customer, pool string) (overRate, within int64) {
+	for s := range c.unplaced {
+		if c.steps[s.key] != s || c.queue(s.job).GetService() != pool {
+			continue
+		}
+		cpu := int64(s.waitingCount()) * s.demand.cpu
+		switch {
+		case !s.job.overRate():
+			within += cpu
+		case s.job.customer == customer:
+			overRate += cpu
+		}
+	}
+	for _, a := range c.admitted {
+		switch {
+		case a.pool != pool:
+		case !a.overRate:
+			within += a.cpu
+		case a.customer == customer:
+			overRate += a.cpu
+		}
+	}
+	return overRate, within
+}
+
+// usableRoom returns the free cpu, headroom left out, of the workers that can take a task of
+// the job now.
+func (c *Core) usableRoom(spec *egretmuxv1.Job, now time.Duration) int64 {
+	room := int64(0)
+	for _, w := range c.workers {
+		if w.life.GetPool() != spec.GetService() || !w.acceptsRuns(now) {
+			continue
+		}
+		free := w.available()
+		free.cpu -= w.headroom
+		for _, s := range spec.GetSteps() {
+			if len(s.GetAfter()) == 0 && free.covers(demandOf(s)) {
+				room += free.cpu
+				break
+			}
+		}
+	}
+	return room
+}
+
+// slackOf returns how long a job may wait for its first start and still meet its objective.
+func (c *Core) slackOf(spec *egretmuxv1.Job) time.Duration {
+	q := c.queue(&job{spec: spec})
+	longest := slices.Max(c.criticalPathsMs(spec, q.GetAdvice()))
+	return time.Duration(q.GetTargetLatencyMs())*time.Millisecond + milliseconds((max(1, q.GetSlackFactor())-1)*longest)
+}
+
+// retryAfter returns when a refused caller should return. Each gets a token of its own: they
+// return one after the other, at the customer's rate.
+func (c *customer) retryAfter(now time.Duration) time.Duration {
+	rate := c.limits.GetJobsPerSecond()
+	first := now + c.bucket(now).untilToken(rate, now)
+	if c.nextReturn < first || c.nextReturn > now+maxRetryAfter {
+		c.nextReturn = first
+	}
+	after := c.nextReturn - now
+	c.nextReturn += time.Duration(float64(time.Second) / rate)
+	return after
+}
--- /dev/null
+++ b/internal/dispatch/admission_test.go
@@ -0,0 +1,122 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+)
+
+// newFullLoad returns a load in which the jobs of customer "a" fill a small pool and wait for
+// more, and customer "b" may submit two jobs a second.
+func newFullLoad(t *testing.T) *load {
+	l := newLoad(t, 2, customer("a", 1, 100), customer("b", 1, 2))
+	for range 6 {
+		require.False(t, l.submitJob("a", rebuild).overRate)
+	}
+	l.run(loadStep)
+	return l
+}
+
+// Load: a full pool in which others wait. A customer within its rate is never refused, and
+// beyond it only once its own jobs wait.
+func TestOnlySubmitsOverRateAreRefused(t *testing.T) {
+	l := newFullLoad(t)
+	for range 2 {
+		s := l.submitJob("b", lookup)
+		require.False(t, s.overRate || s.refused)
+	}
+	s := l.submitJob("b", lookup)
+	require.True(t, s.overRate)
+	require.False(t, s.refused, "no job over rate waits yet")
+	require.True(t, l.submitJob("b", lookup).refused)
+	require.False(t, l.submitJob("a", lookup).refused)
+	l.takeActions()
+	require.Equal(t, 1, countNotices(l.harness, "submit_refused", id(len(l.submits)-1)))
+}
+
+// Load: callers repeat submits whose answers were lost, while the pool is full.
+func TestRepeatedSubmitKeepsItsMarkAndTakesNoToken(t *testing.T) {
+	l := newFullLoad(t)
+	spec := func(n int) *egretmuxv1.Job {
+		return &egretmuxv1.Job{Id: id(n), Host: "h", Prefix: "/lookup/", Service: "ledger", Steps: []*egretmuxv1.JobStep{lookup.step}, Customer: "b"}
+	}
+	for range 5 {
+		require.Zero(t, l.core.Admit(spec(1000), l.now), "it is being stored")
+	}
+	require.True(t, l.core.IsAdmitted(id(1000)))
+	l.apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_Submit{Submit: &egretmuxv1.SubmitJob{Job: spec(1000)}}})
+	l.core.JobAccepted(id(1000), l.now)
+	require.False(t, l.core.IsAdmitted(id(1000)))
+	for range 5 {
+		require.Zero(t, l.core.Admit(spec(1000), l.now), "it is stored")
+	}
+	require.False(t, l.core.Admit(spec(1001), l.now).OverRate, "the second token is left")
+	over := l.core.Admit(spec(1002), l.now)
+	require.True(t, over.OverRate)
+	require.True(t, l.core.Admit(spec(1003), l.now).Refused)
+	require.Equal(t, over, l.core.Admit(spec(1002), l.now), "the first decision holds")
+	l.core.AdmissionSettled(id(1002))
+	require.False(t, l.core.IsAdmitted(id(1002)))
+}
+
+// Load: a leader is lost during a burst. The next one treats accepted jobs alike, and measures
+// the rate anew.
+func TestMarkOutlivesTheLeader(t *testing.T) {
+	l := newFullLoad(t)
+	for range 3 {
+		l.submitJob("b", lookup)
+	}
+	require.Equal(t, uint64(1), l.usage("b").GetOverRateJobs())
+	l.beginTenure()
+	require.Equal(t, uint64(1), l.usage("b").GetOverRateJobs())
+	for range 2 {
+		require.False(t, l.submitJob("b", lookup).overRate)
+	}
+	require.True(t, l.submitJob("b", lookup).overRate)
+}
+
+func (l *load) usage(customer string) *egretmuxv1.CustomerUsage {
+	for _, u := range l.core.CustomerUsage() {
+		if u.GetName() == customer {
+			return u
+		}
+	}
+	return nil
+}
+
+// Load: more periodic and long-running jobs than the rate in a full pool. Their runs are due
+// at other times, so that they are marked but not refused.
+func TestJobsThatStartLaterAreNotRefused(t *testing.T) {
+	l := newFullLoad(t)
+	for range 4 {
+		l.submitJob("b", lookup)
+	}
+	periodic, lasting := *lookup, *lookup
+	lasting.step = &egretmuxv1.JobStep{Count: 1, CpuMillis: 1000, LongRunning: true}
+	require.True(t, l.submits[len(l.submits)-1].refused)
+	spec := &egretmuxv1.Job{Id: id(1000), Host: "h", Prefix: "/lookup/", Service: "ledger", Customer: "b", Repeats: 2, Steps: []*egretmuxv1.JobStep{periodic.step}}
+	admission := l.core.Admit(spec, l.now)
+	require.True(t, admission.OverRate)
+	require.False(t, admission.Refused)
+	s := l.submitJob("b", &lasting)
+	require.True(t, s.overRate)
+	require.False(t, s.refused)
+}
+
+// Load: a customer sends a burst and then nothing, in a pool that others keep full. The rate
+// that it leaves unused lets its earlier jobs count as within it.
+func TestUnusedRateServesJobsThatWereOverIt(t *testing.T) {
+	l := newFullLoad(t)
+	l.sources = []*source{{customer: "a", kind: rebuild, perSecond: steady(4)}} // far more than fits
+	for range 3 {
+		l.submitJob("b", lookup)
+	}
+	over := l.submits[len(l.submits)-1]
+	require.True(t, over.overRate)
+	l.run(20 * time.Second)
+	require.Positive(t, over.endedAfter)
+	require.Zero(t, l.usage("b").GetOverRateJobs())
+}
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -121,7 +121,7 @@
 // adviceBatchSize returns the number of workers in one call: few while instances are
 // free, so that the answer comes soon.
 func (c *Core) adviceBatchSize(q *egretmuxv1.QueueAdvice) int {
-	if long := q.GetDecideMs() >= LongAdviceMs; long && c.adviceMs[long] > adviceBusyShare*maxAdviceMs*float64(c.callers) {
+	if long := q.GetDecideMs() >= LongAdviceMs; long && c.adviceBusy(long) {
 		return busyAdviceBatch
 	}
 	return adviceBatch
@@ -131,8 +131,15 @@
 func (c *Core) adviceFull(long bool) bool { return c.adviceMs[long] > maxAdviceMs*float64(c.callers) }
 
 // mayRequestAdvice reports whether a call for advice about the step may be made now.
+// Steps over rate leave a part of the calls to others.
 func (c *Core) mayRequestAdvice(s *step, q *egretmuxv1.QueueAdvice, now time.Duration) bool {
-	return s.advice.mayCall(now) && !c.adviceFull(q.GetDecideMs() >= LongAdviceMs)
+	long := q.GetDecideMs() >= LongAdviceMs
+	return s.advice.mayCall(now) && !c.adviceFull(long) && !(s.overRate && c.adviceBusy(long))
+}
+
+// adviceBusy reports whether the instances count as busy with long or short calls.
+func (c *Core) adviceBusy(long bool) bool {
+	return c.adviceMs[long] > adviceBusyShare*maxAdviceMs*float64(c.callers)
 }
 
 // ticketRank orders the workers that may run a gang: those with a valid ticket first,
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -112,8 +112,14 @@
 }
 
 // BenchmarkPlanWithBacklog plans while the workers of a large site are full, and 60 gangs
-// and 200 steps that can wait have no room.
+// and 200 steps that can wait have no room. They are of no customer, or of some.
 func BenchmarkPlanWithBacklog(b *testing.B) {
+	for _, customers := range []int{0, 20, 1000} {
+		b.Run(fmt.Sprintf("customers=%d", customers), func(b *testing.B) { planWithBacklog(b, customers) })
+	}
+}
+
+func planWithBacklog(b *testing.B, customers int) {
 	book := job.NewBook()
 	apply := func(cmd *egretmuxv1.JobCommand) { applyTo(b, book, cmd) }
 	gangs, later := queue(), queue()
@@ -121,7 +127,7 @@
 	gangs.Advice = &egretmuxv1.QueueAdvice{DecideMs: 600, PerWorkerMs: 9, ValidityMs: 1500}
 	later.Name, later.Prefix, later.Priority, later.SlackFactor = "later", "/later/", 2, 20
 	apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_PutCatalogue{PutCatalogue: &egretmuxv1.PutCatalogue{Catalogue: &egretmuxv1.Catalogue{
-		Version: 1, Queues: []*egretmuxv1.Queue{gangs, later}, Pools: []*egretmuxv1.Pool{{Name: "ledger"}},
+		Version: 1, Queues: []*egretmuxv1.Queue{gangs, later}, Pools: []*egretmuxv1.Pool{{Name: "ledger"}}, Customers: equalCustomers(customers),
 	}}}})
 	c := dispatch.New(dispatch.Config{Book: book, Term: 2, Lease: testLease, FarFactor: 2, UnixMs: func(now time.Duration) int64 { return now.Milliseconds() }})
 	c.SetAdviceCallers(100)
@@ -133,9 +139,13 @@
 	submit := func(n int, prefix string, step *egretmuxv1.JobStep) {
 		apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_Submit{Submit: &egretmuxv1.SubmitJob{Job: &egretmuxv1.Job{
 			Id: id(n), Host: "h", Prefix: prefix, Service: "ledger", Attempts: 2, Steps: []*egretmuxv1.JobStep{step},
+			Customer: customerOf(n, customers), OverRate: customers > 0 && n%5 == 0,
 		}}}})
 		c.JobAccepted(id(n), 0)
 	}
+	for n := range customers { // all of them have jobs
+		submit(2000+n, "/later/", tasks(1, 1))
+	}
 	submit(1, "/later/", tasks(8500, 1))
 	c.Plan(0)
 	for n := range 60 {
@@ -165,3 +175,18 @@
 		c.TakeNotices()
 	}
 }
+
+func equalCustomers(n int) []*egretmuxv1.Customer {
+	var out []*egretmuxv1.Customer
+	for i := range n {
+		out = append(out, customer(customerOf(i, n), 1, 10))
+	}
+	return out
+}
+
+func customerOf(n, customers int) string {
+	if customers == 0 {
+		return ""
+	}
+	return fmt.Sprintf("c%04d", n%customers)
+}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -59,6 +59,11 @@
 	// adviceMs is the summed expected duration of the calls for advice in flight,
 	// separately for long calls (true) and short ones.
 	adviceMs map[bool]float64
+
+	sharesUpdatedAt time.Duration
+	capacity        resources                // of all workers, when sharesUpdatedAt
+	fullUntil       map[string]time.Duration // by pool: until when it counts as full
+	admitted        map[string]admitted      // by job: submits of customers that are not stored yet
 }
 
 // Notice is a log entry about a decision or a change in the leader's view.
@@ -75,13 +80,15 @@
 	Good   int           // number of these that may run the step
 	CPU    int64         // capacity of a worker, thousandths of a core
 	Lost   int           // number of runs that a worker which is gone took along
+
+	Customer string // only for decisions about its rate; no metric label
 }
 
 // New returns the core of a new tenure, with the state that the book holds.
 func New(cfg Config) *Core {
 	c := &Core{
 		cfg: cfg, jobs: make(map[string]*job), steps: make(map[StepKey]*step), unplaced: make(map[*step]struct{}), callers: 1, adviceMs: make(map[bool]float64),
-		workers: make(map[string]*worker), customers: make(map[string]*customer),
+		workers: make(map[string]*worker), customers: make(map[string]*customer), fullUntil: make(map[string]time.Duration), admitted: make(map[string]admitted),
 		inheritedLeasesEnd: inheritedLeaseWait(cfg.Lease),
 		runTimes:           make(map[[2]string]*runTimes), allowedShare: make(map[[2]string]float64),
 	}
@@ -124,7 +131,10 @@
 func (c *Core) LeaderConfirmed(at time.Duration) { c.confirmedAt = max(c.confirmedAt, at) }
 
 // JobAccepted adds a job that has been stored in the log.
-func (c *Core) JobAccepted(id string, now time.Duration) { c.addJob(id, now) }
+func (c *Core) JobAccepted(id string, now time.Duration) {
+	delete(c.admitted, id)
+	c.addJob(id, now)
+}
 
 func (c *Core) addJob(id string, now time.Duration) {
 	if c.jobs[id] != nil {
--- a/internal/dispatch/customer.go
+++ b/internal/dispatch/customer.go
@@ -2,7 +2,10 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
+	"time"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 )
@@ -14,6 +17,15 @@
 	// inUse is what its runs use together: all that are or may be present on workers, also
 	// those that are being stopped.
 	inUse resources
+
+	inUseOverRate   resources    // the part of inUse of runs that were started over rate
+	tokens          *tokenBucket // nil until it is first needed
+	averages        usageAverages
+	overRateStarted int64   // cpu of its tasks over rate started since the last sample, thousandths of a core
+	part            float64 // of the room, that it gets by its weight while all of it is in demand
+	shareLeft       shareLeft
+	nextReturn      time.Duration // when the next refused caller is told to return
+	refused         map[string]uint64
 }
 
 // customerOf returns the customer of a job, or nil if the job came without a credential.
@@ -23,7 +35,7 @@
 		return nil
 	}
 	if c.customers[name] == nil {
-		c.customers[name] = &customer{name: name, limits: c.cfg.Book.Catalogue().Customer(name)}
+		c.customers[name] = &customer{name: name, limits: c.cfg.Book.Catalogue().Customer(name), part: math.Inf(1)}
 	}
 	return c.customers[name]
 }
@@ -45,6 +57,9 @@
 	r.worker.free = r.worker.free.minus(r.demand)
 	if customer := r.task.step.job.customer; customer != nil {
 		customer.inUse = customer.inUse.plus(r.task.step.usage)
+		if r.overRate {
+			customer.inUseOverRate = customer.inUseOverRate.plus(r.task.step.usage)
+		}
 	}
 }
 
@@ -53,6 +68,9 @@
 	r.worker.free = r.worker.free.plus(r.demand)
 	if customer := r.task.step.job.customer; customer != nil {
 		customer.inUse = customer.inUse.minus(r.task.step.usage)
+		if r.overRate {
+			customer.inUseOverRate = customer.inUseOverRate.minus(r.task.step.usage)
+		}
 	}
 }
 
@@ -68,12 +86,20 @@
 	if catalogue == nil {
 		return nil
 	}
+	weights := 0.0
+	for _, limits := range catalogue.Message.GetCustomers() {
+		weights += limits.GetWeight()
+	}
 	out := make([]*egretmuxv1.CustomerUsage, 0, len(catalogue.Message.GetCustomers()))
 	byName := make(map[string]*egretmuxv1.CustomerUsage)
 	for _, limits := range catalogue.Message.GetCustomers() {
 		u := &egretmuxv1.CustomerUsage{Name: limits.GetName(), Weight: limits.GetWeight(), JobsPerSecond: limits.GetJobsPerSecond(), Quota: limits.GetQuota()}
+		if weights > 0 {
+			u.FairShare = limits.GetWeight() / weights
+		}
 		if customer := c.customers[limits.GetName()]; customer != nil {
 			u.InUse = customer.inUse.toProto()
+			u.DominantShare, u.Refused = customer.averages.dominantShare, maps.Clone(customer.refused)
 		}
 		out, byName[u.GetName()] = append(out, u), u
 	}
@@ -83,7 +109,7 @@
 			continue
 		}
 		u.OpenJobs++
-		if j.spec.GetOverRate() {
+		if j.overRate() {
 			u.OverRateJobs++
 		}
 		for _, s := range j.steps {
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -15,28 +15,38 @@
 )
 
 // planGang starts the waiting tasks of a gang or, if it cannot start yet, requests tickets
-// and reserves resources for it.
-func (c *Core) planGang(p *plan, s *step, waiting []*task) {
+// and reserves resources for it. It reports whether it started them.
+func (c *Core) planGang(p *plan, s *step, waiting []*task) bool {
 	s.release()
 	if s.runCount() > 0 { // members of an earlier run are still being stopped
-		return
+		return false
 	}
 	pool, late := c.queue(s.job).GetService(), s.lateness != onTime
-	if late && p.unclaimed.limit(pool, s, len(waiting)) < len(waiting) {
+	if (late || s.overRate) && p.unclaimed.limit(pool, s, len(waiting)) < len(waiting) {
 		c.noticeDeferral(s, p.now)
-		return
+		return false
 	}
 	if c.placeGang(s, waiting, p.now) {
 		p.unclaimed.use(pool, s, len(waiting))
-		return
-	}
-	if !late {
-		p.unclaimed.claim(pool, s, len(waiting))
+		return true
 	}
-	if c.awaitTickets(s, len(waiting), p.now) {
+	c.awaitRoom(p, s, pool, len(waiting))
+	return false
+}
+
+// awaitRoom requests tickets and reserves resources for a gang of n tasks that cannot start
+// yet. One over rate waits for tickets only.
+func (c *Core) awaitRoom(p *plan, s *step, pool string, n int) {
+	late := s.lateness != onTime
+	if !late && !s.overRate {
+		p.unclaimed.claim(pool, s, n)
+	}
+	if c.awaitTickets(s, n, p.now) {
 		return
 	}
 	switch {
+	case s.overRate:
+		return
 	case !late && p.reservations < maxReservations:
 		p.reservations++
 	case late && p.lateReservations < maxLateReservations:
@@ -44,7 +54,7 @@
 	default:
 		return
 	}
-	c.reserveForGang(s, len(waiting), p.now)
+	c.reserveForGang(s, n, p.now)
 }
 
 // placeGang starts all tasks of a gang at once under one run number, or none, and
@@ -142,9 +152,14 @@
 	s.held = nil
 }
 
-// renewHolds reserves the held resources in a new plan.
+// renewHolds reserves the held resources in a new plan, except for steps over rate: these
+// hold what is left after the others.
 func (c *Core) renewHolds() {
 	for s := range c.unplaced {
+		if s.overRate {
+			s.held = nil
+			continue
+		}
 		for w, n := range s.held {
 			if c.steps[s.key] != s || c.workers[w.Worker] != w {
 				delete(s.held, w)
--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -32,7 +32,7 @@
 	}
 	used, waiting := int64(0), int64(0)
 	for _, s := range c.steps {
-		if c.queue(s.job).GetPriority() == 0 && !s.spec.GetLongRunning() {
+		if c.queue(s.job).GetPriority() == 0 && !s.spec.GetLongRunning() && !s.job.overRate() {
 			used += int64(s.runCount()) * s.demand.cpu
 			waiting += int64(len(s.waitingTasks())) * s.demand.cpu
 		}
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -175,7 +175,7 @@
 // addRun adds a run to its task and its worker and takes its resources, unless it
 // has ended.
 func (c *Core) addRun(t *task, w *worker, number uint64, state runState, now time.Duration) *run {
-	r := &run{task: t, worker: w, number: number, state: state, demand: t.step.demand, startedAt: now, progressAt: now, confirmedPace: fullPace}
+	r := &run{task: t, worker: w, number: number, state: state, demand: t.step.demand, startedAt: now, progressAt: now, confirmedPace: fullPace, overRate: t.step.job.overRate()}
 	w.runs[runKey{t.key(), number}] = r
 	if state != ended {
 		r.occupy()
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -28,6 +28,7 @@
 // Plan starts waiting tasks on workers and requests missing advice.
 func (c *Core) Plan(now time.Duration) {
 	c.updateCustomers()
+	c.updateShares(now)
 	c.updateHeadroom(now)
 	for _, w := range c.workers {
 		w.reserved = resources{}
@@ -40,19 +41,25 @@
 		if len(waiting) == 0 {
 			continue
 		}
+		pool := c.queue(s.job).GetService()
 		if s.spec.GetGang() {
-			c.planGang(p, s, waiting)
+			if !c.planGang(p, s, waiting) {
+				p.unclaimed.leave(pool, s, len(waiting))
+			}
 			continue
 		}
-		pool := c.queue(s.job).GetService()
 		n := p.unclaimed.limit(pool, s, len(waiting))
+		started := 0
 		if n > 0 {
-			p.unclaimed.use(pool, s, c.placeTasks(s, waiting[:n], now))
+			started = c.placeTasks(s, waiting[:n], now)
+			p.unclaimed.use(pool, s, started)
 		}
+		p.unclaimed.leave(pool, s, len(waiting)-started)
 		if n < len(waiting) {
 			c.noticeDeferral(s, now)
 		}
 	}
+	c.noteFullPools(p)
 }
 
 // plan is the state of one plan.
@@ -87,7 +94,8 @@
 }
 
 // orderSteps returns the steps with waiting tasks, least deadline slack first.
-// Steps that can no longer meet their objective come after those that can.
+// Steps that can no longer meet their objective come after those that can. Customers' rates
+// and shares come first.
 func (c *Core) orderSteps(now time.Duration) []*step {
 	out := make([]*step, 0, len(c.unplaced))
 	for s := range c.unplaced {
@@ -98,11 +106,16 @@
 		if now-s.estimatedAt >= latestStartMaxAge {
 			c.setLatestStart(s, now)
 		}
-		s.urgent = c.queue(s.job).GetPriority() == 0
+		q := c.queue(s.job)
+		s.overRate = s.job.overRate()
+		s.urgent = q.GetPriority() == 0 && !s.overRate
 		s.lateness = latenessOf(s, now)
 		out = append(out, s)
 	}
 	slices.SortFunc(out, func(a, b *step) int {
+		if order := compareCustomers(a, b); order != 0 {
+			return order
+		}
 		if a.lateness != b.lateness {
 			return cmp.Compare(a.lateness, b.lateness)
 		}
@@ -111,6 +124,7 @@
 		}
 		return a.key.compare(b.key)
 	})
+	c.orderByShare(out, now)
 	return out
 }
 
@@ -297,6 +311,9 @@
 func (c *Core) startTask(t *task, w *worker, number uint64, now time.Duration) {
 	s := t.step
 	r := c.addRun(t, w, number, ordered, now)
+	if s.overRate {
+		s.job.customer.overRateStarted += s.demand.cpu
+	}
 	checkpoint := ""
 	c.cfg.Book.View(s.key.Job, func(rec *jobs.Record) {
 		if rec != nil && !rec.Ended() {
--- /dev/null
+++ b/internal/dispatch/rate.go
@@ -0,0 +1,56 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+// tokenBucket measures the rate at which a customer submits jobs. A job takes one token. The
+// depth is one second's worth of tokens, and at least one.
+type tokenBucket struct {
+	tokens    float64
+	surplus   float64 // tokens that came while the bucket was full, at most its depth
+	updatedAt time.Duration
+}
+
+func bucketDepth(rate float64) float64 { return max(1, rate) }
+
+// newTokenBucket returns a full bucket.
+func newTokenBucket(rate float64, now time.Duration) *tokenBucket {
+	return &tokenBucket{tokens: bucketDepth(rate), updatedAt: now}
+}
+
+// refill adds the tokens that have come since the last call.
+func (b *tokenBucket) refill(rate float64, now time.Duration) {
+	depth := bucketDepth(rate)
+	tokens := b.tokens + rate*max(0, now-b.updatedAt).Seconds()
+	b.updatedAt = max(now, b.updatedAt)
+	b.tokens = min(depth, tokens)
+	b.surplus = min(depth, b.surplus+tokens-b.tokens)
+}
+
+// take takes a token if there is one.
+func (b *tokenBucket) take(rate float64, now time.Duration) bool {
+	b.refill(rate, now)
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	b.surplus = 0
+	return true
+}
+
+// takeSurplus takes one of the tokens that the customer left unused.
+func (b *tokenBucket) takeSurplus() bool {
+	if b.surplus < 1 {
+		return false
+	}
+	b.surplus--
+	return true
+}
+
+// untilToken returns the time until the next token.
+func (b *tokenBucket) untilToken(rate float64, now time.Duration) time.Duration {
+	b.refill(rate, now)
+	return time.Duration(math.Ceil(max(0, 1-b.tokens) / rate * float64(time.Second)))
+}
--- /dev/null
+++ b/internal/dispatch/rate_test.go
@@ -0,0 +1,47 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Load: a customer submits many jobs at once, and then at exactly its rate.
+func TestTokenBucketHoldsOneSecondsWorth(t *testing.T) {
+	const rate = 5
+	b := newTokenBucket(rate, 0)
+	for range rate {
+		require.True(t, b.take(rate, 0))
+	}
+	require.False(t, b.take(rate, 0))
+	require.Equal(t, 200*time.Millisecond, b.untilToken(rate, 0))
+	for now := 200 * time.Millisecond; now <= 2*time.Second; now += 200 * time.Millisecond {
+		require.True(t, b.take(rate, now))
+		require.False(t, b.take(rate, now))
+	}
+}
+
+// Load: a customer with less than one job a second submits one now and then.
+func TestTokenBucketOfASmallRateHoldsOneToken(t *testing.T) {
+	const rate = 0.25
+	b := newTokenBucket(rate, 0)
+	require.True(t, b.take(rate, 0))
+	require.False(t, b.take(rate, 3*time.Second))
+	require.Equal(t, time.Second, b.untilToken(rate, 3*time.Second))
+	require.True(t, b.take(rate, 4*time.Second))
+}
+
+// Load: a customer pauses after a burst. What it leaves unused is a surplus of at most one
+// second's worth, and is gone once it submits again.
+func TestTokenBucketKeepsTheUnusedTokensAsSurplus(t *testing.T) {
+	const rate = 2
+	b := newTokenBucket(rate, 0)
+	b.refill(rate, 10*time.Second)
+	require.True(t, b.takeSurplus())
+	require.True(t, b.takeSurplus())
+	require.False(t, b.takeSurplus())
+	b.refill(rate, 11*time.Second)
+	require.True(t, b.take(rate, 11*time.Second))
+	require.False(t, b.takeSurplus())
+}
--- /dev/null
+++ b/internal/dispatch/share.go
@@ -0,0 +1,260 @@
+package dispatch
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	shareTimeConstant   = 3 * time.Second // time constant of the averages of a customer; bursts last longer, tasks less
+	shareSampleInterval = 200 * time.Millisecond
+	contentionHold      = time.Second // a pool counts as full for this long after a plan left steps without room
+	minRoomInDemand     = 0.5         // of the room of all workers; less is in use only for a moment
+)
+
+// usageAverages are exponential moving averages over the last seconds.
+type usageAverages struct {
+	dominantShare float64 // largest part of a resource of all workers that its runs use
+	withinRate    float64 // the same of its runs within rate
+	// overRateCPU is the cpu that its jobs over rate have got, in thousandths of a core a second.
+	overRateCPU float64
+}
+
+// shareLeft is what is left of a customer's part of the room in a plan.
+type shareLeft struct {
+	plannedAt  time.Duration // time of the plan
+	all        float64       // for its runs over rate; all its runs count
+	withinRate float64       // for its runs within rate; those over rate, which found idle room, do not count
+}
+
+// orderByShare puts steps that can wait and go beyond their customer's part of a full pool
+// after the others. The steps are in the order of all other rules.
+func (c *Core) orderByShare(ordered []*step, now time.Duration) {
+	if len(c.fullUntil) == 0 {
+		return
+	}
+	beyond := false
+	for _, s := range ordered {
+		s.beyondShare = s.job.customer != nil && !s.urgent && c.isFull(c.queue(s.job).GetService(), now) && !c.fitsShare(s, now)
+		beyond = beyond || s.beyondShare
+	}
+	if beyond {
+		slices.SortStableFunc(ordered, compareCustomers)
+	}
+}
+
+// fitsShare takes what the waiting tasks of a step need from its customer's part, and reports
+// whether there was something left. The last step that gets some may exceed the part.
+func (c *Core) fitsShare(s *step, now time.Duration) bool {
+	customer := s.job.customer
+	if customer.shareLeft.plannedAt != now {
+		customer.shareLeft = customer.newShareLeft(c.capacity, now)
+	}
+	left := &customer.shareLeft.withinRate
+	if s.overRate {
+		left = &customer.shareLeft.all
+	}
+	if *left <= 0 {
+		return false
+	}
+	*left -= s.usage.times(int64(s.waitingCount())).dominantShare(c.capacity)
+	return true
+}
+
+// newShareLeft returns the part of a customer, corrected by what it had more or less than
+// that over the last seconds, less what it uses now.
+func (c *customer) newShareLeft(capacity resources, now time.Duration) shareLeft {
+	return shareLeft{
+		plannedAt:  now,
+		all:        2*c.part - c.averages.dominantShare - c.inUse.dominantShare(capacity),
+		withinRate: 2*c.part - c.averages.withinRate - c.inUse.minus(c.inUseOverRate).dominantShare(capacity),
+	}
+}
+
+// updateShares samples what customers use, divides the room among them, and counts jobs over rate as within it as far as their customers have left rate unused.
+func (c *Core) updateShares(now time.Duration) {
+	elapsed := now - c.sharesUpdatedAt
+	if len(c.customers) == 0 || elapsed < shareSampleInterval {
+		return
+	}
+	c.sharesUpdatedAt = now
+	c.capacity = c.totalCapacity()
+	total := c.capacity
+	waiting, overRate := c.waitingByCustomer()
+	weight := 1 - math.Exp(-elapsed.Seconds()/shareTimeConstant.Seconds())
+	demands := make([]shareDemand, 0, len(c.customers))
+	customers := c.sortedCustomers()
+	for _, customer := range customers {
+		avg := &customer.averages
+		avg.dominantShare += weight * (customer.inUse.dominantShare(total) - avg.dominantShare)
+		avg.withinRate += weight * (customer.inUse.minus(customer.inUseOverRate).dominantShare(total) - avg.withinRate)
+		avg.overRateCPU += weight * (float64(customer.overRateStarted)/elapsed.Seconds() - avg.overRateCPU)
+		customer.overRateStarted = 0
+		if w := customer.limits.GetWeight(); w > 0 {
+			demands = append(demands, shareDemand{customer.inUse.plus(waiting[customer]).dominantShare(total), w})
+		}
+	}
+	level := fairLevel(demands, c.roomInDemand(customers, now))
+	for _, customer := range customers {
+		customer.part = math.Inf(1)
+		if level < math.Inf(1) {
+			customer.part = level * customer.limits.GetWeight()
+		}
+		c.promoteJobs(customer, overRate[customer], now)
+	}
+}
+
+// shareDemand is the part of the room that a customer uses or waits for, and its weight.
+type shareDemand struct{ share, weight float64 }
+
+// roomInDemand returns the part of the room that customers can have: all of it, or what they
+// use while a pool is full, as headroom and fragments stay free.
+func (c *Core) roomInDemand(customers []*customer, now time.Duration) float64 {
+	for pool := range c.fullUntil {
+		if c.isFull(pool, now) {
+			used := 0.0
+			for _, customer := range customers {
+				used += customer.averages.dominantShare
+			}
+			return min(1, max(minRoomInDemand, used))
+		}
+	}
+	return 1
+}
+
+// fairLevel returns the level at which the whole room is in use if each customer gets the
+// level times its weight, or its demand if that is less. It is infinite if all demands fit.
+func fairLevel(demands []shareDemand, room float64) float64 {
+	slices.SortStableFunc(demands, func(a, b shareDemand) int { return cmp.Compare(a.share/a.weight, b.share/b.weight) })
+	weights := 0.0
+	for _, d := range demands {
+		weights += d.weight
+	}
+	for _, d := range demands {
+		if d.share/d.weight > room/weights {
+			return room / weights
+		}
+		room -= d.share
+		weights -= d.weight
+	}
+	return math.Inf(1)
+}
+
+// sortedCustomers returns the customers sorted by name, so that decisions are deterministic.
+func (c *Core) sortedCustomers() []*customer {
+	out := slices.Collect(maps.Values(c.customers))
+	slices.SortFunc(out, func(a, b *customer) int { return cmp.Compare(a.name, b.name) })
+	return out
+}
+
+// dominantShare returns the largest part of a resource of the total.
+func (r resources) dominantShare(total resources) float64 {
+	share := 0.0
+	for _, pair := range [][2]int64{{r.cpu, total.cpu}, {r.memory, total.memory}, {r.accelerators, total.accelerators}} {
+		if pair[1] > 0 {
+			share = max(share, float64(pair[0])/float64(pair[1]))
+		}
+	}
+	return share
+}
+
+func (c *Core) totalCapacity() resources {
+	total := resources{}
+	for _, w := range c.workers {
+		total = total.plus(w.capacity)
+	}
+	return total
+}
+
+// waitingByCustomer returns what the waiting tasks of each customer need, and the jobs over
+// rate of its waiting steps.
+func (c *Core) waitingByCustomer() (needs map[*customer]resources, overRate map[*customer][]*job) {
+	needs, overRate = make(map[*customer]resources), make(map[*customer][]*job)
+	for s := range c.unplaced {
+		customer := s.job.customer
+		if customer == nil || c.steps[s.key] != s {
+			continue
+		}
+		n := int64(s.waitingCount())
+		if n == 0 {
+			continue
+		}
+		needs[customer] = needs[customer].plus(s.usage.times(n))
+		if s.job.overRate() {
+			overRate[customer] = append(overRate[customer], s.job)
+		}
+	}
+	return needs, overRate
+}
+
+func (r resources) times(n int64) resources {
+	return resources{r.cpu * n, r.memory * n, r.accelerators * n}
+}
+
+// promoteJobs counts the oldest of a customer's waiting jobs over rate as within it, one for
+// each token that the customer has left unused, and all of a customer without a rate. A job
+// may be listed once for each of its steps.
+func (c *Core) promoteJobs(customer *customer, waiting []*job, now time.Duration) {
+	if len(waiting) == 0 {
+		return
+	}
+	slices.SortFunc(waiting, func(a, b *job) int { return cmp.Or(cmp.Compare(a.acceptedAt, b.acceptedAt), cmp.Compare(a.id, b.id)) })
+	rate := customer.limits.GetJobsPerSecond()
+	bucket := customer.bucket(now)
+	bucket.refill(rate, now)
+	for _, j := range slices.Compact(waiting) {
+		if rate > 0 && !bucket.takeSurplus() {
+			return
+		}
+		j.promoted = true
+		c.addNotice(Notice{Event: "job_promoted", Job: j.id, Customer: customer.name, Reason: "rate-unused", Age: now - j.acceptedAt})
+	}
+}
+
+// overRate reports whether steps of other jobs come before those of this one, as it was
+// submitted beyond the rate of its customer.
+func (j *job) overRate() bool { return j.spec.GetOverRate() && !j.promoted }
+
+// noteFullPools records which pools have less room than their steps wait for.
+func (c *Core) noteFullPools(p *plan) {
+	if len(c.customers) == 0 {
+		return
+	}
+	for pool, left := range p.unclaimed.left {
+		if left > p.unclaimed.pool(pool).free {
+			if !c.isFull(pool, p.now) {
+				c.addNotice(Notice{Event: "pool_full", Reason: "contention"})
+			}
+			c.fullUntil[pool] = p.now + contentionHold
+		}
+	}
+}
+
+func (c *Core) isFull(pool string, now time.Duration) bool { return now < c.fullUntil[pool] }
+
+// compareCustomers orders steps by their customers: those over rate come last, as do, among
+// steps that can wait in a full pool, those of customers beyond their share. Work that is
+// worth nothing any more gains nothing by its customer's share.
+func compareCustomers(a, b *step) int {
+	switch {
+	case a.overRate != b.overRate:
+		return compareBool(a.overRate, b.overRate)
+	case (a.lateness == expired) != (b.lateness == expired):
+		return compareBool(a.lateness == expired, b.lateness == expired)
+	}
+	return compareBool(a.beyondShare, b.beyondShare)
+}
+
+// compareBool puts false first.
+func compareBool(a, b bool) int {
+	if a == b {
+		return 0
+	}
+	if b {
+		return -1
+	}
+	return 1
+}
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -17,6 +17,7 @@
 	steps      map[StepKey]*step // open ones
 	openTasks  int               // tasks of open steps
 	nextDue    uint32            // lowest occurrence that is not due yet
+	promoted   bool              // whether it counts as within its customer's rate although it was submitted beyond
 }
 
 // task is one task of an open step.
@@ -64,7 +65,10 @@
 	held      map[*worker]int // number of tasks for which resources are held while tickets are requested
 	runsOn    map[*worker]int // number of runs by worker
 	deferred  bool            // whether it has left room to gangs
-	urgent    bool            // whether its queue has priority 0, the highest
+	urgent    bool            // whether its queue has priority 0, the highest, and it is within its customer's rate
+	overRate  bool            // whether its job is over its customer's rate
+	// beyondShare is set if it can wait, its pool is full and its customer holds more than its part.
+	beyondShare bool
 }
 
 func (t *task) waits() bool { return !t.done && len(t.runs) == 0 }
@@ -80,6 +84,17 @@
 	return out
 }
 
+// waitingCount returns the number of tasks without a run.
+func (s *step) waitingCount() int {
+	n := 0
+	for _, t := range s.tasks {
+		if t.waits() {
+			n++
+		}
+	}
+	return n
+}
+
 // waits reports whether there is a task without a run.
 func (s *step) waits() bool { return slices.ContainsFunc(s.tasks, (*task).waits) }
 
--- a/internal/dispatch/unclaimed.go
+++ b/internal/dispatch/unclaimed.go
@@ -18,6 +18,8 @@
 	core    *Core
 	now     time.Duration
 	claimed map[string]int64     // by pool, thousandths of a core
+	wanted  map[string]int64     // by pool: what steps within rate wait for, thousandths of a core
+	left    map[string]int64     // by pool: what all steps wait for, thousandths of a core
 	pools   map[string]*poolRoom // computed when a claim first matters
 }
 
@@ -25,7 +27,7 @@
 type poolRoom struct{ free, capacity int64 }
 
 func (c *Core) newUnclaimedRoom(now time.Duration) *unclaimedRoom {
-	return &unclaimedRoom{core: c, now: now, claimed: make(map[string]int64)}
+	return &unclaimedRoom{core: c, now: now, claimed: make(map[string]int64), wanted: make(map[string]int64), left: make(map[string]int64)}
 }
 
 // pool returns the room of a pool as it is now, tasks started by this plan included.
@@ -58,6 +60,18 @@
 	u.claimed[pool] += int64(n) * s.demand.cpu
 }
 
+// leave records that n tasks of a step could not start in this plan.
+func (u *unclaimedRoom) leave(pool string, s *step, n int) {
+	if len(u.core.customers) == 0 || n == 0 {
+		return
+	}
+	cpu := int64(n) * s.demand.cpu
+	u.left[pool] += cpu
+	if !s.overRate {
+		u.wanted[pool] += cpu
+	}
+}
+
 // use records that n tasks of a step were started.
 func (u *unclaimedRoom) use(pool string, s *step, n int) {
 	if u.pools != nil {
@@ -66,13 +80,18 @@
 }
 
 // limit returns how many of n waiting tasks of a step may start. Urgent steps, steps that
-// are placed before any gang that waits, and steps that cannot wait are not limited.
+// are placed before any gang that waits, and steps that cannot wait are not limited. Steps
+// over rate leave room to all steps within rate that wait.
 func (u *unclaimedRoom) limit(pool string, s *step, n int) int {
-	if s.urgent || u.claimed[pool] == 0 || !s.canWait(u.now) {
+	claimed := u.claimed[pool]
+	if s.overRate {
+		claimed = max(claimed, u.wanted[pool])
+	}
+	if claimed == 0 || !s.overRate && (s.urgent || !s.canWait(u.now)) {
 		return n
 	}
 	room := u.pool(pool)
-	claimed := min(u.claimed[pool], int64(maxClaimedShare*float64(room.capacity)))
+	claimed = min(claimed, int64(maxClaimedShare*float64(room.capacity)))
 	return resources{cpu: room.free - claimed}.fitCount(resources{cpu: s.demand.cpu}, n)
 }
 
@@ -82,7 +101,11 @@
 		return
 	}
 	s.deferred = true
-	c.addNotice(Notice{Event: "step_deferred", Job: s.key.Job, Task: s.key.String(), Reason: [...]string{"can-wait", "late", "expired"}[s.lateness], Age: now - s.openedAt})
+	reason := [...]string{"can-wait", "late", "expired"}[s.lateness]
+	if s.overRate {
+		reason = ReasonOverRate
+	}
+	c.addNotice(Notice{Event: "step_deferred", Job: s.key.Job, Task: s.key.String(), Reason: reason, Age: now - s.openedAt})
 }
 
 // canWait reports whether a step leaves room to gangs: until a part of the time is over
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -55,19 +55,27 @@
 	if err := t.checkOwner(q, id, customer); err != nil {
 		return nil, err
 	}
-	if t.overloaded() && !t.isStored(id) {
+	if t.overloaded() && !t.isStored(id) && !t.isBeingStored(id) {
 		return nil, refusal.New(refusal.Shed, "retry later", "the leader is overloaded").WithRetryAfter(time.Second)
 	}
 	j.Id, j.Host, j.Prefix = id, q.GetHost(), q.GetPrefix()
 	j.Attempts, j.Service, j.Customer = q.GetAttempts(), q.GetService(), customer.GetName()
 	j.AcceptedUnixMs = time.Now().UnixMilli()
-	steps := len(j.GetSteps())
+	if err := t.admit(j); err != nil {
+		return nil, err
+	}
+	steps, overRate := len(j.GetSteps()), j.GetOverRate()
 	_, err = t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_Submit{Submit: &egretmuxv1.SubmitJob{Job: j}}}, func(result job.Result) {
 		if result.Known {
+			t.admissionSettled(id)
 			return
 		}
 		t.updateCore(func(c *dispatch.Core, now time.Duration) { c.JobAccepted(id, now) })
-		t.cfg.Logger.Info().Str("event", "job_accepted").Str("job", id).Str("queue", q.GetName()).Int("steps", steps).Msg("")
+		accepted := t.cfg.Logger.Info().Str("event", "job_accepted").Str("job", id).Str("queue", q.GetName()).Int("steps", steps)
+		if customer != nil {
+			accepted = accepted.Str("customer", customer.GetName()).Bool("over_rate", overRate)
+		}
+		accepted.Msg("")
 	})
 	if err != nil {
 		return nil, err
--- a/internal/scheduler/customers.go
+++ b/internal/scheduler/customers.go
@@ -44,6 +44,40 @@
 	return nil
 }
 
+// admit decides whether a job of a customer is accepted, and marks it if it is over the
+// customer's rate.
+func (t *tenure) admit(j *egretmuxv1.Job) error {
+	j.OverRate = false
+	if j.GetCustomer() == "" {
+		return nil
+	}
+	t.mu.Lock()
+	admission := t.core.Admit(j, t.now())
+	t.executeActions()
+	t.mu.Unlock()
+	j.OverRate = admission.OverRate
+	if !admission.Refused {
+		return nil
+	}
+	return refusal.New(refusal.Shed, "retry after the given time, or submit less often",
+		"customer %.100q submits more than its jobs a second, and its jobs beyond that already wait for room", j.GetCustomer()).WithRetryAfter(admission.RetryAfter)
+}
+
+// isBeingStored reports whether a submit of the job was accepted in this tenure and is not
+// stored yet. The outcome of a repeated one is that of the first.
+func (t *tenure) isBeingStored(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.core.IsAdmitted(id)
+}
+
+// admissionSettled drops the admission of a job that was stored before.
+func (t *tenure) admissionSettled(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.core.AdmissionSettled(id)
+}
+
 func (t *tenure) showCustomers() *egretmuxv1.ShowCustomersResponse {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -193,6 +193,9 @@
 			e = e.Str(f[0], f[1])
 		}
 	}
+	if n.Customer != "" {
+		e = e.Str("customer", n.Customer)
+	}
 	if n.Run != 0 {
 		e = e.Uint64("run", n.Run)
 	}
