cli, jobcell: egretmux customers shows what holds each customer back

Cause: an operator could not see why a customer waits: its share, rate and refusals were known to the leader only. Change: a subcommand that calls ShowCustomers on the cell listener of any instance; one that does not lead asks the leader, once. Run: go test of internal/cli; of internal/jobcell the tests of ShowCustomers.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -168,6 +168,9 @@
 	if _, err := p.AddCommand("status", "summarise the cell", "summarise the cell", &status{app: a}); err != nil {
 		return err
 	}
+	if _, err := p.AddCommand("customers", "list the customers of a cell that runs jobs", "list the customers of a cell that runs jobs, with what they use, wait for and were refused", &customers{app: a}); err != nil {
+		return err
+	}
 	if _, err := p.AddCommand("explain", "explain from logs how a job ended", "list the events of a job from the logs of instances, and explain what decided how it ended", &explainCommand{app: a}); err != nil {
 		return err
 	}
--- a/internal/jobcell/forward.go
+++ b/internal/jobcell/forward.go
@@ -223,6 +223,32 @@
 	return out, err
 }
 
+// forwardedHeader marks a call that an instance passes on, so that it ends at the instance
+// that was taken for the leader.
+const forwardedHeader = "Egretmux-Forwarded"
+
+// customersFromLeader returns the leader's view of the customers.
+func (c *Cell) customersFromLeader(ctx context.Context) (*egretmuxv1.ShowCustomersResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, leaderSearchTimeout)
+	defer cancel()
+	var out *egretmuxv1.ShowCustomersResponse
+	err := c.callLeader(ctx, func(ctx context.Context, p *peer.Clients) error {
+		if c.scheduler.Leads() {
+			var err error
+			out, err = c.scheduler.ShowCustomers()
+			return refusalrpc.Error(err)
+		}
+		req := connect.NewRequest(&egretmuxv1.ShowCustomersRequest{})
+		req.Header().Set(forwardedHeader, "1")
+		resp, err := p.Jobs.ShowCustomers(ctx, req)
+		if err == nil {
+			out = resp.Msg
+		}
+		return err
+	})
+	return out, err
+}
+
 // leaderControlAddress returns the control address of the leader, or an empty string
 // if the leader is unknown or is this instance.
 func (c *Cell) leaderControlAddress() string {
--- a/internal/jobcell/serve.go
+++ b/internal/jobcell/serve.go
@@ -69,9 +69,14 @@
 	return connect.NewResponse(resp), nil
 }
 
-// ShowCustomers implements JobCellService.
-func (s *service) ShowCustomers(context.Context, *connect.Request[egretmuxv1.ShowCustomersRequest]) (*connect.Response[egretmuxv1.ShowCustomersResponse], error) {
-	resp, err := s.cell.scheduler.ShowCustomers()
+// ShowCustomers implements JobCellService. An instance that does not lead asks the leader,
+// unless another instance asked it for the leader.
+func (s *service) ShowCustomers(ctx context.Context, req *connect.Request[egretmuxv1.ShowCustomersRequest]) (*connect.Response[egretmuxv1.ShowCustomersResponse], error) {
+	if s.cell.scheduler.Leads() || req.Header().Get(forwardedHeader) != "" {
+		resp, err := s.cell.scheduler.ShowCustomers()
+		return reply(s.cell, resp, err)
+	}
+	resp, err := s.cell.customersFromLeader(ctx)
 	return reply(s.cell, resp, err)
 }
 
