scheduler: refused submits over rate are told apart from an overloaded leader

Cause: both were refused as shed, so counters and callers could not tell them apart. Change: kind queue-full for the full queue of a customer's jobs over rate.

--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -1,6 +1,8 @@
 package dispatch_test
 
 import (
+	"cmp"
+	"slices"
 	"testing"
 	"time"
 
@@ -41,6 +43,8 @@
 // Load: a full pool and a mixed backlog. Without customers, and for customers within their
 // rates and shares, the order is by lateness and slack alone.
 func TestOrderIsBySlackWithoutContendingCustomers(t *testing.T) {
+	const jobs = 12
+	estimate := func(n int) int64 { return int64(300 + 100*(n*7%jobs)) }
 	startsOf := func(customers ...*egretmuxv1.Customer) []string {
 		h := newMixedHarness(t, "a", "b", "c", "d")
 		h.putCustomers(customers...)
@@ -53,21 +57,27 @@
 		h.submitTo("/later/", id(1), tasks(16, 1))
 		h.plan()
 		occupying := h.acceptAll()
-		for n := range 12 {
+		for n := range jobs {
 			step := tasks(1, 1)
-			step.EstimateMs = int64(300 + 100*(n*7%12))
+			step.EstimateMs = estimate(n)
 			h.submitAs(name(n), false, []string{"/q/", "/later/"}[n%2], id(100+n), step)
 		}
 		h.plan()
 		h.advance(700 * time.Millisecond)
-		for _, s := range occupying[:12] {
+		for _, s := range occupying[:jobs] {
 			h.endOne(s)
 		}
 		return h.startedJobs()
 	}
-	plain := startsOf()
-	require.Len(t, plain, 12)
-	require.Equal(t, plain, startsOf(customer("x", 1, 0), customer("y", 1, 0), customer("z", 1, 0)))
+	bySlack := slices.SortedFunc(slices.Values([]int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11}), func(a, b int) int {
+		return cmp.Or(cmp.Compare(a%2, b%2), cmp.Compare(estimate(a), estimate(b))) // all of "/later/" have more slack
+	})
+	var expected []string
+	for _, n := range bySlack {
+		expected = append(expected, id(100+n))
+	}
+	require.Equal(t, expected, startsOf())
+	require.Equal(t, expected, startsOf(customer("x", 1, 0), customer("y", 1, 0), customer("z", 1, 0)))
 }
 
 // Load: room for one task, a job over rate with little slack and one within rate with much.
--- a/internal/scheduler/customers.go
+++ b/internal/scheduler/customers.go
@@ -59,8 +59,8 @@
 	if !admission.Refused {
 		return nil
 	}
-	return refusal.New(refusal.Shed, "retry after the given time, or submit less often",
-		"customer %.100q submits more than its jobs a second, and its jobs beyond that already wait for room", j.GetCustomer()).WithRetryAfter(admission.RetryAfter)
+	return refusal.New(refusal.QueueFull, "retry after the given time, or submit less often",
+		"customer %.100q submits more than its jobs a second, and the queue of its jobs beyond that is full", j.GetCustomer()).WithRetryAfter(admission.RetryAfter)
 }
 
 // isBeingStored reports whether a submit of the job was accepted in this tenure and is not
