dispatch: a backlog that can wait does not refuse urgent jobs over rate

Cause: a customer's waiting jobs of all kinds counted against a submit over rate, also those that would start after it. Change: only jobs that have to start earlier, or are late, count. Run: go test of internal/dispatch; the new test fails without the change.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -103,22 +103,25 @@
 	c.refused[reason]++
 }
 
-// backlogTooLong reports whether a job over rate would start too late: its customer's jobs
-// over rate already wait, and together with it they need more room than is free now, less
-// what jobs within their rates wait for, and what its jobs over rate get until then.
+// backlogTooLong reports whether a job over rate would start too late: jobs over rate of its
+// customer that come before it already wait, and together with it they need more room than is
+// free now, less what jobs within their rates wait for, and what the customer's jobs over
+// rate get until then.
 func (c *Core) backlogTooLong(customer *customer, spec *egretmuxv1.Job, now time.Duration) bool {
-	backlog, wanted := c.backlogs(customer, spec.GetService())
+	slack := c.slackOf(spec)
+	backlog, wanted := c.backlogs(customer, spec.GetService(), now+slack)
 	if backlog == 0 {
 		return false
 	}
 	room := max(0, c.usableRoom(spec, now)-wanted)
-	comingFree := customer.averages.overRateCPU * c.slackOf(spec).Seconds()
+	comingFree := customer.averages.overRateCPU * slack.Seconds()
 	return float64(backlog+firstTasksCPU(spec)) > float64(room)+comingFree
 }
 
-// backlogs returns the cpu that a customer's jobs over rate wait for in a pool, and what the
-// jobs within their rates wait for there. Jobs that are being stored are included.
-func (c *Core) backlogs(customer *customer, pool string) (overRate, within int64) {
+// backlogs returns the cpu that a customer's jobs over rate wait for in a pool, as far as they
+// have to start by the given time or are late, and what the jobs within their rates wait for
+// there. Jobs that are being stored are included.
+func (c *Core) backlogs(customer *customer, pool string, until time.Duration) (overRate, within int64) {
 	for s := range c.unplaced {
 		if c.steps[s.key] != s || c.queue(s.job).GetService() != pool {
 			continue
@@ -127,7 +130,7 @@
 		switch {
 		case !s.job.overRate():
 			within += cpu
-		case s.job.customer == customer:
+		case s.job.customer == customer && s.latestStart <= until:
 			overRate += cpu
 		}
 	}
--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -37,6 +37,20 @@
 	require.Equal(t, 1, countNotices(l.harness, "submit_refused", id(len(l.submits)-1)))
 }
 
+// Load: a customer's jobs over rate of a kind that can wait fill its backlog. Those that are
+// urgent come before them and do not wait for them.
+func TestBacklogThatCanWaitDoesNotRefuseUrgentJobs(t *testing.T) {
+	l := newFullLoad(t)
+	for range 3 {
+		require.False(t, l.submitJob("b", rebuild).refused)
+	}
+	require.True(t, l.submitJob("b", rebuild).refused)
+	s := l.submitJob("b", lookup)
+	require.True(t, s.overRate)
+	require.False(t, s.refused)
+	require.True(t, l.submitJob("b", lookup).refused)
+}
+
 // Load: callers repeat submits whose answers were lost, while the pool is full.
 func TestRepeatedSubmitKeepsItsMarkAndTakesNoToken(t *testing.T) {
 	l := newFullLoad(t)
