job: outstanding runs of ended jobs and limits of removed customers

Cause: a new leader could not know the runs of jobs that had ended, of gangs whose first member had ended, or of a task's original beside its copy, so they did not count towards the quota of their customer. The limits of a customer that a new catalogue does not list were lost while its jobs went on.

Change: Record.OutstandingRuns; ended records keep them as leftover_runs until their end is stored or the job is forgotten. A removed customer stays in the stored catalogue without its credentials while it has open jobs.

Run: go test ./internal/job

--- a/internal/job/book.go
+++ b/internal/job/book.go
@@ -113,6 +113,7 @@
 	if inForce != nil && c.GetVersion() <= inForce.Version {
 		return Result{Known: true, Conflict: c.GetVersion() == inForce.Version && !inForce.sameSource(c)}
 	}
+	b.keepRemovedCustomers(c)
 	b.catalogue = NewCatalogue(c)
 	return Result{}
 }
--- a/internal/job/crash.go
+++ b/internal/job/crash.go
@@ -16,6 +16,7 @@
 // applyCrash counts a crash of a worker under a run of a task. The caller makes sure that
 // each crash is applied once.
 func (r *Record) applyCrash(e *egretmuxv1.CrashedRun) {
+	defer r.dropLeftover(e)
 	if r.Ended() || !r.hasTask(e) {
 		return
 	}
--- a/internal/job/customer.go
+++ b/internal/job/customer.go
@@ -47,6 +47,34 @@
 	return c.Message.GetCredentialsRequired() && !q.GetPublic()
 }
 
+// keepRemovedCustomers adds the customers that a new catalogue does not list any more, without
+// their credentials, so that their limits hold for the jobs that were accepted from them. They
+// are dropped with a later version, once these have ended.
+func (b *Book) keepRemovedCustomers(next *egretmuxv1.Catalogue) {
+	if b.catalogue == nil {
+		return
+	}
+	listed := make(map[string]bool)
+	for _, c := range next.GetCustomers() {
+		listed[c.GetName()] = true
+	}
+	open := make(map[string]bool)
+	for _, r := range b.jobs {
+		if !r.Ended() {
+			open[r.Job.GetCustomer()] = true
+		}
+	}
+	for _, c := range b.catalogue.Message.GetCustomers() {
+		// A job may be accepted by the version before and stored after this one.
+		mayHaveJobs := open[c.GetName()] || len(c.GetCredentialSha256()) > 0
+		if !listed[c.GetName()] && mayHaveJobs {
+			next.Customers = append(next.Customers, &egretmuxv1.Customer{
+				Name: c.GetName(), Weight: c.GetWeight(), JobsPerSecond: c.GetJobsPerSecond(), Quota: c.GetQuota(),
+			})
+		}
+	}
+}
+
 // checkCustomers returns a refusal if the customers of a catalogue are invalid.
 func checkCustomers(m *egretmuxv1.Catalogue) error {
 	invalid := func(remedy, format string, args ...any) error {
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -1,6 +1,8 @@
 package job
 
 import (
+	"slices"
+
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 )
 
@@ -10,6 +12,7 @@
 	Phase           egretmuxv1.JobPhase // unspecified until the job has ended
 	occurrences     map[uint32]*occurrence
 	openOccurrences uint32 // occurrences with open steps
+	leftovers       []*egretmuxv1.LeftoverRun
 }
 
 // occurrence is the progress of one repetition of a job's steps.
@@ -121,6 +124,7 @@
 	}
 	t := &r.ensureStep(e).tasks[e.GetIndex()]
 	if e.GetRun() > t.LastStartedRun {
+		r.keepSuperseded(e, *t)
 		t.LastStartedRun, t.Worker, t.Born = e.GetRun(), e.GetWorker(), e.GetBornUnixMs()
 	}
 }
@@ -134,6 +138,7 @@
 // applyEnd stores the end of a run. A failed run is counted once, also if its end is
 // reported again.
 func (r *Record) applyEnd(e *egretmuxv1.RunEnd) {
+	defer r.dropLeftover(e)
 	if r.Ended() || !r.hasTask(e) {
 		return
 	}
@@ -214,6 +219,7 @@
 
 // finish sets the final phase and drops the state that only an active job needs.
 func (r *Record) finish(phase egretmuxv1.JobPhase) {
+	r.leftovers = r.OutstandingRuns()
 	r.Phase = phase
 	r.Job = &egretmuxv1.Job{
 		Id: r.Job.GetId(), Host: r.Job.GetHost(), Prefix: r.Job.GetPrefix(), Service: r.Job.GetService(), Customer: r.Job.GetCustomer(),
@@ -222,7 +228,7 @@
 }
 
 func (r *Record) toProto() *egretmuxv1.JobRecord {
-	out := &egretmuxv1.JobRecord{Job: r.Job, Phase: r.Phase}
+	out := &egretmuxv1.JobRecord{Job: r.Job, Phase: r.Phase, LeftoverRuns: slices.Clone(r.leftovers)}
 	for k, occ := range r.occurrences {
 		for i := range occ.steps {
 			if s := &occ.steps[i]; s.tasks != nil {
@@ -249,6 +255,7 @@
 
 func recordFromProto(in *egretmuxv1.JobRecord) *Record {
 	r := newRecord(in.GetJob())
+	r.leftovers = in.GetLeftoverRuns()
 	if in.GetPhase() != egretmuxv1.JobPhase_JOB_PHASE_UNSPECIFIED {
 		r.finish(in.GetPhase())
 		return r
