dispatch: quotas of customers

Cause: nothing bounded what one customer has running.

Change: a plan starts only what the customer's quota lets start, whole gangs or nothing, urgent steps of the customer first. Steps that are held back are left out before the steps of a plan are selected, and hold no room, worker or ticket. Runs of earlier leaders that no open task has adopted count until they are certainly gone. Submits that can never fit are refused.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -101,6 +101,7 @@
 	for _, id := range ids {
 		c.addJob(id, 0)
 	}
+	c.countLeftovers()
 	return c
 }
 
@@ -376,7 +377,7 @@
 	}
 	var expiredWorkers []*worker
 	for _, w := range c.workers {
-		if now >= w.lease.expiresAt && len(w.runs) > 0 {
+		if w.hasExpiredRuns(now) {
 			expiredWorkers = append(expiredWorkers, w)
 		}
 	}
--- a/internal/dispatch/customer.go
+++ b/internal/dispatch/customer.go
@@ -13,7 +13,9 @@
 	limits *egretmuxv1.Customer // of the catalogue in force; nil once it is not listed there
 	// inUse is what its runs use together: all that are or may be present on workers, also
 	// those that are being stopped.
-	inUse resources
+	inUse         resources
+	quota         resources // limit of inUse; zero is none
+	urgentWaiting resources // usage of the waiting tasks of its urgent steps, in a plan
 }
 
 // customerOf returns the customer of a job, or nil if the job came without a credential.
@@ -23,7 +25,8 @@
 		return nil
 	}
 	if c.customers[name] == nil {
-		c.customers[name] = &customer{name: name, limits: c.cfg.Book.Catalogue().Customer(name)}
+		c.customers[name] = &customer{name: name}
+		c.customers[name].setLimits(c.cfg.Book.Catalogue().Customer(name))
 	}
 	return c.customers[name]
 }
@@ -36,7 +39,7 @@
 	}
 	c.customersVersion = catalogue.Version
 	for _, customer := range c.customers {
-		customer.limits = catalogue.Customer(customer.name)
+		customer.setLimits(catalogue.Customer(customer.name))
 	}
 }
 
@@ -87,7 +90,9 @@
 			u.OverRateJobs++
 		}
 		for _, s := range j.steps {
-			u.WaitingTasks += uint64(len(s.waitingTasks()))
+			waiting := len(s.waitingTasks())
+			u.WaitingTasks += uint64(waiting)
+			u.HeldByQuota += uint64(s.heldTasks(waiting))
 		}
 	}
 	slices.SortFunc(out, func(a, b *egretmuxv1.CustomerUsage) int { return cmp.Compare(a.GetName(), b.GetName()) })
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -21,6 +21,9 @@
 	if s.runCount() > 0 { // members of an earlier run are still being stopped
 		return
 	}
+	if len(c.withinQuota(s, waiting, p.now)) == 0 {
+		return
+	}
 	pool, late := c.queue(s.job).GetService(), s.lateness != onTime
 	if late && p.unclaimed.limit(pool, s, len(waiting)) < len(waiting) {
 		c.noticeDeferral(s, p.now)
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -55,6 +55,7 @@
 	}
 	if l.Complete {
 		c.loseMissingRuns(w, listed, asked, now)
+		w.dropLeftovers(listed)
 	}
 	c.paceFillers(w, now)
 	if first {
@@ -70,6 +71,7 @@
 	for _, e := range ends {
 		key := runKey{e.Task, e.Run}
 		listed[key] = true
+		w.dropLeftover(key)
 		if e.Number <= w.storingCursor {
 			continue
 		}
@@ -159,10 +161,11 @@
 // stop is answered within a second or not at all.
 const orphanStopInterval = time.Second
 
-// stopOrphan stops a run whose step is not open any more. Its demand is not known,
-// so the worker gets no new runs while the run is listed.
+// stopOrphan stops a run whose step is not open any more. Its demand may not be known, so the
+// worker gets no new runs while the run is listed.
 func (c *Core) stopOrphan(w *worker, lr ListedRun, previousStops map[runKey]time.Duration, now time.Duration) {
 	key := runKey{lr.Task, lr.Run}
+	c.countOrphan(w, key)
 	if sent, known := previousStops[key]; known && now-sent < orphanStopInterval {
 		w.orphans[key] = sent
 		return
@@ -177,6 +180,7 @@
 func (c *Core) addRun(t *task, w *worker, number uint64, state runState, now time.Duration) *run {
 	r := &run{task: t, worker: w, number: number, state: state, demand: t.step.demand, startedAt: now, progressAt: now, confirmedPace: fullPace}
 	w.runs[runKey{t.key(), number}] = r
+	w.dropLeftover(runKey{t.key(), number})
 	if state != ended {
 		r.occupy()
 	}
--- a/internal/dispatch/membership.go
+++ b/internal/dispatch/membership.go
@@ -82,6 +82,7 @@
 	for _, r := range lost {
 		c.loseRun(r, "worker-"+reason, now)
 	}
+	w.dropLeftovers(nil)
 	delete(c.workers, t.Worker)
 	c.addNotice(Notice{Event: "worker_gone", Worker: t.Worker, Reason: reason, Age: now - w.heardAt, Lost: len(lost)})
 }
@@ -150,6 +151,7 @@
 			c.loseRun(r, "lease-ended", now)
 		}
 	}
+	w.dropLeftovers(nil)
 }
 
 // GrantLease extends a worker's lease and returns what the next poll tells the
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -35,7 +35,9 @@
 	}
 	c.renewHolds()
 	p := &plan{now: now, unclaimed: c.newUnclaimedRoom(now)}
-	for _, s := range c.selectSteps(c.orderSteps(now)) {
+	ordered := c.orderSteps(now)
+	c.countUrgent(ordered)
+	for _, s := range c.selectSteps(c.withoutHeld(ordered, now)) {
 		waiting := s.waitingTasks()
 		if len(waiting) == 0 {
 			continue
@@ -44,6 +46,9 @@
 			c.planGang(p, s, waiting)
 			continue
 		}
+		if waiting = c.withinQuota(s, waiting, now); len(waiting) == 0 {
+			continue
+		}
 		pool := c.queue(s.job).GetService()
 		n := p.unclaimed.limit(pool, s, len(waiting))
 		if n > 0 {
@@ -297,6 +302,7 @@
 func (c *Core) startTask(t *task, w *worker, number uint64, now time.Duration) {
 	s := t.step
 	r := c.addRun(t, w, number, ordered, now)
+	s.countUrgentStart()
 	checkpoint := ""
 	c.cfg.Book.View(s.key.Job, func(rec *jobs.Record) {
 		if rec != nil && !rec.Ended() {
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -65,6 +65,7 @@
 	runsOn    map[*worker]int // number of runs by worker
 	deferred  bool            // whether it has left room to gangs
 	urgent    bool            // whether its queue has priority 0, the highest
+	quotaHold *quotaHold      // set while its customer's quota holds tasks back
 }
 
 func (t *task) waits() bool { return !t.done && len(t.runs) == 0 }
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -82,7 +82,8 @@
 	lapsedRuns []*egretmuxv1.CrashedRun
 	// orphans are listed runs whose step is not open any more, with the time at
 	// which their stop was last sent.
-	orphans map[runKey]time.Duration
+	orphans   map[runKey]time.Duration
+	leftovers map[runKey]leftover // runs without an open task that count for their customer
 
 	fillerPace          int           // percent of full speed at which fillers may work
 	fillerPaceChangedAt time.Duration // when fillerPace last changed
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -55,6 +55,9 @@
 	if err := t.checkOwner(q, id, customer); err != nil {
 		return nil, err
 	}
+	if err := t.checkQuota(ctx, id, j, customer); err != nil {
+		return nil, err
+	}
 	if t.overloaded() && !t.isStored(id) {
 		return nil, refusal.New(refusal.Shed, "retry later", "the leader is overloaded").WithRetryAfter(time.Second)
 	}
--- a/internal/scheduler/customers.go
+++ b/internal/scheduler/customers.go
@@ -44,6 +44,24 @@
 	return nil
 }
 
+// checkQuota returns a refusal if the job could never start within its customer's quota. A
+// leader that was replaced may lack a higher one, so it has to be confirmed.
+func (t *tenure) checkQuota(ctx context.Context, id string, j *egretmuxv1.Job, customer *egretmuxv1.Customer) error {
+	if job.CheckQuota(j, customer) == nil || t.isStored(id) {
+		return nil
+	}
+	if err := t.confirm(ctx); err != nil {
+		return err
+	}
+	if current := t.book.Catalogue().Customer(customer.GetName()); current != nil {
+		customer = current
+	}
+	if t.isStored(id) {
+		return nil
+	}
+	return job.CheckQuota(j, customer)
+}
+
 func (t *tenure) showCustomers() *egretmuxv1.ShowCustomersResponse {
 	t.mu.Lock()
 	defer t.mu.Unlock()
