dispatch: a gang keeps its part of the quota until its tickets come

Cause: a gang that fits holds its workers while its tickets are requested, but single tasks of its customer could use up the quota meanwhile, for ever.

Change: such a gang claims its part of the quota as urgent steps do, for the plan. Benchmarks run with 0, 20 and 1,000 customers.

--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -18,13 +18,39 @@
 // processor time of the decisions per task, without calls and commits.
 func BenchmarkDecisions(b *testing.B) {
 	const workers, jobsPerSecond, planEvery = 350, 150, 5 * time.Millisecond
-	for b.Loop() {
-		began := time.Now()
-		tasks := simulate(b, workers, jobsPerSecond, planEvery, 5*time.Second)
-		b.ReportMetric(float64(time.Since(began).Microseconds())/float64(tasks), "us/task")
+	eachCustomerCount(b, func(b *testing.B, customers int) {
+		for b.Loop() {
+			began := time.Now()
+			tasks := simulate(b, customers, workers, jobsPerSecond, planEvery, 5*time.Second)
+			b.ReportMetric(float64(time.Since(began).Microseconds())/float64(tasks), "us/task")
+		}
+	})
+}
+
+// eachCustomerCount runs a benchmark without customers, and with the jobs spread over some or
+// many customers whose quotas hold nothing back.
+func eachCustomerCount(b *testing.B, f func(b *testing.B, customers int)) {
+	for _, customers := range []int{0, 20, 1000} {
+		b.Run(fmt.Sprintf("customers=%d", customers), func(b *testing.B) { f(b, customers) })
 	}
 }
 
+func customersOf(count int) []*egretmuxv1.Customer {
+	out := make([]*egretmuxv1.Customer, 0, count)
+	for n := range count {
+		out = append(out, &egretmuxv1.Customer{Name: fmt.Sprint("c", n), Weight: 1, Quota: &egretmuxv1.Resources{CpuMillis: 1e9, MemoryMib: 1e9}})
+	}
+	return out
+}
+
+// customerOf returns the customer of the nth job.
+func customerOf(n, customers int) string {
+	if customers == 0 {
+		return ""
+	}
+	return fmt.Sprint("c", n%customers)
+}
+
 // runningTask is a started task and the time at which it ends.
 type runningTask struct {
 	start dispatch.StartOrder
@@ -33,13 +59,13 @@
 
 // simulate runs jobs for the given length of virtual time and returns the number of
 // tasks that were done.
-func simulate(b *testing.B, workers, jobsPerSecond int, planEvery, length time.Duration) int {
+func simulate(b *testing.B, customers, workers, jobsPerSecond int, planEvery, length time.Duration) int {
 	book := job.NewBook()
 	apply := func(cmd *egretmuxv1.JobCommand) { applyTo(b, book, cmd) }
 	q := queue()
 	q.Advice = &egretmuxv1.QueueAdvice{DecideMs: 10, PerWorkerMs: 0.1, ValidityMs: 2000}
 	apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_PutCatalogue{PutCatalogue: &egretmuxv1.PutCatalogue{Catalogue: &egretmuxv1.Catalogue{
-		Version: 1, Queues: []*egretmuxv1.Queue{q}, Pools: []*egretmuxv1.Pool{{Name: "ledger"}},
+		Version: 1, Queues: []*egretmuxv1.Queue{q}, Pools: []*egretmuxv1.Pool{{Name: "ledger"}}, Customers: customersOf(customers),
 	}}}})
 	c := dispatch.New(dispatch.Config{Book: book, Term: 2, Lease: testLease, FarFactor: 2, UnixMs: func(now time.Duration) int64 { return now.Milliseconds() }})
 	c.SetAdviceCallers(40)
@@ -57,7 +83,7 @@
 		for ; time.Duration(next)*time.Second/time.Duration(jobsPerSecond) <= now; next++ {
 			count := uint32(1 + r.IntN(9))
 			apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_Submit{Submit: &egretmuxv1.SubmitJob{Job: &egretmuxv1.Job{
-				Id: id(next), Host: "h", Prefix: "/q/", Service: "ledger", Attempts: 2, AcceptedUnixMs: now.Milliseconds(),
+				Id: id(next), Host: "h", Prefix: "/q/", Service: "ledger", Attempts: 2, AcceptedUnixMs: now.Milliseconds(), Customer: customerOf(next, customers),
 				Steps: []*egretmuxv1.JobStep{{Count: count, CpuMillis: 1500, MemoryMib: 100, EstimateMs: 1000}},
 			}}}})
 			c.JobAccepted(id(next), now)
@@ -113,7 +139,9 @@
 
 // BenchmarkPlanWithBacklog plans while the workers of a large site are full, and 60 gangs
 // and 200 steps that can wait have no room.
-func BenchmarkPlanWithBacklog(b *testing.B) {
+func BenchmarkPlanWithBacklog(b *testing.B) { eachCustomerCount(b, planWithBacklog) }
+
+func planWithBacklog(b *testing.B, customers int) {
 	book := job.NewBook()
 	apply := func(cmd *egretmuxv1.JobCommand) { applyTo(b, book, cmd) }
 	gangs, later := queue(), queue()
@@ -121,7 +149,7 @@
 	gangs.Advice = &egretmuxv1.QueueAdvice{DecideMs: 600, PerWorkerMs: 9, ValidityMs: 1500}
 	later.Name, later.Prefix, later.Priority, later.SlackFactor = "later", "/later/", 2, 20
 	apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_PutCatalogue{PutCatalogue: &egretmuxv1.PutCatalogue{Catalogue: &egretmuxv1.Catalogue{
-		Version: 1, Queues: []*egretmuxv1.Queue{gangs, later}, Pools: []*egretmuxv1.Pool{{Name: "ledger"}},
+		Version: 1, Queues: []*egretmuxv1.Queue{gangs, later}, Pools: []*egretmuxv1.Pool{{Name: "ledger"}}, Customers: customersOf(customers),
 	}}}})
 	c := dispatch.New(dispatch.Config{Book: book, Term: 2, Lease: testLease, FarFactor: 2, UnixMs: func(now time.Duration) int64 { return now.Milliseconds() }})
 	c.SetAdviceCallers(100)
@@ -132,7 +160,7 @@
 	}
 	submit := func(n int, prefix string, step *egretmuxv1.JobStep) {
 		apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_Submit{Submit: &egretmuxv1.SubmitJob{Job: &egretmuxv1.Job{
-			Id: id(n), Host: "h", Prefix: prefix, Service: "ledger", Attempts: 2, Steps: []*egretmuxv1.JobStep{step},
+			Id: id(n), Host: "h", Prefix: prefix, Service: "ledger", Attempts: 2, Steps: []*egretmuxv1.JobStep{step}, Customer: customerOf(n, customers),
 		}}}})
 		c.JobAccepted(id(n), 0)
 	}
--- a/internal/dispatch/customer.go
+++ b/internal/dispatch/customer.go
@@ -13,9 +13,9 @@
 	limits *egretmuxv1.Customer // of the catalogue in force; nil once it is not listed there
 	// inUse is what its runs use together: all that are or may be present on workers, also
 	// those that are being stopped.
-	inUse         resources
-	quota         resources // limit of inUse; zero is none
-	urgentWaiting resources // usage of the waiting tasks of its urgent steps, in a plan
+	inUse   resources
+	quota   resources // limit of inUse; zero is none
+	claimed resources // part of the quota that its steps claim in a plan
 }
 
 // customerOf returns the customer of a job, or nil if the job came without a credential.
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -87,6 +87,9 @@
 	for _, w := range chosen {
 		s.hold(w)
 	}
+	if chosen != nil && !s.urgent {
+		s.claimQuota(n)
+	}
 	if !c.mayRequestAdvice(s, q.GetAdvice(), now) {
 		return chosen != nil
 	}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -36,7 +36,7 @@
 	c.renewHolds()
 	p := &plan{now: now, unclaimed: c.newUnclaimedRoom(now)}
 	ordered := c.orderSteps(now)
-	c.countUrgent(ordered)
+	c.renewClaims(ordered)
 	for _, s := range c.selectSteps(c.withoutHeld(ordered, now)) {
 		waiting := s.waitingTasks()
 		if len(waiting) == 0 {
@@ -302,7 +302,7 @@
 func (c *Core) startTask(t *task, w *worker, number uint64, now time.Duration) {
 	s := t.step
 	r := c.addRun(t, w, number, ordered, now)
-	s.countUrgentStart()
+	s.claimQuota(max(0, s.claim-1))
 	checkpoint := ""
 	c.cfg.Book.View(s.key.Job, func(rec *jobs.Record) {
 		if rec != nil && !rec.Ended() {
--- a/internal/dispatch/quota.go
+++ b/internal/dispatch/quota.go
@@ -14,7 +14,7 @@
 type quotaHold struct {
 	reason    string
 	since     time.Duration
-	startable int // tasks that may start all the same
+	startable int       // tasks that may start all the same
 	quota     resources // when the step was last considered
 }
 
@@ -56,8 +56,8 @@
 }
 
 // startable returns how many of n waiting tasks of a step its customer's quota lets start now:
-// all or none of a gang. What urgent steps of the customer wait for is left to them. A customer
-// that uses little of its quota is not held up for urgent steps which wait for something else.
+// all or none of a gang. What other steps of the customer claim is left to them, unless the
+// customer uses little of its quota: they may wait for something else.
 func (s *step) startable(n int) int {
 	cu := s.job.customer
 	if cu.unlimited() || n == 0 {
@@ -68,8 +68,8 @@
 		least = n
 	}
 	fits := fitQuota(cu.quota, cu.inUse, s.usage, n)
-	if !s.urgent && cu.urgentWaiting != (resources{}) {
-		if left := fitQuota(cu.quota, cu.inUse.plus(cu.urgentWaiting), s.usage, n); left >= least || cu.usesHalf() {
+	if claimed := cu.claimed.minus(s.usage.times(s.claim)); !s.urgent && claimed != (resources{}) {
+		if left := fitQuota(cu.quota, cu.inUse.plus(claimed), s.usage, n); left >= least || cu.usesHalf() {
 			fits = min(fits, left)
 		} else {
 			fits = min(fits, least)
@@ -81,36 +81,45 @@
 	return fits
 }
 
-// countUrgent sums what the urgent steps of each customer with a quota wait for.
-func (c *Core) countUrgent(ordered []*step) {
-	for _, cu := range c.customers {
-		cu.urgentWaiting = resources{}
-	}
+// renewClaims sums what the steps of each customer with a quota claim of it: its waiting urgent
+// tasks, and the gangs for which room is held until their tickets have come.
+func (c *Core) renewClaims(ordered []*step) {
 	if len(c.customers) == 0 {
 		return
 	}
+	for _, cu := range c.customers {
+		cu.claimed = resources{}
+	}
 	for _, s := range ordered {
-		if !s.claimsQuota() {
-			continue
+		s.claim = 0
+		if cu := s.job.customer; !cu.unlimited() {
+			s.claimQuota(s.claims())
 		}
+	}
+}
+
+// claims returns for how many tasks a step claims its customer's quota. Urgent steps that can
+// never start or are worth nothing any more claim nothing.
+func (s *step) claims() int {
+	n := 0
+	switch {
+	case s.urgent && s.lateness != expired && !s.largerThanQuota():
 		for _, t := range s.tasks {
 			if t.waits() {
-				s.job.customer.urgentWaiting = s.job.customer.urgentWaiting.plus(s.usage)
+				n++
 			}
 		}
+	case len(s.held) > 0:
+		n = s.tasksLeft
 	}
+	return n
 }
 
-// claimsQuota reports whether room within the quota is left to a step: it is urgent, can start
-// at all and is still worth something.
-func (s *step) claimsQuota() bool {
-	return s.urgent && !s.job.customer.unlimited() && s.lateness != expired && !s.largerThanQuota()
-}
-
-// countUrgentStart records that a task of a step no longer waits.
-func (s *step) countUrgentStart() {
-	if s.claimsQuota() {
-		s.job.customer.urgentWaiting = s.job.customer.urgentWaiting.minus(s.usage)
+// claimQuota lets a step claim its customer's quota for n tasks in this plan.
+func (s *step) claimQuota(n int) {
+	if cu := s.job.customer; cu != nil {
+		cu.claimed = cu.claimed.plus(s.usage.times(n - s.claim))
+		s.claim = n
 	}
 }
 
@@ -165,6 +174,9 @@
 // frees what was held for the others.
 func (c *Core) holdStep(s *step, startable int, now time.Duration) {
 	s.release()
+	if !s.urgent {
+		s.claimQuota(0)
+	}
 	reason := holdFull
 	if s.largerThanQuota() {
 		reason = holdTooSmall
--- a/internal/dispatch/quota_test.go
+++ b/internal/dispatch/quota_test.go
@@ -381,6 +381,7 @@
 	next := life(w.Worker, 10)
 	next.BornUnixMs = w.Born + 1
 	h.apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_EndLife{EndLife: &egretmuxv1.EndLife{Worker: w.Worker, BornUnixMs: w.Born, Over: true, CrashedRuns: crashed}}})
+	h.apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_RecordLife{RecordLife: &egretmuxv1.RecordLife{Life: next}}})
 	h.core.WorkerJoined(next, h.now)
 	h.core.CrashesStored(w, crashed, h.now)
 	h.handleListing(targetOf(next), nil, nil)
@@ -413,27 +414,53 @@
 	}
 }
 
-// Load: a gang that waits for tickets on a full worker when its customer's quota is lowered.
-func TestHeldGangHoldsNoRoomForTickets(t *testing.T) {
+// advisedGang returns a harness with a gang of 4 cores of customer "a", whose ticket for the only
+// worker has expired: the next plan holds the worker and asks again.
+func advisedGang(t *testing.T, cores int64) *harness {
+	t.Helper()
 	h := quotaHarness(t)
 	q := queue()
-	q.Name, q.Prefix, q.Advice = "advised", "/advised/", &egretmuxv1.QueueAdvice{DecideMs: 10, PerWorkerMs: 0.1, ValidityMs: 100}
+	q.Name, q.Prefix, q.Priority, q.Advice = "advised", "/advised/", 1, &egretmuxv1.QueueAdvice{DecideMs: 10, PerWorkerMs: 0.1, ValidityMs: 100}
 	h.apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_PutCatalogue{PutCatalogue: &egretmuxv1.PutCatalogue{Catalogue: &egretmuxv1.Catalogue{
 		Version: 9, Queues: append(h.book.Catalogue().Message.GetQueues(), q), Pools: h.book.Catalogue().Message.GetPools(),
 	}}}})
 	h.putQuotas(map[string]int64{"a": 10, "b": 0})
-	h.addWorker("w", 4)
+	h.addWorker("w", cores)
 	h.submitFor("a", "/advised/", id(1), gang(2, 2))
 	h.plan()
 	h.core.AdviceAnswered(h.asks[0], map[string]string{"w": "t"}, false, h.now, h.now)
-	h.advance(time.Second)
-	require.Empty(t, h.newStarts(), "the ticket has expired")
+	h.advance(200 * time.Millisecond)
+	return h
+}
+
+// Load: a gang that waits for tickets on a full worker when its customer's quota is lowered.
+func TestHeldGangHoldsNoRoomForTickets(t *testing.T) {
+	h := advisedGang(t, 4)
+	require.Empty(t, h.newStarts())
 	h.submitFor("b", "/batch/", id(2), tasks(4, 1))
 	require.Empty(t, h.newStarts(), "the room is held")
 	h.putQuotas(map[string]int64{"a": 3, "b": 0})
 	require.Len(t, h.newStarts(), 4)
 }
 
+// Load: a customer sends more single tasks than its quota holds while its gang waits for tickets.
+func TestGangKeepsItsPartOfTheQuotaUntilItsTicketsCome(t *testing.T) {
+	h := advisedGang(t, 100)
+	later, earlier := tasks(5, 1), tasks(5, 1)
+	later.EstimateMs, earlier.EstimateMs = 5000, 1
+	h.submitFor("a", "/batch/", id(2), later)
+	h.submitFor("a", "/batch/", id(3), later)
+	started := h.newStarts()
+	require.Len(t, started, 6, "in the plan that holds the worker")
+	h.cancel(id(3))
+	h.core.StartAnswered(started[5], dispatch.NotSent, h.now, h.now)
+	h.submitFor("a", "/batch/", id(4), earlier)
+	require.Len(t, h.newStarts(), 1, "before the gang in a later plan")
+	h.core.AdviceAnswered(h.asks[1], map[string]string{"w": "t"}, false, h.now, h.now)
+	require.Len(t, h.newStarts(), 2)
+	require.Equal(t, int64(10_000), h.usage("a").GetInUse().GetCpuMillis())
+}
+
 // Failure: a worker lists a run whose task was done elsewhere, after the leader had given it up.
 func TestListedRunOfAClosedStepCounts(t *testing.T) {
 	h := quotaHarness(t)
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -65,6 +65,7 @@
 	runsOn    map[*worker]int // number of runs by worker
 	deferred  bool            // whether it has left room to gangs
 	urgent    bool            // whether its queue has priority 0, the highest
+	claim     int             // tasks for which it claims its customer's quota in a plan
 	quotaHold *quotaHold      // set while its customer's quota holds tasks back
 }
 
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -31,6 +31,10 @@
 	return resources{r.cpu + other.cpu, r.memory + other.memory, r.accelerators + other.accelerators}
 }
 
+func (r resources) times(n int) resources {
+	return resources{r.cpu * int64(n), r.memory * int64(n), r.accelerators * int64(n)}
+}
+
 // fitCount returns how many times demand fits into r, at most limit.
 func (r resources) fitCount(demand resources, limit int) int {
 	count := limit
