--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -75,6 +75,12 @@
 		`completed 7000 ms after it was accepted; it waited 4000 ms for its first start; it left room to gangs ("can-wait")`)
 }
 
+func TestJobThatAQuotaHeldBackIsExplained(t *testing.T) {
+	require.Contains(t, buildTimeline(t, `{"instance":"a","event":"job_accepted","job":"5c0e7a21d94b36f8","time":"2026-01-01T00:00:01Z"}
+{"instance":"a","event":"step_held","job":"5c0e7a21d94b36f8","task":"5c0e7a21d94b36f8.0.0","reason":"quota-too-small","time":"2026-01-01T00:00:01.1Z"}`).Verdict,
+		`never started: its customer's quota held it back ("quota-too-small")`)
+}
+
 func TestVerdictOfUnknownID(t *testing.T) {
 	require.Contains(t, buildTimeline(t, "").Verdict, "nothing of this id")
 }
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -24,7 +24,7 @@
 		switch line.Event {
 		case "job_accepted":
 			accepted = line
-		case "step_deferred":
+		case "step_deferred", "step_held":
 			if deferred == nil {
 				deferred = line
 			}
@@ -130,7 +130,7 @@
 func unfinishedVerdict(deferred, firstStart *Line, abandonedRuns []Line) string {
 	switch {
 	case firstStart == nil && deferred != nil:
-		return fmt.Sprintf("accepted and never started: it left room to gangs (%q)", deferred.Reason)
+		return "accepted and never started: " + waitVerdict(*deferred)
 	case firstStart == nil:
 		return "accepted and never started: no worker had room, a ticket and the label that it asks for"
 	case len(abandonedRuns) > 0:
@@ -140,13 +140,21 @@
 	return "not ended within these logs; it runs"
 }
 
+// waitVerdict says why a step did not start although there was room.
+func waitVerdict(waited Line) string {
+	if waited.Event == "step_held" {
+		return fmt.Sprintf("its customer's quota held it back (%q)", waited.Reason)
+	}
+	return fmt.Sprintf("it left room to gangs (%q)", waited.Reason)
+}
+
 func completedVerdict(accepted, ended Line, deferred, firstStart *Line, abandonedRuns []Line) string {
 	text := fmt.Sprintf("completed %d ms after it was accepted", ended.Time.Sub(accepted.Time).Milliseconds())
 	if firstStart != nil && firstStart.Time.Sub(accepted.Time) > longWait {
 		text += fmt.Sprintf("; it waited %d ms for its first start", firstStart.Time.Sub(accepted.Time).Milliseconds())
 	}
 	if deferred != nil {
-		text += fmt.Sprintf("; it left room to gangs (%q)", deferred.Reason)
+		text += "; " + waitVerdict(*deferred)
 	}
 	if len(abandonedRuns) > 0 {
 		text += fmt.Sprintf("; %d runs of it were given up, first for %q on %s", len(abandonedRuns), abandonedRuns[0].Reason, abandonedRuns[0].Worker)
