--- a/internal/dispatch/customer.go
+++ b/internal/dispatch/customer.go
@@ -16,7 +16,9 @@
 	limits *egretmuxv1.Customer // of the catalogue in force; nil once it is not listed there
 	// inUse is what its runs use together: all that are or may be present on workers, also
 	// those that are being stopped.
-	inUse resources
+	inUse   resources
+	quota   resources // limit of inUse; zero is none
+	claimed resources // part of the quota that its steps claim in a plan
 
 	inUseOverRate   resources    // the part of inUse of runs that were started over rate
 	tokens          *tokenBucket // nil until it is first needed
@@ -35,7 +37,8 @@
 		return nil
 	}
 	if c.customers[name] == nil {
-		c.customers[name] = &customer{name: name, limits: c.cfg.Book.Catalogue().Customer(name), part: math.Inf(1)}
+		c.customers[name] = &customer{name: name, part: math.Inf(1)}
+		c.customers[name].setLimits(c.cfg.Book.Catalogue().Customer(name))
 	}
 	return c.customers[name]
 }
@@ -48,7 +51,7 @@
 	}
 	c.customersVersion = catalogue.Version
 	for _, customer := range c.customers {
-		customer.limits = catalogue.Customer(customer.name)
+		customer.setLimits(catalogue.Customer(customer.name))
 	}
 }
 
@@ -113,7 +116,9 @@
 			u.OverRateJobs++
 		}
 		for _, s := range j.steps {
-			u.WaitingTasks += uint64(len(s.waitingTasks()))
+			waiting := len(s.waitingTasks())
+			u.WaitingTasks += uint64(waiting)
+			u.HeldByQuota += uint64(s.heldTasks(waiting))
 		}
 	}
 	slices.SortFunc(out, func(a, b *egretmuxv1.CustomerUsage) int { return cmp.Compare(a.GetName(), b.GetName()) })
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -21,6 +21,9 @@
 	if s.runCount() > 0 { // members of an earlier run are still being stopped
 		return false
 	}
+	if len(c.withinQuota(s, waiting, p.now)) == 0 {
+		return false
+	}
 	pool, late := c.queue(s.job).GetService(), s.lateness != onTime
 	if (late || s.overRate) && p.unclaimed.limit(pool, s, len(waiting)) < len(waiting) {
 		c.noticeDeferral(s, p.now)
@@ -94,6 +97,9 @@
 	for _, w := range chosen {
 		s.hold(w)
 	}
+	if chosen != nil && !s.urgent {
+		s.claimQuota(n)
+	}
 	if !c.mayRequestAdvice(s, q.GetAdvice(), now) {
 		return chosen != nil
 	}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -36,7 +36,9 @@
 	}
 	c.renewHolds()
 	p := &plan{now: now, unclaimed: c.newUnclaimedRoom(now)}
-	for _, s := range c.selectSteps(c.orderSteps(now)) {
+	ordered := c.orderSteps(now)
+	c.renewClaims(ordered)
+	for _, s := range c.selectSteps(c.withoutHeld(ordered, now)) {
 		waiting := s.waitingTasks()
 		if len(waiting) == 0 {
 			continue
@@ -48,6 +50,9 @@
 			}
 			continue
 		}
+		if waiting = c.withinQuota(s, waiting, now); len(waiting) == 0 {
+			continue
+		}
 		n := p.unclaimed.limit(pool, s, len(waiting))
 		started := 0
 		if n > 0 {
@@ -314,6 +319,7 @@
 	if s.overRate {
 		s.job.customer.overRateStarted += s.demand.cpu
 	}
+	s.claimQuota(max(0, s.claim-1))
 	checkpoint := ""
 	c.cfg.Book.View(s.key.Job, func(rec *jobs.Record) {
 		if rec != nil && !rec.Ended() {
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -60,7 +60,7 @@
 	if *left <= 0 {
 		return false
 	}
-	*left -= s.usage.times(int64(s.waitingCount())).dominantShare(c.capacity)
+	*left -= s.usage.times(s.waitingCount()).dominantShare(c.capacity)
 	return true
 }
 
@@ -178,7 +178,7 @@
 		if customer == nil || c.steps[s.key] != s {
 			continue
 		}
-		n := int64(s.waitingCount())
+		n := s.waitingCount()
 		if n == 0 {
 			continue
 		}
@@ -190,10 +190,6 @@
 	return needs, overRate
 }
 
-func (r resources) times(n int64) resources {
-	return resources{r.cpu * n, r.memory * n, r.accelerators * n}
-}
-
 // promoteJobs counts the oldest of a customer's waiting jobs over rate as within it, one for
 // each token that the customer has left unused, and all of a customer without a rate. A job
 // may be listed once for each of its steps.
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -69,6 +69,8 @@
 	overRate  bool            // whether its job is over its customer's rate
 	// beyondShare is set if it can wait, its pool is full and its customer holds more than its part.
 	beyondShare bool
+	claim       int        // tasks for which it claims its customer's quota in a plan
+	quotaHold   *quotaHold // set while its customer's quota holds tasks back
 }
 
 func (t *task) waits() bool { return !t.done && len(t.runs) == 0 }
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -31,6 +31,10 @@
 	return resources{r.cpu + other.cpu, r.memory + other.memory, r.accelerators + other.accelerators}
 }
 
+func (r resources) times(n int) resources {
+	return resources{r.cpu * int64(n), r.memory * int64(n), r.accelerators * int64(n)}
+}
+
 // fitCount returns how many times demand fits into r, at most limit.
 func (r resources) fitCount(demand resources, limit int) int {
 	count := limit
@@ -82,7 +86,8 @@
 	lapsedRuns []*egretmuxv1.CrashedRun
 	// orphans are listed runs whose step is not open any more, with the time at
 	// which their stop was last sent.
-	orphans map[runKey]time.Duration
+	orphans   map[runKey]time.Duration
+	leftovers map[runKey]leftover // runs without an open task that count for their customer
 
 	fillerPace          int           // percent of full speed at which fillers may work
 	fillerPaceChangedAt time.Duration // when fillerPace last changed
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -32,6 +32,9 @@
 	if err := job.Check(j); err != nil {
 		return nil, err
 	}
+	if err := t.checkQuota(ctx, id, j, a.customer); err != nil {
+		return nil, err
+	}
 	if t.overloaded() && !t.isStored(id) && !t.isBeingStored(id) {
 		return nil, refusal.New(refusal.Shed, "retry later", "the leader is overloaded").WithRetryAfter(time.Second)
 	}
--- a/internal/scheduler/customers.go
+++ b/internal/scheduler/customers.go
@@ -1,7 +1,10 @@
 package scheduler
 
 import (
+	"context"
+
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/job"
 	"github.com/egretmux/egretmux/internal/refusal"
 )
 
@@ -39,6 +42,24 @@
 	t.core.AdmissionSettled(id)
 }
 
+// checkQuota returns a refusal if the job could never start within its customer's quota. A
+// leader that was replaced may lack a higher one, so it has to be confirmed.
+func (t *tenure) checkQuota(ctx context.Context, id string, j *egretmuxv1.Job, customer *egretmuxv1.Customer) error {
+	if job.CheckQuota(j, customer) == nil || t.isStored(id) || t.isBeingStored(id) {
+		return nil
+	}
+	if err := t.confirm(ctx); err != nil {
+		return err
+	}
+	if current := t.book.Catalogue().Customer(customer.GetName()); current != nil {
+		customer = current
+	}
+	if t.isStored(id) {
+		return nil
+	}
+	return job.CheckQuota(j, customer)
+}
+
 func (t *tenure) showCustomers() *egretmuxv1.ShowCustomersResponse {
 	t.mu.Lock()
 	defer t.mu.Unlock()
