speed, dispatch: workers of several kinds and slow spells

Cause: a worker's slowness was an average over its finished runs (gain 0.2), alone: a new worker and a new leader knew nothing of its kind, a slow spell was seen only after the slowed runs had ended, an avoided worker never showed that it had recovered, a wrong estimate counted against the worker, all members of a gang learned the time of the slowest, and urgent steps took any room, also where they were sure to miss their objective.

Change: package speed learns a kind's factor, a worker's own and that of a spell; dispatch feeds it ends and the rates of progress in listings, compared with the runs of the same step on other workers. A spell needs several slow runs, takes effect at once and fades in 2.5 s unless confirmed. Steps that would miss their objective on a slow worker wait for others until their latest start, urgent ones take fast workers first, headroom is kept on fast ones, and a gang takes no worker that is slower than it has to. Notices worker_slow and worker_recovered.

Run: go test -race -cpu=1 -count=1 internal/dispatch, speed and scheduler: ok. TestLookupsDoNotSufferFromSlowWorkers fails before.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -23,6 +23,7 @@
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	jobs "github.com/egretmux/egretmux/internal/job"
+	"github.com/egretmux/egretmux/internal/speed"
 )
 
 // Config holds the parameters of a Core.
@@ -51,6 +52,7 @@
 	confirmedAt        time.Duration // when a quorum last confirmed this leader
 	actions            Actions
 	runTimes           map[[2]string]*runTimes // by queue
+	speeds             map[string]*speed.Pool  // by pool
 	allowedShare       map[[2]string]float64   // by queue: learned share of the workers in a call that its answer newly allows
 	notices            []Notice
 	urgentUsage        urgentUsage
@@ -83,7 +85,7 @@
 		cfg: cfg, jobs: make(map[string]*job), steps: make(map[StepKey]*step), unplaced: make(map[*step]struct{}), callers: 1, adviceMs: make(map[bool]float64),
 		workers: make(map[string]*worker), customers: make(map[string]*customer),
 		inheritedLeasesEnd: inheritedLeaseWait(cfg.Lease),
-		runTimes:           make(map[[2]string]*runTimes), allowedShare: make(map[[2]string]float64),
+		runTimes:           make(map[[2]string]*runTimes), speeds: make(map[string]*speed.Pool), allowedShare: make(map[[2]string]float64),
 	}
 	for _, w := range cfg.Book.Workers() {
 		c.addWorker(w.Life)
@@ -246,6 +248,7 @@
 	paths := c.criticalPathsMs(s.job.spec, q.GetAdvice())
 	slack := max(1, q.GetSlackFactor())
 	jobMs := slices.Max(paths)
+	s.expectedRun = milliseconds(c.estimateMs(s.job.spec, s.spec))
 	s.objective = time.Duration(q.GetTargetLatencyMs())*time.Millisecond + milliseconds(slack*jobMs)
 	s.latestStart = s.dueAt + s.objective - milliseconds(paths[s.key.Step])
 }
@@ -384,6 +387,7 @@
 	for _, w := range expiredWorkers {
 		c.endLease(w, now)
 	}
+	c.updateSlowness(now)
 	c.moveRunsAtRisk(now)
 }
 
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -158,7 +158,7 @@
 }
 
 // fitGang returns a worker for each of n tasks, or nil. Tasks that prefer one rack
-// get it if a rack has the resources.
+// get it if a rack has the resources, the one whose slowest chosen worker is fastest.
 func (s *step) fitGang(candidates []*worker, n int) []*worker {
 	if s.spec.GetSameRack() {
 		racks := make(map[string][]*worker)
@@ -169,18 +169,47 @@
 			}
 			racks[w.rack] = append(racks[w.rack], w)
 		}
+		best, slowest := []*worker(nil), 0
 		for _, name := range names {
-			if chosen := s.fitGangAnyRack(racks[name], n); chosen != nil {
-				return chosen
+			class, fits := s.slowestClassNeeded(racks[name], n)
+			if fits && (best == nil || class < slowest) {
+				best, slowest = racks[name], class
 			}
 		}
+		if best != nil {
+			return s.fitGangUpTo(slowest, best, n)
+		}
+	}
+	class, fits := s.slowestClassNeeded(candidates, n)
+	if !fits {
+		return nil
 	}
-	return s.fitGangAnyRack(candidates, n)
+	return s.fitGangUpTo(class, candidates, n)
 }
 
-func (s *step) fitGangAnyRack(candidates []*worker, n int) []*worker {
+// slowestClassNeeded returns the lowest speed class such that the workers up to it can take
+// n tasks of the step now: a gang ends with its slowest member.
+func (s *step) slowestClassNeeded(candidates []*worker, n int) (class int, fits bool) {
+	var room [speedClasses]int
+	for _, w := range candidates {
+		room[w.speedClass] += s.maxNewRuns(w, n)
+	}
+	for class, fit := range room {
+		if n -= fit; n <= 0 {
+			return class, true
+		}
+	}
+	return 0, false
+}
+
+// fitGangUpTo returns a worker for each of n tasks, the first ones of at most the given
+// speed class, or nil.
+func (s *step) fitGangUpTo(class int, candidates []*worker, n int) []*worker {
 	chosen := make([]*worker, 0, n)
 	for _, w := range candidates {
+		if w.speedClass > class {
+			continue
+		}
 		for range s.maxNewRuns(w, n-len(chosen)) {
 			chosen = append(chosen, w)
 		}
--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -24,7 +26,7 @@
 }
 
 // updateHeadroom updates the average urgent usage and chooses the workers that keep
-// headroom.
+// headroom, fast ones first.
 func (c *Core) updateHeadroom(now time.Duration) {
 	elapsed := now - c.urgentUsage.updatedAt
 	if elapsed < urgentSampleInterval {
@@ -42,7 +44,9 @@
 	c.urgentUsage.updatedAt = now
 	wanted := headroomShare*c.urgentUsage.cpu + float64(waiting)
 	maxWorkers := int(maxHeadroomShare * float64(len(c.workers)))
-	for i, w := range c.sortedWorkers() {
+	workers := c.sortedWorkers()
+	slices.SortStableFunc(workers, func(a, b *worker) int { return cmp.Compare(a.speedClass, b.speedClass) })
+	for i, w := range workers {
 		w.headroom = 0
 		if i < maxWorkers && wanted > 0 {
 			w.headroom = int64(headroomPerWorker * float64(w.capacity.cpu))
--- a/internal/dispatch/learn.go
+++ b/internal/dispatch/learn.go
@@ -6,12 +6,6 @@
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 )
 
-// Gains and bounds of what is learned from run times.
-const (
-	slownessGain = 0.2 // weight of one run in a worker's slowness
-	maxSlowness  = 5.0 // largest ratio of run time to expectation that one run counts with
-)
-
 // learnFromEnd updates the failures and the slowness of a worker and the run times of a
 // queue with the outcome and the run time of a run.
 func (c *Core) learnFromEnd(r *run, outcome egretmuxv1.RunOutcome, now time.Duration) {
@@ -39,9 +33,9 @@
 	if !representative || took <= 0 {
 		return
 	}
-	expected := c.estimateMs(s.job.spec, s.spec)
-	w.slowness += slownessGain * (min(maxSlowness, took/expected) - w.slowness)
-	if s.spec.GetGang() && r.task.index > 0 {
+	if !s.spec.GetGang() {
+		c.learnSpeed(r, took/c.estimateMs(s.job.spec, s.spec), now)
+	} else if r.task.index > 0 {
 		return // all members end together
 	}
 	key := queueKey(s.job)
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -56,6 +56,7 @@
 	if l.Complete {
 		c.loseMissingRuns(w, listed, asked, now)
 	}
+	c.learnFromProgress(w, l, asked, now)
 	c.paceFillers(w, now)
 	if first {
 		c.addNotice(Notice{Event: "worker_read", Worker: t.Worker, Age: now - asked})
--- a/internal/dispatch/membership.go
+++ b/internal/dispatch/membership.go
@@ -28,9 +28,10 @@
 	size := capacityOf(life)
 	c.workers[life.GetWorker()] = &worker{
 		Target: Target{Worker: life.GetWorker(), Born: life.GetBornUnixMs(), Address: life.GetAddress()},
-		life:   life, capacity: size, free: size, rack: rackOf(life.GetLabels()), slowness: 1,
+		life:   life, capacity: size, free: size, rack: rackOf(life.GetLabels()), speed: c.speedOf(life),
 		lease: lease{length: c.cfg.Lease}, runs: make(map[runKey]*run), fillerPace: fullPace,
 	}
+	c.workers[life.GetWorker()].updateSlowness(0)
 }
 
 // Knows reports whether the target is the current incarnation of its worker.
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -47,12 +47,7 @@
 
 // expectedRunTime returns the expected total run time of a run on its worker.
 func (c *Core) expectedRunTime(r *run) time.Duration {
-	s := r.task.step
-	ms := c.estimateMs(s.job.spec, s.spec) * r.worker.slowness
-	if rack := s.spec.GetDataRack(); rack != "" && rack != r.worker.rack {
-		ms *= c.cfg.FarFactor
-	}
-	return milliseconds(ms)
+	return milliseconds(c.expectedMs(r) * r.worker.slowness)
 }
 
 // remainingRunTime returns the expected time until the end of a run, from its progress
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -22,7 +23,15 @@
 	// slower worker, and leave the fast ones to those that are.
 	slownessPenalty       = 5e3
 	urgentSlownessPenalty = 4e4
+	// urgentClassPenalty is the score, for urgent steps, of each speed class: above the cpu
+	// score of a worker.
+	urgentClassPenalty = 7e4
 	servingPenalty        = 2e4 // score of each serving task beside a filler
+	// missPenalty is the score of a worker that is too slow for the step to meet its
+	// objective there: above the cpu score of any worker, below reservedPenalty.
+	missPenalty = 2e5
+	// slowTolerance is the slowness by which workers that are alike may differ by chance.
+	slowTolerance = 1.2
 )
 
 // Plan starts waiting tasks on workers and requests missing advice.
@@ -100,6 +109,7 @@
 		}
 		s.urgent = c.queue(s.job).GetPriority() == 0
 		s.lateness = latenessOf(s, now)
+		s.slownessLimit = s.largestSlowness(now)
 		out = append(out, s)
 	}
 	slices.SortFunc(out, func(a, b *step) int {
@@ -131,6 +141,15 @@
 	return expired
 }
 
+// largestSlowness returns the slowness of a worker up to which a step that starts now meets
+// its objective. Steps that miss it anyway have no limit.
+func (s *step) largestSlowness(now time.Duration) float64 {
+	if s.lateness != onTime || s.expectedRun <= 0 {
+		return math.Inf(1)
+	}
+	return slowTolerance + float64(s.latestStart-now)/float64(s.expectedRun)
+}
+
 // canRunOn reports whether the worker could run tasks of the step, regardless of
 // its free resources and of tickets.
 func (s *step) canRunOn(w *worker, pool string, now time.Duration) bool {
@@ -180,6 +199,16 @@
 	return out, fits
 }
 
+// fastEnough leaves out the workers that are too slow for the step to meet its objective
+// there, unless all are: until its latest start, one of the others may get room.
+func (s *step) fastEnough(workers []*worker) []*worker {
+	tooSlow := func(w *worker) bool { return w.slowness > s.slownessLimit }
+	if first := slices.IndexFunc(workers, tooSlow); first < 0 || !slices.ContainsFunc(workers, func(w *worker) bool { return !tooSlow(w) }) {
+		return workers
+	}
+	return slices.DeleteFunc(workers, tooSlow)
+}
+
 // sortByScore sorts workers by their score, best first.
 func (s *step) sortByScore(workers []*worker) {
 	for _, w := range workers {
@@ -207,7 +236,10 @@
 func (s *step) score(w *worker) float64 {
 	score := slownessPenalty * w.slowness
 	if s.urgent {
-		score = urgentSlownessPenalty * w.slowness
+		score = urgentSlownessPenalty*w.slowness + urgentClassPenalty*float64(w.speedClass)
+	}
+	if w.slowness > s.slownessLimit {
+		score += missPenalty
 	}
 	if s.spec.GetFills() {
 		score += w.fillerScore()
@@ -261,7 +293,7 @@
 	q := c.queue(s.job)
 	suspects, unplaced := splitSuspects(waiting)
 	started, without := c.placeSuspects(s, suspects, now)
-	candidates, _ := s.withRoom(c.startableWorkers(s, q, now), len(unplaced))
+	candidates, _ := s.withRoom(s.fastEnough(c.startableWorkers(s, q, now)), len(unplaced))
 	s.sortByScore(candidates)
 	for _, w := range candidates {
 		if len(unplaced) == 0 {
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -57,6 +57,10 @@
 	latestStart time.Duration // latest start that still meets the objective
 	estimatedAt time.Duration // when latestStart was computed
 	lateness    int           // onTime, late or expired
+	expectedRun time.Duration // run time of one task on an average worker, as of estimatedAt
+	// slownessLimit is the slowness of a worker up to which a start in the present plan meets
+	// the objective.
+	slownessLimit float64
 	// objective is the latency objective of the job, counted from dueAt. A job that ends
 	// later is worth less, and after expiryFactor times the objective nothing.
 	objective time.Duration
@@ -65,6 +69,7 @@
 	runsOn    map[*worker]int // number of runs by worker
 	deferred  bool            // whether it has left room to gangs
 	urgent    bool            // whether its queue has priority 0, the highest
+	siblings  siblings
 }
 
 func (t *task) waits() bool { return !t.done && len(t.runs) == 0 }
--- /dev/null
+++ b/internal/dispatch/uneven_test.go
@@ -0,0 +1,286 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/dispatch"
+)
+
+// unevenCell plays the runs of workers of unlike speed in simulated time.
+type unevenCell struct {
+	*harness
+	rand      *rand.Rand
+	workers   []*unevenWorker
+	work      map[dispatch.StepKey][]time.Duration // of each task on an average worker
+	goals     map[string]time.Duration             // objective by job
+	jobs      int
+	doneOn    map[string]int // tasks by the worker's kind
+	startedOn map[string]int // tasks by worker
+}
+
+type unevenWorker struct {
+	dispatch.Target
+	kind                string
+	slowness            float64
+	slowFrom, slowUntil time.Duration // fourfold
+	runs                []*unevenRun
+	listedAt            time.Duration
+}
+
+type unevenRun struct {
+	dispatch.StartOrder
+	work, done time.Duration
+}
+
+func newUnevenCell(t *testing.T, seed uint64, queues ...*egretmuxv1.Queue) *unevenCell {
+	return &unevenCell{
+		harness: newHarness(t, queues...), rand: rand.New(rand.NewPCG(seed, 1)), work: make(map[dispatch.StepKey][]time.Duration),
+		goals: make(map[string]time.Duration), doneOn: make(map[string]int), startedOn: make(map[string]int),
+	}
+}
+
+// add adds n workers of a kind, with 16 cores each.
+func (c *unevenCell) add(kind string, n int, slowness float64) {
+	for range n {
+		l := life(fmt.Sprintf("w%03d", len(c.workers)), 16)
+		l.Labels = []string{kind, fmt.Sprintf("r1-%d", len(c.workers)/8)}
+		c.apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_RecordLife{RecordLife: &egretmuxv1.RecordLife{Life: l}}})
+		c.core.WorkerJoined(l, c.now)
+		c.handleListing(targetOf(l), nil, nil)
+		c.workers = append(c.workers, &unevenWorker{Target: targetOf(l), kind: kind, slowness: slowness})
+	}
+}
+
+// send submits a job of one step whose tasks take about the given time on an average
+// worker; the estimate is off by up to the given part.
+func (c *unevenCell) send(q *egretmuxv1.Queue, count uint32, cores int64, mean time.Duration, off float64) string {
+	c.jobs++
+	job := id(c.jobs)
+	mean = time.Duration(float64(mean) * math.Exp(0.4*c.rand.NormFloat64()))
+	step := tasks(count, cores)
+	step.EstimateMs = max(1, int64(float64(mean.Milliseconds())*(1+off*(2*c.rand.Float64()-1))))
+	var work []time.Duration
+	for range count {
+		work = append(work, time.Duration(float64(mean)*math.Exp(0.2*c.rand.NormFloat64())))
+	}
+	c.work[dispatch.StepKey{Job: job}] = work
+	c.goals[job] = time.Duration(q.GetSlackFactor()*float64(slices.Max(work))) + time.Duration(q.GetTargetLatencyMs())*time.Millisecond
+	c.submitTo(q.GetPrefix(), job, step)
+	return job
+}
+
+const unevenTick = 10 * time.Millisecond
+
+// play lets time pass, with a poll of each worker every half second and at each end.
+func (c *unevenCell) play(d time.Duration, each func()) {
+	for until := c.now + d; c.now < until; {
+		if each != nil {
+			each()
+		}
+		c.plan()
+		for _, s := range c.acceptStarts() {
+			c.startedOn[s.Worker]++
+			i := slices.IndexFunc(c.workers, func(w *unevenWorker) bool { return w.Target == s.Target })
+			c.workers[i].runs = append(c.workers[i].runs, &unevenRun{StartOrder: s, work: c.work[s.Task.StepKey][s.Task.Index]})
+		}
+		c.now += unevenTick
+		c.core.LeaderConfirmed(c.now)
+		for _, w := range c.workers {
+			c.run(w)
+		}
+		if c.now%(100*time.Millisecond) == 0 {
+			c.core.Tick(c.now)
+		}
+	}
+}
+
+func (c *unevenCell) run(w *unevenWorker) {
+	rate := 1 / w.slowness
+	if c.now >= w.slowFrom && c.now < w.slowUntil {
+		rate /= 4
+	}
+	var running []dispatch.ListedRun
+	var ended []dispatch.ListedEnd
+	w.runs = slices.DeleteFunc(w.runs, func(r *unevenRun) bool {
+		r.done += time.Duration(rate * float64(unevenTick))
+		if r.done >= r.work {
+			ended = append(ended, c.listedEnd(r.StartOrder, done))
+			c.doneOn[w.kind]++
+			return true
+		}
+		listed := listedRun(r.StartOrder)
+		listed.ProgressPercent = math.Floor(100 * float64(r.done) / float64(r.work))
+		running = append(running, listed)
+		return false
+	})
+	if len(ended) > 0 || c.now-w.listedAt >= 500*time.Millisecond {
+		w.listedAt = c.now
+		c.core.GrantLease(w.Target)
+		c.handleListing(w.Target, running, ended)
+		c.storeEnds()
+	}
+}
+
+// met returns the share of the jobs that met their objective.
+func (c *unevenCell) met(jobs []string) float64 {
+	ages := make(map[string]time.Duration)
+	for _, n := range c.notices {
+		if n.Event == "job_ended" {
+			ages[n.Job] = n.Age
+		}
+	}
+	met := 0
+	for _, job := range jobs {
+		if age, ended := ages[job]; ended && age <= c.goals[job] {
+			met++
+		}
+	}
+	return float64(met) / float64(len(jobs))
+}
+
+// every returns a function that calls f each interval, at most n times.
+func (c *unevenCell) every(interval time.Duration, f func()) func() {
+	next := c.now
+	return func() {
+		for ; c.now >= next; next += interval {
+			f()
+		}
+	}
+}
+
+func lookupQueue() *egretmuxv1.Queue {
+	q := queue()
+	q.SlackFactor, q.TargetLatencyMs = 1.5, 250
+	return q
+}
+
+func batchQueue() *egretmuxv1.Queue {
+	q := queue()
+	q.Name, q.Prefix, q.Priority, q.SlackFactor, q.TargetLatencyMs = "batch", "/batch/", 2, 4, 3000
+	return q
+}
+
+// noticeTime is the time within which a slow spell has to be noticed: two polls.
+const noticeTime = time.Second
+
+// playLookupsAndBatch returns the share of lookups that met their objective, while
+// batch jobs take all the room that they get.
+func playLookupsAndBatch(t *testing.T, seed uint64, withSlowOnes bool) (met float64, c *unevenCell) {
+	lookups, batch := lookupQueue(), batchQueue()
+	c = newUnevenCell(t, seed, lookups, batch)
+	c.add("fast", 40, 1)
+	if withSlowOnes {
+		c.add("slow", 20, 1/0.6)
+	}
+	var sent []string
+	sendBatch := c.every(170*time.Millisecond, func() { c.send(batch, 25, 3, 2*time.Second, 0.2) })
+	sendLookups := c.every(50*time.Millisecond, func() { sent = append(sent, c.send(lookups, 3, 4, 700*time.Millisecond, 0.2)) })
+	load := func() { sendBatch(); sendLookups() }
+	c.play(8*time.Second, load)
+	if withSlowOnes {
+		for i := range 6 {
+			c.workers[i*10].slowFrom, c.workers[i*10].slowUntil = c.now, c.now+6*time.Second
+		}
+	}
+	c.play(noticeTime, load)
+	sent = nil
+	c.play(8*time.Second, load)
+	measured := slices.Clone(sent)
+	c.play(4*time.Second, load)
+	return c.met(measured), c
+}
+
+// Load: lookups beside batch jobs on workers of which a third has 0.6 of the others' speed
+// and a tenth turns slow for six seconds. Lookups must not be worse off than if the slow
+// workers were absent; batch uses them.
+func TestLookupsDoNotSufferFromSlowWorkers(t *testing.T) {
+	without, _ := playLookupsAndBatch(t, 1, false)
+	with, c := playLookupsAndBatch(t, 1, true)
+	require.GreaterOrEqual(t, with, without-0.02)
+	require.Greater(t, c.doneOn["slow"], c.doneOn["fast"]/10, "batch uses the slow workers")
+	require.Equal(t, 6, countNotices(c.harness, "worker_slow", ""), "the workers that turned slow, and no others")
+}
+
+// Load: a busy pool of workers that are alike. Tasks differ, and estimates are far off: no
+// worker may be taken for slow.
+func TestAlikeWorkersAreNotTakenForSlow(t *testing.T) {
+	batch := batchQueue()
+	c := newUnevenCell(t, 1, batch)
+	c.add("a", 20, 1)
+	c.play(20*time.Second, c.every(170*time.Millisecond, func() { c.send(batch, 10, 3, 2*time.Second, 0.9) }))
+	require.Zero(t, countNotices(c.harness, "worker_slow", ""))
+	for _, w := range c.workers {
+		require.InDelta(t, 1, c.core.Slowness(w.Worker), 0.25, w.Worker)
+	}
+}
+
+// Load: a busy pool. A worker turns slow; while it is slow it gets few tasks, and soon after
+// as many as others again.
+func TestWorkerThatRecoveredIsUsedAgain(t *testing.T) {
+	lookups := lookupQueue()
+	c := newUnevenCell(t, 1, lookups)
+	c.add("a", 12, 1)
+	load := c.every(40*time.Millisecond, func() { c.send(lookups, 3, 3, 700*time.Millisecond, 0.2) })
+	c.play(6*time.Second, load)
+	slow := c.workers[0]
+	slow.slowFrom, slow.slowUntil = c.now, c.now+6*time.Second
+	c.play(noticeTime, load)
+	c.startedOn = make(map[string]int)
+	c.play(5*time.Second, load)
+	require.Less(t, c.startedOn[slow.Worker], c.startedOn["w001"]/2)
+	c.startedOn = make(map[string]int)
+	c.play(3*time.Second, load)
+	require.Positive(t, c.startedOn[slow.Worker])
+	require.InDelta(t, 1, c.core.Slowness(slow.Worker), 0.3)
+	require.Equal(t, 1, countNotices(c.harness, "worker_recovered", ""))
+}
+
+// Load: a leader is lost while the workers are busy. The next one, which adopts the runs,
+// has to know the kinds before the runs that it starts itself have ended.
+func TestNewLeaderKnowsKindsWithinSeconds(t *testing.T) {
+	batch := batchQueue()
+	c := newUnevenCell(t, 1, batch)
+	c.add("fast", 15, 0.625)
+	c.add("average", 15, 1)
+	c.add("slow", 15, 1/0.6)
+	load := c.every(150*time.Millisecond, func() { c.send(batch, 20, 3, 3*time.Second, 0.2) })
+	c.play(3*time.Second, load)
+	c.beginTenure()
+	for _, w := range c.workers {
+		w.listedAt = 0
+	}
+	c.play(3*time.Second, nil)
+	c.add("fast", 1, 1)
+	c.add("slow", 1, 1)
+	fast, slow := c.core.Slowness("w045"), c.core.Slowness("w046")
+	require.InEpsilon(t, 1/0.6/0.625, slow/fast, 0.25, "fast %f slow %f", fast, slow)
+}
+
+// Load: a gang of half of the workers, one of which is slow; there is room without it.
+func TestGangIsNotHeldUpByASlowMember(t *testing.T) {
+	gangs := batchQueue()
+	c := newUnevenCell(t, 1, gangs)
+	c.add("a", 12, 1)
+	slow := c.workers[3]
+	slow.slowFrom, slow.slowUntil = 0, 20*time.Second
+	c.play(2*time.Second, c.every(100*time.Millisecond, func() { c.send(gangs, 4, 4, time.Second, 0.2) }))
+	c.play(5*time.Second, nil)
+	c.send(gangs, 36, 2, time.Second, 0) // fills all but what is left to the gang
+	c.play(2*time.Second, nil)
+	gang := tasks(6, 10)
+	gang.Gang = true
+	c.submitTo("/batch/", id(1000), gang)
+	c.plan()
+	require.Len(t, c.starts, 6)
+	for _, s := range c.starts {
+		require.NotEqual(t, slow.Worker, s.Worker)
+	}
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -4,6 +4,7 @@
 	"time"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/speed"
 )
 
 // resources is an amount of cpu, memory and accelerators.
@@ -63,7 +64,9 @@
 	backoffUntil   time.Duration // it gets no starts before
 	stepScore      float64       // score for the step being placed; lower is better
 	stepRank       int           // rank for the step being placed, as its callers sort by it
-	slowness       float64       // its run times relative to the mean of its queues; 1 is average
+	speed          *speed.Worker // what its runs have taught about its speed
+	slowness       float64       // of speed, as of the last tick, listing or end; 1 is average
+	speedClass     int           // of slowness; higher is slower
 	failures       float64       // failed runs since the last successful one; at least maxFailures after a run without progress
 
 	lease         lease
@@ -186,4 +189,5 @@
 	tailLatencyMs        float64 // last listed tail latency of a serving task
 	confirmedPace        int     // percent of full speed that the worker last confirmed
 	paceInFlight         bool    // a pace order is being sent
+	progress             progress
 }
