dispatch, job: copies of speculative steps' runs on slow workers

Cause: a run of a speculative step on a worker that turned slow held up its job.

The failures of a run and of its copy both count, in either order: before, that of the lower run was dropped. A new leader takes the done end of a run that it did not know, although it knows a higher one (the copy).

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -369,7 +369,8 @@
 }
 
 // Tick opens due occurrences, removes the runs of workers whose lease has expired,
-// and moves runs that are stuck or would outlast their draining worker.
+// moves runs that are stuck or would outlast their draining worker, and copies those on
+// slow workers.
 func (c *Core) Tick(now time.Duration) {
 	for _, j := range slices.Clone(c.periodic) {
 		c.openDueOccurrences(j, now)
@@ -389,6 +390,7 @@
 	}
 	c.updateSlowness(now)
 	c.moveRunsAtRisk(now)
+	c.copyStragglers(now)
 }
 
 // sortedWorkers returns the workers sorted by name, so that decisions are
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -136,6 +136,9 @@
 		return false
 	}
 	t := s.tasks[e.Task.Index]
+	if s.spec.GetSpeculative() && e.Outcome == egretmuxv1.RunOutcome_RUN_OUTCOME_DONE {
+		return !t.done // whether it is the run or its copy
+	}
 	return !t.done && e.Run >= t.highestRun && (len(t.runs) == 0 || s.spec.GetSpeculative())
 }
 
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -34,8 +34,9 @@
 	known   bool  // whether there is an earlier listing to measure from
 	clock   int64 // worker's clock at that listing, milliseconds
 	percent float64
-	ratio   float64 // logarithm of the run time that the rate leads to, relative to the expected one; 0 until measured
-	counted bool    // whether ratio is counted in its step's siblings
+	rated   bool    // whether ratio is known
+	ratio   float64 // logarithm of the run time that the last rate leads to, relative to the expected one
+	counted bool    // whether the run is counted in its step's siblings
 	effect  float64 // logarithm of what it is counted with
 	taught  bool    // whether it has taught the lasting speed of its worker
 }
@@ -178,16 +179,19 @@
 	if !enough || gained < 0 {
 		return false
 	}
-	p.ratio = math.Log(elapsed * 100 / max(minPercent, gained) / expected)
+	p.rated, p.ratio = true, math.Log(elapsed*100/max(minPercent, gained)/expected)
 	return true
 }
 
 // expectedMs returns the expected run time of a run on an average worker in the rack in
 // which it runs.
 func (c *Core) expectedMs(r *run) float64 {
-	s := r.task.step
+	return c.expectedMsOn(r.task.step, r.worker)
+}
+
+func (c *Core) expectedMsOn(s *step, w *worker) float64 {
 	ms := c.estimateMs(s.job.spec, s.spec)
-	if rack := s.spec.GetDataRack(); rack != "" && rack != r.worker.rack {
+	if rack := s.spec.GetDataRack(); rack != "" && rack != w.rack {
 		ms *= c.cfg.FarFactor
 	}
 	return ms
--- a/internal/job/book_test.go
+++ b/internal/job/book_test.go
@@ -65,6 +65,15 @@
 	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_COMPLETED, phase(b))
 }
 
+func TestFailuresOfARunAndOfItsCopyBothCount(t *testing.T) {
+	b := job.NewBook()
+	apply(t, b, submit(&egretmuxv1.JobStep{Count: 1, Speculative: true}))
+	apply(t, b, ends(end(0, 0, 2, failed), end(0, 0, 2, failed)))
+	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_UNSPECIFIED, phase(b))
+	apply(t, b, ends(end(0, 0, 1, failed)))
+	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_FAILED, phase(b))
+}
+
 func TestFailureIsCountedOnce(t *testing.T) {
 	b := job.NewBook()
 	apply(t, b, submit(&egretmuxv1.JobStep{Count: 2}))
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -203,6 +203,7 @@
 		}
 		s.gangLastFailedRun = e.GetRun()
 		failures = &s.gangFailures
+	case spec.GetSpeculative() && e.GetRun() < t.LastEndedRun: // its copy has ended before it
 	case e.GetRun() <= t.LastEndedRun:
 		return
 	}
