--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -21,13 +21,13 @@
 )
 
 // runTimes is the linear regression of the logarithm of a queue's run times on that of
-// the submitters' estimates, less the bias of the submitter. Estimates that say little about the run time get a small
-// slope, so that all expected run times are near the mean.
+// the submitters' estimates, corrected by the customer's bias. Estimates that say little
+// about the run time get a small slope, so that all expected run times are near the mean.
 type runTimes struct {
 	runs                 float64 // number of runs, older ones weighing less
 	meanEstimate         float64 // of the logarithms
 	meanTook             float64
-	variance, covariance float64 // of the estimates, and of estimates and run times
+	variance, covariance float64                  // of the estimates, and of estimates and run times
 	biases               map[string]*estimateBias // of customers, by name
 }
 
