--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -57,6 +57,7 @@
 		c.loseMissingRuns(w, listed, asked, now)
 		w.dropLeftovers(listed)
 	}
+	c.learnFromProgress(w, l, asked, now)
 	c.paceFillers(w, now)
 	if first {
 		c.addNotice(Notice{Event: "worker_read", Worker: t.Worker, Age: now - asked})
@@ -137,6 +138,9 @@
 		return false
 	}
 	t := s.tasks[e.Task.Index]
+	if s.spec.GetSpeculative() && e.Outcome == egretmuxv1.RunOutcome_RUN_OUTCOME_DONE {
+		return !t.done // whether it is the run or its copy
+	}
 	return !t.done && e.Run >= t.highestRun && (len(t.runs) == 0 || s.spec.GetSpeculative())
 }
 
--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -178,7 +178,8 @@
 func (l *load) listRuns() {
 	running := make(map[dispatch.Target][]dispatch.ListedRun)
 	for _, r := range l.running {
-		running[r.start.Target] = append(running[r.start.Target], dispatch.ListedRun{Task: r.start.Task, Run: r.start.Run, ProgressPercent: l.now.Seconds()})
+		left := float64(r.at-l.now) / float64(l.byID[r.start.Task.Job].kind.runTime)
+		running[r.start.Target] = append(running[r.start.Target], dispatch.ListedRun{Task: r.start.Task, Run: r.start.Run, ProgressPercent: 100 * max(0, 1-left)})
 	}
 	for _, w := range l.targets {
 		l.core.GrantLease(w)
