--- a/internal/standin/jobs/client.go
+++ b/internal/standin/jobs/client.go
@@ -23,6 +23,7 @@
 	Addresses   []string // callers addresses of instances
 	Host        string
 	Prefix      string
+	Key         string // credential of the customer; empty: none is sent
 	Ledger      *Ledger
 	HTTP        *http.Client // nil: a new connection for each call
 	nextAddress int
@@ -40,6 +41,9 @@
 	}
 	req.Host = c.Host
 	req.Header.Set("Deadline-Ms", "3000")
+	if c.Key != "" {
+		req.Header.Set("X-Api-Key", c.Key)
+	}
 	client := c.HTTP
 	if client == nil {
 		client, req.Close = http.DefaultClient, true
--- /dev/null
+++ b/internal/standin/jobs/keys.go
@@ -0,0 +1,132 @@
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// KeptKey is a key that every configuration holds.
+	KeptKey = "kept-key"
+	// keyApplyTime is the time after an acknowledgement from which on a change of keys
+	// must be in force (config_apply_ms).
+	keyApplyTime   = 2500 * time.Millisecond
+	versionsPerKey = 24 // configurations in a row that hold the same rotating key
+)
+
+// Keys knows which configurations hold which rotating key, and checks what callers with
+// such keys are answered. Key n is held by the versions from n*versionsPerKey on, up to
+// the first of key n+1.
+type Keys struct {
+	mu           sync.Mutex
+	sent         int               // highest version sent
+	acknowledged int               // highest version acknowledged
+	since        map[int]time.Time // first acknowledgement of a version with key n or a later one
+	probes       Probes
+}
+
+// Probes are the numbers of calls by what was expected of their answer.
+type Probes struct{ NeverHeld, Withdrawn, Added int }
+
+// Probes returns the numbers of calls whose answers were checked.
+func (k *Keys) Probes() Probes {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.probes
+}
+
+// NewKeys returns keys of which no configuration was sent.
+func NewKeys() *Keys { return &Keys{since: make(map[int]time.Time)} }
+
+func rotatingKey(n int) string { return fmt.Sprintf("rotating-key-%d", n) }
+
+// Add adds the customers to a configuration that is about to be sent.
+func (k *Keys) Add(config map[string]any) {
+	version := config["version"].(int)
+	config["tenants"] = []map[string]any{{"name": "t", "api_keys": []string{KeptKey, rotatingKey(version / versionsPerKey)}, "weight": 1000}}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.sent = max(k.sent, version)
+}
+
+// Acknowledged records that a version was acknowledged.
+func (k *Keys) Acknowledged(version int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.acknowledged = max(k.acknowledged, version)
+	for n := range k.acknowledged/versionsPerKey + 1 {
+		if _, known := k.since[n]; !known {
+			k.since[n] = time.Now()
+		}
+	}
+}
+
+// inForceBy reports whether key n, or a later one, had to be in force at a time.
+func (k *Keys) inForceBy(n int, at time.Time) bool {
+	since, known := k.since[n]
+	return known && at.Sub(since) > keyApplyTime
+}
+
+// pick returns one of the newest keys and its number, or -1 for a key that no
+// configuration ever holds.
+func (k *Keys) pick(r *rand.Rand) (string, int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	back := r.IntN(4)
+	if n := k.acknowledged/versionsPerKey - back; n >= 0 && back < 3 {
+		return rotatingKey(n), n
+	}
+	return "never-held-key", -1
+}
+
+// fault returns what is wrong with the answer to a call with key n, or "".
+func (k *Keys) fault(n int, sentAt time.Time, status int) string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	served := status == http.StatusOK || status == http.StatusGone
+	denied := status == http.StatusUnauthorized || status == http.StatusForbidden
+	switch {
+	case !served && !denied: // nothing was decided
+	case n < 0:
+		k.probes.NeverHeld++
+		if served {
+			return "no configuration ever held it"
+		}
+	case k.inForceBy(n+1, sentAt):
+		k.probes.Withdrawn++
+		if served {
+			return "it was withdrawn"
+		}
+	case k.inForceBy(n, sentAt) && k.sent < (n+1)*versionsPerKey:
+		k.probes.Added++
+		if denied {
+			return "it was added, and not withdrawn"
+		}
+	}
+	return ""
+}
+
+// Probe makes a call with one of the keys and checks its answer. It submits a job only
+// with a key that was never held.
+func (k *Keys) Probe(ctx context.Context, c *Client, r *rand.Rand, j *Job) {
+	key, n := k.pick(r)
+	c.Key = key
+	sentAt, status := time.Now(), 0
+	switch kind := r.IntN(3); {
+	case kind == 0:
+		status, _ = c.call(ctx, http.MethodGet, c.Prefix, nil)
+	case kind == 1 && n < 0:
+		c.Ledger.RecordSubmission(j)
+		c.Ledger.RecordAnswer(j.ID, false, true) // it must not run, whatever the answer is
+		status = c.SubmitOnce(ctx, j)
+	default:
+		status, _ = c.call(ctx, http.MethodGet, c.Prefix+j.ID, nil)
+	}
+	if fault := k.fault(n, sentAt, status); fault != "" {
+		c.Ledger.AddViolation("KEY %s answered %d: %s", key, status, fault)
+	}
+}
