soak: keys rotate every 5 s; a replaced leader does not use its old catalogue

A leader that stood still while another one stored a new catalogue was not tested for credentials. Change: Keys numbers the versions and rotates by time. TestReplacedLeader runs three replicas; startVoters shares their start (startReplicas) and is as it was.

--- a/internal/scheduler/transfer_test.go
+++ b/internal/scheduler/transfer_test.go
@@ -28,11 +28,10 @@
 	transferTicks = 50
 )
 
-// startVoters starts three replicas, of which the last answers nobody, and returns the
-// node that leads and its book.
-func startVoters(t *testing.T) (leader *consensus.Node, book *job.Book, silent uint64) {
+// startReplicas starts the first of three replicas, of which the others answer nobody.
+func startReplicas(t *testing.T, live int) (nodes []*consensus.Node, books []*job.Book, members *egretmuxv1.Membership) {
 	t.Helper()
-	members := &egretmuxv1.Membership{}
+	members = &egretmuxv1.Membership{}
 	var voters []*voter.Voter
 	var listeners []net.Listener
 	for range 3 {
@@ -50,10 +49,10 @@
 		members.Replicas = append(members.Replicas, v.Replica())
 		voters, listeners = append(voters, v), append(listeners, listener)
 	}
-	require.NoError(t, listeners[2].Close())
-	var nodes []*consensus.Node
-	var books []*job.Book
-	for i, v := range voters[:2] {
+	for _, silent := range listeners[live:] {
+		require.NoError(t, silent.Close())
+	}
+	for i, v := range voters[:live] {
 		require.NoError(t, v.Bootstrap(members))
 		mux := http.NewServeMux()
 		mux.Handle(v.Handler())
@@ -66,6 +65,14 @@
 		require.NoError(t, err)
 		nodes = append(nodes, node)
 	}
+	return nodes, books, members
+}
+
+// startVoters starts three replicas, of which the last answers nobody, and returns the
+// node that leads and its book.
+func startVoters(t *testing.T) (leader *consensus.Node, book *job.Book, silent uint64) {
+	t.Helper()
+	nodes, books, members := startReplicas(t, 2)
 	require.Eventually(t, func() bool {
 		for i, node := range nodes {
 			if status, _ := node.Status(); status.Role == core.Leader {
--- a/internal/standin/jobs/keys.go
+++ b/internal/standin/jobs/keys.go
@@ -14,17 +14,18 @@
 	KeptKey = "kept-key"
 	// keyApplyTime is the time after an acknowledgement from which on a change of keys
 	// must be in force (config_apply_ms).
-	keyApplyTime   = 2500 * time.Millisecond
-	versionsPerKey = 24 // configurations in a row that hold the same rotating key
+	keyApplyTime = 2500 * time.Millisecond
+	keyPeriod    = 5 * time.Second // time between two rotating keys
 )
 
-// Keys knows which configurations hold which rotating key, and checks what callers with
-// such keys are answered. Key n is held by the versions from n*versionsPerKey on, up to
-// the first of key n+1.
+// Keys numbers configurations, knows which of them hold which rotating key, and checks
+// what callers with such keys are answered. A version holds one rotating key, the same as
+// the version before it or the next one.
 type Keys struct {
 	mu           sync.Mutex
-	sent         int               // highest version sent
-	acknowledged int               // highest version acknowledged
+	began        time.Time
+	keyOf        []int             // number of the rotating key of each version, from version 1 on
+	acknowledged int               // highest key of an acknowledged version
 	since        map[int]time.Time // first acknowledgement of a version with key n or a later one
 	probes       Probes
 }
@@ -40,25 +41,28 @@
 }
 
 // NewKeys returns keys of which no configuration was sent.
-func NewKeys() *Keys { return &Keys{since: make(map[int]time.Time)} }
+func NewKeys() *Keys { return &Keys{began: time.Now(), since: make(map[int]time.Time)} }
 
 func rotatingKey(n int) string { return fmt.Sprintf("rotating-key-%d", n) }
 
-// Add adds the customers to a configuration that is about to be sent.
-func (k *Keys) Add(config map[string]any) {
-	version := config["version"].(int)
-	config["tenants"] = []map[string]any{{"name": "t", "api_keys": []string{KeptKey, rotatingKey(version / versionsPerKey)}, "weight": 1000}}
+// Next makes a configuration the next version, which is about to be sent, and adds the
+// customer with its keys. It returns the version.
+func (k *Keys) Next(config map[string]any) uint64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.sent = max(k.sent, version)
+	n := int(time.Since(k.began) / keyPeriod)
+	k.keyOf = append(k.keyOf, n)
+	config["version"] = len(k.keyOf)
+	config["tenants"] = []map[string]any{{"name": "t", "api_keys": []string{KeptKey, rotatingKey(n)}, "weight": 1000}}
+	return uint64(len(k.keyOf))
 }
 
 // Acknowledged records that a version was acknowledged.
-func (k *Keys) Acknowledged(version int) {
+func (k *Keys) Acknowledged(version uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.acknowledged = max(k.acknowledged, version)
-	for n := range k.acknowledged/versionsPerKey + 1 {
+	k.acknowledged = max(k.acknowledged, k.keyOf[version-1])
+	for n := range k.acknowledged + 1 {
 		if _, known := k.since[n]; !known {
 			k.since[n] = time.Now()
 		}
@@ -77,7 +81,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	back := r.IntN(4)
-	if n := k.acknowledged/versionsPerKey - back; n >= 0 && back < 3 {
+	if n := k.acknowledged - back; n >= 0 && back < 3 {
 		return rotatingKey(n), n
 	}
 	return "never-held-key", -1
@@ -101,7 +105,7 @@
 		if served {
 			return "it was withdrawn"
 		}
-	case k.inForceBy(n, sentAt) && k.sent < (n+1)*versionsPerKey:
+	case k.inForceBy(n, sentAt) && k.keyOf[len(k.keyOf)-1] == n:
 		k.probes.Added++
 		if denied {
 			return "it was added, and not withdrawn"
