dispatch: a start that the log does not hold is not sent

Cause: a cancel that was stored just before a start kept the start out of the log, but the start was sent if its commit was reported before that of the cancel. A later leader would not have counted the run, nor known of it until its worker was read.

Change: StartWanted also asks the book whether the job is open.

Run: go test -race ./internal/dispatch ./internal/scheduler; the new test fails without the change.

--- a/internal/dispatch/answers.go
+++ b/internal/dispatch/answers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	jobs "github.com/egretmux/egretmux/internal/job"
 )
 
 func (c *Core) findRun(t Target, task TaskKey, number uint64) *run {
@@ -15,10 +16,17 @@
 	return w.runs[runKey{task, number}]
 }
 
-// StartWanted reports whether a start should still be sent after it was stored.
+// StartWanted reports whether a start should still be sent after it was stored. If the end of
+// its job was stored before it, the log does not hold the start, and a later leader would not
+// know of the run.
 func (c *Core) StartWanted(s StartOrder) bool {
 	r := c.findRun(s.Target, s.Task, s.Run)
-	return r != nil && r.state == ordered
+	if r == nil || r.state != ordered {
+		return false
+	}
+	stored := false
+	c.cfg.Book.View(s.Task.Job, func(rec *jobs.Record) { stored = rec != nil && !rec.Ended() })
+	return stored
 }
 
 // StartAnswered handles the result of a start that was sent at the time sent.
--- a/internal/dispatch/quota_test.go
+++ b/internal/dispatch/quota_test.go
@@ -152,6 +152,22 @@
 	require.Equal(t, int64(10_000), h.usage("a").GetInUse().GetCpuMillis())
 }
 
+// Load: many cancels. A cancel that is stored just before a start keeps the start out of the log,
+// so that the next leader would not count the run.
+func TestStartThatTheLogDoesNotHoldIsNotSent(t *testing.T) {
+	h := quotaHarness(t)
+	h.addWorker("w", 100)
+	h.submitFor("a", "/batch/", id(1), tasks(1, 5))
+	h.core.Plan(h.now)
+	start := h.core.TakeActions().Starts[0]
+	require.True(t, h.core.StartWanted(start))
+	h.apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_Cancel{Cancel: &egretmuxv1.CancelJob{Job: id(1)}}})
+	h.apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_NoteStarts{NoteStarts: &egretmuxv1.NoteStarts{Starts: []*egretmuxv1.RunStart{{
+		Job: id(1), Run: 1, Worker: "w", BornUnixMs: 1,
+	}}}}})
+	require.False(t, h.core.StartWanted(start), "the core has not been told of the cancel yet")
+}
+
 // Failure: the leader is lost after a gang's job has completed with its first member.
 func TestMembersOfACompletedGangCountForTheNextLeader(t *testing.T) {
 	for _, later := range []*egretmuxv1.JobStep{nil, {Count: 1, CpuMillis: 1000, EstimateMs: 1000, After: []uint32{0}}} {
