dispatch: the order of a plan starts without the marks of the plan before

Cause: steps kept the mark of being beyond their customer's part from the last plan, which changed the order in which the part was given out. The log did not name the pool that is full. Change: the mark is reset in each plan; the notice names the pool. Run: go test of internal/dispatch.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -82,6 +82,7 @@
 	Lost   int           // number of runs that a worker which is gone took along
 
 	Customer string // only for decisions about its rate; no metric label
+	Pool     string // only for decisions about a pool
 }
 
 // New returns the core of a new tenure, with the state that the book holds.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -107,7 +107,7 @@
 			c.setLatestStart(s, now)
 		}
 		q := c.queue(s.job)
-		s.overRate = s.job.overRate()
+		s.overRate, s.beyondShare = s.job.overRate(), false
 		s.urgent = q.GetPriority() == 0 && !s.overRate
 		s.lateness = latenessOf(s, now)
 		out = append(out, s)
--- a/internal/dispatch/rate.go
+++ b/internal/dispatch/rate.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -54,3 +56,27 @@
 	b.refill(rate, now)
 	return time.Duration(math.Ceil(max(0, 1-b.tokens) / rate * float64(time.Second)))
 }
+
+// overRate reports whether steps of other jobs come before those of this one, as it was
+// submitted beyond the rate of its customer.
+func (j *job) overRate() bool { return j.spec.GetOverRate() && !j.promoted }
+
+// promoteJobs counts the oldest of a customer's waiting jobs over rate as within it, one for
+// each token that the customer has left unused, and all of a customer without a rate. A job
+// may be listed once for each of its steps.
+func (c *Core) promoteJobs(customer *customer, waiting []*job, now time.Duration) {
+	if len(waiting) == 0 {
+		return
+	}
+	slices.SortFunc(waiting, func(a, b *job) int { return cmp.Or(cmp.Compare(a.acceptedAt, b.acceptedAt), cmp.Compare(a.id, b.id)) })
+	rate := customer.limits.GetJobsPerSecond()
+	bucket := customer.bucket(now)
+	bucket.refill(rate, now)
+	for _, j := range slices.Compact(waiting) {
+		if rate > 0 && !bucket.takeSurplus() {
+			return
+		}
+		j.promoted = true
+		c.addNotice(Notice{Event: "job_promoted", Job: j.id, Customer: customer.name, Reason: "rate-unused", Age: now - j.acceptedAt})
+	}
+}
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -11,8 +11,7 @@
 const (
 	shareTimeConstant   = 3 * time.Second // time constant of the averages of a customer; bursts last longer, tasks less
 	shareSampleInterval = 200 * time.Millisecond
-	contentionHold      = time.Second // a pool counts as full for this long after a plan left steps without room
-	minRoomInDemand     = 0.5         // of the room of all workers; less is in use only for a moment
+	minRoomInDemand     = 0.5 // of the room of all workers; less is in use only for a moment
 )
 
 // usageAverages are exponential moving averages over the last seconds.
@@ -23,58 +22,8 @@
 	overRateCPU float64
 }
 
-// shareLeft is what is left of a customer's part of the room in a plan.
-type shareLeft struct {
-	plannedAt  time.Duration // time of the plan
-	all        float64       // for its runs over rate; all its runs count
-	withinRate float64       // for its runs within rate; those over rate, which found idle room, do not count
-}
-
-// orderByShare puts steps that can wait and go beyond their customer's part of a full pool
-// after the others. The steps are in the order of all other rules.
-func (c *Core) orderByShare(ordered []*step, now time.Duration) {
-	if len(c.fullUntil) == 0 {
-		return
-	}
-	beyond := false
-	for _, s := range ordered {
-		s.beyondShare = s.job.customer != nil && !s.urgent && c.isFull(c.queue(s.job).GetService(), now) && !c.fitsShare(s, now)
-		beyond = beyond || s.beyondShare
-	}
-	if beyond {
-		slices.SortStableFunc(ordered, compareCustomers)
-	}
-}
-
-// fitsShare takes what the waiting tasks of a step need from its customer's part, and reports
-// whether there was something left. The last step that gets some may exceed the part.
-func (c *Core) fitsShare(s *step, now time.Duration) bool {
-	customer := s.job.customer
-	if customer.shareLeft.plannedAt != now {
-		customer.shareLeft = customer.newShareLeft(c.capacity, now)
-	}
-	left := &customer.shareLeft.withinRate
-	if s.overRate {
-		left = &customer.shareLeft.all
-	}
-	if *left <= 0 {
-		return false
-	}
-	*left -= s.usage.times(int64(s.waitingCount())).dominantShare(c.capacity)
-	return true
-}
-
-// newShareLeft returns the part of a customer, corrected by what it had more or less than
-// that over the last seconds, less what it uses now.
-func (c *customer) newShareLeft(capacity resources, now time.Duration) shareLeft {
-	return shareLeft{
-		plannedAt:  now,
-		all:        2*c.part - c.averages.dominantShare - c.inUse.dominantShare(capacity),
-		withinRate: 2*c.part - c.averages.withinRate - c.inUse.minus(c.inUseOverRate).dominantShare(capacity),
-	}
-}
-
-// updateShares samples what customers use, divides the room among them, and counts jobs over rate as within it as far as their customers have left rate unused.
+// updateShares samples what customers use, divides the room among them, and counts jobs over
+// rate as within it as far as their customers have left rate unused.
 func (c *Core) updateShares(now time.Duration) {
 	elapsed := now - c.sharesUpdatedAt
 	if len(c.customers) == 0 || elapsed < shareSampleInterval {
@@ -193,68 +142,3 @@
 func (r resources) times(n int64) resources {
 	return resources{r.cpu * n, r.memory * n, r.accelerators * n}
 }
-
-// promoteJobs counts the oldest of a customer's waiting jobs over rate as within it, one for
-// each token that the customer has left unused, and all of a customer without a rate. A job
-// may be listed once for each of its steps.
-func (c *Core) promoteJobs(customer *customer, waiting []*job, now time.Duration) {
-	if len(waiting) == 0 {
-		return
-	}
-	slices.SortFunc(waiting, func(a, b *job) int { return cmp.Or(cmp.Compare(a.acceptedAt, b.acceptedAt), cmp.Compare(a.id, b.id)) })
-	rate := customer.limits.GetJobsPerSecond()
-	bucket := customer.bucket(now)
-	bucket.refill(rate, now)
-	for _, j := range slices.Compact(waiting) {
-		if rate > 0 && !bucket.takeSurplus() {
-			return
-		}
-		j.promoted = true
-		c.addNotice(Notice{Event: "job_promoted", Job: j.id, Customer: customer.name, Reason: "rate-unused", Age: now - j.acceptedAt})
-	}
-}
-
-// overRate reports whether steps of other jobs come before those of this one, as it was
-// submitted beyond the rate of its customer.
-func (j *job) overRate() bool { return j.spec.GetOverRate() && !j.promoted }
-
-// noteFullPools records which pools have less room than their steps wait for.
-func (c *Core) noteFullPools(p *plan) {
-	if len(c.customers) == 0 {
-		return
-	}
-	for pool, left := range p.unclaimed.left {
-		if left > p.unclaimed.pool(pool).free {
-			if !c.isFull(pool, p.now) {
-				c.addNotice(Notice{Event: "pool_full", Reason: "contention"})
-			}
-			c.fullUntil[pool] = p.now + contentionHold
-		}
-	}
-}
-
-func (c *Core) isFull(pool string, now time.Duration) bool { return now < c.fullUntil[pool] }
-
-// compareCustomers orders steps by their customers: those over rate come last, as do, among
-// steps that can wait in a full pool, those of customers beyond their share. Work that is
-// worth nothing any more gains nothing by its customer's share.
-func compareCustomers(a, b *step) int {
-	switch {
-	case a.overRate != b.overRate:
-		return compareBool(a.overRate, b.overRate)
-	case (a.lateness == expired) != (b.lateness == expired):
-		return compareBool(a.lateness == expired, b.lateness == expired)
-	}
-	return compareBool(a.beyondShare, b.beyondShare)
-}
-
-// compareBool puts false first.
-func compareBool(a, b bool) int {
-	if a == b {
-		return 0
-	}
-	if b {
-		return -1
-	}
-	return 1
-}
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -188,14 +188,11 @@
 		telemetry.ObserveSeconds(`job_ended{queue="`+n.Queue+`"}`, n.Age)
 	}
 	e := t.cfg.Logger.Info().Str("event", n.Event).Uint64("term", t.term)
-	for _, f := range [][2]string{{"job", n.Job}, {"queue", n.Queue}, {"task", n.Task}, {"worker", n.Worker}, {"reason", n.Reason}} {
+	for _, f := range [][2]string{{"job", n.Job}, {"queue", n.Queue}, {"task", n.Task}, {"worker", n.Worker}, {"reason", n.Reason}, {"customer", n.Customer}, {"pool", n.Pool}} {
 		if f[1] != "" {
 			e = e.Str(f[0], f[1])
 		}
 	}
-	if n.Customer != "" {
-		e = e.Str("customer", n.Customer)
-	}
 	if n.Run != 0 {
 		e = e.Uint64("run", n.Run)
 	}
