speed, dispatch: long runs and early estimates are not taken for slow workers

Change: a run's rate is compared with its own earlier one, and with other runs of its step only twice; the pool's mean leans on the estimates at first. While tickets are requested for a gang, average workers count as good as fast ones, so that the choice stays.

--- a/internal/dispatch/copies.go
+++ b/internal/dispatch/copies.go
@@ -29,7 +29,7 @@
 			switch {
 			case len(t.runs) >= maxRuns:
 				copiesCPU[c.queue(s.job).GetService()] += s.demand.cpu
-			case !t.done && len(t.runs) == 1 && t.runs[0].state == running && t.runs[0].progress.rated && !t.suspect():
+			case !t.done && len(t.runs) == 1 && t.runs[0].state == running && t.runs[0].progress.rates > 0 && !t.suspect():
 				stragglers = append(stragglers, t.runs[0])
 			}
 		}
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -55,7 +55,7 @@
 		return false
 	}
 	s.sortByScore(candidates)
-	chosen := s.fitGang(candidates, len(waiting))
+	chosen := s.fitGang(candidates, len(waiting), 0)
 	number := uint64(0)
 	for _, t := range s.tasks {
 		number = max(number, t.highestRun+1)
@@ -68,8 +68,9 @@
 
 // awaitTickets handles a gang that cannot start with the tickets that it has. If it fits
 // on the workers that may run it, their resources are reserved and the missing tickets
-// requested, all at once: tickets expire before those of a later call arrive. It reports
-// whether the gang fits.
+// requested, all at once: tickets expire before those of a later call arrive. Workers of the
+// average class count as good as faster ones, so that the choice stays. It reports whether the
+// gang fits.
 func (c *Core) awaitTickets(s *step, n int, now time.Duration) bool {
 	q := c.queue(s.job)
 	if q.GetAdvice() == nil {
@@ -79,7 +80,7 @@
 	var chosen []*worker
 	if candidates, fits := s.withRoom(allowed, n); fits >= n {
 		s.sortForTickets(candidates, n, now)
-		chosen = s.fitGang(candidates, n)
+		chosen = s.fitGang(candidates, n, averageClass)
 	}
 	for _, w := range chosen {
 		s.hold(w)
@@ -158,8 +159,9 @@
 }
 
 // fitGang returns a worker for each of n tasks, or nil. Tasks that prefer one rack
-// get it if a rack has the resources, the one whose slowest chosen worker is fastest.
-func (s *step) fitGang(candidates []*worker, n int) []*worker {
+// get it if a rack has the resources, the one whose slowest chosen worker is fastest. Of
+// the speed classes from the given one on, it leaves out as many slow ones as it can.
+func (s *step) fitGang(candidates []*worker, n, fastest int) []*worker {
 	if s.spec.GetSameRack() {
 		racks := make(map[string][]*worker)
 		var names []string
@@ -171,7 +173,7 @@
 		}
 		best, slowest := []*worker(nil), 0
 		for _, name := range names {
-			class, fits := s.slowestClassNeeded(racks[name], n)
+			class, fits := s.slowestClassNeeded(racks[name], n, fastest)
 			if fits && (best == nil || class < slowest) {
 				best, slowest = racks[name], class
 			}
@@ -180,23 +182,23 @@
 			return s.fitGangUpTo(slowest, best, n)
 		}
 	}
-	class, fits := s.slowestClassNeeded(candidates, n)
+	class, fits := s.slowestClassNeeded(candidates, n, fastest)
 	if !fits {
 		return nil
 	}
 	return s.fitGangUpTo(class, candidates, n)
 }
 
-// slowestClassNeeded returns the lowest speed class such that the workers up to it can take
-// n tasks of the step now: a gang ends with its slowest member.
-func (s *step) slowestClassNeeded(candidates []*worker, n int) (class int, fits bool) {
+// slowestClassNeeded returns the lowest speed class from the given one on such that the
+// workers up to it can take n tasks of the step now: a gang ends with its slowest member.
+func (s *step) slowestClassNeeded(candidates []*worker, n, fastest int) (class int, fits bool) {
 	var room [speedClasses]int
 	for _, w := range candidates {
 		room[w.speedClass] += s.maxNewRuns(w, n)
 	}
 	for class, fit := range room {
 		if n -= fit; n <= 0 {
-			return class, true
+			return max(class, fastest), true
 		}
 	}
 	return 0, false
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -26,6 +26,7 @@
 	siblingPrior    = 0.5         // sibling runs that weigh as much as the assumption that the estimate is right
 	minSiblings     = 2           // runs elsewhere from which a run's expectation is not vague
 	vagueWeight     = 0.5         // weight of runs whose expectation is vague
+	maxPeerRates    = 2           // rates of a run that are compared with its siblings: one that stays slow is a long run
 	maxAgreeing     = 3           // runs of one step that count for the present speed of a worker
 )
 
@@ -34,8 +35,11 @@
 	known   bool  // whether there is an earlier listing to measure from
 	clock   int64 // worker's clock at that listing, milliseconds
 	percent float64
-	rated   bool    // whether ratio is known
-	ratio   float64 // logarithm of the run time that the last rate leads to, relative to the expected one
+	total   float64 // logarithm of the run time, in milliseconds, that the last rate leads to
+	ratio   float64 // the same relative to the expected run time
+	rates   int     // how often the rate was measured
+	settled bool    // whether usual is known
+	usual   float64 // least total so far, outside of slow spells
 	counted bool    // whether the run is counted in its step's siblings
 	effect  float64 // logarithm of what it is counted with
 	taught  bool    // whether it has taught the lasting speed of its worker
@@ -122,8 +126,9 @@
 	w.updateSlowness(now)
 }
 
-// observePresent compares the measured runs of a worker with those of their steps on other
-// workers.
+// observePresent compares the measured runs of a worker with what they were before or, if that
+// is not known, with the runs of their steps on other workers. A run that was slow from its
+// beginning does not show whether it is its worker or the run.
 func (c *Core) observePresent(w *worker, measured []*run, now time.Duration) {
 	for _, r := range measured {
 		r.task.step.siblings.here, r.task.step.siblings.hereCount = 0, 0
@@ -135,15 +140,20 @@
 	}
 	var evidence speed.Evidence
 	for _, r := range measured {
-		s := r.task.step.siblings
+		s, p := r.task.step.siblings, &r.progress
 		others, known := s.elsewhere(s.here, s.hereCount)
-		ratio := math.Exp(r.progress.ratio)
-		weight := vagueWeight / float64(s.hereCount)
-		if known {
-			weight = min(1, maxAgreeing/float64(s.hereCount))
+		ratio := math.Exp(p.ratio)
+		if p.settled {
+			evidence.AddChange(math.Exp(p.total - p.usual))
+		} else {
+			weight := vagueWeight / float64(s.hereCount)
+			if known {
+				weight = min(1, maxAgreeing/float64(s.hereCount))
+			}
+			p.settled = w.speed.AddPeers(&evidence, ratio/others, weight) || p.rates >= maxPeerRates
+			p.usual = p.total
 		}
-		w.speed.Add(&evidence, ratio/others, weight)
-		if !r.timed && !r.progress.taught || r.task.step.spec.GetGang() && !r.progress.taught {
+		if (!r.timed || r.task.step.spec.GetGang()) && !p.taught {
 			r.teach(ratio, others, known, now)
 		}
 	}
@@ -154,6 +164,12 @@
 		c.addNotice(Notice{Event: "worker_recovered", Worker: w.Worker, Reason: "runs-progress"})
 	case speed.Unchanged:
 	}
+	spell := w.speed.Spell(now)
+	for _, r := range measured {
+		p := &r.progress
+		p.settled = p.settled || spell > 1
+		p.usual = min(p.usual, p.total-math.Log(spell))
+	}
 }
 
 // measure updates the rate of a run from its newest listing and reports whether it has a
@@ -179,7 +195,9 @@
 	if !enough || gained < 0 {
 		return false
 	}
-	p.rated, p.ratio = true, math.Log(elapsed*100/max(minPercent, gained)/expected)
+	p.rates++
+	p.total = math.Log(elapsed * 100 / max(minPercent, gained))
+	p.ratio = p.total - math.Log(expected)
 	return true
 }
 
--- a/internal/dispatch/uneven_test.go
+++ b/internal/dispatch/uneven_test.go
@@ -17,15 +17,17 @@
 // unevenCell plays the runs of workers of unlike speed in simulated time.
 type unevenCell struct {
 	*harness
-	rand      *rand.Rand
-	workers   []*unevenWorker
-	work      map[dispatch.StepKey][]time.Duration // of each task on an average worker
-	goals     map[string]time.Duration             // objective by job
-	jobs      int
-	customer  string
-	bias      float64        // factor of the estimates
-	doneOn    map[string]int // tasks by the worker's kind
-	startedOn map[string]int // tasks by worker
+	rand       *rand.Rand
+	workers    []*unevenWorker
+	work       map[dispatch.StepKey][]time.Duration // of each task on an average worker
+	goals      map[string]time.Duration             // objective by job
+	jobs       int
+	customer   string
+	cores      int64          // of each worker
+	bias       float64        // factor of the estimates
+	stragglers float64        // share of the tasks that take seven times as long
+	doneOn     map[string]int // tasks by the worker's kind
+	startedOn  map[string]int // tasks by worker
 }
 
 type unevenWorker struct {
@@ -45,14 +47,14 @@
 func newUnevenCell(t *testing.T, seed uint64, queues ...*egretmuxv1.Queue) *unevenCell {
 	return &unevenCell{
 		harness: newHarness(t, queues...), rand: rand.New(rand.NewPCG(seed, 1)), work: make(map[dispatch.StepKey][]time.Duration),
-		goals: make(map[string]time.Duration), doneOn: make(map[string]int), startedOn: make(map[string]int), bias: 1,
+		goals: make(map[string]time.Duration), doneOn: make(map[string]int), startedOn: make(map[string]int), bias: 1, cores: 16,
 	}
 }
 
-// add adds n workers of a kind, with 16 cores each.
+// add adds n workers of a kind.
 func (c *unevenCell) add(kind string, n int, slowness float64) {
 	for range n {
-		l := life(fmt.Sprintf("w%03d", len(c.workers)), 16)
+		l := life(fmt.Sprintf("w%03d", len(c.workers)), c.cores)
 		l.Labels = []string{kind, fmt.Sprintf("r1-%d", len(c.workers)/8)}
 		c.apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_RecordLife{RecordLife: &egretmuxv1.RecordLife{Life: l}}})
 		c.core.WorkerJoined(l, c.now)
@@ -71,7 +73,11 @@
 	step.EstimateMs = max(1, int64(c.bias*float64(mean.Milliseconds())*(1+off*(2*c.rand.Float64()-1))))
 	var work []time.Duration
 	for range count {
-		work = append(work, time.Duration(float64(mean)*math.Exp(0.2*c.rand.NormFloat64())))
+		task := time.Duration(float64(mean) * math.Exp(0.2*c.rand.NormFloat64()))
+		if c.rand.Float64() < c.stragglers {
+			task *= 7
+		}
+		work = append(work, task)
 	}
 	c.work[dispatch.StepKey{Job: job}] = work
 	c.goals[job] = time.Duration(q.GetSlackFactor()*float64(slices.Max(work))) + time.Duration(q.GetTargetLatencyMs())*time.Millisecond
@@ -214,16 +220,19 @@
 	require.Equal(t, 6, countNotices(c.harness, "worker_slow", ""), "the workers that turned slow, and no others")
 }
 
-// Load: a busy pool of workers that are alike. Tasks differ, and estimates are far off: no
-// worker may be taken for slow.
+// Load: a busy pool of workers that are alike. Some tasks take seven times as long as
+// others, and estimates are far off: no worker may be taken for slow.
 func TestAlikeWorkersAreNotTakenForSlow(t *testing.T) {
-	batch := batchQueue()
-	c := newUnevenCell(t, 1, batch)
-	c.add("a", 20, 1)
-	c.play(20*time.Second, c.every(170*time.Millisecond, func() { c.send(batch, 10, 3, 2*time.Second, 0.9) }))
-	require.Zero(t, countNotices(c.harness, "worker_slow", ""))
-	for _, w := range c.workers {
-		require.InDelta(t, 1, c.core.Slowness(w.Worker), 0.25, w.Worker)
+	for seed := range uint64(4) {
+		batch := batchQueue()
+		c := newUnevenCell(t, seed, batch)
+		c.stragglers = 0.03
+		c.add("a", 20, 1)
+		c.play(20*time.Second, c.every(170*time.Millisecond, func() { c.send(batch, 10, 3, 2*time.Second, 0.9) }))
+		require.Zero(t, countNotices(c.harness, "worker_slow", ""))
+		for _, w := range c.workers {
+			require.InDelta(t, 1, c.core.Slowness(w.Worker), 0.25, w.Worker)
+		}
 	}
 }
 
@@ -269,25 +278,65 @@
 	require.InEpsilon(t, 1/0.6/0.625, slow/fast, 0.25, "fast %f slow %f", fast, slow)
 }
 
-// Load: a gang of half of the workers, one of which is slow; there is room without it.
-func TestGangIsNotHeldUpByASlowMember(t *testing.T) {
+// newCellWithAKnownSlowWorker returns an idle cell of workers in racks of eight, one of which is
+// in a slow spell.
+func newCellWithAKnownSlowWorker(t *testing.T, workers int) (c *unevenCell, slow string) {
 	gangs := batchQueue()
-	c := newUnevenCell(t, 1, gangs)
-	c.add("a", 12, 1)
-	slow := c.workers[3]
-	slow.slowFrom, slow.slowUntil = 0, 20*time.Second
-	c.play(2*time.Second, c.every(100*time.Millisecond, func() { c.send(gangs, 4, 4, time.Second, 0.2) }))
-	c.play(5*time.Second, nil)
-	c.send(gangs, 36, 2, time.Second, 0) // fills all but what is left to the gang
-	c.play(2*time.Second, nil)
-	gang := tasks(6, 10)
-	gang.Gang = true
+	c = newUnevenCell(t, 1, gangs)
+	c.cores = 64
+	c.add("first", 1, 1)
+	c.add("a", workers-1, 1)
+	c.workers[0].slowFrom, c.workers[0].slowUntil = 0, 20*time.Second
+	c.play(2*time.Second, c.every(100*time.Millisecond, func() { c.send(gangs, uint32(workers/2), 16, time.Second, 0.2) }))
+	for c.core.Slowness(c.workers[0].Worker) < 2 || len(c.workers[0].runs) > 0 {
+		c.play(unevenTick, nil)
+	}
+	return c, c.workers[0].Worker
+}
+
+// startedGang returns the workers on which a gang whose tasks take most of a worker starts at once.
+func (c *unevenCell) startedGang(members uint32, sameRack bool) (workers []string) {
+	gang := tasks(members, 48)
+	gang.Gang, gang.SameRack = true, sameRack
 	c.submitTo("/batch/", id(1000), gang)
 	c.plan()
-	require.Len(t, c.starts, 6)
 	for _, s := range c.starts {
-		require.NotEqual(t, slow.Worker, s.Worker)
+		workers = append(workers, s.Worker)
+	}
+	return workers
+}
+
+// Load: a gang for which there is room on all workers, and just as much as it needs on one
+// that is slow: large tasks would fit elsewhere afterwards.
+func TestGangIsNotHeldUpByASlowMember(t *testing.T) {
+	c, slow := newCellWithAKnownSlowWorker(t, 16)
+	beside := tasks(1, 16)
+	beside.RequiredLabel, beside.EstimateMs = "first", 60_000
+	c.submitTo("/batch/", id(999), beside)
+	c.plan()
+	require.Equal(t, slow, c.acceptStarts()[0].Worker)
+	started := c.startedGang(15, false)
+	require.Len(t, started, 15)
+	require.NotContains(t, started, slow)
+}
+
+func TestGangInOneRackTakesTheRackWithoutASlowWorker(t *testing.T) {
+	c, slow := newCellWithAKnownSlowWorker(t, 16)
+	started := c.startedGang(8, true)
+	require.Len(t, started, 8)
+	for _, w := range started {
+		require.Equal(t, 1, slices.IndexFunc(c.workers, func(o *unevenWorker) bool { return o.Worker == w })/8)
 	}
+	require.NotContains(t, started, slow)
+}
+
+// Load: a gang that fits only with the slow worker. It may run longer there than it would
+// have waited, but nothing tells when the worker recovers.
+func TestGangDoesNotWaitForFastWorkers(t *testing.T) {
+	c, slow := newCellWithAKnownSlowWorker(t, 16)
+	started := c.startedGang(16, false)
+	require.Len(t, started, 16)
+	require.Contains(t, started, slow)
 }
 
 // playEstimates returns the share of jobs that met their objective, where two queues with
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -20,6 +20,7 @@
 	poolMemory   = 400  // runs after which an older one weighs 1/e
 	kindMemory   = 200  // the same for a kind
 	workerMemory = 20   // the same for a worker
+	poolPrior    = 50.0 // runs of a pool that weigh as much as the assumption that expectations are right
 	kindPrior    = 6.0  // runs of a kind that weigh as much as the assumption that it is average
 	workerPrior  = 6.0  // the same for a worker and the assumption that it is like its kind
 	negligible   = 0.02 // slowness that differs from 1 by less counts as 1
@@ -87,10 +88,10 @@
 	p, usual := w.pool, w.lasting()
 	spell := w.spellAt(now)
 	ratio := usual + clamp(math.Log(r.Ratio)-p.mean.value-usual-spell, math.Log(maxRunRatio))
-	p.mean.add(ratio+p.mean.value, 1, 0, poolMemory)
+	p.mean.add(ratio+p.mean.value, 1, poolPrior, poolMemory)
 	w.kind.add(ratio, 1, kindPrior, kindMemory)
 	peers := usual + clamp(math.Log(r.Peers)-p.peersMean.value-usual-spell, math.Log(maxRunRatio))
-	p.peersMean.add(peers+p.peersMean.value, r.Weight, 0, poolMemory)
+	p.peersMean.add(peers+p.peersMean.value, r.Weight, poolPrior, poolMemory)
 	w.own.add(peers-w.kind.value, r.Weight, workerPrior, workerMemory)
 }
 
--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -73,7 +73,7 @@
 func present(w *Worker, now time.Duration, ratios ...float64) Change {
 	var e Evidence
 	for _, ratio := range ratios {
-		w.Add(&e, ratio, 1)
+		w.AddPeers(&e, ratio, 1)
 	}
 	return w.ObservePresent(e, now)
 }
--- a/internal/speed/spell.go
+++ b/internal/speed/spell.go
@@ -29,10 +29,21 @@
 	Recovered
 )
 
-// Add adds runs that progress as if they took ratio times as long as expected. Their weight
-// is their number, or less if they may all be wrong in the same way.
-func (w *Worker) Add(e *Evidence, ratio, weight float64) {
-	e.sum += weight * min(math.Log(maxPresentRatio), w.deviation(ratio))
+// AddPeers adds runs that progress as if they took ratio times as long as their peers let
+// expect. Their weight is their number, or less if they may all be wrong in the same way. It
+// reports whether they are as fast as usual.
+func (w *Worker) AddPeers(e *Evidence, ratio, weight float64) (usual bool) {
+	deviation := w.deviation(ratio)
+	e.add(deviation, weight)
+	return deviation < math.Log(spellGoesOn)
+}
+
+// AddChange adds a run that progresses as if it took ratio times as long as it seemed to
+// before. Such a run tells of its worker, whatever its estimate.
+func (e *Evidence) AddChange(ratio float64) { e.add(math.Log(ratio), 1) }
+
+func (e *Evidence) add(deviation, weight float64) {
+	e.sum += weight * min(math.Log(maxPresentRatio), deviation)
 	e.weight += weight
 }
 
@@ -65,6 +76,9 @@
 	return true
 }
 
+// Spell returns the factor of the spell, which is 1 if there is none.
+func (w *Worker) Spell(now time.Duration) float64 { return math.Exp(w.spellAt(now)) }
+
 // WorstSlowness is like Slowness, but counts a spell in full until it has ended.
 func (w *Worker) WorstSlowness(now time.Duration) float64 {
 	if w.spellAt(now) > 0 {
