--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -199,14 +199,14 @@
 	return out, fits
 }
 
-// fastEnough leaves out the workers that are too slow for the step to meet its objective
-// there, unless all are: until its latest start, one of the others may get room.
-func (s *step) fastEnough(workers []*worker) []*worker {
+// fastEnough leaves out the candidates that are too slow for the step to meet its objective
+// there, unless all workers are: until its latest start, one of the others may get room.
+func (s *step) fastEnough(candidates, all []*worker) []*worker {
 	tooSlow := func(w *worker) bool { return w.slowness > s.slownessLimit }
-	if first := slices.IndexFunc(workers, tooSlow); first < 0 || !slices.ContainsFunc(workers, func(w *worker) bool { return !tooSlow(w) }) {
-		return workers
+	if !slices.ContainsFunc(candidates, tooSlow) || !slices.ContainsFunc(all, func(w *worker) bool { return !tooSlow(w) }) {
+		return candidates
 	}
-	return slices.DeleteFunc(workers, tooSlow)
+	return slices.DeleteFunc(candidates, tooSlow)
 }
 
 // sortByScore sorts workers by their score, best first.
@@ -293,7 +293,9 @@
 	q := c.queue(s.job)
 	suspects, unplaced := splitSuspects(waiting)
 	started, without := c.placeSuspects(s, suspects, now)
-	candidates, _ := s.withRoom(s.fastEnough(c.startableWorkers(s, q, now)), len(unplaced))
+	startable := c.startableWorkers(s, q, now)
+	candidates, _ := s.withRoom(startable, len(unplaced))
+	candidates = s.fastEnough(candidates, startable)
 	s.sortByScore(candidates)
 	for _, w := range candidates {
 		if len(unplaced) == 0 {
