jobcell: one counter for changed shares, events as literals that check-docs finds

Cause: scripts/check-docs reported the two new metrics as unknown and an event name that is put together.

Run: scripts/check-docs and make lint pass.

--- a/internal/jobcell/weights.go
+++ b/internal/jobcell/weights.go
@@ -35,11 +35,12 @@
 // and those that have regained it.
 func (c *Cell) reportWeights(work string, changes []balance.Change) {
 	for _, change := range changes {
-		event, message := "instance_share_regained", "the instance has its full part of the work again"
+		event, direction, message := "instance_share_regained", "regained", "the instance has its full part of the work again"
 		if change.Reduced {
-			event, message = "instance_share_reduced", "answers through this instance are late; others get most of its part of the work"
+			direction, message = "reduced", "answers through this instance are late; others get most of its part of the work"
+			event = "instance_share_reduced"
 		}
-		telemetry.Count(event + `_total{work="` + work + `"}`)
+		telemetry.Count(`instance_share_changes_total{work="` + work + `",change="` + direction + `"}`)
 		c.cfg.Logger.Info().Str("event", event).Str("work", work).Str("via", change.Instance).
 			Int64("wait_ms", change.Wait.Milliseconds()).Int64("usual_ms", change.Usual.Milliseconds()).Msg(message)
 	}
