jobcell: calls for advice may take half as long again as expected

Cause: long calls exceed their expected time by more than short ones, so an instance that made the only long calls lately looked slow.

Change: the wait of a call for advice is its time less 1.5 times the expected time of the instance's calls.

--- a/internal/balance/weights.go
+++ b/internal/balance/weights.go
@@ -15,10 +15,9 @@
 const (
 	// maxStepGap is the time without a step after which the waits of what is on its way
 	// are not counted, as this process did not run for a part of them.
-	maxStepGap = 3 * StepPeriod
-	minWeight  = 1.0 / 16 // an instance keeps a part by which its waits are measured
-	// maxCut limits how much of its weight an instance loses on one set of samples.
-	maxCut = 1.0 / 4
+	maxStepGap  = 3 * StepPeriod
+	minWeight   = 1.0 / 16 // an instance keeps a part by which its waits are measured
+	minKeptPart = 1.0 / 4  // of its weight, that an instance keeps on one set of samples
 	// slowFactor is the wait, in multiples of the usual one, above which an instance
 	// loses weight.
 	slowFactor = 1.5
@@ -242,7 +241,7 @@
 	if in.cutAt.IsZero() {
 		in.cutAt = now
 	}
-	in.weight = min(in.weight, max(minWeight, in.base*max(maxCut, part)))
+	in.weight = min(in.weight, max(minWeight, in.base*max(minKeptPart, part)))
 }
 
 func (in *instance) sentAfterCut(sent time.Time) bool {
--- a/internal/jobcell/advise.go
+++ b/internal/jobcell/advise.go
@@ -41,6 +41,9 @@
 	// adviceSlack is the constant part of the first attempt's timeout. The other part
 	// is twice the expected duration of the instance's pending calls.
 	adviceSlack = 300 * time.Millisecond
+	// adviceTolerance is the time that the service may take for an instance's calls, in
+	// multiples of the expected one, before the instance counts as late.
+	adviceTolerance = 1.5
 )
 
 // One in shortCallDivisor instances, starting with this one, makes only short calls,
@@ -78,11 +81,17 @@
 		a.avoidUntil[address] = now.Add(adviceBackoff)
 	}
 	if err == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		a.weights.Observe(address, sent, now, now.Sub(sent)-time.Duration(loadMs*float64(time.Millisecond)))
+		a.weights.Observe(address, sent, now, adviceWait(now.Sub(sent), loadMs))
 	}
 	return tickets, err
 }
 
+// adviceWait returns the time of a call that the load of the instance does not explain, zero or
+// less if it explains all.
+func adviceWait(elapsed time.Duration, loadMs float64) time.Duration {
+	return elapsed - time.Duration(adviceTolerance*loadMs*float64(time.Millisecond))
+}
+
 func (a *adviceBalancer) adviseAt(ctx context.Context, address string, ask dispatch.Ask) (map[string]string, error) {
 	if address == a.cell.cfg.Address {
 		return a.cell.cfg.Adviser.Advise(ctx, ask.Step.String(), ask.Workers)
--- a/internal/jobcell/weights_test.go
+++ b/internal/jobcell/weights_test.go
@@ -106,6 +106,28 @@
 	require.InDelta(t, calls["b"], calls["self"], 1)
 }
 
+// Guards against taking long calls for slow instances: the service takes somewhat longer
+// than expected, and only some instances have made long calls lately.
+func TestLongCallsForAdviceAreNoSignOfASlowInstance(t *testing.T) {
+	c := newLeadingCell(t, sixInstances...)
+	now := time.Now()
+	for range 20 {
+		require.Empty(t, c.advice.stepWeights(now))
+		sent := now
+		now = now.Add(balance.StepPeriod)
+		for i, address := range sixInstances {
+			expectedMs := 20.0
+			if i == 0 {
+				expectedMs = 4 * dispatch.LongAdviceMs
+			}
+			elapsed := time.Duration(1.3 * expectedMs * float64(time.Millisecond))
+			c.advice.weights.Observe(address, sent, now, adviceWait(elapsed, expectedMs))
+		}
+	}
+	require.Equal(t, 7, c.advice.Instances())
+	require.Equal(t, time.Second, adviceWait(time.Second+30*time.Millisecond, 20), "what the load does not explain counts")
+}
+
 // Guards against an order that goes out twice when its worker changes hands: without an
 // answer it stays open.
 func TestOrderInFlightStaysWithItsDelegate(t *testing.T) {
