--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -85,7 +85,7 @@
 // bucket returns the customer's token bucket, which is full at first.
 func (c *customer) bucket(now time.Duration) *tokenBucket {
 	if c.tokens == nil {
-		c.tokens = newTokenBucket(c.limits.GetJobsPerSecond(), now)
+		c.tokens = newTokenBucket(c.limits.GetJobsPerSecond(), c.rateWindow, now)
 	}
 	return c.tokens
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -33,6 +33,7 @@
 	Lease       time.Duration // length of a worker's lease
 	FarFactor   float64       // run time on another rack than the task's data, relative to the same rack
 	StopTimeout time.Duration // upper limit for a worker to stop a run
+	RateWindow  time.Duration // time whose worth of jobs a customer may submit at once; zero: defaultRateWindow
 	// UnixMs converts a time since the tenure began to Unix milliseconds.
 	UnixMs func(now time.Duration) int64
 }
--- a/internal/dispatch/customer.go
+++ b/internal/dispatch/customer.go
@@ -22,6 +22,7 @@
 
 	inUseOverRate   resources    // the part of inUse of runs that were started over rate
 	tokens          *tokenBucket // nil until it is first needed
+	rateWindow      time.Duration
 	averages        usageAverages
 	overRateStarted int64   // cpu of its tasks over rate started since the last sample, thousandths of a core
 	part            float64 // of the room, that it gets by its weight while all of it is in demand
@@ -37,7 +38,7 @@
 		return nil
 	}
 	if c.customers[name] == nil {
-		c.customers[name] = &customer{name: name, part: math.Inf(1)}
+		c.customers[name] = &customer{name: name, part: math.Inf(1), rateWindow: cmp.Or(c.cfg.RateWindow, defaultRateWindow)}
 		c.customers[name].setLimits(c.cfg.Book.Catalogue().Customer(name))
 	}
 	return c.customers[name]
--- a/internal/dispatch/rate.go
+++ b/internal/dispatch/rate.go
@@ -7,24 +7,29 @@
 	"time"
 )
 
+const defaultRateWindow = time.Second
+
 // tokenBucket measures the rate at which a customer submits jobs. A job takes one token. The
-// depth is one second's worth of tokens, and at least one.
+// depth is what comes in a window of time, and at least one.
 type tokenBucket struct {
+	window    time.Duration
 	tokens    float64
 	surplus   float64 // tokens that came while the bucket was full, at most its depth
 	updatedAt time.Duration
 }
 
-func bucketDepth(rate float64) float64 { return max(1, rate) }
-
 // newTokenBucket returns a full bucket.
-func newTokenBucket(rate float64, now time.Duration) *tokenBucket {
-	return &tokenBucket{tokens: bucketDepth(rate), updatedAt: now}
+func newTokenBucket(rate float64, window, now time.Duration) *tokenBucket {
+	b := &tokenBucket{window: window, updatedAt: now}
+	b.tokens = b.depth(rate)
+	return b
 }
 
+func (b *tokenBucket) depth(rate float64) float64 { return max(1, rate*b.window.Seconds()) }
+
 // refill adds the tokens that have come since the last call.
 func (b *tokenBucket) refill(rate float64, now time.Duration) {
-	depth := bucketDepth(rate)
+	depth := b.depth(rate)
 	tokens := b.tokens + rate*max(0, now-b.updatedAt).Seconds()
 	b.updatedAt = max(now, b.updatedAt)
 	b.tokens = min(depth, tokens)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -67,6 +67,7 @@
 	Lease        time.Duration // length of a worker's lease
 	FarFactor    float64       // run time on another rack than the task's data, relative to that on the same rack
 	StopTimeout  time.Duration
+	RateWindow   time.Duration // time whose worth of jobs a customer may submit at once; zero: one second
 	StatusKeep   time.Duration // retention of ended jobs
 	Logger       zerolog.Logger
 }
