--- a/internal/standin/jobs/keys.go
+++ b/internal/standin/jobs/keys.go
@@ -19,8 +19,8 @@
 )
 
 // Keys numbers configurations, knows which of them hold which rotating key, and checks
-// what callers with such keys are answered. A version holds one rotating key, the same as
-// the version before it or the next one.
+// what callers with such keys are answered. A version holds one rotating key, and a higher
+// version never an earlier one.
 type Keys struct {
 	mu           sync.Mutex
 	began        time.Time
