--- a/internal/dispatch/copies_test.go
+++ b/internal/dispatch/copies_test.go
@@ -85,9 +85,10 @@
 // learns of the other run from its worker, which has ended it as done by then.
 func TestNewLeaderTakesTheEndOfARunOrOfItsCopy(t *testing.T) {
 	c, slow, job := newCellWithASlowWorker(t, true)
-	for countNotices(c.harness, "run_copied", job) < len(slow.runs) {
+	for countNotices(c.harness, "run_copied", job) < len(slow.runs) && c.now < 20*time.Second {
 		c.play(unevenTick, nil)
 	}
+	require.Equal(t, len(slow.runs), countNotices(c.harness, "run_copied", job))
 	c.beginTenure()
 	for _, w := range c.workers {
 		w.listedAt = 0
--- a/internal/dispatch/uneven_test.go
+++ b/internal/dispatch/uneven_test.go
@@ -288,9 +288,10 @@
 	c.add("a", workers-1, 1)
 	c.workers[0].slowFrom, c.workers[0].slowUntil = 0, 20*time.Second
 	c.play(2*time.Second, c.every(100*time.Millisecond, func() { c.send(gangs, uint32(workers/2), 16, time.Second, 0.2) }))
-	for c.core.Slowness(c.workers[0].Worker) < 2 || len(c.workers[0].runs) > 0 {
+	for len(c.workers[0].runs) > 0 && c.now < 20*time.Second {
 		c.play(unevenTick, nil)
 	}
+	require.Greater(t, c.core.Slowness(c.workers[0].Worker), 2.0)
 	return c, c.workers[0].Worker
 }
 
