scheduler: a submit is refused only if it cannot have been stored

Cause: an overloaded leader looked first whether a job is stored and then whether it is being stored, so one committed in between was shed; it knew only jobs of customers as being stored; and a leader that was replaced, or has no quorum, shed and refused for the rate (429) until its last confirmation ran out, although another one may have stored the job. Change: submits that are being proposed are kept in the tenure, until after their commit, or its end if their outcome is unknown. Before a submit is shed or refused for the rate or the quota, the leader is confirmed and the job looked up again, being stored before stored.

--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -35,13 +35,17 @@
 	if err := t.checkQuota(ctx, id, j, a.customer); err != nil {
 		return nil, err
 	}
-	if t.overloaded() && !t.isStored(id) && !t.isBeingStored(id) {
-		return nil, refusal.New(refusal.Shed, "retry later", "the leader is overloaded").WithRetryAfter(time.Second)
+	if t.overloaded() {
+		if refusable, err := t.isRefusable(ctx, id); err != nil {
+			return nil, err
+		} else if refusable {
+			return nil, refusal.New(refusal.Shed, "retry later", "the leader is overloaded").WithRetryAfter(time.Second)
+		}
 	}
 	j.Id, j.Host, j.Prefix = id, q.GetHost(), q.GetPrefix()
 	j.Attempts, j.Service, j.Customer = q.GetAttempts(), q.GetService(), a.customer.GetName()
 	j.AcceptedUnixMs = time.Now().UnixMilli()
-	if err := t.admit(j); err != nil {
+	if err := t.admit(ctx, j); err != nil {
 		return nil, err
 	}
 	steps, overRate := len(j.GetSteps()), j.GetOverRate()
@@ -66,8 +70,7 @@
 	return &egretmuxv1.JobAnswer{Found: true}, nil
 }
 
-// isStored reports whether the job is stored. A repeated submit is not shed under
-// load: its client may have got no definite answer to the first one.
+// isStored reports whether the job is stored.
 func (t *tenure) isStored(id string) bool {
 	known := false
 	t.book.View(id, func(r *job.Record) { known = r != nil })
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -51,10 +51,11 @@
 	began time.Time
 	ctx   context.Context
 
-	mu      sync.Mutex // guards core, pollers and endedAt
-	core    *dispatch.Core
-	pollers map[dispatch.Target]*poller
-	endedAt map[string]time.Time // when a job was first seen as ended
+	mu       sync.Mutex // guards core, pollers, endedAt and proposed
+	core     *dispatch.Core
+	pollers  map[dispatch.Target]*poller
+	endedAt  map[string]time.Time // when a job was first seen as ended
+	proposed map[string]int       // by job: its submits whose outcome is not known
 
 	planRequested chan struct{}
 	endsQueue     *endsQueue
@@ -69,7 +70,7 @@
 func newTenure(ctx context.Context, cfg Config, node *consensus.Node, book *job.Book, term uint64) *tenure {
 	return &tenure{
 		ctx: ctx, cfg: cfg, node: node, book: book, term: term, began: time.Now(),
-		pollers: make(map[dispatch.Target]*poller), endedAt: make(map[string]time.Time),
+		pollers: make(map[dispatch.Target]*poller), endedAt: make(map[string]time.Time), proposed: make(map[string]int),
 		planRequested: make(chan struct{}, 1), endsQueue: newEndsQueue(),
 	}
 }
@@ -312,6 +313,10 @@
 	if err != nil {
 		return job.Result{}, err
 	}
+	submitted := cmd.GetSubmit().GetJob().GetId()
+	if submitted != "" {
+		t.beginStoring(submitted)
+	}
 	type outcome struct {
 		result job.Result
 		err    error
@@ -322,6 +327,9 @@
 		if err == nil && onCommit != nil {
 			onCommit(result)
 		}
+		if submitted != "" {
+			t.endStoring(submitted, err)
+		}
 		if err != nil && ctx.Err() != nil {
 			t.cfg.Logger.Warn().Err(err).Str("event", "proposal_failed").Uint64("term", t.term).Msg("a command whose caller had given up was not committed here")
 		}
