--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -8,6 +8,7 @@
 	"github.com/egretmux/egretmux/internal/dispatch"
 	"github.com/egretmux/egretmux/internal/job"
 	"github.com/egretmux/egretmux/internal/refusal"
+	"github.com/egretmux/egretmux/internal/telemetry"
 )
 
 // noCatalogue returns the refusal of calls before the first configuration. Its kind
@@ -170,6 +171,10 @@
 func (t *tenure) handleHeartbeat(ctx context.Context, b *egretmuxv1.WorkerBeat) error {
 	received := t.now()
 	life := b.GetLife()
+	if life.GetWorker() == "" || !b.GetLeaving() && (life.GetAddress() == "" || life.GetPool() == "") {
+		telemetry.CountRetry("heartbeat-incomplete")
+		return refusal.New(refusal.Invalid, "send the worker's name, address and pool", "the heartbeat is not complete")
+	}
 	target := targetOf(life)
 	if b.GetLeaving() {
 		return t.handleLeave(ctx, target)
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -314,3 +314,21 @@
 	require.NoError(t, s.HandleHeartbeat(ctx, &egretmuxv1.WorkerBeat{Life: life, Sequence: 2}))
 	require.Never(t, func() bool { return s.WorkerCount() > 0 }, 200*time.Millisecond, 5*time.Millisecond)
 }
+
+// Guards against a message that arrives empty, or cut short, and is stored as a worker.
+func TestHeartbeatWithoutNameAddressOrPoolIsRefused(t *testing.T) {
+	s := startLeader(t, &fakeWorkers{})
+	for name, beat := range map[string]*egretmuxv1.WorkerBeat{
+		"empty":                {},
+		"no name":              {Life: &egretmuxv1.WorkerLife{BornUnixMs: 1, Address: "w:1", Pool: "p"}},
+		"no address":           {Life: &egretmuxv1.WorkerLife{Worker: "w", BornUnixMs: 1, Pool: "p"}},
+		"no pool":              {Life: &egretmuxv1.WorkerLife{Worker: "w", BornUnixMs: 1, Address: "w:1"}},
+		"leaving without name": {Life: &egretmuxv1.WorkerLife{BornUnixMs: 1}, Leaving: true},
+	} {
+		err := s.HandleHeartbeat(t.Context(), beat)
+		require.Error(t, err, name)
+		require.Equal(t, refusal.Invalid, refusal.Of(err).Kind, name)
+	}
+	require.Zero(t, s.WorkerCount())
+	require.NoError(t, s.HandleHeartbeat(t.Context(), &egretmuxv1.WorkerBeat{Life: &egretmuxv1.WorkerLife{Worker: "w"}, Leaving: true}))
+}
