scheduler: a cancel of what is no job id is answered without a commit

Cause: a cancel of any text below a queue was committed to the log, though no job can have it as its id. Change: it is answered as not known once the leader is confirmed. Run: the test failed before (four entries more in the log); go test -race -cpu=1 -count=3 ./internal/scheduler -run CancelOfWhat passes.

--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -87,6 +87,12 @@
 		return &egretmuxv1.JobAnswer{NoQueue: true}, nil
 	}
 	id := a.id
+	if !job.ValidID(id) { // there can be no such job
+		if err := t.confirm(ctx); err != nil {
+			return nil, err
+		}
+		return &egretmuxv1.JobAnswer{}, nil
+	}
 	result, err := t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_Cancel{Cancel: &egretmuxv1.CancelJob{Job: id}}}, func(result job.Result) {
 		if !result.Known {
 			return
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -209,6 +209,21 @@
 	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_CANCELLED, phaseAfter(egretmuxv1.JobVerb_JOB_VERB_CANCEL))
 }
 
+// Load: clients cancel paths that can name no job. Each would cost the cell a write to its log.
+func TestCancelOfWhatIsNoJobIDIsNotCommitted(t *testing.T) {
+	s := startLeaderWith(t, catalogue(1, "one"))
+	before, _ := s.Node().Status()
+	for _, path := range []string{"/q/", "/q/short", "/q/00000000000000zz", "/q/00000000000000aa/x"} {
+		require.Equal(t, "unknown job", outcome(t.Context(), s, keyCall(cancelVerb, path, "")), path)
+	}
+	after, _ := s.Node().Status()
+	require.Equal(t, before.Commit, after.Commit)
+	stallReplica(t, s)
+	ctx, cancel := context.WithTimeout(t.Context(), callerPatience)
+	defer cancel()
+	require.Equal(t, string(refusal.NoLeader), outcome(ctx, s, keyCall(cancelVerb, "/q/short", "")))
+}
+
 // untilNotShed repeats a call that the leader sheds, as clients do: on a busy machine its
 // confirmations may take long enough for that. It gives up after ten seconds.
 func untilNotShed(call func() error) error {
