scheduler: jobs of a public queue stay open while a catalogue is put

Cause: whether a job is of the queue that was called was decided by comparing pointers to queues, which differ from catalogue to catalogue; a submit that was checked before a configuration and committed after it got a false 403. Change: host and prefix are compared. Run: the test failed before; go test -race -cpu=1 -count=1 ./internal/scheduler -run 'StaysOpen|Access|Key|Call' passes.

--- a/internal/scheduler/access.go
+++ b/internal/scheduler/access.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/job"
@@ -68,7 +69,12 @@
 			return
 		}
 		owns = !catalogue.NeedsCredential(a.queue) &&
-			(!catalogue.Message.GetCredentialsRequired() || catalogue.Queue(r.Job.GetHost(), r.Job.GetPrefix()) == a.queue)
+			(!catalogue.Message.GetCredentialsRequired() || isOfQueue(r.Job, a.queue))
 	})
 	return owns
 }
+
+// isOfQueue compares addresses: the queue may be of an earlier catalogue than the one in force.
+func isOfQueue(j *egretmuxv1.Job, q *egretmuxv1.Queue) bool {
+	return strings.EqualFold(j.GetHost(), q.GetHost()) && j.GetPrefix() == q.GetPrefix()
+}
