--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -8,6 +8,7 @@
 	"github.com/egretmux/egretmux/internal/dispatch"
 	"github.com/egretmux/egretmux/internal/job"
 	"github.com/egretmux/egretmux/internal/refusal"
+	"github.com/egretmux/egretmux/internal/telemetry"
 )
 
 // noCatalogue returns the refusal of calls before the first configuration. Its kind
@@ -35,13 +36,17 @@
 	if err := t.checkQuota(ctx, id, j, a.customer); err != nil {
 		return nil, err
 	}
-	if t.overloaded() && !t.isStored(id) && !t.isBeingStored(id) {
-		return nil, refusal.New(refusal.Shed, "retry later", "the leader is overloaded").WithRetryAfter(time.Second)
+	if t.overloaded() {
+		if refusable, err := t.isRefusable(ctx, id); err != nil {
+			return nil, err
+		} else if refusable {
+			return nil, refusal.New(refusal.Shed, "retry later", "the leader is overloaded").WithRetryAfter(time.Second)
+		}
 	}
 	j.Id, j.Host, j.Prefix = id, q.GetHost(), q.GetPrefix()
 	j.Attempts, j.Service, j.Customer = q.GetAttempts(), q.GetService(), a.customer.GetName()
 	j.AcceptedUnixMs = time.Now().UnixMilli()
-	if err := t.admit(j); err != nil {
+	if err := t.admit(ctx, j); err != nil {
 		return nil, err
 	}
 	steps, overRate := len(j.GetSteps()), j.GetOverRate()
@@ -66,8 +71,7 @@
 	return &egretmuxv1.JobAnswer{Found: true}, nil
 }
 
-// isStored reports whether the job is stored. A repeated submit is not shed under
-// load: its client may have got no definite answer to the first one.
+// isStored reports whether the job is stored.
 func (t *tenure) isStored(id string) bool {
 	known := false
 	t.book.View(id, func(r *job.Record) { known = r != nil })
@@ -83,6 +87,12 @@
 		return &egretmuxv1.JobAnswer{NoQueue: true}, nil
 	}
 	id := a.id
+	if !job.ValidID(id) { // there can be no such job
+		if err := t.confirm(ctx); err != nil {
+			return nil, err
+		}
+		return &egretmuxv1.JobAnswer{}, nil
+	}
 	result, err := t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_Cancel{Cancel: &egretmuxv1.CancelJob{Job: id}}}, func(result job.Result) {
 		if !result.Known {
 			return
@@ -167,6 +177,10 @@
 func (t *tenure) handleHeartbeat(ctx context.Context, b *egretmuxv1.WorkerBeat) error {
 	received := t.now()
 	life := b.GetLife()
+	if life.GetWorker() == "" || !b.GetLeaving() && (life.GetAddress() == "" || life.GetPool() == "") {
+		telemetry.CountRetry("heartbeat-incomplete")
+		return refusal.New(refusal.Invalid, "send the worker's name, address and pool", "the heartbeat is not complete")
+	}
 	target := targetOf(life)
 	if b.GetLeaving() {
 		return t.handleLeave(ctx, target)
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -209,6 +209,21 @@
 	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_CANCELLED, phaseAfter(egretmuxv1.JobVerb_JOB_VERB_CANCEL))
 }
 
+// Load: clients cancel paths that can name no job. Each would cost the cell a write to its log.
+func TestCancelOfWhatIsNoJobIDIsNotCommitted(t *testing.T) {
+	s := startLeaderWith(t, catalogue(1, "one"))
+	before, _ := s.Node().Status()
+	for _, path := range []string{"/q/", "/q/short", "/q/00000000000000zz", "/q/00000000000000aa/x"} {
+		require.Equal(t, "unknown job", outcome(t.Context(), s, keyCall(cancelVerb, path, "")), path)
+	}
+	after, _ := s.Node().Status()
+	require.Equal(t, before.Commit, after.Commit)
+	stallReplica(t, s)
+	ctx, cancel := context.WithTimeout(t.Context(), callerPatience)
+	defer cancel()
+	require.Equal(t, string(refusal.NoLeader), outcome(ctx, s, keyCall(cancelVerb, "/q/short", "")))
+}
+
 // untilNotShed repeats a call that the leader sheds, as clients do: on a busy machine its
 // confirmations may take long enough for that. It gives up after ten seconds.
 func untilNotShed(call func() error) error {
@@ -314,3 +329,21 @@
 	require.NoError(t, s.HandleHeartbeat(ctx, &egretmuxv1.WorkerBeat{Life: life, Sequence: 2}))
 	require.Never(t, func() bool { return s.WorkerCount() > 0 }, 200*time.Millisecond, 5*time.Millisecond)
 }
+
+// Guards against a message that arrives empty, or cut short, and is stored as a worker.
+func TestHeartbeatWithoutNameAddressOrPoolIsRefused(t *testing.T) {
+	s := startLeader(t, &fakeWorkers{})
+	for name, beat := range map[string]*egretmuxv1.WorkerBeat{
+		"empty":                {},
+		"no name":              {Life: &egretmuxv1.WorkerLife{BornUnixMs: 1, Address: "w:1", Pool: "p"}},
+		"no address":           {Life: &egretmuxv1.WorkerLife{Worker: "w", BornUnixMs: 1, Pool: "p"}},
+		"no pool":              {Life: &egretmuxv1.WorkerLife{Worker: "w", BornUnixMs: 1, Address: "w:1"}},
+		"leaving without name": {Life: &egretmuxv1.WorkerLife{BornUnixMs: 1}, Leaving: true},
+	} {
+		err := s.HandleHeartbeat(t.Context(), beat)
+		require.Error(t, err, name)
+		require.Equal(t, refusal.Invalid, refusal.Of(err).Kind, name)
+	}
+	require.Zero(t, s.WorkerCount())
+	require.NoError(t, s.HandleHeartbeat(t.Context(), &egretmuxv1.WorkerBeat{Life: &egretmuxv1.WorkerLife{Worker: "w"}, Leaving: true}))
+}
