dispatch: long-running tasks over rate are not held back

Cause: the mark of a job over rate took from its long-running tasks the exemption from leaving room to others, so a failed one could wait without end in a pool in which others always wait. Change: a long-running step is ordered and counted as one within rate.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -128,7 +128,7 @@
 		}
 		cpu := int64(s.waitingCount()) * s.demand.cpu
 		switch {
-		case !s.job.overRate():
+		case !s.comesAfterRate():
 			within += cpu
 		case s.job.customer == customer && s.latestStart <= until:
 			overRate += cpu
--- a/internal/dispatch/customer.go
+++ b/internal/dispatch/customer.go
@@ -60,6 +60,7 @@
 func (r *run) occupy() {
 	r.worker.free = r.worker.free.minus(r.demand)
 	if customer := r.task.step.job.customer; customer != nil {
+		r.overRate = r.task.step.comesAfterRate()
 		customer.inUse = customer.inUse.plus(r.task.step.usage)
 		if r.overRate {
 			customer.inUseOverRate = customer.inUseOverRate.plus(r.task.step.usage)
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -157,3 +157,22 @@
 	require.Len(t, h.asks, 2)
 	require.Equal(t, id(3), h.asks[1].Step.Job)
 }
+
+// Load: a task that is to run all the time fails over rate while others wait for more room than
+// came free. It is due whenever it does not run, so it does not leave them its core.
+func TestLongRunningTaskOverRateIsRestartedBesideWaitingSteps(t *testing.T) {
+	h := newMixedHarness(t, "a", "b")
+	h.putCustomers(customer("x", 1, 0.001), customer("y", 1, 0))
+	service := tasks(1, 1)
+	service.LongRunning = true
+	h.submitAs("x", true, "/later/", id(1), service)
+	h.plan()
+	lasting := h.acceptAll()
+	require.Len(t, lasting, 1)
+	h.submitAs("y", false, "/later/", id(2), tasks(7, 1))
+	h.plan()
+	require.Len(t, h.acceptAll(), 7)
+	h.submitAs("y", false, "/later/", id(3), tasks(2, 4))
+	h.endOne(lasting[0])
+	require.Equal(t, []string{id(1)}, h.startedJobs())
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -121,7 +121,7 @@
 			c.setLatestStart(s, now)
 		}
 		q := c.queue(s.job)
-		s.overRate, s.beyondShare = s.job.overRate(), false
+		s.overRate, s.beyondShare = s.comesAfterRate(), false
 		s.urgent = q.GetPriority() == 0 && !s.overRate
 		s.lateness = latenessOf(s, now)
 		s.slownessLimit = s.largestSlowness(now)
--- a/internal/dispatch/rate.go
+++ b/internal/dispatch/rate.go
@@ -66,6 +66,10 @@
 // submitted beyond the rate of its customer.
 func (j *job) overRate() bool { return j.spec.GetOverRate() && !j.promoted }
 
+// comesAfterRate reports whether a step comes after those within rate. Long-running tasks are
+// due whenever they do not run, so that a mark does not hold them back.
+func (s *step) comesAfterRate() bool { return s.job.overRate() && !s.spec.GetLongRunning() }
+
 // promoteJobs counts the oldest of a customer's waiting jobs over rate as within it, one for
 // each token that the customer has left unused, and all of a customer without a rate. A job
 // may be listed once for each of its steps.
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -70,7 +70,7 @@
 	runsOn    map[*worker]int // number of runs by worker
 	deferred  bool            // whether it has left room to gangs
 	urgent    bool            // whether its queue has priority 0, the highest, and it is within its customer's rate
-	overRate  bool            // whether its job is over its customer's rate
+	overRate  bool            // whether it comes after the steps within rate
 	// beyondShare is set if it can wait, its pool is full and its customer holds more than its part.
 	beyondShare bool
 	claim       int        // tasks for which it claims its customer's quota in a plan
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -194,6 +194,6 @@
 	tailLatencyMs        float64 // last listed tail latency of a serving task
 	confirmedPace        int     // percent of full speed that the worker last confirmed
 	paceInFlight         bool    // a pace order is being sent
-	overRate             bool    // whether its job was over its customer's rate when it was added
+	overRate             bool    // whether its step came after those within rate when it was added
 	progress             progress
 }
