dispatch: work that cannot start keeps no room from work over rate

Cause: tasks that fit no worker or that a quota holds counted as waiting within rate: in the admission without a limit, in a plan up to half of the pool, and for whether a pool is full. One such job of another customer had submits over rate refused beside idle workers. Change: they do not count; a step looks for a suitable worker once a second at most. The admission caps what is waited for at the part of the pool that a plan leaves to it. Cells without customers plan as before.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -109,29 +109,30 @@
 // rate get until then.
 func (c *Core) backlogTooLong(customer *customer, spec *egretmuxv1.Job, now time.Duration) bool {
 	slack := c.slackOf(spec)
-	backlog, wanted := c.backlogs(customer, spec.GetService(), now+slack)
+	backlog, wanted := c.backlogs(customer, spec.GetService(), now, slack)
 	if backlog == 0 {
 		return false
 	}
+	wanted = min(wanted, int64(maxClaimedShare*float64(c.poolCPU(spec.GetService(), now))))
 	room := max(0, c.usableRoom(spec, now)-wanted)
 	comingFree := customer.averages.overRateCPU * slack.Seconds()
 	return float64(backlog+firstTasksCPU(spec)) > float64(room)+comingFree
 }
 
 // backlogs returns the cpu that a customer's jobs over rate wait for in a pool, as far as they
-// have to start by the given time or are late, and what the jobs within their rates wait for
-// there. Jobs that are being stored are included.
-func (c *Core) backlogs(customer *customer, pool string, until time.Duration) (overRate, within int64) {
+// have to start within the slack or are late, and what the jobs within their rates wait for
+// there and their quotas let start. Jobs that are being stored are included.
+func (c *Core) backlogs(customer *customer, pool string, now, slack time.Duration) (overRate, within int64) {
 	for s := range c.unplaced {
-		if c.steps[s.key] != s || c.queue(s.job).GetService() != pool {
+		if c.steps[s.key] != s || c.queue(s.job).GetService() != pool || !c.hasSuitableWorker(s, pool, now) {
 			continue
 		}
-		cpu := int64(s.waitingCount()) * s.demand.cpu
+		waiting := s.waitingCount()
 		switch {
 		case !s.comesAfterRate():
-			within += cpu
-		case s.job.customer == customer && s.latestStart <= until:
-			overRate += cpu
+			within += int64(waiting-s.heldTasks(waiting)) * s.demand.cpu
+		case s.job.customer == customer && s.latestStart <= now+slack:
+			overRate += int64(waiting) * s.demand.cpu
 		}
 	}
 	for _, a := range c.admitted {
--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -134,3 +134,47 @@
 	require.Positive(t, over.endedAfter)
 	require.Zero(t, l.usage("b").GetOverRateJobs())
 }
+
+// Load: one customer's job fits no worker, or is held by its quota. It does not make another
+// customer's submits over rate be refused beside an idle pool, nor keep room from them.
+func TestWorkThatCannotStartDoesNotHoldUpWorkOverRate(t *testing.T) {
+	tooLarge := func(l *load) { l.submitJob("a", newKind("lookup", 0, 0, 2, 50, 33000, time.Second)) }
+	held := func(l *load) { l.submitJob("held", newKind("lookup", 0, 0, 2, 50, 5000, time.Second)) }
+	for name, submit := range map[string]func(*load){"fits no worker": tooLarge, "held by the quota": held} {
+		t.Run(name, func(t *testing.T) {
+			limited := customer("held", 1, 0)
+			limited.Quota = &egretmuxv1.Resources{CpuMillis: 1000}
+			l := newLoad(t, 2, customer("a", 1, 0), customer("b", 1, 1), limited)
+			submit(l)
+			l.run(l.now + 2*loadStep)
+			for range 3 { // 45 of 64 cores, of which some are headroom
+				require.False(t, l.submitJob("b", lookup).refused)
+			}
+			l.plan()
+			require.Len(t, l.acceptStarts(), 9)
+			require.Zero(t, l.usage("a").GetInUse().GetCpuMillis()+l.usage("held").GetInUse().GetCpuMillis())
+			for _, n := range l.notices {
+				require.NotEqual(t, "pool_full", n.Event)
+			}
+		})
+	}
+}
+
+// Load: jobs within rate wait for many times the pool's cpu, for whole workers, and none is
+// idle. Submits over rate are accepted for the part of the pool that plans leave to their jobs.
+func TestWaitingWorkClaimsAPartOfThePoolFromSubmitsOverRate(t *testing.T) {
+	l := newLoad(t, 4, customer("a", 1, 0), customer("b", 1, 0.001))
+	spread := newKind("rebuild", 2, 0, 1, 4, 1000, time.Minute)
+	spread.step.MaxPerWorker = 1
+	l.submitJob("a", spread)
+	l.run(loadStep)
+	l.submitJob("a", newKind("rebuild", 2, 0, 1, 12, 32000, time.Minute))
+	l.run(2 * loadStep)
+	for range 4 { // the first within rate; the others need 45 cores, and 60 are left to them
+		require.False(t, l.submitJob("b", newKind("rebuild", 2, 0, 1, 1, 15000, time.Minute)).refused)
+	}
+	for range 8 {
+		l.submitJob("b", newKind("rebuild", 2, 0, 1, 1, 15000, time.Minute))
+	}
+	require.True(t, l.submits[len(l.submits)-1].refused)
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -55,7 +55,7 @@
 		pool := c.queue(s.job).GetService()
 		if s.spec.GetGang() {
 			if !c.planGang(p, s, waiting) {
-				p.unclaimed.leave(pool, s, len(waiting))
+				p.unclaimed.leave(pool, s, len(waiting)-s.heldTasks(len(waiting)))
 			}
 			continue
 		}
@@ -172,7 +172,13 @@
 // canRunOn reports whether the worker could run tasks of the step, regardless of
 // its free resources and of tickets.
 func (s *step) canRunOn(w *worker, pool string, now time.Duration) bool {
-	if w.life.GetPool() != pool || !w.acceptsRuns(now) || !w.capacity.covers(s.demand) {
+	return w.life.GetPool() == pool && w.acceptsRuns(now) && s.suits(w)
+}
+
+// suits reports whether a worker of the step's pool has the capacity and the label that a
+// task needs.
+func (s *step) suits(w *worker) bool {
+	if !w.capacity.covers(s.demand) {
 		return false
 	}
 	label := s.spec.GetRequiredLabel()
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -72,10 +72,12 @@
 	urgent    bool            // whether its queue has priority 0, the highest, and it is within its customer's rate
 	overRate  bool            // whether it comes after the steps within rate
 	// beyondShare is set if it can wait, its pool is full and its customer holds more than its part.
-	beyondShare bool
-	claim       int        // tasks for which it claims its customer's quota in a plan
-	quotaHold   *quotaHold // set while its customer's quota holds tasks back
-	siblings    siblings
+	beyondShare   bool
+	suitable      bool          // whether a worker of its pool could run its tasks
+	suitableUntil time.Duration // when suitable has to be found anew
+	claim         int           // tasks for which it claims its customer's quota in a plan
+	quotaHold     *quotaHold    // set while its customer's quota holds tasks back
+	siblings      siblings
 }
 
 func (t *task) waits() bool { return !t.done && len(t.runs) == 0 }
