dispatch: a steady customer's unused rate takes in its jobs over rate

Cause: each token that was taken cleared the surplus, so a customer that sends steadily below its rate never had its earlier jobs over rate counted as within. Change: only a job that finds no token clears the surplus. The bucket's test says so: it takes tokens until one is missing before it expects no surplus.

--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -178,3 +178,18 @@
 	}
 	require.True(t, l.submits[len(l.submits)-1].refused)
 }
+
+// Load: a customer sends a burst and then steadily a little less than its rate, in a pool that
+// others keep full.
+func TestRateThatASteadyCustomerLeavesUnusedServesJobsThatWereOverIt(t *testing.T) {
+	l := newFullLoad(t)
+	l.sources = []*source{{customer: "a", kind: rebuild, perSecond: steady(4)}} // far more than fits
+	for range 3 {
+		l.submitJob("b", lookup)
+	}
+	over := l.submits[len(l.submits)-1]
+	require.True(t, over.overRate)
+	l.sources = append(l.sources, &source{customer: "b", kind: lookup, perSecond: steady(1.8)})
+	l.run(25 * time.Second)
+	require.Positive(t, over.endedAfter)
+}
--- a/internal/dispatch/rate.go
+++ b/internal/dispatch/rate.go
@@ -36,14 +36,14 @@
 	b.surplus = min(depth, b.surplus+tokens-b.tokens)
 }
 
-// take takes a token if there is one.
+// take takes a token if there is one. A customer that misses one has left nothing unused.
 func (b *tokenBucket) take(rate float64, now time.Duration) bool {
 	b.refill(rate, now)
 	if b.tokens < 1 {
+		b.surplus = 0
 		return false
 	}
 	b.tokens--
-	b.surplus = 0
 	return true
 }
 
--- a/internal/dispatch/rate_test.go
+++ b/internal/dispatch/rate_test.go
@@ -45,8 +45,8 @@
 	require.True(t, b.take(rate, 4*time.Second))
 }
 
-// Load: a customer pauses after a burst. What it leaves unused is a surplus of at most one
-// second's worth, and is gone once it submits again.
+// Load: a customer pauses after a burst. What it leaves unused is a surplus of at most the
+// window's worth, and is gone once it submits beyond its rate again.
 func TestTokenBucketKeepsTheUnusedTokensAsSurplus(t *testing.T) {
 	const rate = 2
 	b := newTokenBucket(rate, time.Second, 0)
@@ -55,6 +55,9 @@
 	require.True(t, b.takeSurplus())
 	require.False(t, b.takeSurplus())
 	b.refill(rate, 11*time.Second)
-	require.True(t, b.take(rate, 11*time.Second))
+	for range rate {
+		require.True(t, b.take(rate, 11*time.Second))
+	}
+	require.False(t, b.take(rate, 11*time.Second))
 	require.False(t, b.takeSurplus())
 }
