dispatch: the time to return is bounded at small rates too

Cause: the time until a customer's next token was converted without a bound: 100 s at 0.01 jobs a second, and an overflow at 1e-12. Change: times are computed in seconds and cut at maxRetryAfter first. Run: the test of the bound fails without the change; go test -cpu=1 -run 'TestRefusedCallers|TestToken' ./internal/dispatch passes.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -183,6 +183,6 @@
 		c.nextReturn = first
 	}
 	after := c.nextReturn - now
-	c.nextReturn += time.Duration(float64(time.Second) / rate)
+	c.nextReturn += retryTime(1 / rate)
 	return after
 }
--- a/internal/dispatch/rate.go
+++ b/internal/dispatch/rate.go
@@ -56,10 +56,16 @@
 	return true
 }
 
-// untilToken returns the time until the next token.
+// untilToken returns the time until the next token, at most maxRetryAfter.
 func (b *tokenBucket) untilToken(rate float64, now time.Duration) time.Duration {
 	b.refill(rate, now)
-	return time.Duration(math.Ceil(max(0, 1-b.tokens) / rate * float64(time.Second)))
+	return retryTime(max(0, 1-b.tokens) / rate)
+}
+
+// retryTime converts seconds, which may be more than a duration holds, to a time of at most
+// maxRetryAfter.
+func retryTime(seconds float64) time.Duration {
+	return time.Duration(math.Ceil(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second)))
 }
 
 // overRate reports whether steps of other jobs come before those of this one, as it was
--- a/internal/dispatch/rate_test.go
+++ b/internal/dispatch/rate_test.go
@@ -1,10 +1,13 @@
 package dispatch
 
 import (
+	"math"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 )
 
 // Load: a customer submits many jobs at once, and then at exactly its rate.
@@ -61,3 +64,27 @@
 	require.False(t, b.take(rate, 11*time.Second))
 	require.False(t, b.takeSurplus())
 }
+
+// Load: refused callers of customers whose rates are as good as none. Each is told a time
+// within the bound.
+func TestRefusedCallersAreToldToReturnWithinTheBound(t *testing.T) {
+	for _, rate := range []float64{0.01, 1e-12, math.SmallestNonzeroFloat64} {
+		c := &customer{limits: &egretmuxv1.Customer{JobsPerSecond: rate}, rateWindow: time.Second}
+		require.True(t, c.withinRate(0))
+		for now := time.Duration(0); now < time.Minute; now += time.Second {
+			after := c.retryAfter(now)
+			require.Positive(t, after, "rate %v", rate)
+			require.LessOrEqual(t, after, maxRetryAfter, "rate %v", rate)
+		}
+	}
+}
+
+// Load: a customer with a job in ten seconds has three callers refused. They return apart as
+// far as the bound allows.
+func TestRefusedCallersOfASmallRateReturnApart(t *testing.T) {
+	c := &customer{limits: &egretmuxv1.Customer{JobsPerSecond: 0.1}, rateWindow: time.Second}
+	require.True(t, c.withinRate(0))
+	for _, after := range []time.Duration{10 * time.Second, 20 * time.Second, 30 * time.Second, 10 * time.Second} {
+		require.Equal(t, after, c.retryAfter(0))
+	}
+}
