dispatch: small weights beside large ones keep their part

Cause: the level subtracted weights one by one, which loses 1e-9 beside 1e9: the sum left was zero or negative, and the level no number. Change: sums run from the end of the sorted list. Weights are relative to the largest one and bounded below, so that no quotient overflows.

--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -11,7 +11,8 @@
 const (
 	shareTimeConstant   = 3 * time.Second // time constant of the averages of a customer; bursts last longer, tasks less
 	shareSampleInterval = 200 * time.Millisecond
-	minRoomInDemand     = 0.5 // of the room of all workers; less is in use only for a moment
+	minRelativeWeight   = 1e-100 // of customers with a weight, so that quotients by weights are finite
+	minRoomInDemand     = 0.5    // of the room of all workers; less is in use only for a moment
 )
 
 // usageAverages are exponential moving averages over the last seconds.
@@ -34,28 +35,54 @@
 	total := c.capacity
 	waiting, overRate := c.waitingByCustomer()
 	weight := 1 - math.Exp(-elapsed.Seconds()/shareTimeConstant.Seconds())
-	demands := make([]shareDemand, 0, len(c.customers))
 	customers := c.sortedCustomers()
-	for _, customer := range customers {
+	demands := make([]float64, len(customers))
+	for n, customer := range customers {
 		avg := &customer.averages
 		avg.dominantShare += weight * (customer.inUse.dominantShare(total) - avg.dominantShare)
 		avg.withinRate += weight * (customer.inUse.minus(customer.inUseOverRate).dominantShare(total) - avg.withinRate)
 		avg.overRateCPU += weight * (float64(customer.overRateStarted)/elapsed.Seconds() - avg.overRateCPU)
 		customer.overRateStarted = 0
-		if w := customer.limits.GetWeight(); w > 0 {
-			demands = append(demands, shareDemand{customer.inUse.plus(waiting[customer]).dominantShare(total), w})
+		demands[n] = customer.inUse.plus(waiting[customer]).dominantShare(total)
+	}
+	divideRoom(customers, demands, c.roomInDemand(customers, now))
+	for _, customer := range customers {
+		c.promoteJobs(customer, overRate[customer], now)
+	}
+}
+
+// divideRoom sets the part of each customer by its weight and what each of them uses or waits
+// for.
+func divideRoom(customers []*customer, demands []float64, room float64) {
+	largest := 0.0
+	for _, customer := range customers {
+		largest = max(largest, customer.limits.GetWeight())
+	}
+	weighted := make([]shareDemand, 0, len(customers))
+	for n, customer := range customers {
+		if w := customer.relativeWeight(largest); w > 0 {
+			weighted = append(weighted, shareDemand{demands[n], w})
 		}
 	}
-	level := fairLevel(demands, c.roomInDemand(customers, now))
+	level := fairLevel(weighted, room)
 	for _, customer := range customers {
 		customer.part = math.Inf(1)
 		if level < math.Inf(1) {
-			customer.part = level * customer.limits.GetWeight()
+			customer.part = level * customer.relativeWeight(largest)
 		}
-		c.promoteJobs(customer, overRate[customer], now)
 	}
 }
 
+// relativeWeight returns a customer's weight as a fraction of the largest one: zero, or at
+// least minRelativeWeight.
+func (c *customer) relativeWeight(largest float64) float64 {
+	weight := c.limits.GetWeight()
+	if weight <= 0 {
+		return 0
+	}
+	return max(minRelativeWeight, weight/largest)
+}
+
 // shareDemand is the part of the room that a customer uses or waits for, and its weight.
 type shareDemand struct{ share, weight float64 }
 
@@ -78,16 +105,15 @@
 // level times its weight, or its demand if that is less. It is infinite if all demands fit.
 func fairLevel(demands []shareDemand, room float64) float64 {
 	slices.SortStableFunc(demands, func(a, b shareDemand) int { return cmp.Compare(a.share/a.weight, b.share/b.weight) })
-	weights := 0.0
-	for _, d := range demands {
-		weights += d.weight
+	weights := make([]float64, len(demands)+1) // of each demand and all after it: differences would lose small weights
+	for n := len(demands) - 1; n >= 0; n-- {
+		weights[n] = weights[n+1] + demands[n].weight
 	}
-	for _, d := range demands {
-		if d.share/d.weight > room/weights {
-			return room / weights
+	for n, d := range demands {
+		if level := room / weights[n]; d.share/d.weight > level {
+			return level
 		}
-		room -= d.share
-		weights -= d.weight
+		room = max(0, room-d.share)
 	}
 	return math.Inf(1)
 }
