dispatch: a copy takes nothing from its step's claim of the quota

Cause: each start lowered the claim of its step by one, also that of a copy, whose task does not wait. Change: only the first run of a task does. Run: the new test fails without the change; go test -cpu=1 -run 'TestCopyTakes|Quota|Cop' ./internal/dispatch passes.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -359,7 +359,9 @@
 	if s.overRate {
 		s.job.customer.overRateStarted += s.demand.cpu
 	}
-	s.claimQuota(max(0, s.claim-1))
+	if len(t.runs) == 1 { // a copy's task did not wait
+		s.claimQuota(max(0, s.claim-1))
+	}
 	checkpoint := ""
 	c.cfg.Book.View(s.key.Job, func(rec *jobs.Record) {
 		if rec != nil && !rec.Ended() {
