--- a/internal/dispatch/rate.go
+++ b/internal/dispatch/rate.go
@@ -36,14 +36,14 @@
 	b.surplus = min(depth, b.surplus+tokens-b.tokens)
 }
 
-// take takes a token if there is one.
+// take takes a token if there is one. A customer that misses one has left nothing unused.
 func (b *tokenBucket) take(rate float64, now time.Duration) bool {
 	b.refill(rate, now)
 	if b.tokens < 1 {
+		b.surplus = 0
 		return false
 	}
 	b.tokens--
-	b.surplus = 0
 	return true
 }
 
@@ -56,16 +56,26 @@
 	return true
 }
 
-// untilToken returns the time until the next token.
+// untilToken returns the time until the next token, at most maxRetryAfter.
 func (b *tokenBucket) untilToken(rate float64, now time.Duration) time.Duration {
 	b.refill(rate, now)
-	return time.Duration(math.Ceil(max(0, 1-b.tokens) / rate * float64(time.Second)))
+	return retryTime(max(0, 1-b.tokens) / rate)
+}
+
+// retryTime converts seconds, which may be more than a duration holds, to a time of at most
+// maxRetryAfter.
+func retryTime(seconds float64) time.Duration {
+	return time.Duration(math.Ceil(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second)))
 }
 
 // overRate reports whether steps of other jobs come before those of this one, as it was
 // submitted beyond the rate of its customer.
 func (j *job) overRate() bool { return j.spec.GetOverRate() && !j.promoted }
 
+// comesAfterRate reports whether a step comes after those within rate. Long-running tasks are
+// due whenever they do not run, so that a mark does not hold them back.
+func (s *step) comesAfterRate() bool { return s.job.overRate() && !s.spec.GetLongRunning() }
+
 // promoteJobs counts the oldest of a customer's waiting jobs over rate as within it, one for
 // each token that the customer has left unused, and all of a customer without a rate. A job
 // may be listed once for each of its steps.
