dispatch: submits over rate are refused in a pool without workers again

TestSubmitOverRateIsRefusedWhileEarlierOnesWait (scheduler) found it. Change: only what others wait for within rate leaves them out.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -121,16 +121,18 @@
 
 // backlogs returns the cpu that a customer's jobs over rate wait for in a pool, as far as they
 // have to start within the slack or are late, and what the jobs within their rates wait for
-// there and their quotas let start. Jobs that are being stored are included.
+// there, as far as they could start if there were room. Jobs that are being stored are included.
 func (c *Core) backlogs(customer *customer, pool string, now, slack time.Duration) (overRate, within int64) {
 	for s := range c.unplaced {
-		if c.steps[s.key] != s || c.queue(s.job).GetService() != pool || !c.hasSuitableWorker(s, pool, now) {
+		if c.steps[s.key] != s || c.queue(s.job).GetService() != pool {
 			continue
 		}
 		waiting := s.waitingCount()
 		switch {
 		case !s.comesAfterRate():
-			within += int64(waiting-s.heldTasks(waiting)) * s.demand.cpu
+			if c.hasSuitableWorker(s, pool, now) {
+				within += int64(waiting-s.heldTasks(waiting)) * s.demand.cpu
+			}
 		case s.job.customer == customer && s.latestStart <= now+slack:
 			overRate += int64(waiting) * s.demand.cpu
 		}
