dispatch: admissions share the sums over the waiting steps

Cause: each submit over rate went through all waiting steps, some hundreds to thousands, under the lock of the core. Change: the sums are kept for 100 ms, and taken anew once a job over rate is stored.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -123,18 +123,11 @@
 // have to start within the slack or are late, and what the jobs within their rates wait for
 // there, as far as they could start if there were room. Jobs that are being stored are included.
 func (c *Core) backlogs(customer *customer, pool string, now, slack time.Duration) (overRate, within int64) {
-	for s := range c.unplaced {
-		if c.steps[s.key] != s || c.queue(s.job).GetService() != pool {
-			continue
-		}
-		waiting := s.waitingCount()
-		switch {
-		case !s.comesAfterRate():
-			if c.hasSuitableWorker(s, pool, now) {
-				within += int64(waiting-s.heldTasks(waiting)) * s.demand.cpu
-			}
-		case s.job.customer == customer && s.latestStart <= now+slack:
-			overRate += int64(waiting) * s.demand.cpu
+	b := c.currentBacklog(now)
+	within = b.within[pool]
+	for _, w := range b.overRate[customer] {
+		if w.pool == pool && w.latestStart <= now+slack {
+			overRate += w.cpu
 		}
 	}
 	for _, a := range c.admitted {
@@ -149,6 +142,47 @@
 	return overRate, within
 }
 
+// backlogMaxAge is the time for which admissions use the same sums over all waiting steps. A
+// customer far over its rate submits hundreds of jobs a second while thousands wait.
+const backlogMaxAge = 100 * time.Millisecond
+
+// backlog sums up what the open steps wait for.
+type backlog struct {
+	at       time.Duration
+	within   map[string]int64 // by pool: cpu of steps within rate
+	overRate map[*customer][]waitingStep
+}
+
+// waitingStep is a step over rate with tasks that wait.
+type waitingStep struct {
+	pool        string
+	latestStart time.Duration
+	cpu         int64 // of the waiting tasks
+}
+
+// currentBacklog returns sums that are at most backlogMaxAge old and include all jobs over rate
+// that are stored.
+func (c *Core) currentBacklog(now time.Duration) *backlog {
+	if c.backlog != nil && now-c.backlog.at < backlogMaxAge {
+		return c.backlog
+	}
+	b := &backlog{at: now, within: make(map[string]int64), overRate: make(map[*customer][]waitingStep)}
+	for s := range c.unplaced {
+		if c.steps[s.key] != s {
+			continue
+		}
+		pool, waiting := c.queue(s.job).GetService(), s.waitingCount()
+		switch {
+		case s.comesAfterRate():
+			b.overRate[s.job.customer] = append(b.overRate[s.job.customer], waitingStep{pool, s.latestStart, int64(waiting) * s.demand.cpu})
+		case c.hasSuitableWorker(s, pool, now):
+			b.within[pool] += int64(waiting-s.heldTasks(waiting)) * s.demand.cpu
+		}
+	}
+	c.backlog = b
+	return b
+}
+
 // usableRoom returns the free cpu, headroom left out, of the workers that can take a task of
 // the job now.
 func (c *Core) usableRoom(spec *egretmuxv1.Job, now time.Duration) int64 {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -48,6 +48,7 @@
 	periodic           []*job             // jobs with occurrences that are not due yet
 	workers            map[string]*worker
 	customers          map[string]*customer
+	backlog            *backlog      // nil until admissions need it
 	customersVersion   uint64        // version of the catalogue from which customers have their limits
 	inheritedLeasesEnd time.Duration // when all leases from earlier leaders have expired
 	confirmedAt        time.Duration // when a quorum last confirmed this leader
@@ -157,6 +158,9 @@
 	age := max(0, c.cfg.UnixMs(now)-spec.GetAcceptedUnixMs())
 	j := &job{id: id, spec: spec, steps: make(map[StepKey]*step), acceptedAt: now - time.Duration(age)*time.Millisecond, customer: c.customerOf(spec)}
 	c.jobs[id] = j
+	if spec.GetOverRate() {
+		c.backlog = nil
+	}
 	if spec.GetRepeats() > 0 {
 		c.periodic = append(c.periodic, j)
 		c.openDueOccurrences(j, now)
