dispatch: a new leader knows the runs beside a task's latest one

Cause: after a change of leader a task of a speculative step was adopted with its latest run only. If the run before it failed, the end was acknowledged and not counted; and once the latest run had failed, a third run started although the end of the first was unknown.

Change: the log keeps superseded runs of speculative steps for all jobs, not only for those of customers (at most four a task, dropped when the job ends without a customer). A new leader adopts those of open tasks as uncertain. A failure of a superseded run that the leader does not know counts if the log still lacks its end, so it counts once.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -188,14 +188,15 @@
 // openReadySteps opens the steps of an occurrence whose predecessors are done.
 func (c *Core) openReadySteps(j *job, occurrence uint32, due, now time.Duration) {
 	for _, s := range c.readySteps(j, occurrence) {
-		c.openStep(j, s.key, s.tasks, due, now)
+		c.openStep(j, s, due, now)
 	}
 }
 
 // readyStep is a step that is ready to be opened, with the stored progress of its tasks.
 type readyStep struct {
-	key   StepKey
-	tasks []jobs.TaskState
+	key        StepKey
+	tasks      []jobs.TaskState
+	superseded []*egretmuxv1.LeftoverRun // of all tasks
 }
 
 // readySteps returns the steps of an occurrence that are not open yet and whose
@@ -212,27 +213,39 @@
 				continue
 			}
 			if !slices.ContainsFunc(spec.GetAfter(), func(predecessor uint32) bool { return !r.StepDone(occurrence, predecessor) }) {
-				ready = append(ready, readyStep{key, r.Tasks(occurrence, uint32(i))})
+				open := readyStep{key: key, tasks: r.Tasks(occurrence, uint32(i))}
+				if spec.GetSpeculative() {
+					open.superseded = r.SupersededRuns(occurrence, uint32(i))
+				}
+				ready = append(ready, open)
 			}
 		}
 	})
 	return ready
 }
 
-func (c *Core) openStep(j *job, key StepKey, tasks []jobs.TaskState, due, now time.Duration) {
+func (c *Core) openStep(j *job, ready readyStep, due, now time.Duration) {
+	key := ready.key
 	spec := j.spec.GetSteps()[key.Step]
 	s := &step{
 		key: key, job: j, spec: spec, demand: demandOf(spec), usage: usageOf(spec), dueAt: due, openedAt: now, runsOn: make(map[*worker]int),
 		advice: newAdvice(),
 	}
-	for i, state := range tasks {
+	for i, state := range ready.tasks {
 		t := &task{step: s, index: uint32(i), done: state.Done, highestRun: max(state.LastEndedRun, state.LastStartedRun), crashes: state.Crashes, startupCrashes: state.StartupCrashes}
 		j.started = j.started || state.LastEndedRun > 0
 		if !t.done {
 			s.tasksLeft++
 		}
 		s.tasks = append(s.tasks, t)
-		c.adoptStoredRun(t, state, now)
+		if state.Outstanding() {
+			c.adoptStoredRun(t, state.LastStartedRun, Target{Worker: state.Worker, Born: state.Born}, now)
+		}
+	}
+	for _, l := range ready.superseded {
+		if t := s.tasks[l.GetIndex()]; !t.done {
+			c.adoptStoredRun(t, l.GetRun(), Target{Worker: l.GetWorker(), Born: l.GetBornUnixMs()}, now)
+		}
 	}
 	j.steps[key] = s
 	j.openTasks += len(s.tasks)
@@ -244,12 +257,12 @@
 // adoptStoredRun adds a run whose start an earlier leader stored. Any listing of its
 // worker that lacks it proves its absence, as a worker that has answered this leader
 // refuses the orders of earlier ones.
-func (c *Core) adoptStoredRun(t *task, state jobs.TaskState, now time.Duration) {
-	w := c.workers[state.Worker]
-	if !state.Outstanding() || w == nil || w.Born != state.Born {
+func (c *Core) adoptStoredRun(t *task, number uint64, on Target, now time.Duration) {
+	w := c.workers[on.Worker]
+	if w == nil || w.Born != on.Born {
 		return
 	}
-	r := c.addRun(t, w, state.LastStartedRun, uncertain, now)
+	r := c.addRun(t, w, number, uncertain, now)
 	r.absenceProvable, r.absenceProvableAfter = true, -1
 }
 
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -131,7 +131,7 @@
 
 // endCounts reports whether the end of a run that this leader did not know decides
 // about its task. While another run of the task may be present, that run decides,
-// unless the step is speculative.
+// unless the step is speculative. There each of the runs counts, once.
 func (c *Core) endCounts(e ListedEnd) bool {
 	s := c.steps[e.Task.StepKey]
 	if s == nil || int(e.Task.Index) >= len(s.tasks) {
@@ -141,9 +141,21 @@
 	if s.spec.GetSpeculative() && e.Outcome == egretmuxv1.RunOutcome_RUN_OUTCOME_DONE {
 		return !t.done // whether it is the run or its copy
 	}
+	if s.spec.GetSpeculative() && e.Run < t.highestRun {
+		return !t.done && c.endMissing(e)
+	}
 	return !t.done && e.Run >= t.highestRun && (len(t.runs) == 0 || s.spec.GetSpeculative())
 }
 
+// endMissing reports whether the log holds a superseded run without its end.
+func (c *Core) endMissing(e ListedEnd) (missing bool) {
+	c.cfg.Book.View(e.Task.Job, func(rec *jobs.Record) {
+		missing = rec != nil && !rec.Ended() && slices.ContainsFunc(rec.SupersededRuns(e.Task.Occurrence, e.Task.Step),
+			func(l *egretmuxv1.LeftoverRun) bool { return l.GetIndex() == e.Task.Index && l.GetRun() == e.Run })
+	})
+	return missing
+}
+
 // adoptListedRun adds a listed run that an earlier leader started, and stops it if it
 // is not wanted any more. It returns nil if the step of the run is not open.
 func (c *Core) adoptListedRun(w *worker, lr ListedRun, previousStops map[runKey]time.Duration, now time.Duration) *run {
--- a/internal/job/leftover.go
+++ b/internal/job/leftover.go
@@ -9,7 +9,8 @@
 
 // Leftover runs are those that may still be present on their workers although the progress of
 // their task does not show it: the job has ended, or a copy of the task was started after them.
-// A new leader counts them towards the quota of the customer. Jobs without a customer have none.
+// A new leader counts them towards the quota of the customer, and adopts those of open tasks.
+// Jobs without a customer have only the latter.
 
 // maxSuperseded bounds the runs of one task that are kept beside its latest one.
 const maxSuperseded = 4
@@ -51,7 +52,7 @@
 // keepSuperseded keeps the latest run of a task beside the next one, which is a copy. In steps
 // that are not speculative the run before a start is certainly over.
 func (r *Record) keepSuperseded(next taskRef, t TaskState) {
-	if r.Job.GetCustomer() == "" || t.LastStartedRun <= t.LastEndedRun || !r.Job.GetSteps()[next.GetStep()].GetSpeculative() {
+	if t.LastStartedRun <= t.LastEndedRun || !r.Job.GetSteps()[next.GetStep()].GetSpeculative() {
 		return
 	}
 	kept, oldest := 0, -1
@@ -68,6 +69,18 @@
 	r.leftovers = append(r.leftovers, r.leftover(next.GetOccurrence(), next.GetStep(), next.GetIndex(), t))
 }
 
+// SupersededRuns returns the runs of the tasks of a step that may have been started before the
+// latest one of their task and whose end is not stored. The caller must not modify them.
+func (r *Record) SupersededRuns(occurrence, step uint32) []*egretmuxv1.LeftoverRun {
+	var out []*egretmuxv1.LeftoverRun
+	for _, l := range r.leftovers {
+		if l.GetOccurrence() == occurrence && l.GetStep() == step {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
 // dropLeftover removes a run that has ended.
 func (r *Record) dropLeftover(ended runRef) {
 	r.leftovers = slices.DeleteFunc(r.leftovers, func(l *egretmuxv1.LeftoverRun) bool {
--- a/internal/job/leftover_test.go
+++ b/internal/job/leftover_test.go
@@ -173,3 +173,26 @@
 	apply(t, b, catalogue(5))
 	require.Nil(t, b.Catalogue().Customer("a"))
 }
+
+// Failure: the leader is lost while a task of a job without a customer has a copy.
+func TestSupersededRunsAreKeptWithoutACustomer(t *testing.T) {
+	b := job.NewBook()
+	apply(t, b, submit(&egretmuxv1.JobStep{Count: 1}, &egretmuxv1.JobStep{Count: 2, Speculative: true}))
+	superseded := func(step uint32) (runs []uint64) {
+		b.View(jobID, func(r *job.Record) {
+			for _, l := range r.SupersededRuns(0, step) {
+				runs = append(runs, l.GetRun())
+			}
+		})
+		return runs
+	}
+	for run := range uint64(7) {
+		apply(t, b, start(0, 0, run+1))
+		apply(t, b, start(1, 1, run+1))
+	}
+	b = restored(t, b)
+	require.Empty(t, superseded(0), "the run before a start is over")
+	require.Equal(t, []uint64{3, 4, 5, 6}, superseded(1))
+	apply(t, b, ends(end(1, 1, 5, egretmuxv1.RunOutcome_RUN_OUTCOME_FAILED)))
+	require.Equal(t, []uint64{3, 4, 6}, superseded(1))
+}
