dispatch: a gang claims its customer's quota beside its small steps

Cause: what came free of a customer's quota went to its single tasks one at a time, so a gang of the same customer never fitted, even first in the order; and a gang that the quota held lost its claim.

Change: the first gang of each customer in the order that no claim covers yet claims the quota for its tasks, unless it is expired or larger than the quota. A customer that uses less than half of its quota starts single tasks all the same.

--- a/internal/dispatch/quota.go
+++ b/internal/dispatch/quota.go
@@ -82,7 +82,8 @@
 }
 
 // renewClaims sums what the steps of each customer with a quota claim of it: its waiting urgent
-// tasks, and the gangs for which room is held until their tickets have come.
+// tasks, the gangs for which room is held until their tickets have come, and its first gang that
+// waits for the quota: single tasks would take what comes free, one at a time.
 func (c *Core) renewClaims(ordered []*step) {
 	if len(c.customers) == 0 {
 		return
@@ -90,11 +91,18 @@
 	for _, cu := range c.customers {
 		cu.claimed = resources{}
 	}
+	claimed := make(map[*customer]bool) // by a gang that waits for the quota
 	for _, s := range ordered {
 		s.claim = 0
-		if cu := s.job.customer; !cu.unlimited() {
-			s.claimQuota(s.claims())
+		cu := s.job.customer
+		if cu.unlimited() {
+			continue
+		}
+		n := s.claims()
+		if n == 0 && !claimed[cu] && s.waitingGang() {
+			n, claimed[cu] = s.tasksLeft, true
 		}
+		s.claimQuota(n)
 	}
 }
 
@@ -115,6 +123,12 @@
 	return n
 }
 
+// waitingGang reports whether a step is a gang without runs that may start within the quota and
+// is still worth something.
+func (s *step) waitingGang() bool {
+	return s.spec.GetGang() && len(s.runsOn) == 0 && s.lateness != expired && !s.largerThanQuota()
+}
+
 // claimQuota lets a step claim its customer's quota for n tasks in this plan.
 func (s *step) claimQuota(n int) {
 	if cu := s.job.customer; cu != nil {
@@ -174,7 +188,7 @@
 // frees what was held for the others.
 func (c *Core) holdStep(s *step, startable int, now time.Duration) {
 	s.release()
-	if !s.urgent {
+	if !s.urgent && !s.spec.GetGang() {
 		s.claimQuota(0)
 	}
 	reason := holdFull
--- a/internal/dispatch/quota_test.go
+++ b/internal/dispatch/quota_test.go
@@ -545,3 +545,74 @@
 	h.handleListing(copied.Target, nil, nil)
 	require.Zero(t, h.usage("a").GetInUse().GetCpuMillis())
 }
+
+// Load: a customer sends gangs into its steady backlog of small batch steps, which are as urgent.
+// Runs end one at a time.
+func TestGangStartsBesideSmallStepsOfItsCustomer(t *testing.T) {
+	for _, members := range []uint32{2, 4, 6} {
+		h := quotaHarness(t)
+		h.addWorker("w", 100)
+		for n := range 200 {
+			h.submitFor("a", "/batch/", id(100+n), tasks(1, 1))
+		}
+		h.plan()
+		require.Len(t, h.acceptAll(), 10)
+		first := gang(members, 1)
+		first.EstimateMs = 1 // its latest start is the earliest
+		h.submitFor("a", "/batch/", id(1), first)
+		started, ended := false, 0
+		for ; !started && ended < 20; ended++ {
+			h.endOne(h.present[0])
+			for _, s := range h.acceptAll() {
+				started = started || s.Task.Job == id(1)
+			}
+			require.GreaterOrEqual(t, len(h.present), int(10-members), "the rest goes to the small steps")
+		}
+		require.True(t, started, "a gang of %d", members)
+	}
+}
+
+// Load: as before, with a gang that no worker can run. Its customer goes on with small steps.
+func TestGangThatWaitsForAWorkerDoesNotHoldUpItsCustomer(t *testing.T) {
+	h := quotaHarness(t)
+	h.addWorker("w", 100)
+	nowhere := gang(10, 1)
+	nowhere.RequiredLabel, nowhere.EstimateMs = "none", 1
+	h.submitFor("a", "/batch/", id(1), nowhere)
+	for n := range 50 {
+		h.submitFor("a", "/batch/", id(100+n), tasks(1, 1))
+	}
+	for range 20 {
+		h.plan()
+		h.acceptAll()
+		if len(h.present) > 0 {
+			h.endOne(h.present[0])
+		}
+		h.acceptAll()
+		require.GreaterOrEqual(t, len(h.present), 4, "it uses almost half of its quota")
+	}
+}
+
+// Load: several gangs of one customer wait beside its small steps.
+func TestWaitingGangsOfACustomerStartOneAfterTheOther(t *testing.T) {
+	h := quotaHarness(t)
+	h.addWorker("w", 100)
+	h.submitFor("a", "/batch/", id(2), tasks(7, 1))
+	h.plan()
+	h.acceptAll()
+	h.submitFor("a", "/batch/", id(3), gang(4, 1))
+	h.submitFor("a", "/batch/", id(4), gang(4, 1))
+	for n := range 20 {
+		h.submitFor("a", "/batch/", id(100+n), tasks(1, 1))
+	}
+	h.plan()
+	h.acceptAll()
+	h.endOne(h.present[0])
+	require.Len(t, h.acceptAll(), 4, "the first gang")
+	for range 3 {
+		h.endOne(h.present[0])
+		require.Empty(t, h.starts, "the claim of the second gang")
+	}
+	h.endOne(h.present[0])
+	require.Len(t, h.acceptAll(), 4, "the second gang")
+}
