dispatch: tasks that a quota holds back are no demand for room

Cause: tasks that their customer's quota holds back counted as waiting: they kept headroom, prevented copies, took their customer's share from its other steps and that of others, and a held gang made its pool count as full.

Change: unheldCount, the waiting tasks less the held ones, is used there. The number of tasks that a hold lets start falls with each start.

--- a/internal/dispatch/copies.go
+++ b/internal/dispatch/copies.go
@@ -51,11 +51,12 @@
 	}
 }
 
-// poolsWithWaitingSteps returns the pools in which a task waits for room or for advice.
+// poolsWithWaitingSteps returns the pools in which a task waits for room or for advice, and not
+// for its customer's quota.
 func (c *Core) poolsWithWaitingSteps() map[string]bool {
 	out := make(map[string]bool)
 	for s := range c.unplaced {
-		if c.steps[s.key] == s && s.waits() {
+		if c.steps[s.key] == s && s.unheldCount() > 0 {
 			out[c.queue(s.job).GetService()] = true
 		}
 	}
--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -36,7 +36,7 @@
 	for _, s := range c.steps {
 		if c.queue(s.job).GetPriority() == 0 && !s.spec.GetLongRunning() && !s.job.overRate() {
 			used += int64(s.runCount()) * s.demand.cpu
-			waiting += int64(len(s.waitingTasks())) * s.demand.cpu
+			waiting += int64(s.unheldCount()) * s.demand.cpu
 		}
 	}
 	weight := 1 - math.Exp(-elapsed.Seconds()/urgentTimeConstant.Seconds())
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -88,7 +88,7 @@
 	if *left <= 0 {
 		return false
 	}
-	*left -= s.usage.times(s.waitingCount()).dominantShare(c.capacity)
+	*left -= s.usage.times(s.unheldCount()).dominantShare(c.capacity)
 	return true
 }
 
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -55,7 +55,7 @@
 		pool := c.queue(s.job).GetService()
 		if s.spec.GetGang() {
 			if !c.planGang(p, s, waiting) {
-				p.unclaimed.leave(pool, s, len(waiting))
+				p.unclaimed.leave(pool, s, s.unheldCount())
 			}
 			continue
 		}
@@ -354,6 +354,9 @@
 		s.job.customer.overRateStarted += s.demand.cpu
 	}
 	s.claimQuota(max(0, s.claim-1))
+	if s.quotaHold != nil {
+		s.quotaHold.startable = max(0, s.quotaHold.startable-1)
+	}
 	checkpoint := ""
 	c.cfg.Book.View(s.key.Job, func(rec *jobs.Record) {
 		if rec != nil && !rec.Ended() {
--- a/internal/dispatch/quota.go
+++ b/internal/dispatch/quota.go
@@ -229,6 +229,13 @@
 	s.quotaHold = nil
 }
 
+// unheldCount returns the number of tasks without a run that the quota does not hold back. Only
+// these are demand for room.
+func (s *step) unheldCount() int {
+	n := s.waitingCount()
+	return n - s.heldTasks(n)
+}
+
 // heldTasks returns how many of the waiting tasks of a step the quota holds back.
 func (s *step) heldTasks(waiting int) int {
 	if s.quotaHold == nil {
--- a/internal/dispatch/quota_test.go
+++ b/internal/dispatch/quota_test.go
@@ -616,3 +616,42 @@
 	h.endOne(h.present[0])
 	require.Len(t, h.acceptAll(), 4, "the second gang")
 }
+
+// Load: urgent tasks that their customer's quota holds back, beside batch work of another one.
+func TestHeldTasksKeepNoHeadroom(t *testing.T) {
+	h := quotaHarness(t)
+	h.putQuotas(map[string]int64{"a": 10, "b": 0})
+	for n := range 10 {
+		h.addWorker(fmt.Sprintf("w%d", n), 10)
+	}
+	h.submitFor("a", "/q/", id(1), tasks(60, 1))
+	h.plan()
+	require.Len(t, h.acceptStarts(), 10)
+	h.advance(300 * time.Millisecond)
+	h.submitFor("b", "/batch/", id(2), tasks(90, 1))
+	require.GreaterOrEqual(t, len(h.newStarts()), 85, "one worker keeps headroom for what urgent steps use")
+}
+
+// Load: a worker turns slow under a speculative step while a quota holds tasks of a customer back.
+func TestHeldTasksPreventNoCopies(t *testing.T) {
+	c, slow, job := newCellWithASlowWorker(t, true)
+	runs := len(slow.runs)
+	c.putQuotas(map[string]int64{"a": 1})
+	for range 5 {
+		c.work[dispatch.StepKey{Job: id(901)}] = append(c.work[dispatch.StepKey{Job: id(901)}], 20*time.Second)
+	}
+	c.submitFor("a", "/batch/", id(901), tasks(5, 1))
+	c.play(4500*time.Millisecond, nil)
+	require.Equal(t, runs, countNotices(c.harness, "run_copied", job))
+}
+
+// Load: two gangs of a customer. The second fits the quota until the same plan starts the first.
+func TestHeldGangFillsNoPool(t *testing.T) {
+	h := quotaHarness(t)
+	h.addWorker("w", 10)
+	h.submitFor("a", "/batch/", id(1), gang(6, 1))
+	h.submitFor("a", "/batch/", id(2), gang(6, 1))
+	require.Len(t, h.newStarts(), 6)
+	require.Equal(t, 1, h.noticed("step_held", "quota"))
+	require.Zero(t, h.noticed("pool_full", ""))
+}
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -118,7 +118,8 @@
 	return total
 }
 
-// waitingByCustomer returns what the waiting tasks of each customer need, and the jobs over
+// waitingByCustomer returns what the waiting tasks of each customer need, less those that
+// its quota holds back, and the jobs over
 // rate of its waiting steps.
 func (c *Core) waitingByCustomer() (needs map[*customer]resources, overRate map[*customer][]*job) {
 	needs, overRate = make(map[*customer]resources), make(map[*customer][]*job)
@@ -127,11 +128,10 @@
 		if customer == nil || c.steps[s.key] != s {
 			continue
 		}
-		n := s.waitingCount()
-		if n == 0 {
+		if !s.waits() {
 			continue
 		}
-		needs[customer] = needs[customer].plus(s.usage.times(n))
+		needs[customer] = needs[customer].plus(s.usage.times(s.unheldCount()))
 		if s.job.overRate() {
 			overRate[customer] = append(overRate[customer], s.job)
 		}
