dispatch: a hold that goes on frees the workers kept for its suspects

Cause: holdStep returned before it freed the workers that are kept for suspects if the step was held for the same reason already, so a step of which the quota let nothing start any more kept them closed to others.

Change: the workers are freed before the return.

Run: go test -run Suspects ./internal/dispatch; the new test failed before.

--- a/internal/dispatch/quota.go
+++ b/internal/dispatch/quota.go
@@ -191,6 +191,9 @@
 	if !s.urgent && !s.spec.GetGang() {
 		s.claimQuota(0)
 	}
+	if startable == 0 {
+		releaseKept(s.tasks)
+	}
 	reason := holdFull
 	if s.largerThanQuota() {
 		reason = holdTooSmall
@@ -199,9 +202,6 @@
 		s.quotaHold.startable, s.quotaHold.quota = startable, s.job.customer.quota
 		return
 	}
-	if startable == 0 {
-		releaseKept(s.tasks)
-	}
 	s.quotaHold = &quotaHold{reason: reason, since: now, startable: startable, quota: s.job.customer.quota}
 	c.addNotice(Notice{Event: "step_held", Job: s.key.Job, Task: s.key.String(), Reason: reason, Age: now - s.openedAt})
 }
--- a/internal/dispatch/quota_test.go
+++ b/internal/dispatch/quota_test.go
@@ -655,3 +655,38 @@
 	require.Equal(t, 1, h.noticed("step_held", "quota"))
 	require.Zero(t, h.noticed("pool_full", ""))
 }
+
+// Load: as many suspects as before, of which a lowered quota lets some start, until it is lowered
+// further while another run of their customer uses a part of it.
+func TestSuspectsOfALongerHoldKeepNoWorker(t *testing.T) {
+	h := quotaHarness(t)
+	h.putQuotas(map[string]int64{"a": 29, "b": 0})
+	for n := range 8 {
+		h.addWorker(fmt.Sprintf("w%d", n), 10)
+	}
+	h.submitFor("a", "/batch/", id(1), tasks(3, 9))
+	h.plan()
+	for _, s := range h.acceptStarts() {
+		h.crash(s.Target)
+	}
+	h.submitFor("a", "/q/", id(2), tasks(1, 2))
+	everywhere := tasks(8, 1)
+	everywhere.MaxPerWorker, everywhere.EstimateMs = 1, 1
+	h.submitFor("b", "/q/", id(3), everywhere)
+	h.plan()
+	require.Len(t, h.acceptStarts(), 9, "two workers are kept until these have started")
+	h.putQuotas(map[string]int64{"a": 20, "b": 0})
+	h.submitFor("b", "/q/", id(4), everywhere)
+	h.plan()
+	require.Len(t, h.acceptStarts(), 6, "two of the suspects may start")
+	require.Equal(t, 1, h.noticed("step_held", "quota"))
+	h.putQuotas(map[string]int64{"a": 10, "b": 0})
+	h.submitFor("b", "/q/", id(5), everywhere)
+	h.plan()
+	started := make(map[string]bool)
+	for _, s := range h.acceptStarts() {
+		started[s.Worker] = true
+	}
+	require.Len(t, started, 8)
+	require.Equal(t, 1, h.noticed("step_held", "quota"), "it is the same hold")
+}
