job: what a task asks for of a resource is bounded

Cause: sizes near the largest integer overflowed in the sums over tasks that a customer's claims and shares are made of, so that a quota let everything start.

Change: Check refuses a task that asks for more than maxTaskSize (2^32) of a resource: four million cores. It takes more than 2^31 waiting tasks of that size to overflow a sum. Such jobs could never run.

Run: go test -race ./internal/job ./internal/scheduler, which pass; the new test failed before.

--- a/internal/job/check.go
+++ b/internal/job/check.go
@@ -1,6 +1,8 @@
 package job
 
 import (
+	"fmt"
+
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/refusal"
 )
@@ -12,6 +14,9 @@
 	maxRepeats     = 100_000
 	maxPayloadSize = 64 << 10 // bytes
 	idDigits       = 16       // hexadecimal
+	// maxTaskSize bounds what one task asks for of a resource (thousandths of a core, MiB of memory,
+	// accelerators), so that the sums over all waiting tasks do not overflow.
+	maxTaskSize = 1 << 32
 )
 
 // ValidID reports whether s has the form of a job id.
@@ -50,6 +55,9 @@
 		if s.GetCpuMillis() < 0 || s.GetMemoryMib() < 0 || s.GetAccelerators() < 0 {
 			return invalid("ask for sizes of zero or more", "step %d asks for a negative size", i)
 		}
+		if max(s.GetCpuMillis(), s.GetMemoryMib(), s.GetAccelerators()) > maxTaskSize {
+			return invalid(fmt.Sprintf("ask for sizes of at most %d a task", maxTaskSize), "step %d asks for a larger size", i)
+		}
 		for _, before := range s.GetAfter() {
 			if int(before) >= i {
 				return invalid("let steps depend on earlier ones only", "step %d depends on step %d", i, before)
--- a/internal/job/leftover_test.go
+++ b/internal/job/leftover_test.go
@@ -1,6 +1,7 @@
 package job_test
 
 import (
+	"math"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -196,3 +197,21 @@
 	apply(t, b, ends(end(1, 1, 5, egretmuxv1.RunOutcome_RUN_OUTCOME_FAILED)))
 	require.Equal(t, []uint64{3, 4, 6}, superseded(1))
 }
+
+// Failure: sums of sizes overflow, and a quota lets everything start. Refused before they are stored.
+func TestSizesThatSumsCouldNotHoldAreRefused(t *testing.T) {
+	const largest = 1 << 32
+	check := func(s *egretmuxv1.JobStep) error {
+		s.Count = 20_000
+		return job.Check(&egretmuxv1.Job{Steps: []*egretmuxv1.JobStep{s}})
+	}
+	require.NoError(t, check(&egretmuxv1.JobStep{CpuMillis: largest, MemoryMib: largest, Accelerators: largest}))
+	for _, s := range []*egretmuxv1.JobStep{
+		{CpuMillis: largest + 1}, {MemoryMib: largest + 1}, {Accelerators: largest + 1}, {CpuMillis: math.MaxInt64},
+	} {
+		var refused *refusal.Error
+		require.ErrorAs(t, check(s), &refused)
+		require.Equal(t, refusal.Invalid, refused.Kind)
+		require.Contains(t, refused.Remedy, "4294967296")
+	}
+}
