--- a/internal/dispatch/quota_test.go
+++ b/internal/dispatch/quota_test.go
@@ -545,3 +545,148 @@
 	h.handleListing(copied.Target, nil, nil)
 	require.Zero(t, h.usage("a").GetInUse().GetCpuMillis())
 }
+
+// Load: a customer sends gangs into its steady backlog of small batch steps, which are as urgent.
+// Runs end one at a time.
+func TestGangStartsBesideSmallStepsOfItsCustomer(t *testing.T) {
+	for _, members := range []uint32{2, 4, 6} {
+		h := quotaHarness(t)
+		h.addWorker("w", 100)
+		for n := range 200 {
+			h.submitFor("a", "/batch/", id(100+n), tasks(1, 1))
+		}
+		h.plan()
+		require.Len(t, h.acceptAll(), 10)
+		first := gang(members, 1)
+		first.EstimateMs = 1 // its latest start is the earliest
+		h.submitFor("a", "/batch/", id(1), first)
+		started, ended := false, 0
+		for ; !started && ended < 20; ended++ {
+			h.endOne(h.present[0])
+			for _, s := range h.acceptAll() {
+				started = started || s.Task.Job == id(1)
+			}
+			require.GreaterOrEqual(t, len(h.present), int(10-members), "the rest goes to the small steps")
+		}
+		require.True(t, started, "a gang of %d", members)
+	}
+}
+
+// Load: as before, with a gang that no worker can run. Its customer goes on with small steps.
+func TestGangThatWaitsForAWorkerDoesNotHoldUpItsCustomer(t *testing.T) {
+	h := quotaHarness(t)
+	h.addWorker("w", 100)
+	nowhere := gang(10, 1)
+	nowhere.RequiredLabel, nowhere.EstimateMs = "none", 1
+	h.submitFor("a", "/batch/", id(1), nowhere)
+	for n := range 50 {
+		h.submitFor("a", "/batch/", id(100+n), tasks(1, 1))
+	}
+	for range 20 {
+		h.plan()
+		h.acceptAll()
+		if len(h.present) > 0 {
+			h.endOne(h.present[0])
+		}
+		h.acceptAll()
+		require.GreaterOrEqual(t, len(h.present), 4, "it uses almost half of its quota")
+	}
+}
+
+// Load: several gangs of one customer wait beside its small steps.
+func TestWaitingGangsOfACustomerStartOneAfterTheOther(t *testing.T) {
+	h := quotaHarness(t)
+	h.addWorker("w", 100)
+	h.submitFor("a", "/batch/", id(2), tasks(7, 1))
+	h.plan()
+	h.acceptAll()
+	h.submitFor("a", "/batch/", id(3), gang(4, 1))
+	h.submitFor("a", "/batch/", id(4), gang(4, 1))
+	for n := range 20 {
+		h.submitFor("a", "/batch/", id(100+n), tasks(1, 1))
+	}
+	h.plan()
+	h.acceptAll()
+	h.endOne(h.present[0])
+	require.Len(t, h.acceptAll(), 4, "the first gang")
+	for range 3 {
+		h.endOne(h.present[0])
+		require.Empty(t, h.starts, "the claim of the second gang")
+	}
+	h.endOne(h.present[0])
+	require.Len(t, h.acceptAll(), 4, "the second gang")
+}
+
+// Load: urgent tasks that their customer's quota holds back, beside batch work of another one.
+func TestHeldTasksKeepNoHeadroom(t *testing.T) {
+	h := quotaHarness(t)
+	h.putQuotas(map[string]int64{"a": 10, "b": 0})
+	for n := range 10 {
+		h.addWorker(fmt.Sprintf("w%d", n), 10)
+	}
+	h.submitFor("a", "/q/", id(1), tasks(60, 1))
+	h.plan()
+	require.Len(t, h.acceptStarts(), 10)
+	h.advance(300 * time.Millisecond)
+	h.submitFor("b", "/batch/", id(2), tasks(90, 1))
+	require.GreaterOrEqual(t, len(h.newStarts()), 85, "one worker keeps headroom for what urgent steps use")
+}
+
+// Load: a worker turns slow under a speculative step while a quota holds tasks of a customer back.
+func TestHeldTasksPreventNoCopies(t *testing.T) {
+	c, slow, job := newCellWithASlowWorker(t, true)
+	runs := len(slow.runs)
+	c.putQuotas(map[string]int64{"a": 1})
+	for range 5 {
+		c.work[dispatch.StepKey{Job: id(901)}] = append(c.work[dispatch.StepKey{Job: id(901)}], 20*time.Second)
+	}
+	c.submitFor("a", "/batch/", id(901), tasks(5, 1))
+	c.play(4500*time.Millisecond, nil)
+	require.Equal(t, runs, countNotices(c.harness, "run_copied", job))
+}
+
+// Load: two gangs of a customer. The second fits the quota until the same plan starts the first.
+func TestHeldGangFillsNoPool(t *testing.T) {
+	h := quotaHarness(t)
+	h.addWorker("w", 10)
+	h.submitFor("a", "/batch/", id(1), gang(6, 1))
+	h.submitFor("a", "/batch/", id(2), gang(6, 1))
+	require.Len(t, h.newStarts(), 6)
+	require.Equal(t, 1, h.noticed("step_held", "quota"))
+	require.Zero(t, h.noticed("pool_full", ""))
+}
+
+// Load: as many suspects as before, of which a lowered quota lets some start, until it is lowered
+// further while another run of their customer uses a part of it.
+func TestSuspectsOfALongerHoldKeepNoWorker(t *testing.T) {
+	h := quotaHarness(t)
+	h.putQuotas(map[string]int64{"a": 29, "b": 0})
+	for n := range 8 {
+		h.addWorker(fmt.Sprintf("w%d", n), 10)
+	}
+	h.submitFor("a", "/batch/", id(1), tasks(3, 9))
+	h.plan()
+	for _, s := range h.acceptStarts() {
+		h.crash(s.Target)
+	}
+	h.submitFor("a", "/q/", id(2), tasks(1, 2))
+	everywhere := tasks(8, 1)
+	everywhere.MaxPerWorker, everywhere.EstimateMs = 1, 1
+	h.submitFor("b", "/q/", id(3), everywhere)
+	h.plan()
+	require.Len(t, h.acceptStarts(), 9, "two workers are kept until these have started")
+	h.putQuotas(map[string]int64{"a": 20, "b": 0})
+	h.submitFor("b", "/q/", id(4), everywhere)
+	h.plan()
+	require.Len(t, h.acceptStarts(), 6, "two of the suspects may start")
+	require.Equal(t, 1, h.noticed("step_held", "quota"))
+	h.putQuotas(map[string]int64{"a": 10, "b": 0})
+	h.submitFor("b", "/q/", id(5), everywhere)
+	h.plan()
+	started := make(map[string]bool)
+	for _, s := range h.acceptStarts() {
+		started[s.Worker] = true
+	}
+	require.Len(t, started, 8)
+	require.Equal(t, 1, h.noticed("step_held", "quota"), "it is the same hold")
+}
