Refusals and messages say credential, the product's word

Cause: readers stumbled over key, which also names map keys and settings. Measured: go test of job, scheduler and platform without the soak.

--- a/internal/balance/rendezvous.go
+++ b/internal/balance/rendezvous.go
@@ -21,7 +21,7 @@
 	fnvPrime  = 1099511628211
 )
 
-// uniform returns a hash of two strings as a number between 0 and 1, both excluded.
+// uniform returns a hash of two strings as a number above 0 and at most 1.
 func uniform(a, b string) float64 {
 	h := uint64(fnvOffset)
 	for i := range len(a) {
--- a/internal/job/customer.go
+++ b/internal/job/customer.go
@@ -127,10 +127,10 @@
 			return invalidCustomers("send SHA-256 hashes", "customer %.100q has a credential hash of %d bytes", c.GetName(), len(hash))
 		}
 		if key == emptyCredential {
-			return invalidCustomers("give each key at least one character", "customer %.100q has an empty key", c.GetName())
+			return invalidCustomers("give each credential at least one character", "customer %.100q has an empty credential", c.GetName())
 		}
 		if owner, taken := owners[key]; taken && owner != c.GetName() {
-			return invalidCustomers("give each customer keys of its own", "customers %.100q and %.100q share a key", owner, c.GetName())
+			return invalidCustomers("give each customer credentials of its own", "customers %.100q and %.100q share a credential", owner, c.GetName())
 		}
 		owners[key] = c.GetName()
 	}
--- a/internal/job/customer_test.go
+++ b/internal/job/customer_test.go
@@ -57,8 +57,8 @@
 	}{
 		"no name":                {[]*egretmuxv1.Customer{customer("")}, "no name"},
 		"name twice":             {[]*egretmuxv1.Customer{customer("a", "x"), customer("a", "y")}, `"a" is listed twice`},
-		"key of two customers":   {[]*egretmuxv1.Customer{customer("a", "x"), customer("b", "y", "x")}, `"a" and "b" share a key`},
-		"empty key":              {[]*egretmuxv1.Customer{customer("a", "x", "")}, `"a" has an empty key`},
+		"key of two customers":   {[]*egretmuxv1.Customer{customer("a", "x"), customer("b", "y", "x")}, `"a" and "b" share a credential`},
+		"empty key":              {[]*egretmuxv1.Customer{customer("a", "x", "")}, `"a" has an empty credential`},
 		"short hash":             {[]*egretmuxv1.Customer{{Name: "a", CredentialSha256: [][]byte{{1, 2, 3}}}}, "hash of 3 bytes"},
 		"empty hash":             {[]*egretmuxv1.Customer{{Name: "a", CredentialSha256: [][]byte{{}}}}, "hash of 0 bytes"},
 		"long hash":              {[]*egretmuxv1.Customer{{Name: "a", CredentialSha256: [][]byte{make([]byte, 33)}}}, "hash of 33 bytes"},
@@ -209,7 +209,7 @@
 	c := job.NewCatalogue(m)
 	require.Equal(t, "customer-9999", c.CustomerOf(job.HashCredential("next-9999")).GetName())
 	m.Customers[9999].CredentialSha256[1] = m.Customers[0].CredentialSha256[0]
-	require.ErrorContains(t, job.CheckCatalogue(m), "share a key")
+	require.ErrorContains(t, job.CheckCatalogue(m), "share a credential")
 }
 
 func heapInUse() int64 {
--- a/internal/scheduler/access.go
+++ b/internal/scheduler/access.go
@@ -43,11 +43,11 @@
 	}
 	a := access{queue: q, id: id, customer: catalogue.CustomerOf(call.GetCredentialSha256())}
 	if a.customer == nil && catalogue.NeedsCredential(q) {
-		fault := "the key is not known"
+		fault := "the credential is not known"
 		if len(call.GetCredentialSha256()) == 0 {
-			fault = "the key is missing"
+			fault = "the credential is missing"
 		}
-		return access{}, refusal.New(refusal.Unauthenticated, "send a key of a customer that the configuration lists", "%s", fault)
+		return access{}, refusal.New(refusal.Unauthenticated, "send a credential of a customer that the configuration lists", "%s", fault)
 	}
 	if !a.ownsJob(book, catalogue) {
 		return access{}, notOwner(id)
@@ -56,7 +56,7 @@
 }
 
 func notOwner(id string) *refusal.Error {
-	return refusal.New(refusal.Forbidden, "send a key of the customer that submitted the job", "job %.100s belongs to another customer", id)
+	return refusal.New(refusal.Forbidden, "send a credential of the customer that submitted the job", "job %.100s belongs to another customer", id)
 }
 
 // ownsJob reports whether the caller may read, cancel or repeat the job, as far as it is
