--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Plays the scenario "closed"; review/build.sh builds the program. With TROUBLE=0: without the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+exec target/review/standin closed review/3/record.txt
--- a/review/standin/callers.go
+++ b/review/standin/callers.go
@@ -127,9 +127,11 @@
 	TargetMs      float64 `json:"target_ms,omitempty"`
 	Fills         bool    `json:"fills,omitempty"`
 	MayMiss       int     `json:"may_miss,omitempty"`
+	AntiAffinity  int     `json:"anti_affinity,omitempty"`
 
-	// length is how long a task takes; the runner knows it from spec.
+	// length is how long a task takes, and fails whether it fails; the runner knows it from spec.
 	length time.Duration
+	fails  bool
 }
 
 // job is a job that a client hands in.
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -391,7 +391,11 @@
 			r.rec.logf("run %s #%d on %s is at work", rec.task, rec.run, r.id)
 			return
 		}
-		r.endRun(a, "done", "")
+		how := "done"
+		if p.fails {
+			how = "failed"
+		}
+		r.endRun(a, how, "")
 	})
 	return http.StatusOK, ""
 }
