--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -556,3 +556,14 @@
 	}
 	return n
 }
+
+// failLasting lets the tasks that last fail by themselves.
+func (r *runner) failLasting() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, a := range r.runs {
+		if a.phase.LongRunning {
+			r.endRun(a, "failed", "")
+		}
+	}
+}
