--- a/review/standin/callers.go
+++ b/review/standin/callers.go
@@ -128,6 +128,7 @@
 	Fills         bool    `json:"fills,omitempty"`
 	MayMiss       int     `json:"may_miss,omitempty"`
 	AntiAffinity  int     `json:"anti_affinity,omitempty"`
+	RequiredLabel string  `json:"required_label,omitempty"`
 
 	// length is how long a task takes, and fails whether it fails; the runner knows it from spec.
 	length time.Duration
--- a/review/standin/machines.go
+++ b/review/standin/machines.go
@@ -80,7 +80,7 @@
 	for _, name := range m.order {
 		r := m.runner[name]
 		list = append(list, map[string]any{
-			"machine": name, "pool": serviceName, "state": m.state[name], "zone": r.zone, "labels": []string{"a", r.rack},
+			"machine": name, "pool": serviceName, "state": m.state[name], "zone": r.zone, "labels": []string{r.kind, r.rack},
 			"capacity": map[string]int64{"cpu": r.cpu, "mem_mb": r.memMB, "gpu": 0}, "id": r.id,
 		})
 	}
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -99,6 +99,7 @@
 // runner is one life of a runner on a machine.
 type runner struct {
 	id, machine, zone, rack string
+	kind                    string
 	cpu, memMB              int64
 	controls                []string
 	rec                     *record
@@ -125,13 +126,18 @@
 	done       chan struct{}
 }
 
+// startRunner starts a runner of kind a.
 func startRunner(rec *record, l *ledger, id, machine, zone, rack string, cpu, memMB int64, controls []string) (*runner, error) {
+	return startRunnerOfKind(rec, l, id, machine, zone, rack, "a", cpu, memMB, controls)
+}
+
+func startRunnerOfKind(rec *record, l *ledger, id, machine, zone, rack, kind string, cpu, memMB int64, controls []string) (*runner, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	r := &runner{
-		id: id, machine: machine, zone: zone, rack: rack, cpu: cpu, memMB: memMB, controls: controls, rec: rec, ledger: l, born: time.Now(),
+		id: id, machine: machine, zone: zone, rack: rack, kind: kind, cpu: cpu, memMB: memMB, controls: controls, rec: rec, ledger: l, born: time.Now(),
 		listener: listener, runs: make(map[string]*activeRun), highest: make(map[string]uint64), changed: make(chan struct{}), done: make(chan struct{}),
 		hangs: make(chan struct{}),
 	}
@@ -161,7 +167,7 @@
 		}
 		body := map[string]any{
 			"service": serviceName, "address": r.listener.Addr().String(), "zone": r.zone, "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0,
-			"capacity": map[string]int64{"cpu": r.cpu, "mem_mb": r.memMB, "gpu": 0}, "labels": []string{"a", r.rack},
+			"capacity": map[string]int64{"cpu": r.cpu, "mem_mb": r.memMB, "gpu": 0}, "labels": []string{r.kind, r.rack},
 			"clock_ms": r.clockMs(), "sequence": r.sequence, "born": r.born.UnixMilli(), "machine": r.machine,
 		}
 		r.mu.Unlock()
