Review case 2: tasks of a later occurrence run again after a change of leader

A new leader opens fewer occurrences of a large job than the one before; ends of runs in the others are acknowledged and not stored.

--- a/review/standin/callers.go
+++ b/review/standin/callers.go
@@ -130,15 +130,20 @@
 	AntiAffinity  int     `json:"anti_affinity,omitempty"`
 	RequiredLabel string  `json:"required_label,omitempty"`
 
-	// length is how long a task takes, and fails whether it fails; the runner knows it from spec.
-	length time.Duration
-	fails  bool
+	// What the runner knows from spec: how long a task takes, by how much the next task of the
+	// step takes longer, and whether the tasks fail.
+	length, spread time.Duration
+	fails          bool
 }
 
 // job is a job that a client hands in.
 type job struct {
 	id, prefix string
 	phases     []phase
+	// A job with occurrences runs its steps repeats times, the first time at startAt.
+	repeats    int
+	startAt    time.Time
+	intervalMs int
 }
 
 // client calls the frontends in turn.
@@ -159,7 +164,11 @@
 // submit hands a job in until it is accepted, or refused for good.
 func (c *client) submit(j *job) bool {
 	for range 10 {
-		status, _ := c.call(http.MethodPost, j.prefix+j.id, map[string]any{"spec": "text of " + j.id, "phases": j.phases})
+		body := map[string]any{"spec": "text of " + j.id, "phases": j.phases}
+		if j.repeats > 0 {
+			body["repeat_count"], body["start_at_ms"], body["interval_ms"] = j.repeats, j.startAt.UnixMilli(), j.intervalMs
+		}
+		status, _ := c.call(http.MethodPost, j.prefix+j.id, body)
 		if status/100 == 2 {
 			return true
 		}
--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -211,6 +211,34 @@
 	return nil
 }
 
+// leader returns the instance that began to lead last, by its log.
+func (c *cluster) leader() *instance {
+	var leads *instance
+	newest := ""
+	for _, n := range c.instances {
+		log, err := os.ReadFile(filepath.Join(n.folder, "log"))
+		if err != nil {
+			continue
+		}
+		for line := range strings.Lines(string(log)) {
+			_, after, found := strings.Cut(line, `"time":"`)
+			if found && strings.Contains(line, `"event":"tenure_began"`) && after[:23] > newest {
+				leads, newest = n, after[:23]
+			}
+		}
+	}
+	return leads
+}
+
+// restart kills an instance and starts it again after a pause.
+func (c *cluster) restart(n *instance, pause time.Duration) error {
+	_ = n.process.Process.Signal(syscall.SIGKILL)
+	<-n.exited
+	c.rec.logf("instance %s killed", n.name)
+	time.Sleep(pause)
+	return c.start(n, false)
+}
+
 // stop ends all instances and removes the temporary folder.
 func (c *cluster) stop() {
 	c.mu.Lock()
