dispatch: ends and runs that a leader does not use are logged with the reason

The logs had nothing about an end that is acknowledged without being stored, and named every run that a leader does not know "job-ended", so they could not tell an end that was lost in a proposal from one that was taken for foreign. Change: end_ignored with job-ended, step-done, task-done, no-such-task, superseded, other-run or step-not-open; run_stopping of a foreign run has the same reasons.

--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -87,7 +87,11 @@
 			c.markJobStarted(r.task.step.job, now)
 			r.vacate()
 			newEnds = append(newEnds, runEndOf(e))
-		} else if r == nil && e.TaskParsed && c.endCounts(e) {
+		} else if r == nil && e.TaskParsed {
+			if reason := c.reasonToIgnore(e); reason != "" {
+				c.addNotice(Notice{Event: "end_ignored", Job: e.Task.Job, Task: e.Task.String(), Worker: w.Worker, Run: e.Run, Reason: reason})
+				continue
+			}
 			// The task gets no new run until this end is stored, as for a known run.
 			c.addRun(c.steps[e.Task.StepKey].tasks[e.Task.Index], w, e.Run, ended, now)
 			newEnds = append(newEnds, runEndOf(e))
@@ -129,22 +133,60 @@
 	}
 }
 
-// endCounts reports whether the end of a run that this leader did not know decides
-// about its task. While another run of the task may be present, that run decides,
-// unless the step is speculative. There each of the runs counts, once.
-func (c *Core) endCounts(e ListedEnd) bool {
+// Reasons for which the end of a run that this leader did not know is acknowledged without
+// being stored.
+const (
+	ignoredSuperseded = "superseded" // a newer run decides
+	ignoredTaskDone   = "task-done"
+	ignoredOtherRun   = "other-run" // another run of the task may be present and decides
+)
+
+// reasonToIgnore returns why the end of a run that this leader did not know decides nothing
+// about its task, or an empty string if it does. While another run of the task may be
+// present, that run decides, unless the step is speculative. There each of the runs counts,
+// once.
+func (c *Core) reasonToIgnore(e ListedEnd) string {
 	s := c.steps[e.Task.StepKey]
 	if s == nil || int(e.Task.Index) >= len(s.tasks) {
-		return false
+		return c.reasonNotOpen(e.Task)
 	}
-	t := s.tasks[e.Task.Index]
-	if s.spec.GetSpeculative() && e.Outcome == egretmuxv1.RunOutcome_RUN_OUTCOME_DONE {
-		return !t.done // whether it is the run or its copy
-	}
-	if s.spec.GetSpeculative() && e.Run < t.highestRun {
-		return !t.done && c.endMissing(e)
+	t, speculative := s.tasks[e.Task.Index], s.spec.GetSpeculative()
+	switch {
+	case t.done:
+		return ignoredTaskDone
+	case speculative && e.Outcome == egretmuxv1.RunOutcome_RUN_OUTCOME_DONE: // whether it is the run or its copy
+		return ""
+	case e.Run < t.highestRun && !(speculative && c.endMissing(e)):
+		return ignoredSuperseded
+	case len(t.runs) > 0 && !speculative:
+		return ignoredOtherRun
 	}
-	return !t.done && e.Run >= t.highestRun && (len(t.runs) == 0 || s.spec.GetSpeculative())
+	return ""
+}
+
+// Reasons for which a task is not open.
+const (
+	notOpenJobEnded = "job-ended" // or the job is not known
+	notOpenStepDone = "step-done"
+	notOpenNoTask   = "no-such-task"
+	notOpenYet      = "step-not-open" // its job goes on, but this leader has not opened the step
+)
+
+// reasonNotOpen returns why a task is not one of an open step.
+func (c *Core) reasonNotOpen(key TaskKey) (reason string) {
+	c.cfg.Book.View(key.Job, func(rec *jobs.Record) {
+		switch {
+		case rec == nil || rec.Ended():
+			reason = notOpenJobEnded
+		case !rec.HasTask(key.Occurrence, key.Step, key.Index):
+			reason = notOpenNoTask
+		case rec.StepDone(key.Occurrence, key.Step):
+			reason = notOpenStepDone
+		default:
+			reason = notOpenYet
+		}
+	})
+	return reason
 }
 
 // endMissing reports whether the log holds a superseded run without its end.
@@ -188,7 +230,7 @@
 	}
 	w.orphans[key] = now
 	c.actions.Stops = append(c.actions.Stops, StopOrder{Target: w.Target, Task: lr.Task, Run: lr.Run})
-	c.addNotice(Notice{Event: "run_stopping", Job: lr.Task.Job, Task: lr.Task.String(), Worker: w.Worker, Run: lr.Run, Reason: "job-ended"})
+	c.addNotice(Notice{Event: "run_stopping", Job: lr.Task.Job, Task: lr.Task.String(), Worker: w.Worker, Run: lr.Run, Reason: c.reasonNotOpen(lr.Task)})
 }
 
 // addRun adds a run to its task and its worker and takes its resources, unless it
--- a/internal/explain/verdict.go
+++ b/internal/explain/verdict.go
@@ -45,7 +45,7 @@
 		case "task_given_up":
 			givenUp = line
 		case "run_lost", "run_stopping":
-			if line.Reason != "job-ended" && line.Reason != "task-done" {
+			if line.Reason != "job-ended" && line.Reason != "step-done" && line.Reason != "task-done" {
 				abandonedRuns = append(abandonedRuns, *line)
 			}
 		case "job_ended", "job_cancelled":
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -129,10 +129,13 @@
 	}
 }
 
-// hasTask reports whether the task exists in the job.
+// HasTask reports whether a task exists in the job.
+func (r *Record) HasTask(occurrence, step, index uint32) bool {
+	return occurrence < Occurrences(r.Job) && int(step) < len(r.Job.GetSteps()) && index < r.Job.GetSteps()[step].GetCount()
+}
+
 func (r *Record) hasTask(ref taskRef) bool {
-	return ref.GetOccurrence() < Occurrences(r.Job) && int(ref.GetStep()) < len(r.Job.GetSteps()) &&
-		ref.GetIndex() < r.Job.GetSteps()[ref.GetStep()].GetCount()
+	return r.HasTask(ref.GetOccurrence(), ref.GetStep(), ref.GetIndex())
 }
 
 // applyEnd stores the end of a run. A failed run is counted once, also if its end is
