dispatch: a new leader opens every occurrence that has begun

Cause: the new leader opened occurrences in order until 20,000 tasks were open. The leader before it had opened more, as steps that become ready later are not counted. Runs of the closed steps counted as foreign: their ends were acknowledged without being stored, and they were stopped. The same happens if the new leader's time of day is behind. Change: occurrences of which the log holds a start or an end are opened first, whatever the limit and the clock. The time until an occurrence is due saturates instead of overflowing.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -13,7 +13,9 @@
 //     a worker whose lease may be valid;
 //   - a worker's runs never use more than its capacity, and the resources of a
 //     run are released only once its end is listed or the lease has expired;
-//   - an end is acknowledged to a worker only after it is stored in the log.
+//   - an end is acknowledged to a worker only after it is stored in the log;
+//   - a step of which the log holds a start or an end is open until it is done, so that every
+//     leader knows its runs.
 package dispatch
 
 import (
@@ -163,6 +165,7 @@
 	}
 	if spec.GetRepeats() > 0 {
 		c.periodic = append(c.periodic, j)
+		c.openBegunOccurrences(j, now)
 		c.openDueOccurrences(j, now)
 		return
 	}
@@ -177,18 +180,45 @@
 // openDueOccurrences opens the occurrences of a periodic job that are due. Beyond
 // maxOpenTasks, the next one waits until earlier ones are done.
 func (c *Core) openDueOccurrences(j *job, now time.Duration) {
-	unix := c.cfg.UnixMs(now)
 	for j.nextDue < j.spec.GetRepeats() && j.openTasks < maxOpenTasks {
-		at := j.spec.GetFirstDueUnixMs() + int64(j.nextDue)*j.spec.GetIntervalMs()
-		if unix < at {
+		wait := c.untilDue(j, j.nextDue, now)
+		if wait > 0 {
 			return
 		}
 		occurrence := j.nextDue
 		j.nextDue++
-		c.openReadySteps(j, occurrence, now-time.Duration(unix-at)*time.Millisecond, now)
+		c.openReadySteps(j, occurrence, now+wait, now)
 	}
 }
 
+// openBegunOccurrences opens the occurrences that an earlier leader has begun, whatever this
+// leader's time of day and the number of open tasks: the runs of a step that is not open would
+// count as foreign, and be stopped or have their ends dropped.
+func (c *Core) openBegunOccurrences(j *job, now time.Duration) {
+	var begun []uint32
+	c.cfg.Book.View(j.id, func(r *jobs.Record) {
+		if r != nil {
+			begun = r.BegunOccurrences()
+		}
+	})
+	for _, occurrence := range begun {
+		c.openReadySteps(j, occurrence, now+c.untilDue(j, occurrence, now), now)
+	}
+}
+
+// maxUntilDue bounds the time to or since the due time of an occurrence, which a job may set
+// to anything.
+const maxUntilDue = 10 * 365 * 24 * time.Hour
+
+// untilDue returns the time until an occurrence of a periodic job is due; negative since then.
+func (c *Core) untilDue(j *job, occurrence uint32, now time.Duration) time.Duration {
+	// Floating point, as sums of any two times of a job may overflow; exact to the millisecond
+	// for thousands of years.
+	ms := float64(j.spec.GetFirstDueUnixMs()) + float64(occurrence)*float64(j.spec.GetIntervalMs()) - float64(c.cfg.UnixMs(now))
+	limit := float64(maxUntilDue / time.Millisecond)
+	return time.Duration(max(-limit, min(limit, ms))) * time.Millisecond
+}
+
 // openReadySteps opens the steps of an occurrence whose predecessors are done.
 func (c *Core) openReadySteps(j *job, occurrence uint32, due, now time.Duration) {
 	for _, s := range c.readySteps(j, occurrence) {
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -30,6 +30,7 @@
 	endBatches []dispatch.EndBatch
 	notices    []dispatch.Notice
 	present    []dispatch.StartOrder // runs that acceptAll accepted and endOne has not ended
+	behind     time.Duration         // by which the next leader's time of day is behind
 }
 
 func newHarness(t *testing.T, queues ...*egretmuxv1.Queue) *harness {
@@ -60,13 +61,13 @@
 
 // beginTenure replaces the core by that of a new leader, which reads the book.
 func (h *harness) beginTenure() {
-	began := h.now
+	began, behind := h.now, h.behind
 	if h.core != nil {
 		h.term++
 	}
 	h.core = dispatch.New(dispatch.Config{
 		Book: h.book, Term: h.term, Lease: testLease, FarFactor: 2,
-		UnixMs: func(now time.Duration) int64 { return (began + now).Milliseconds() },
+		UnixMs: func(now time.Duration) int64 { return (began + now - behind).Milliseconds() },
 	})
 	h.now = 0
 	h.starts, h.stops, h.asks, h.endBatches = nil, nil, nil, nil
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"maps"
 	"slices"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
@@ -73,6 +74,9 @@
 	return out
 }
 
+// BegunOccurrences returns the occurrences of which a start or an end is stored, in order.
+func (r *Record) BegunOccurrences() []uint32 { return slices.Sorted(maps.Keys(r.occurrences)) }
+
 // StepDone reports whether all tasks of a step are done.
 func (r *Record) StepDone(occurrence, step uint32) bool {
 	occ := r.occurrences[occurrence]
