--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -57,9 +57,19 @@
 	default:
 		return
 	}
+	c.noticeReservation(s, p.now)
 	c.reserveForGang(s, n, p.now)
 }
 
+// noticeReservation logs, once for each step, that it reserves room.
+func (c *Core) noticeReservation(s *step, now time.Duration) {
+	if s.reserved {
+		return
+	}
+	s.reserved = true
+	c.addNotice(Notice{Event: "room_reserved", Job: s.key.Job, Task: s.key.String(), Reason: latenessNames[s.lateness], Age: now - s.openedAt})
+}
+
 // placeGang starts all tasks of a gang at once under one run number, or none, and
 // reports whether it started them.
 func (c *Core) placeGang(s *step, waiting []*task, now time.Duration) bool {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -150,6 +150,9 @@
 	expired        // the job will end after expiryFactor times the objective and be worth nothing
 )
 
+// latenessNames are the values of lateness as they appear in logs and metrics.
+var latenessNames = [...]string{"on-time", "late", "expired"}
+
 func latenessOf(s *step, now time.Duration) int {
 	switch {
 	case now <= s.latestStart:
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -69,6 +69,7 @@
 	held      map[*worker]int // number of tasks for which resources are held while tickets are requested
 	runsOn    map[*worker]int // number of runs by worker
 	deferred  bool            // whether it has left room to gangs
+	reserved  bool            // whether it has reserved room
 	urgent    bool            // whether its queue has priority 0, the highest, and it is within its customer's rate
 	overRate  bool            // whether it comes after the steps within rate
 	// beyondShare is set if it can wait, its pool is full and its customer holds more than its part.
--- a/internal/dispatch/unclaimed.go
+++ b/internal/dispatch/unclaimed.go
@@ -123,7 +123,10 @@
 		return
 	}
 	s.deferred = true
-	reason := [...]string{"can-wait", "late", "expired"}[s.lateness]
+	reason := latenessNames[s.lateness]
+	if s.lateness == onTime {
+		reason = "can-wait"
+	}
 	if s.overRate {
 		reason = ReasonOverRate
 	}
