dispatch: a gang keeps room only if it can start, and in turns

Cause: a gang that cannot start reserved worker after worker in every plan. Nothing asked whether all its tasks can ever have a place, and nothing ended the reservation. Change: isPlaceable (capacity less the runs that last, label, limit per worker, denials) gates reservations, claims, calls for advice and what counts as demand for customers. Room is kept in turns of 10 s, or 2 s while most of the pool is free, then left to others for as long: a run may have no end in sight, or tickets may never come.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -175,7 +175,7 @@
 		switch {
 		case s.comesAfterRate():
 			b.overRate[s.job.customer] = append(b.overRate[s.job.customer], waitingStep{pool, s.latestStart, int64(waiting) * s.demand.cpu})
-		case c.hasSuitableWorker(s, pool, now):
+		case c.isPlaceable(s, pool, now):
 			b.within[pool] += int64(waiting-s.heldTasks(waiting)) * s.demand.cpu
 		}
 	}
--- a/internal/dispatch/customer.go
+++ b/internal/dispatch/customer.go
@@ -59,6 +59,9 @@
 // occupy takes the resources of a run from its worker and counts them for its customer.
 func (r *run) occupy() {
 	r.worker.free = r.worker.free.minus(r.demand)
+	if r.task.step.spec.GetLongRunning() {
+		r.worker.lasting = r.worker.lasting.plus(r.demand)
+	}
 	if customer := r.task.step.job.customer; customer != nil {
 		r.overRate = r.task.step.comesAfterRate()
 		customer.inUse = customer.inUse.plus(r.task.step.usage)
@@ -71,6 +74,9 @@
 // vacate gives the resources of a run back.
 func (r *run) vacate() {
 	r.worker.free = r.worker.free.plus(r.demand)
+	if r.task.step.spec.GetLongRunning() {
+		r.worker.lasting = r.worker.lasting.minus(r.demand)
+	}
 	if customer := r.task.step.job.customer; customer != nil {
 		customer.inUse = customer.inUse.minus(r.task.step.usage)
 		if r.overRate {
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -30,6 +30,7 @@
 		return false
 	}
 	if c.placeGang(s, waiting, p.now) {
+		s.reserving, s.holding = roomTurn{}, roomTurn{}
 		p.unclaimed.use(pool, s, len(waiting))
 		return true
 	}
@@ -40,36 +41,37 @@
 // awaitRoom requests tickets and reserves resources for a gang of n tasks that cannot start
 // yet. One over rate waits for tickets only.
 func (c *Core) awaitRoom(p *plan, s *step, pool string, n int) {
+	if !c.isPlaceable(s, pool, p.now) {
+		return
+	}
 	late := s.lateness != onTime
-	if !late && !s.overRate {
+	keeps := !s.overRate && (!late || p.lateReservations < maxLateReservations)
+	if keeps {
+		limit := maxRoomTurn
+		if p.unclaimed.mostlyFree(pool) {
+			limit = maxIdleRoomTurn
+		}
+		keeps = c.takeRoomTurn(s, &s.reserving, latenessNames[s.lateness], limit, p.now)
+	}
+	if keeps && !late {
 		p.unclaimed.claim(pool, s, n)
 	}
 	if c.awaitTickets(s, n, p.now) {
 		return
 	}
 	switch {
-	case s.overRate:
+	case !keeps:
 		return
 	case !late && p.reservations < maxReservations:
 		p.reservations++
-	case late && p.lateReservations < maxLateReservations:
+	case late:
 		p.lateReservations++
 	default:
 		return
 	}
-	c.noticeReservation(s, p.now)
 	c.reserveForGang(s, n, p.now)
 }
 
-// noticeReservation logs, once for each step, that it reserves room.
-func (c *Core) noticeReservation(s *step, now time.Duration) {
-	if s.reserved {
-		return
-	}
-	s.reserved = true
-	c.addNotice(Notice{Event: "room_reserved", Job: s.key.Job, Task: s.key.String(), Reason: latenessNames[s.lateness], Age: now - s.openedAt})
-}
-
 // placeGang starts all tasks of a gang at once under one run number, or none, and
 // reports whether it started them.
 func (c *Core) placeGang(s *step, waiting []*task, now time.Duration) bool {
@@ -105,8 +107,10 @@
 		s.sortForTickets(candidates, n, now)
 		chosen = s.fitGang(candidates, n, averageClass)
 	}
-	for _, w := range chosen {
-		s.hold(w)
+	if chosen != nil && c.takeRoomTurn(s, &s.holding, "tickets", maxRoomTurn, now) {
+		for _, w := range chosen {
+			s.hold(w)
+		}
 	}
 	if chosen != nil && !s.urgent {
 		s.claimQuota(n)
@@ -270,10 +274,7 @@
 		if n <= 0 {
 			return
 		}
-		fits := w.capacity.minus(w.reserved).fitCount(s.demand, n)
-		if limit := int(s.spec.GetMaxPerWorker()); limit > 0 {
-			fits = min(fits, limit)
-		}
+		fits := s.fitWithin(w.capacity.minus(w.reserved), n)
 		for range fits {
 			w.reserved = w.reserved.plus(s.demand)
 		}
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -69,16 +69,16 @@
 	held      map[*worker]int // number of tasks for which resources are held while tickets are requested
 	runsOn    map[*worker]int // number of runs by worker
 	deferred  bool            // whether it has left room to gangs
-	reserved  bool            // whether it has reserved room
 	urgent    bool            // whether its queue has priority 0, the highest, and it is within its customer's rate
 	overRate  bool            // whether it comes after the steps within rate
 	// beyondShare is set if it can wait, its pool is full and its customer holds more than its part.
-	beyondShare   bool
-	suitable      bool          // whether a worker of its pool could run its tasks
-	suitableUntil time.Duration // when suitable has to be found anew
-	claim         int           // tasks for which it claims its customer's quota in a plan
-	quotaHold     *quotaHold    // set while its customer's quota holds tasks back
-	siblings      siblings
+	beyondShare bool
+	placement   placement
+	reserving   roomTurn   // while it is a gang for which room is claimed or reserved
+	holding     roomTurn   // while it is a gang for which room is held until its tickets have come
+	claim       int        // tasks for which it claims its customer's quota in a plan
+	quotaHold   *quotaHold // set while its customer's quota holds tasks back
+	siblings    siblings
 }
 
 func (t *task) waits() bool { return !t.done && len(t.runs) == 0 }
--- a/internal/dispatch/unclaimed.go
+++ b/internal/dispatch/unclaimed.go
@@ -10,9 +10,6 @@
 // deferredSlackShare is the part of its slack for which a step leaves room to gangs.
 const deferredSlackShare = 0.5
 
-// suitableMaxAge is the time between two searches for a worker that suits a step.
-const suitableMaxAge = time.Second
-
 // unclaimedRoom is the free cpu of each pool less what the gangs considered so far in a
 // plan have claimed. A gang that cannot start yet claims the cpu of all its tasks, on any
 // worker: room that comes free a task at a time would otherwise always go to steps that
@@ -58,33 +55,14 @@
 	return u.pools[name]
 }
 
-// hasSuitableWorker reports whether a worker of the pool could run a task of a step if it
-// had room, as found within the last suitableMaxAge. A step for which there is none waits for
-// no room.
-func (c *Core) hasSuitableWorker(s *step, pool string, now time.Duration) bool {
-	if now < s.suitableUntil {
-		return s.suitable
-	}
-	s.suitable, s.suitableUntil = false, now+suitableMaxAge
-	for _, w := range c.workers {
-		if w.life.GetPool() == pool && s.suits(w) {
-			s.suitable = true
-			break
-		}
-	}
-	return s.suitable
-}
-
 // claim records that a gang waits for room for n tasks.
 func (u *unclaimedRoom) claim(pool string, s *step, n int) {
-	if len(u.core.customers) == 0 || u.core.hasSuitableWorker(s, pool, u.now) {
-		u.claimed[pool] += int64(n) * s.demand.cpu
-	}
+	u.claimed[pool] += int64(n) * s.demand.cpu
 }
 
 // leave records that n tasks of a step could not start in this plan.
 func (u *unclaimedRoom) leave(pool string, s *step, n int) {
-	if len(u.core.customers) == 0 || n == 0 || !u.core.hasSuitableWorker(s, pool, u.now) {
+	if len(u.core.customers) == 0 || n == 0 || !u.core.isPlaceable(s, pool, u.now) {
 		return
 	}
 	cpu := int64(n) * s.demand.cpu
@@ -94,6 +72,12 @@
 	}
 }
 
+// mostlyFree reports whether more than half of a pool is free.
+func (u *unclaimedRoom) mostlyFree(pool string) bool {
+	room := u.pool(pool)
+	return 2*room.free > room.capacity
+}
+
 // use records that n tasks of a step were started.
 func (u *unclaimedRoom) use(pool string, s *step, n int) {
 	if u.pools != nil {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -53,6 +53,7 @@
 	life     *egretmuxv1.WorkerLife
 	capacity resources
 	free     resources
+	lasting  resources // in use by runs that last until their job is cancelled
 	reserved resources // held back for waiting gangs; may be more than free, as other runs may still use it
 	headroom int64     // cpu that is kept free for urgent steps
 	rack     string
