dispatch: a failing worker is probed beside runs that go on

What callers saw: four workers ran one task each that lasts. Cause: a worker with three failed runs in a row was to be probed once its other runs were over or one was done. A task that lasts is never over, and its end is no success. Evidence: in the leader's log of one play, 17 worker_resting, the last 6 s before the end of the traffic, then no run_starting, room_reserved, step_deferred or worker_silent. Change: runs that were there before are not waited for. A failing worker gets one probe, and twice as many after each 4 s without a failure; a long probe closed it, too.

--- a/internal/dispatch/learn.go
+++ b/internal/dispatch/learn.go
@@ -15,14 +15,10 @@
 	}
 	switch outcome {
 	case egretmuxv1.RunOutcome_RUN_OUTCOME_FAILED:
-		w.failures++
-		if w.failures >= maxFailures {
-			w.backoffUntil = now + failureBackoff
-			c.addNotice(Notice{Event: "worker_resting", Worker: w.Worker, Reason: "failed-runs"})
-		}
+		c.noteFailure(w, w.failures+1, "failed-runs", 0, now)
 		return
 	case egretmuxv1.RunOutcome_RUN_OUTCOME_DONE:
-		w.failures = 0
+		c.noteSuccess(w)
 	default:
 		return
 	}
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -127,7 +127,5 @@
 // then gets no new runs for failureBackoff and is probed afterwards.
 func (c *Core) backOffStuckWorker(r *run, now time.Duration) {
 	w := r.worker
-	w.failures = max(w.failures+1, maxFailures)
-	w.backoffUntil = now + failureBackoff
-	c.addNotice(Notice{Event: "worker_resting", Worker: w.Worker, Reason: "no-progress", Age: now - r.progressAt})
+	c.noteFailure(w, max(w.failures+1, maxFailures), "no-progress", now-r.progressAt, now)
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -42,6 +42,7 @@
 	for _, w := range c.workers {
 		w.reserved = resources{}
 		w.endIsolation(now)
+		w.renewProbation(now)
 	}
 	c.renewHolds()
 	p := &plan{now: now, unclaimed: c.newUnclaimedRoom(now)}
@@ -306,8 +307,8 @@
 	}
 	usable.cpu -= s.requiredHeadroom(w)
 	n := usable.fitCount(s.demand, limit)
-	if w.failures >= maxFailures {
-		n = min(n, 1)
+	if w.failing() {
+		n = min(n, w.probation.left)
 	}
 	if maxPerWorker := int(s.spec.GetMaxPerWorker()); maxPerWorker > 0 {
 		n = min(n, maxPerWorker-s.runsOn[w])
@@ -359,6 +360,7 @@
 func (c *Core) startTask(t *task, w *worker, number uint64, now time.Duration) {
 	s := t.step
 	r := c.addRun(t, w, number, ordered, now)
+	c.noteProbe(r, now)
 	if s.overRate {
 		s.job.customer.overRateStarted += s.demand.cpu
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -73,6 +73,7 @@
 	slowness       float64       // of speed, as of the last tick, listing or end; 1 is average
 	speedClass     int           // of slowness; higher is slower
 	failures       float64       // failed runs since the last successful one; at least maxFailures after a run without progress
+	probation      probation     // of a worker with maxFailures or more
 
 	lease         lease
 	storedCursor  uint64 // ends up to this number are stored in the log
@@ -137,12 +138,10 @@
 	return w.synced && !w.keptForSuspect() && !w.draining && !w.cordoned && len(w.orphans) == 0 && w.missedPolls <= maxMissedPolls && now >= w.backoffUntil
 }
 
-// probing reports whether a worker with too many failures still has runs. It gets
-// another run only once these have ended or one has succeeded.
-func (w *worker) probing() bool { return w.failures >= maxFailures && len(w.runs) > 0 }
-
 // closed reports whether a worker gets no further runs for now, whatever it has free.
-func (w *worker) closed() bool { return w.probing() || w.keptForSuspect() }
+func (w *worker) closed() bool {
+	return w.failing() && w.probation.left <= 0 || w.keptForSuspect()
+}
 
 // available returns the resources that are neither in use nor reserved.
 func (w *worker) available() resources {
@@ -196,5 +195,6 @@
 	confirmedPace        int     // percent of full speed that the worker last confirmed
 	paceInFlight         bool    // a pace order is being sent
 	overRate             bool    // whether its step came after those within rate when it was added
+	probe                bool    // whether it was started to probe a failing worker
 	progress             progress
 }
