place: a quarantined worker with a service is released

A quarantined worker of the product's own tasks stays in quarantine for good while a member of a service runs on it, so its room is lost. Cause: it was probed, or released after five minutes without a probe, only once it had no attempts. A service goes on. Evidence: the scenario testdata/scenarios/quarantine, w01 quarantined after 320 s before. Change: the release after releaseAfterMs does not wait for attempts. The worker is released on probation: one more failure quarantines it.

--- a/internal/place/cell_test.go
+++ b/internal/place/cell_test.go
@@ -67,6 +67,7 @@
 	paused        bool
 	partitioned   bool // from the leader
 	failsAll      bool
+	failsNew      bool // fails all batch work
 	throttled     map[uint64]int64
 }
 
@@ -305,7 +306,7 @@
 		e.ranMs += ms
 		e.remainingMs -= ms
 		switch {
-		case w.failsAll || e.remainingMs <= 0 && c.behaviours[e.task.GetId()].fails:
+		case w.failsAll || w.failsNew && e.task.GetSpec().GetKind() != egretmuxv1.TaskKind_TASK_KIND_SERVICE || e.remainingMs <= 0 && c.behaviours[e.task.GetId()].fails:
 			c.endExecution(w, e, egretmuxv1.AttemptPhase_ATTEMPT_PHASE_FAILED)
 		case e.remainingMs <= 0 && e.task.GetSpec().GetKind() != egretmuxv1.TaskKind_TASK_KIND_SERVICE:
 			c.endExecution(w, e, egretmuxv1.AttemptPhase_ATTEMPT_PHASE_SUCCEEDED)
--- a/internal/place/health.go
+++ b/internal/place/health.go
@@ -156,21 +156,24 @@
 }
 
 // probeOrRelease starts a due probe on an idle worker, or releases the worker if
-// no probe was found for it in releaseAfterMs.
+// none was found in releaseAfterMs, or it is not idle, as attempts that were there
+// before or a probe may go on for good.
 func (r *round) probeOrRelease(h *host) {
 	state := &h.health
 	if state.quarantinedAt == 0 { // quarantined under an earlier leader
 		state.quarantinedAt, state.probeDelayMs, state.probeAt = r.now, firstProbeDelayMs, r.now+firstProbeDelayMs
 	}
-	if len(h.live) > 0 || r.now < state.probeAt {
+	if r.now < state.probeAt {
 		return
 	}
-	if j := r.findProbe(h); j != nil {
-		state.probeAt = r.now + state.probeDelayMs
-		r.placeMember(j, h)
-		j.account.dequeue(j)
-		r.dequeuedJobs = append(r.dequeuedJobs, j)
-		return
+	if len(h.live) == 0 { // the state accepts no second attempt
+		if j := r.findProbe(h); j != nil {
+			state.probeAt = r.now + state.probeDelayMs
+			r.placeMember(j, h)
+			j.account.dequeue(j)
+			r.dequeuedJobs = append(r.dequeuedJobs, j)
+			return
+		}
 	}
 	if r.now-state.quarantinedAt > releaseAfterMs {
 		state.quarantinedAt = 0
--- a/internal/place/scenario_test.go
+++ b/internal/place/scenario_test.go
@@ -165,10 +165,12 @@
 			w.partitioned = true
 		case "black-hole":
 			w.failsAll = true
+		case "broken-starts":
+			w.failsNew = true
 		case "restart":
 			s.cell.restartWorker(w)
 		case "heal":
-			w.paused, w.partitioned, w.failsAll = false, false, false
+			w.paused, w.partitioned, w.failsAll, w.failsNew = false, false, false, false
 		case "leader":
 			s.cell.replaceLeader()
 		}
