scheduler: a worker is opened again if its upkeep is refused

A worker whose machine's upkeep is refused for good gets no runs until the leader changes. Cause: the worker is closed before the order, and nothing opened it again: usually its life ends with the upkeep. Change: Uncordon, which nothing called, takes a machine, and is called once the refusal is stored; worker_uncordoned.

--- a/internal/dispatch/cordon.go
+++ b/internal/dispatch/cordon.go
@@ -29,10 +29,13 @@
 	return Target{}, false, true
 }
 
-// Uncordon lets a worker get new runs again.
-func (c *Core) Uncordon(t Target) {
-	if w := c.workers[t.Worker]; w != nil && w.Born == t.Born {
-		w.cordoned = false
+// Uncordon lets the workers of a machine get new runs again, as it is not maintained.
+func (c *Core) Uncordon(machine string) {
+	for _, w := range c.sortedWorkers() {
+		if w.life.GetMachine() == machine && w.cordoned {
+			w.cordoned = false
+			c.addNotice(Notice{Event: "worker_uncordoned", Worker: w.Worker, Reason: "upkeep-refused"})
+		}
 	}
 }
 
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -84,7 +84,7 @@
 
 // startLeader starts a cell with a single replica and returns its scheduler once it
 // leads.
-func startLeader(t *testing.T, f *fakeWorkers) *scheduler.Scheduler {
+func startLeader(t *testing.T, f *fakeWorkers, options ...func(*scheduler.Config)) *scheduler.Scheduler {
 	t.Helper()
 	dialer, err := peer.NewDialer("", "")
 	require.NoError(t, err)
@@ -104,7 +104,11 @@
 	}
 	node, err := v.StartReplica(book, func(err error) { t.Error(err) })
 	require.NoError(t, err)
-	s := scheduler.New(scheduler.Config{WorkerClient: f, AdviceClient: noAdvice{}, Lease: 6 * time.Second, FarFactor: 1, StatusKeep: time.Minute, Logger: zerolog.Nop()})
+	cfg := scheduler.Config{WorkerClient: f, AdviceClient: noAdvice{}, Lease: 6 * time.Second, FarFactor: 1, StatusKeep: time.Minute, Logger: zerolog.Nop()}
+	for _, set := range options {
+		set(&cfg)
+	}
+	s := scheduler.New(cfg)
 	s.SetReplica(node, book)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/scheduler/upkeep.go
+++ b/internal/scheduler/upkeep.go
@@ -168,7 +168,10 @@
 			delete(u.evacuationStarted, machine)
 		}
 	case UpkeepRefused:
-		_ = t.markWave(w, machine, true /* settled */) // a failure is logged there and retried after upkeepPeriod
+		if t.markWave(w, machine, true /* settled */) == nil { // else it is ordered again
+			delete(u.evacuationStarted, machine)
+			t.updateCore(func(c *dispatch.Core, _ time.Duration) { c.Uncordon(machine) })
+		}
 	case UpkeepStaleFence:
 		t.requestConfirmation()
 	}
