dispatch: a long-running task may use reserved room

Cause: a step that lasts counted as expired soon after its job was accepted, so it came after all others, and the room that gangs reserve was closed to it. Change: long-running steps are never late, and may use reserved room, as urgent ones may.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -154,8 +154,12 @@
 // latenessNames are the values of lateness as they appear in logs and metrics.
 var latenessNames = [...]string{"on-time", "late", "expired"}
 
+// latenessOf returns the lateness of a step. Long-running tasks are due whenever they do not
+// run, however long ago their job was accepted.
 func latenessOf(s *step, now time.Duration) int {
 	switch {
+	case s.spec.GetLongRunning():
+		return onTime
 	case now <= s.latestStart:
 		return onTime
 	case now <= s.latestStart+(expiryFactor-1)*s.objective:
@@ -167,7 +171,7 @@
 // largestSlowness returns the slowness of a worker up to which a step that starts now meets
 // its objective. Steps that miss it anyway have no limit.
 func (s *step) largestSlowness(now time.Duration) float64 {
-	if s.lateness != onTime || s.expectedRun <= 0 {
+	if s.lateness != onTime || s.spec.GetLongRunning() || s.expectedRun <= 0 {
 		return math.Inf(1)
 	}
 	return slowTolerance + float64(s.latestStart-now)/float64(s.expectedRun)
@@ -302,7 +306,7 @@
 // limit.
 func (s *step) maxNewRuns(w *worker, limit int) int {
 	usable := w.available()
-	if s.urgent && !w.closed() {
+	if (s.urgent || s.spec.GetLongRunning()) && !w.closed() {
 		usable = w.free // reserved resources too: the gang can wait a little longer
 	}
 	usable.cpu -= s.requiredHeadroom(w)
--- a/internal/dispatch/unclaimed_test.go
+++ b/internal/dispatch/unclaimed_test.go
@@ -140,6 +140,29 @@
 	require.Equal(t, id(1), h.starts[0].Task.Job)
 }
 
+// Guards against a task that is to run all the time and waits behind a gang that has reserved
+// every worker: it had failed long after its job was accepted, so it came after the gang.
+func TestLongRunningTaskIsRestartedInReservedRoom(t *testing.T) {
+	h := newMixedHarness(t, "a", "b", "c", "d", "e", "f")
+	service := tasks(1, 2)
+	service.LongRunning = true
+	h.submitTo("/later/", id(1), service)
+	h.plan()
+	lasting := h.acceptAll()
+	h.submitTo("/later/", id(2), tasks(2, 3), tasks(2, 4)) // on four of the other workers
+	h.plan()
+	require.Len(t, h.acceptAll(), 4)
+	h.pass(70 * time.Second)
+	gang := tasks(3, 3)
+	gang.Gang = true
+	h.submit(id(3), gang)
+	h.pass(5 * time.Second) // it is late now
+	require.Empty(t, h.starts)
+	h.endOne(lasting[0])
+	require.Len(t, h.starts, 1)
+	require.Equal(t, id(1), h.starts[0].Task.Job)
+}
+
 // Load: gangs wait for tickets, not for room, and most of the pool is idle.
 func TestTasksThatCanWaitUseAnIdlePoolBesideWaitingGangs(t *testing.T) {
 	gangs, later := adviceQueue(), queue()
