dispatch: headroom is kept only for steps that can be placed

A quarter of a pool stays closed to all but urgent steps while an urgent gang waits that can never start, and half of one worker for ever after the first urgent run. Cause: headroom is sized by what urgent steps wait for, whether they can start or not, and by an average that never falls to zero. Change: steps that cannot be placed do not count; less than a thousandth of a core is no headroom.

--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -34,9 +34,13 @@
 	}
 	used, waiting := int64(0), int64(0)
 	for _, s := range c.steps {
-		if c.queue(s.job).GetPriority() == 0 && !s.spec.GetLongRunning() && !s.job.overRate() {
-			used += int64(s.runCount()) * s.demand.cpu
-			waiting += int64(s.unheldCount()) * s.demand.cpu
+		q := c.queue(s.job)
+		if q.GetPriority() != 0 || s.spec.GetLongRunning() || s.job.overRate() {
+			continue
+		}
+		used += int64(s.runCount()) * s.demand.cpu
+		if n := s.unheldCount(); n > 0 && c.isPlaceable(s, q.GetService(), now) {
+			waiting += int64(n) * s.demand.cpu
 		}
 	}
 	weight := 1 - math.Exp(-elapsed.Seconds()/urgentTimeConstant.Seconds())
@@ -48,7 +52,7 @@
 	slices.SortStableFunc(workers, func(a, b *worker) int { return cmp.Compare(a.speedClass, b.speedClass) })
 	for i, w := range workers {
 		w.headroom = 0
-		if i < maxWorkers && wanted > 0 {
+		if i < maxWorkers && wanted >= 1 { // the average never falls to zero
 			w.headroom = int64(headroomPerWorker * float64(w.capacity.cpu))
 			wanted -= float64(w.headroom)
 		}
--- a/internal/dispatch/placeable_test.go
+++ b/internal/dispatch/placeable_test.go
@@ -197,3 +197,25 @@
 	h.plan()
 	require.Equal(t, map[string]int{id(3): 16}, countStarts(h))
 }
+
+// Guards against headroom that is kept for ever: for an urgent gang that can never start, or
+// because of urgent runs of long ago.
+func TestHeadroomIsKeptOnlyForStepsThatCanBePlaced(t *testing.T) {
+	for name, urgent := range map[string]*egretmuxv1.JobStep{"gang that can never start": tasks(20, 1), "runs of long ago": tasks(1, 1)} {
+		t.Run(name, func(t *testing.T) {
+			fast, plain := queue(), queue()
+			plain.Name, plain.Prefix, plain.Priority = "plain", "/plain/", 1
+			h := newHarness(t, fast, plain)
+			for _, w := range []string{"a", "b", "c", "d"} {
+				h.addWorker(w, 4)
+			}
+			urgent.Gang = urgent.GetCount() > 1
+			h.submit(id(1), urgent)
+			h.runAll(2*time.Second, nil)
+			h.pass(2 * time.Minute)
+			h.submitTo("/plain/", id(2), tasks(16, 1))
+			h.plan()
+			require.Len(t, h.starts, 16)
+		})
+	}
+}
