scheduler: heartbeats that no worker can have sent change nothing

Here, an entry under the id of a runner that is up ended its life, so that its runs were started again elsewhere, or froze what is known of it. Cause: a heartbeat was checked for name, address and pool only. A birth in the future is later than any; the largest sequence makes all others old; a known life took over another pool or any capacity; and a port out of range was stored and polled. Change: CheckBeat bounds every field; the leader also refuses a heartbeat that contradicts its life but for the capacity, or is of a pool that no configuration names. Instances refuse before they pass on. egretmux_heartbeats_refused_total counts by reason.

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -17,7 +17,7 @@
 	h.t.Helper()
 	h.core.PollUnanswered(crashed)
 	h.advance(3 * time.Second)
-	next := proto.CloneOf(h.core.Life(crashed))
+	next := proto.CloneOf(h.core.Life(crashed.Worker))
 	next.BornUnixMs++
 	lost := h.core.CrashedRuns(crashed)
 	h.apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_EndLife{EndLife: &egretmuxv1.EndLife{
--- a/internal/dispatch/membership.go
+++ b/internal/dispatch/membership.go
@@ -20,8 +20,13 @@
 	return ""
 }
 
+// maxCapacity bounds each resource of a worker, so that sums over all workers do not overflow.
+const maxCapacity = 1 << 32
+
+// capacityOf returns the capacity of a worker. An earlier release may have stored any.
 func capacityOf(life *egretmuxv1.WorkerLife) resources {
-	return resources{life.GetCpuMillis(), life.GetMemoryMib(), life.GetAccelerators()}
+	bounded := func(size int64) int64 { return max(0, min(size, maxCapacity)) }
+	return resources{bounded(life.GetCpuMillis()), bounded(life.GetMemoryMib()), bounded(life.GetAccelerators())}
 }
 
 func (c *Core) addWorker(life *egretmuxv1.WorkerLife) {
@@ -40,12 +45,12 @@
 	return w != nil && w.Born == t.Born
 }
 
-// Life returns the stored incarnation of a worker, or nil if it is not the current one.
-func (c *Core) Life(t Target) *egretmuxv1.WorkerLife {
-	if !c.Knows(t) {
-		return nil
+// Life returns the current incarnation of a worker, or nil.
+func (c *Core) Life(worker string) *egretmuxv1.WorkerLife {
+	if w := c.workers[worker]; w != nil {
+		return w.life
 	}
-	return c.workers[t.Worker].life
+	return nil
 }
 
 // ReplacedBy returns the incarnations that have ended if the given one exists: earlier ones
--- a/internal/dispatch/resize_test.go
+++ b/internal/dispatch/resize_test.go
@@ -1,6 +1,8 @@
 package dispatch_test
 
 import (
+	"fmt"
+	"math"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -14,7 +16,7 @@
 // It returns whether the core wanted it.
 func (h *harness) report(t dispatch.Target, cores int64, sequence uint64) bool {
 	h.t.Helper()
-	life := proto.CloneOf(h.core.Life(t))
+	life := proto.CloneOf(h.core.Life(t.Worker))
 	life.CpuMillis = cores * 1000
 	if !h.core.CapacityChanged(life, sequence) {
 		return false
@@ -72,3 +74,29 @@
 	h.plan()
 	require.Len(t, h.starts, 1)
 }
+
+// Guards against a stored capacity at the extremes, with which the free room of a worker or of a
+// pool overflows.
+func TestStoredCapacityAtTheExtremesIsBounded(t *testing.T) {
+	for name, cpu := range map[string]int64{"largest": math.MaxInt64, "least": math.MinInt64} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			for n := range 3 {
+				l := life(fmt.Sprintf("odd-%d", n), 1)
+				l.CpuMillis, l.MemoryMib, l.Accelerators = cpu, cpu, cpu
+				h.apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_RecordLife{RecordLife: &egretmuxv1.RecordLife{Life: l}}})
+			}
+			h.beginTenure()
+			a := h.addWorker("a", 4)
+			gang := tasks(3, 1)
+			gang.Gang = true
+			h.submit(id(1), gang)
+			h.submit(id(2), tasks(1, 1))
+			h.plan()
+			require.Len(t, h.starts, 4, "on the worker that answers")
+			for _, s := range h.starts {
+				require.Equal(t, a, s.Target)
+			}
+		})
+	}
+}
--- a/internal/jobcell/forward.go
+++ b/internal/jobcell/forward.go
@@ -11,6 +11,7 @@
 	"github.com/egretmux/egretmux/internal/peer"
 	"github.com/egretmux/egretmux/internal/refusal"
 	"github.com/egretmux/egretmux/internal/refusal/refusalrpc"
+	"github.com/egretmux/egretmux/internal/scheduler"
 	"github.com/egretmux/egretmux/internal/telemetry"
 )
 
@@ -191,6 +192,9 @@
 // instance's since it caches what the leader has accepted.
 func (c *Cell) ForwardHeartbeat(ctx context.Context, beat *egretmuxv1.WorkerBeat) (string, error) {
 	now := time.Now()
+	if err := scheduler.CheckBeat(beat, now); err != nil {
+		return "", err // before it takes a link's time
+	}
 	if c.Ready() && c.heartbeats.isUnchanged(beat, now) {
 		return c.cfg.Control, nil
 	}
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -8,7 +8,6 @@
 	"github.com/egretmux/egretmux/internal/dispatch"
 	"github.com/egretmux/egretmux/internal/job"
 	"github.com/egretmux/egretmux/internal/refusal"
-	"github.com/egretmux/egretmux/internal/telemetry"
 )
 
 // noCatalogue returns the refusal of calls before the first configuration. Its kind
@@ -177,14 +176,16 @@
 func (t *tenure) handleHeartbeat(ctx context.Context, b *egretmuxv1.WorkerBeat) error {
 	received := t.now()
 	life := b.GetLife()
-	if life.GetWorker() == "" || !b.GetLeaving() && (life.GetAddress() == "" || life.GetPool() == "") {
-		telemetry.CountRetry("heartbeat-incomplete")
-		return refusal.New(refusal.Invalid, "send the worker's name, address and pool", "the heartbeat is not complete")
+	if err := CheckBeat(b, time.Now()); err != nil {
+		return err
 	}
 	target := targetOf(life)
 	if b.GetLeaving() {
 		return t.handleLeave(ctx, target)
 	}
+	if err := t.checkKnownLife(life); err != nil {
+		return err
+	}
 	t.mu.Lock()
 	known := t.core.Knows(target)
 	draining := known && t.core.Draining(target)
