platform, dispatch: times beyond the type saturate

Cause: on the paths of the odd entries: a number beyond an integer is converted to any value, another one on x86-64 than on arm64, in jobs, configurations and waves as well. No failure before was shown.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -20,6 +20,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -206,17 +207,12 @@
 	}
 }
 
-// maxUntilDue bounds the time to or since the due time of an occurrence, which a job may set
-// to anything.
-const maxUntilDue = 10 * 365 * 24 * time.Hour
-
 // untilDue returns the time until an occurrence of a periodic job is due; negative since then.
 func (c *Core) untilDue(j *job, occurrence uint32, now time.Duration) time.Duration {
 	// Floating point, as sums of any two times of a job may overflow; exact to the millisecond
 	// for thousands of years.
 	ms := float64(j.spec.GetFirstDueUnixMs()) + float64(occurrence)*float64(j.spec.GetIntervalMs()) - float64(c.cfg.UnixMs(now))
-	limit := float64(maxUntilDue / time.Millisecond)
-	return time.Duration(max(-limit, min(limit, ms))) * time.Millisecond
+	return milliseconds(math.Trunc(ms))
 }
 
 // openReadySteps opens the steps of an occurrence whose predecessors are done.
@@ -313,7 +309,13 @@
 	s.latestStart = s.dueAt + s.objective - milliseconds(paths[s.key.Step])
 }
 
-func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+// maxEstimate bounds times that are computed from what submitters say.
+const maxEstimate = 10 * 365 * 24 * time.Hour
+
+func milliseconds(ms float64) time.Duration {
+	const limit = float64(maxEstimate / time.Millisecond)
+	return time.Duration(max(-limit, min(limit, ms)) * float64(time.Millisecond))
+}
 
 // queue returns the queue of a job from the current catalogue.
 func (c *Core) queue(j *job) *egretmuxv1.Queue {
