--- a/internal/standin/jobs/ledger.go
+++ b/internal/standin/jobs/ledger.go
@@ -66,6 +66,9 @@
 	Ms    int64 `json:"estimated_ms"`
 	After []int `json:"depends_on,omitempty"`
 	Gang  bool  `json:"gang,omitempty"`
+
+	LongRunning  bool `json:"long_running,omitempty"`
+	MaxPerRunner int  `json:"anti_affinity,omitempty"`
 }
 
 // NewLedger returns an empty ledger.
--- a/internal/standin/jobs/runner.go
+++ b/internal/standin/jobs/runner.go
@@ -121,6 +121,9 @@
 // ID returns the runner's id, which its next life may have as well.
 func (r *Runner) ID() string { return r.cfg.ID }
 
+// Born returns the start of this life, in Unix milliseconds.
+func (r *Runner) Born() int64 { return r.born.UnixMilli() }
+
 // Crash kills the runner and all its runs.
 func (r *Runner) Crash() {
 	r.mu.Lock()
