dispatch: only kept room is logged

Cause: each gang that waited for tickets, some 25 a second on the grown sites, logged two lines though it kept nothing from others. Change: room_reserved once room is reserved, room_released once the turn of a reservation, or of a hold, is over.

--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -44,31 +44,35 @@
 	if !c.isPlaceable(s, pool, p.now) {
 		return
 	}
-	late := s.lateness != onTime
-	keeps := !s.overRate && (!late || p.lateReservations < maxLateReservations)
-	if keeps {
+	late, reason := s.lateness != onTime, latenessNames[s.lateness]
+	mayReserve := !s.overRate && (!late || p.lateReservations < maxLateReservations)
+	if mayReserve {
 		limit := maxRoomTurn
 		if p.unclaimed.mostlyFree(pool) {
 			limit = maxIdleRoomTurn
 		}
-		keeps = c.takeRoomTurn(s, &s.reserving, latenessNames[s.lateness], limit, p.now)
+		over := false
+		if mayReserve, over = s.reserving.take(p.now, limit); over && s.reserving.noticed {
+			c.noticeRoomReleased(s, &s.reserving, reason, p.now)
+		}
 	}
-	if keeps && !late {
+	if mayReserve && !late {
 		p.unclaimed.claim(pool, s, n)
 	}
 	if c.awaitTickets(s, n, p.now) {
 		return
 	}
 	switch {
-	case !keeps:
+	case !mayReserve:
 		return
-	case !late && p.reservations < maxReservations:
-		p.reservations++
 	case late:
 		p.lateReservations++
+	case p.reservations < maxReservations:
+		p.reservations++
 	default:
 		return
 	}
+	c.noticeRoomKept(s, &s.reserving, reason, p.now)
 	c.reserveForGang(s, n, p.now)
 }
 
@@ -107,10 +111,8 @@
 		s.sortForTickets(candidates, n, now)
 		chosen = s.fitGang(candidates, n, averageClass)
 	}
-	if chosen != nil && c.takeRoomTurn(s, &s.holding, "tickets", maxRoomTurn, now) {
-		for _, w := range chosen {
-			s.hold(w)
-		}
+	if chosen != nil {
+		c.holdForTickets(s, chosen, now)
 	}
 	if chosen != nil && !s.urgent {
 		s.claimQuota(n)
@@ -153,6 +155,21 @@
 	slices.SortStableFunc(workers, func(a, b *worker) int { return cmp.Compare(a.stepRank, b.stepRank) })
 }
 
+// holdForTickets reserves resources on the chosen workers until their tickets have come, for the
+// length of a turn.
+func (c *Core) holdForTickets(s *step, chosen []*worker, now time.Duration) {
+	may, over := s.holding.take(now, maxRoomTurn)
+	if over {
+		c.noticeRoomReleased(s, &s.holding, "tickets", now)
+	}
+	if !may {
+		return
+	}
+	for _, w := range chosen {
+		s.hold(w)
+	}
+}
+
 // hold reserves the resources for one task on a worker until the next plan has
 // considered the step. Steps that come before it in that plan cannot take them.
 func (s *step) hold(w *worker) {
--- a/internal/dispatch/turn.go
+++ b/internal/dispatch/turn.go
@@ -18,35 +18,36 @@
 type roomTurn struct {
 	since, last time.Duration // of this turn
 	active      bool
+	noticed     bool // whether it was logged that room is kept in this turn
 	pausedUntil time.Duration
 }
 
-// take reports whether a gang may keep room in a plan, and whether its turn has begun or ended
-// with it.
-func (t *roomTurn) take(now, limit time.Duration) (may, changed bool) {
+// take reports whether a gang may keep room in a plan, and whether its turn is over with it.
+func (t *roomTurn) take(now, limit time.Duration) (may, over bool) {
 	if now < t.pausedUntil {
 		return false, false
 	}
 	if !t.active || now-t.last > roomTurnGap {
-		t.active, t.since, changed = true, now, true
+		*t = roomTurn{active: true, since: now}
 	}
 	t.last = now
 	if now-t.since > limit {
 		t.active, t.pausedUntil = false, now+limit
 		return false, true
 	}
-	return true, changed
+	return true, false
 }
 
-// takeRoomTurn is take with a log line for each turn.
-func (c *Core) takeRoomTurn(s *step, t *roomTurn, reason string, limit, now time.Duration) bool {
-	may, changed := t.take(now, limit)
-	if changed {
-		event := "room_reserved"
-		if !may {
-			event = "room_released"
-		}
-		c.addNotice(Notice{Event: event, Job: s.key.Job, Task: s.key.String(), Reason: reason, Age: now - s.openedAt})
+// noticeRoomKept logs, once for each turn, that a gang keeps room.
+func (c *Core) noticeRoomKept(s *step, t *roomTurn, reason string, now time.Duration) {
+	if t.noticed {
+		return
 	}
-	return may
+	t.noticed = true
+	c.addNotice(Notice{Event: "room_reserved", Job: s.key.Job, Task: s.key.String(), Reason: reason, Age: now - s.openedAt})
+}
+
+// noticeRoomReleased logs that a gang leaves the room to others, as its turn is over.
+func (c *Core) noticeRoomReleased(s *step, t *roomTurn, reason string, now time.Duration) {
+	c.addNotice(Notice{Event: "room_released", Job: s.key.Job, Task: s.key.String(), Reason: reason, Age: now - t.since})
 }
