--- a/internal/dispatch/resize_test.go
+++ b/internal/dispatch/resize_test.go
@@ -82,7 +82,7 @@
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t)
 			for n := range 3 {
-				l := life(fmt.Sprintf("odd-%d", n), 1)
+				l := life(fmt.Sprintf("large-%d", n), 1)
 				l.CpuMillis, l.MemoryMib, l.Accelerators = cpu, cpu, cpu
 				h.apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_RecordLife{RecordLife: &egretmuxv1.RecordLife{Life: l}}})
 			}
--- a/internal/scheduler/odd_heartbeat_test.go
+++ b/internal/scheduler/malformed_heartbeat_test.go
@@ -25,8 +25,8 @@
 	}}
 }
 
-// oddBeats are changes that make a heartbeat one that no worker sends.
-var oddBeats = map[string]func(*egretmuxv1.WorkerBeat){
+// malformedBeats are changes that make a heartbeat one that no worker sends.
+var malformedBeats = map[string]func(*egretmuxv1.WorkerBeat){
 	"name too long":                 func(b *egretmuxv1.WorkerBeat) { b.Life.Worker = strings.Repeat("w", 1<<16) },
 	"born in the far future":        func(b *egretmuxv1.WorkerBeat) { b.Life.BornUnixMs = math.MaxInt64 },
 	"born next year":                func(b *egretmuxv1.WorkerBeat) { b.Life.BornUnixMs = time.Now().AddDate(1, 0, 0).UnixMilli() },
@@ -69,10 +69,10 @@
 	"other labels":  func(b *egretmuxv1.WorkerBeat) { b.Life.Labels = []string{"b", "r9-9"} },
 }
 
-// Guards against an odd entry among those of the workers, left by another writer: it must
+// Guards against a malformed entry among those of the workers, left by another writer: it must
 // name no worker to use, and change nothing about those that are up, under whose name, birth
 // or address it may come.
-func TestOddHeartbeatsChangeNothing(t *testing.T) {
+func TestMalformedHeartbeatsChangeNothing(t *testing.T) {
 	f := &fakeWorkers{held: func(dispatch.StartOrder) bool { return true }}
 	s := startLeader(t, f)
 	ctx := t.Context()
@@ -90,7 +90,7 @@
 		}
 		require.Equal(t, refusal.Invalid, refusal.Of(err).Kind, name)
 	}
-	for name, change := range oddBeats {
+	for name, change := range malformedBeats {
 		same := soundBeat(2)
 		change(same)
 		send(name+", same life", same)
