--- a/internal/discovery/search.go
+++ b/internal/discovery/search.go
@@ -1,6 +1,9 @@
 package discovery
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Reasons for which an instance still looks for the leader.
 const (
@@ -62,3 +65,13 @@
 	}
 	return now.Sub(d.search.since), reason
 }
+
+// Asked returns the addresses at which this instance looks for the leader first: the seeds and
+// the replicas that it knows.
+func (d *Directory) Asked() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	asked := slices.Concat(d.seeds, d.replicas())
+	slices.Sort(asked)
+	return slices.Compact(asked)
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -156,6 +156,15 @@
 	})
 }
 
+// CountInFlight keeps the number of requests in flight in a counter.
+func CountInFlight(inFlight *atomic.Int64, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		inFlight.Add(1)
+		defer inFlight.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
 // CloseAfter adds Connection: close to every answer that begins after draining is
 // closed.
 func CloseAfter(draining <-chan struct{}, next http.Handler) http.Handler {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -76,6 +77,15 @@
 	<-done
 }
 
+func TestCountInFlight(t *testing.T) {
+	var inFlight atomic.Int64
+	during := int64(0)
+	CountInFlight(&inFlight, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { during = inFlight.Load() })).
+		ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil))
+	require.Equal(t, int64(1), during)
+	require.Zero(t, inFlight.Load())
+}
+
 // An answer that begins during the drain closes its connection, also when its
 // request arrived before the drain.
 func TestCloseAfter(t *testing.T) {
--- a/internal/jobcell/announce.go
+++ b/internal/jobcell/announce.go
@@ -32,7 +32,7 @@
 			c.leader.LeaderChanged(leader)
 		}
 		age, reason := c.directory.Search(now)
-		watch.update(age, reason, c.Ready())
+		watch.update(age, reason, c.Ready(), c.directory.Asked)
 		calls, next := c.directory.Calls(now)
 		for _, call := range calls {
 			go c.makeCall(ctx, call)
--- a/internal/jobcell/cell.go
+++ b/internal/jobcell/cell.go
@@ -74,6 +74,7 @@
 	heartbeats          *heartbeatCache
 	calls               *callWatch
 	order               *callOrder
+	catalogues          *catalogueWatch
 	failed              chan error
 	replicaStartAllowed chan struct{} // closed when an empty replica may start
 	startOnce           sync.Once
@@ -94,6 +95,7 @@
 	c.heartbeats = newHeartbeatCache()
 	c.calls = newCallWatch()
 	c.order = newCallOrder()
+	c.catalogues = &catalogueWatch{logger: cfg.Logger}
 	cfg.Scheduler.AdviceClient = c.advice
 	cfg.Scheduler.WorkerClient = c.workers
 	cfg.Scheduler.Logger = cfg.Logger
--- a/internal/jobcell/forward.go
+++ b/internal/jobcell/forward.go
@@ -58,6 +58,7 @@
 		verdict = c.order.admit(answer, arrived, began, time.Now())
 	}
 	if verdict == inOrder {
+		c.catalogues.note(answer.GetCatalogueVersion(), "call")
 		return answer, nil
 	}
 	telemetry.CountRetry("catalogue-out-of-order")
@@ -166,9 +167,12 @@
 		return err
 	})
 	if err != nil {
-		c.cfg.Logger.Warn().Str("event", "catalogue_refused").Uint64("version", catalogue.GetVersion()).Str("reason", string(refusal.Of(err).Kind)).Err(err).Msg("configuration refused")
+		refused := refusal.Of(err)
+		c.cfg.Logger.Warn().Str("event", "catalogue_refused").Uint64("version", catalogue.GetVersion()).Str("reason", string(refused.Kind)).Str("ran", string(refused.Ran)).Err(err).Msg("configuration refused")
+		return err
 	}
-	return err
+	c.catalogues.note(catalogue.GetVersion(), "acknowledged")
+	return nil
 }
 
 // maxForwardedBytes is the maximum size of a configuration that passes through an
@@ -188,8 +192,12 @@
 // Catalogue returns the source of the leader's current configuration, or a
 // RedirectError if it is too large.
 func (c *Cell) Catalogue(ctx context.Context) ([]byte, error) {
+	known := c.catalogues.newest.Load()
 	if c.scheduler.Leads() {
 		catalogue, err := c.scheduler.Catalogue(ctx)
+		if err == nil {
+			c.catalogues.noteRead(catalogue.GetVersion(), known)
+		}
 		return catalogue.GetSource(), err
 	}
 	var out *egretmuxv1.GetCatalogueResponse
@@ -206,6 +214,7 @@
 	case out.GetControl() != "":
 		return nil, &RedirectError{Control: out.GetControl()}
 	}
+	c.catalogues.noteRead(out.GetCatalogue().GetVersion(), known)
 	return out.GetCatalogue().GetSource(), nil
 }
 
--- a/internal/jobcell/instance.go
+++ b/internal/jobcell/instance.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -52,6 +53,7 @@
 type server struct {
 	name, address string
 	http          *http.Server
+	inFlight      *atomic.Int64 // requests
 }
 
 // NewInstance returns an instance without listeners.
@@ -64,8 +66,9 @@
 	if address == "" {
 		return
 	}
-	i.servers = append(i.servers, &server{name: name, address: address, http: &http.Server{
-		Handler: edge.CloseAfter(i.draining, edge.LimitBodyTime(bodyTimeout, h)), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	inFlight := new(atomic.Int64)
+	i.servers = append(i.servers, &server{name: name, address: address, inFlight: inFlight, http: &http.Server{
+		Handler: edge.CountInFlight(inFlight, edge.CloseAfter(i.draining, edge.LimitBodyTime(bodyTimeout, h))), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}})
 }
 
@@ -216,7 +219,9 @@
 			continue // still carries the last calls to the leader
 		}
 		if err := s.http.Shutdown(ctx); err != nil {
-			i.cfg.Logger.Warn().Err(err).Str("event", "listener_closed_hard").Str("listener", s.name).Msg("closed the listener with requests still in flight")
+			cut := s.inFlight.Load()
+			telemetry.Add(`requests_cut_total{listener="`+s.name+`"}`, int(cut))
+			i.cfg.Logger.Warn().Err(err).Str("event", "listener_closed_hard").Str("listener", s.name).Int64("requests", cut).Msg("closed the listener with requests still in flight")
 		}
 	}
 }
--- a/internal/jobcell/leader_watch.go
+++ b/internal/jobcell/leader_watch.go
@@ -24,8 +24,9 @@
 }
 
 // update logs a search of the given age. Age zero tells that there is none, and ready
-// whether this instance leads or is in contact with the leader.
-func (w *leaderWatch) update(age time.Duration, reason string, ready bool) {
+// whether this instance leads or is in contact with the leader. asked returns the addresses
+// at which it looks.
+func (w *leaderWatch) update(age time.Duration, reason string, ready bool, asked func() []string) {
 	known := 0.0
 	if ready {
 		known = 1
@@ -42,5 +43,5 @@
 		return
 	}
 	w.reportAt = age + min(age, maxLeaderMissingPause)
-	w.logger.Warn().Str("event", "leader_missing").Str("reason", reason).Int64("age_ms", age.Milliseconds()).Msg("this instance looks for the leader")
+	w.logger.Warn().Str("event", "leader_missing").Str("reason", reason).Int64("age_ms", age.Milliseconds()).Strs("asked", asked()).Msg("this instance looks for the leader")
 }
