jobcell: signals are handled from the start of a process to its end

What callers saw: requests that ended without an answer (LOST) when a second signal came during a shutdown, such as the notice of changed settings (SIGHUP) or a repeated SIGTERM. A SIGHUP to a process that was starting ended it.

Cause: the handling of signals began once the listeners were open, and ended with the first stop signal (signal.Stop).

Evidence: with real processes, TestSignalDuringAShutdownCutsNoRequest (SIGHUP, SIGTERM and SIGINT 200 ms after SIGTERM, beside a call that waits for a leader) and TestChangedSettingsDoNotEndAProcessThatStarts fail before this commit ("expected: 503, actual: 0"; "signal: hangup") and pass with it. TestProcessThatIsStoppedWhileItStartsEnds passes before as well.

Why this works: the signals are taken before anything else is done, by one loop that lasts as long as the process. The first stop signal begins the shutdown; later ones are logged and change nothing.

--- a/internal/jobcell/instance.go
+++ b/internal/jobcell/instance.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -31,15 +32,25 @@
 	reloadPeriod         = 2 * time.Second
 	maxHeaderBytes       = 16 << 10
 	maxCellStreams       = 4096
+	maxPendingSignals    = 16
 )
 
 // InstanceConfig holds the settings of an Instance.
 type InstanceConfig struct {
 	ShutdownTime time.Duration            // time between the stop signal and the kill
 	Reload       func() ([]string, error) // re-reads the settings and returns the seeds
+	Signals      <-chan os.Signal         // signals to this process, from HandleSignals; nil: none are handled
 	Logger       zerolog.Logger
 }
 
+// HandleSignals returns the channel of the signals that an instance handles. From then on they do not
+// end the process, so it is called before anything else and never undone.
+func HandleSignals() <-chan os.Signal {
+	signals := make(chan os.Signal, maxPendingSignals)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	return signals
+}
+
 // Instance is the server process around a Cell: it serves the listeners, reloads the
 // settings and shuts down gracefully.
 type Instance struct {
@@ -144,30 +155,36 @@
 // waitForStop blocks until the instance has a reason to stop. Meanwhile the settings are
 // re-read every reloadPeriod and at SIGHUP.
 func (i *Instance) waitForStop(ctx context.Context) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	requests := make(chan struct{}, 1)
 	go i.reloadLoop(ctx, requests)
-	for {
+	stopped := make(chan struct{})
+	go i.signalLoop(requests, sync.OnceFunc(func() { close(stopped) }))
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-i.failed:
+		return err
+	case err := <-i.cell.Failed():
+		return err
+	case <-stopped:
+		return nil
+	}
+}
+
+// signalLoop handles signals until the process ends. The first stop signal begins the shutdown;
+// later signals change nothing in it, as requests are still in flight.
+func (i *Instance) signalLoop(reloads chan<- struct{}, stop func()) {
+	for s := range i.cfg.Signals {
+		i.cfg.Logger.Info().Str("event", "signal_received").Stringer("signal", s).Msg("received a signal")
+		if s != syscall.SIGHUP {
+			stop()
+			continue
+		}
 		select {
-		case <-ctx.Done():
-			return nil
-		case err := <-i.failed:
-			return err
-		case err := <-i.cell.Failed():
-			return err
-		case s := <-signals:
-			i.cfg.Logger.Info().Str("event", "signal_received").Stringer("signal", s).Msg("received a signal")
-			if s != syscall.SIGHUP {
-				return nil
-			}
-			select {
-			case requests <- struct{}{}:
-			default: // the reading that is about to begin sees the change
-			}
+		case reloads <- struct{}{}:
+		default: // the reading that is about to begin sees the change
 		}
 	}
 }
