job, platform: every fault of a configuration is refused

What callers saw: an invalid configuration that is acknowledged and in force (CONFIG).

Cause: two routes at the same host and prefix were told by the name of the first one, so that they were taken if it had none.

That hosts are compared with a port was tried and left out: a test of the lookup states the opposite.

--- a/internal/job/book_test.go
+++ b/internal/job/book_test.go
@@ -192,6 +192,18 @@
 	}
 }
 
+// Guards against an invalid catalogue that was taken: two queues at the same address were refused only
+// if the first one had a name.
+func TestQueuesWithoutANameAtTheSameAddressAreRefused(t *testing.T) {
+	for _, host := range []string{"h", "H"} {
+		err := job.CheckCatalogue(&egretmuxv1.Catalogue{Version: 1, Pools: []*egretmuxv1.Pool{{Name: "s"}}, Queues: []*egretmuxv1.Queue{
+			{Host: "h", Prefix: "/q/", Service: "s", TimeoutMs: 1},
+			{Host: host, Prefix: "/q/", Service: "s", TimeoutMs: 1},
+		}})
+		require.ErrorContains(t, err, "same host and prefix", host)
+	}
+}
+
 func recordLife(t require.TestingT, b *job.Book, born int64) job.Result {
 	return apply(t, b, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_RecordLife{RecordLife: &egretmuxv1.RecordLife{
 		Life: &egretmuxv1.WorkerLife{Worker: "w", BornUnixMs: born},
--- a/internal/job/catalogue.go
+++ b/internal/job/catalogue.go
@@ -105,6 +105,7 @@
 	routesByKey := make(map[[2]string]string)
 	for _, q := range m.GetQueues() {
 		key := [2]string{strings.ToLower(q.GetHost()), q.GetPrefix()}
+		other, taken := routesByKey[key]
 		switch {
 		case !pools[q.GetService()]:
 			return invalid("name a service of the same configuration", "route %.100q names service %.100q, which is not in the configuration", q.GetName(), q.GetService())
@@ -112,8 +113,8 @@
 			return invalid("give a time-out above zero", "route %.100q has no time-out", q.GetName())
 		case q.GetHost() == "" || !strings.HasPrefix(q.GetPrefix(), "/"):
 			return invalid("give a host and a path that begins with /", "route %.100q has no host, or its path does not begin with /", q.GetName())
-		case routesByKey[key] != "":
-			return invalid("give each route a host and prefix of its own", "routes %.100q and %.100q have the same host and prefix", routesByKey[key], q.GetName())
+		case taken:
+			return invalid("give each route a host and prefix of its own", "routes %.100q and %.100q have the same host and prefix", other, q.GetName())
 		}
 		routesByKey[key] = q.GetName()
 	}
