discovery: the leader calls members that fell silent

Cause: a leader tells all members of itself once, when its term begins. A member that restarts later has to find it by its seeds, and the leader waits for the announcement.

Evidence: TestInstanceWithOldSeedsFindsTheLeaderAfterItsRestart failed before: "11 instances: all in contact 20s after the restart", the limit of the wait.

Why it works: the leader knows the address for as long as the member stays in the list. A member that has missed two announcements gets a notice, as at the beginning of a term, until it answers or is removed.

--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -4,9 +4,9 @@
 //
 // Each instance announces itself to the leader, once a second in cells of up to 400
 // instances. One that knows no leader asks one seed or replica at a time. A new leader
-// tells all instances, through some of them if there are many. Only seeds, instances
-// with a data folder and the leader keep the list of all members; lists are versioned,
-// so that only changes are sent. What an instance sends in a calm cell thus does not
+// tells all instances, through some of them if there are many, and later those that fell
+// silent. Only seeds, instances with a data folder and the leader keep the list of all
+// members; lists are versioned, so that only changes are sent. What an instance sends in a calm cell thus does not
 // depend on the size of the cell.
 package discovery
 
@@ -256,7 +256,7 @@
 // Factors of the period of announcements after which an instance counts as silent.
 const (
 	responsiveFactor = 1.6 // it has missed an announcement
-	contactFactor    = 2.5 // tolerates two lost announcements
+	contactFactor    = 2.5 // tolerates two lost announcements; the leader calls a member that is silent for longer
 	liveFactor       = 4
 )
 
--- a/internal/discovery/notices.go
+++ b/internal/discovery/notices.go
@@ -106,6 +106,20 @@
 	return calls
 }
 
+// callSilent makes notices due for members that have missed announcements: one that restarted may
+// know no other way to this leader.
+func (d *Directory) callSilent(now time.Time) {
+	silentSince := now.Add(-d.scaled(contactFactor))
+	if d.leadsSince.After(silentSince) {
+		return
+	}
+	for address, e := range d.list.entries {
+		if address != d.selfAddress && !e.member.GetGone() && e.lastAnnounced.Before(silentSince) && d.untold[address] == nil {
+			d.untold[address] = &notice{dueAt: now}
+		}
+	}
+}
+
 // noticeGroups divides addresses into groups of which the first member tells the
 // others. Each address is in noticeCopies groups, as a first member may be down.
 func (d *Directory) noticeGroups(addresses []string) [][]string {
--- a/internal/discovery/rounds.go
+++ b/internal/discovery/rounds.go
@@ -240,6 +240,7 @@
 	if silentSince := now.Add(-memberRetention); silentSince.After(d.leadsSince) {
 		d.list.expire(d.selfAddress, silentSince, now)
 	}
+	d.callSilent(now)
 	holders := d.listHolders()
 	if len(holders) == 0 {
 		return nil
