discovery, jobcell: members are remembered on disk and called after a restart

Cause: members are known in memory only. After the loss the leader knows the voters, from the log, and those that find it. Nobody knows the address of an instance that neither is a voter nor has a seed that runs.

Why it works: each instance with a data folder keeps the addresses of the members there, written when they change, at most once a second. After a restart a leader tells them of itself, as it tells all members, and every other holder announces itself to one of them a second, as it may remember others than the leader.

The file is written beside the log with a checksum, synced, renamed into place, and the folder is synced. A missing or damaged one costs a warning. It has a goroutine of its own, so that a disk that hangs holds up neither discovery nor the replica; on a full disk the rest of a write is removed.

--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -6,7 +6,8 @@
 // instances. One that knows no leader asks one seed or replica at a time. A new leader
 // tells all instances, through some of them if there are many, and later those that fell
 // silent. Only seeds, instances with a data folder and the leader keep the list of all
-// members; lists are versioned, so that only changes are sent. What an instance sends in a calm cell thus does not
+// members; lists are versioned, so that only changes are sent. After a restart the members
+// of before are called as well, as the seeds of some may all have been replaced. What an instance sends in a calm cell thus does not
 // depend on the size of the cell.
 package discovery
 
@@ -47,6 +48,7 @@
 	mu            sync.Mutex
 	random        *rand.Rand
 	list          *memberList
+	remembered    rememberedMembers
 	seeds         []string
 	local         Local
 	lastDiscovery time.Time // when an unknown instance was last added
@@ -98,7 +100,7 @@
 	m := self()
 	d := &Directory{
 		self: self, selfAddress: m.GetAddress(), random: random, seeds: seeds, wake: make(chan struct{}, 1),
-		list: newMemberList(random.Uint64()), lastDiscovery: now, nextRound: now,
+		list: newMemberList(random.Uint64()), remembered: rememberedMembers{addresses: make(map[string]bool)}, lastDiscovery: now, nextRound: now,
 		inFlight: make(map[string]bool), failedAt: make(map[string]time.Time),
 		positions: make(map[string]*egretmuxv1.ListPosition), untold: make(map[string]*notice),
 	}
@@ -203,6 +205,10 @@
 func (d *Directory) InContact(now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.inContact(now)
+}
+
+func (d *Directory) inContact(now time.Time) bool {
 	return !d.contactAt.IsZero() && now.Sub(d.contactAt) < d.scaled(contactFactor)
 }
 
@@ -305,7 +311,9 @@
 }
 
 // size returns the number of members, as far as this instance knows.
-func (d *Directory) size() int { return max(len(d.list.entries), d.reportedSize) }
+func (d *Directory) size() int {
+	return max(len(d.list.entries)+len(d.remembered.addresses), d.reportedSize)
+}
 
 func (d *Directory) scaled(factor float64) time.Duration {
 	return time.Duration(factor * float64(d.announcePeriod()))
--- a/internal/discovery/messages.go
+++ b/internal/discovery/messages.go
@@ -40,6 +40,7 @@
 		d.lastDiscovery = now
 	}
 	delete(d.untold, m.GetAddress())
+	d.remembered.heardOf(m)
 }
 
 // samplePeers returns members without a replica, half of them in the zone of the
@@ -163,6 +164,7 @@
 // addMembers stores the members that another instance reported. The caller holds mu.
 func (d *Directory) addMembers(members []*egretmuxv1.Member, now time.Time) {
 	added := d.list.merge(members, d.selfAddress, now)
+	d.remembered.heardOf(members...)
 	if len(added) == 0 {
 		return
 	}
@@ -181,7 +183,7 @@
 	defer d.mu.Unlock()
 	delete(d.inFlight, call.Address)
 	d.failedAt[call.Address] = now
-	if len(d.inFlight) == 0 {
+	if len(d.inFlight) == 0 && !d.remembered.addresses[call.Address] {
 		d.roundAt(now.Add(d.withJitter(minAskPause)))
 	}
 	if leader := d.leader(); leader.address == call.Address {
--- a/internal/discovery/notices.go
+++ b/internal/discovery/notices.go
@@ -77,7 +77,7 @@
 func (d *Directory) repeatedNotices(now time.Time) []Call {
 	var due []string
 	for address, n := range d.untold {
-		if e := d.list.entries[address]; e == nil || e.member.GetGone() {
+		if e := d.list.entries[address]; (e == nil || e.member.GetGone()) && !d.remembered.addresses[address] {
 			delete(d.untold, address)
 		} else if !now.Before(n.dueAt) {
 			due = append(due, address)
--- a/internal/discovery/rounds.go
+++ b/internal/discovery/rounds.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -98,6 +99,9 @@
 		for _, m := range d.list.members(d.selfAddress) {
 			d.untold[m.GetAddress()] = &notice{dueAt: now}
 		}
+		for address := range d.remembered.addresses {
+			d.untold[address] = &notice{dueAt: now}
+		}
 		d.nextRound = now
 	case d.leader().address != before:
 		d.nextRound = now
@@ -109,6 +113,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.refreshSelf()
+	d.forgetSilent(now)
 	calls, d.forwards = d.forwards, nil
 	if !now.Before(d.nextRound) {
 		switch {
@@ -142,12 +147,13 @@
 	return calls
 }
 
-// memberRound announces this instance to the leader, or asks for the leader.
+// memberRound announces this instance to the leader, or asks for the leader. It tells the members
+// that it remembers of the leader, which may remember others.
 func (d *Directory) memberRound(now time.Time) []Call {
 	leader := d.leader()
 	if leader.address != "" && leader.address != d.selfAddress && !d.isSuspect(leader) {
 		d.nextRound = now.Add(d.announcePeriod())
-		return d.announceTo(now, leader.address, leader.address)
+		return d.announceTo(now, leader.address, append(d.remembered.next(), leader.address)...)
 	}
 	d.search.begin(now)
 	var targets []string
@@ -164,10 +170,10 @@
 }
 
 // askTarget picks one seed or replica to ask for the leader. If none of them has
-// answered lately, it picks any known member.
+// answered lately, it picks any member that it knows or remembers.
 func (d *Directory) askTarget(now time.Time) []string {
 	near := slices.Concat(d.seeds, d.replicas())
-	var others []string
+	others := slices.Collect(maps.Keys(d.remembered.addresses))
 	for _, m := range d.list.members(d.selfAddress) {
 		others = append(others, m.GetAddress())
 	}
--- a/internal/discovery/simulation_test.go
+++ b/internal/discovery/simulation_test.go
@@ -49,7 +49,8 @@
 	directory *Directory
 	life      int // incremented at each stop and start
 	running   bool
-	empty     bool // its replica lost its disk and knows nothing of the cell
+	empty     bool     // its replica lost its disk and knows nothing of the cell
+	saved     []string // addresses on its disk, as of its last stop
 	wakeAt    time.Time
 	upFree    time.Time
 	downFree  time.Time
@@ -148,6 +149,7 @@
 	n.running = true
 	n.connected = make(map[string]int)
 	n.directory = New(func() *egretmuxv1.Member { return n.member }, n.seeds, rand.New(rand.NewPCG(n.sim.random.Uint64(), 2)), n.sim.now)
+	n.directory.Remember(n.saved)
 	n.pump()
 	if n.seeds[0] == n.address() && n.member.GetFounding() && n.sim.members == nil {
 		n.formWhenSettled()
@@ -157,6 +159,9 @@
 func (n *simNode) stop() {
 	n.life++
 	n.running = false
+	if n.member.GetReplica() != 0 {
+		n.saved, _ = n.directory.Addresses(0)
+	}
 	if n.sim.leader == n {
 		n.sim.leader = nil
 	}
@@ -180,10 +185,17 @@
 	n.stop()
 	m := proto.CloneOf(n.member)
 	m.Replica, m.Empty = n.sim.random.Uint64(), true
-	n.member, n.empty = m, true
+	n.member, n.empty, n.saved = m, true, nil
 	n.restart()
 }
 
+// loseDisk gives an instance that is stopped a new replica on an empty disk.
+func (n *simNode) loseDisk() {
+	m := proto.CloneOf(n.member)
+	m.Replica, m.Empty = n.sim.random.Uint64(), true
+	n.member, n.empty, n.saved = m, true, nil
+}
+
 // formWhenSettled forms the cell once no new instance has appeared for a while.
 func (n *simNode) formWhenSettled() {
 	s, life := n.sim, n.life
--- a/internal/jobcell/cell.go
+++ b/internal/jobcell/cell.go
@@ -66,6 +66,7 @@
 	dialer              *peer.Dialer
 	leader              *peer.LeaderClient
 	voter               *voter.Voter // nil without a data folder
+	memberFile          *memberFile  // nil without a data folder
 	scheduler           *scheduler.Scheduler
 	directory           *discovery.Directory
 	advice              *adviceBalancer
@@ -111,6 +112,8 @@
 	if err != nil {
 		return nil, err
 	}
+	c.memberFile = newMemberFile(c.voter.Disk(), cfg.Logger)
+	c.directory.Remember(c.memberFile.read())
 	return c, nil
 }
 
@@ -140,6 +143,7 @@
 	}
 	if c.voter != nil {
 		loops.Go(func() { c.runReplica(ctx) })
+		loops.Go(func() { c.memberFileLoop(ctx) })
 	}
 	loops.Wait()
 }
--- a/internal/jobcell/lost_disk_test.go
+++ b/internal/jobcell/lost_disk_test.go
@@ -40,6 +40,8 @@
 	cancel  context.CancelFunc
 	done    chan struct{}
 	killed  bool
+
+	configure func(*Cell) // called before the cell runs; may be nil
 }
 
 // startCell starts instances of which the first `disks` have a data folder, and waits
@@ -80,6 +82,9 @@
 		Logger:    zerolog.New(zerolog.NewTestWriter(i.t)).With().Str("instance", i.address).Logger(),
 	})
 	require.NoError(i.t, err)
+	if i.configure != nil {
+		i.configure(i.cell)
+	}
 	i.server = &http.Server{Handler: i.cell.Handler(), ReadHeaderTimeout: readHeaderTimeout, Protocols: new(http.Protocols)}
 	i.server.Protocols.SetUnencryptedHTTP2(true)
 	go func() { _ = i.server.Serve(listener) }() // ends with kill
--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -117,6 +117,9 @@
 	return v.replica()
 }
 
+// Disk returns the data folder. Files other than those of the log may lie there.
+func (v *Voter) Disk() wal.Disk { return v.folder }
+
 // Bootstrap writes the first entry of a new cell. It must be called before
 // StartReplica, and on exactly one replica of a cell.
 func (v *Voter) Bootstrap(members *egretmuxv1.Membership) error { return v.bootstrap(members) }
