jobcell: a shutdown answers the calls that would outlast it

Cause: such a call waits until its client's deadline, a shutdown until its own. http.Server.Shutdown returned at the deadline and the process ended with the call in flight.

Evidence: TestCallThatWouldOutlastTheShutdownIsAnswered failed before: "the process ends without an answer to the call". TestCallWhoseTimeIsOverBeforeItIsTriedIsNotExecuted failed before: expected "no", actual "unknown".

Fix: the contexts of all requests end 300 ms before the shutdown's deadline. A call then gets the answer that its attempts allow: 504 if one of them may have been executed, 503 if none was. A call that begins after it is refused with 503, since it was not tried. The new metric requests_ended_total and the event requests_ended count them.

--- a/internal/jobcell/forward.go
+++ b/internal/jobcell/forward.go
@@ -44,6 +44,9 @@
 
 // callInOrder makes a call that began at a time, and sees to the order of catalogues in the answers.
 func (c *Cell) callInOrder(ctx context.Context, call *egretmuxv1.JobCall, began time.Time) (*egretmuxv1.JobAnswer, error) {
+	if ctx.Err() != nil {
+		return nil, refusal.New(refusal.DeadlinePassed, "retry at another instance", "the call's time was over before it was tried").WithCause(ctx.Err())
+	}
 	arrived := c.order.earliestArrival(began)
 	answer, err := c.callUntilOutcomeKnown(ctx, call)
 	if err != nil {
--- a/internal/jobcell/instance.go
+++ b/internal/jobcell/instance.go
@@ -26,6 +26,7 @@
 	balancerNoticeTime   = 2500 * time.Millisecond // balancers need two checks a second apart to see that the instance is not ready
 	handOverTimeout      = 500 * time.Millisecond  // for the replica to begin the hand-over
 	listenerCloseTimeout = 1500 * time.Millisecond // time left for the last responses
+	answerTimeout        = 300 * time.Millisecond  // part of listenerCloseTimeout for the answers to requests that the shutdown ends
 	exitReserve          = 700 * time.Millisecond  // margin before the process is killed
 	closeTimeout         = time.Second             // for the replica to stop and the data folder to close
 	closeReserve         = 200 * time.Millisecond  // part of exitReserve for that, if nothing is left of the time before
@@ -59,6 +60,9 @@
 	servers  []*server
 	draining chan struct{}
 	failed   chan error
+
+	requestsCtx context.Context // of all requests but those of other instances
+	endRequests context.CancelFunc
 }
 
 type server struct {
@@ -69,7 +73,9 @@
 
 // NewInstance returns an instance without listeners.
 func NewInstance(c *Cell, cfg InstanceConfig) *Instance {
-	return &Instance{cell: c, cfg: cfg, draining: make(chan struct{}), failed: make(chan error, 8)}
+	i := &Instance{cell: c, cfg: cfg, draining: make(chan struct{}), failed: make(chan error, 8)}
+	i.requestsCtx, i.endRequests = context.WithCancel(context.Background())
+	return i
 }
 
 // Listen adds an HTTP/1.1 listener, or none if the address is empty.
@@ -80,6 +86,7 @@
 	inFlight := new(atomic.Int64)
 	i.servers = append(i.servers, &server{name: name, address: address, inFlight: inFlight, http: &http.Server{
 		Handler: edge.CountInFlight(inFlight, edge.CloseAfter(i.draining, edge.LimitBodyTime(bodyTimeout, h))), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		BaseContext: func(net.Listener) context.Context { return i.requestsCtx },
 	}})
 }
 
@@ -222,12 +229,14 @@
 
 // drain fails the readiness check, transfers leadership, waits for load balancers
 // to notice, and then closes the listeners once in-flight requests are answered, by the
-// deadline at the latest.
+// deadline at the latest. Requests that still wait shortly before it end without a
+// result, so that they are answered too.
 func (i *Instance) drain(deadline time.Time) {
 	close(i.draining)
 	i.cfg.Logger.Info().Str("event", "readiness_dropped").Msg("shutting down; readiness checks fail from now on")
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
+	defer time.AfterFunc(time.Until(deadline.Add(-answerTimeout)), i.endWaitingRequests).Stop()
 	noticed := time.After(min(balancerNoticeTime, max(0, i.cfg.ShutdownTime-exitReserve-listenerCloseTimeout)))
 	i.handOver(ctx)
 	<-noticed
@@ -243,6 +252,20 @@
 	}
 }
 
+// endWaitingRequests ends the contexts of the requests in flight.
+func (i *Instance) endWaitingRequests() {
+	for _, s := range i.servers {
+		if s.inFlight == nil {
+			continue
+		}
+		if waiting := s.inFlight.Load(); waiting > 0 {
+			telemetry.Add(`requests_ended_total{listener="`+s.name+`"}`, int(waiting))
+			i.cfg.Logger.Warn().Str("event", "requests_ended").Str("listener", s.name).Int64("requests", waiting).Msg("no time is left to wait for the results of requests")
+		}
+	}
+	i.endRequests()
+}
+
 // handOver hands leadership over. A replica that stands still, as on a hanging disk, must
 // not take the time that requests in flight need: the others elect a leader without it.
 func (i *Instance) handOver(ctx context.Context) {
--- a/internal/jobcell/instance_test.go
+++ b/internal/jobcell/instance_test.go
@@ -49,6 +49,12 @@
 // startInstance runs an instance with the given handler for callers until it leads. It
 // re-reads its settings with reload, if not nil.
 func startInstance(t *testing.T, callers http.Handler, reload func() ([]string, error)) *runningInstance {
+	t.Helper()
+	return startInstanceWith(t, func(*Instance) {}, callers, reload)
+}
+
+// startInstanceWith is like startInstance, for an instance that has further listeners.
+func startInstanceWith(t *testing.T, addListeners func(*Instance), callers http.Handler, reload func() ([]string, error)) *runningInstance {
 	t.Helper()
 	address := freeAddress(t)
 	c, err := New(Config{
@@ -58,6 +64,7 @@
 	require.NoError(t, err)
 	i := &runningInstance{Instance: NewInstance(c, InstanceConfig{ShutdownTime: testShutdownTime, Reload: reload, Logger: zerolog.Nop()}), callers: freeAddress(t), ended: make(chan struct{})}
 	i.Listen("callers", i.callers, callers)
+	addListeners(i.Instance)
 	i.ListenCell(address, c.Handler())
 	go func() {
 		defer close(i.ended)
@@ -187,6 +194,53 @@
 	}
 }
 
+// Guards against a call that was cut when the process ended, as its client waits for longer than a shutdown
+// takes and its outcome stayed unknown.
+func TestCallThatWouldOutlastTheShutdownIsAnswered(t *testing.T) {
+	var i *runningInstance
+	i = startInstance(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), time.Minute)
+		defer cancel()
+		_, err := i.cell.CallJob(ctx, &egretmuxv1.JobCall{
+			Address: &egretmuxv1.QueueAddress{Host: "h", Path: "/q/00000000000000aa"}, Verb: egretmuxv1.JobVerb_JOB_VERB_SUBMIT,
+			Job: &egretmuxv1.Job{Steps: []*egretmuxv1.JobStep{{Count: 1}}},
+		})
+		if refusal.Of(err).Ran == refusal.Unknown {
+			w.WriteHeader(http.StatusGatewayTimeout)
+		}
+	}), nil)
+	require.NoError(t, i.cell.PutCatalogue(t.Context(), &egretmuxv1.Catalogue{
+		Version: 1, Pools: []*egretmuxv1.Pool{{Name: "p"}},
+		Queues: []*egretmuxv1.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "p", TimeoutMs: 1000, Attempts: 2, SlackFactor: 2}},
+	}))
+	i.stallReplica(t)
+	status := make(chan int, 1)
+	go func() {
+		resp, err := http.Get("http://" + i.callers)
+		if assert.NoError(t, err) {
+			status <- resp.StatusCode
+			assert.NoError(t, resp.Body.Close())
+		}
+	}()
+	require.Eventually(t, func() bool { return i.servers[0].inFlight.Load() == 1 }, formationTimeout, time.Millisecond)
+	i.stop()
+	select {
+	case got := <-status:
+		require.Equal(t, http.StatusGatewayTimeout, got)
+	case <-i.ended:
+		require.FailNow(t, "the process ends without an answer to the call")
+	}
+}
+
+// Guards against a call that was answered as if it might have been executed, though its time was over
+// before it was tried.
+func TestCallWhoseTimeIsOverBeforeItIsTriedIsNotExecuted(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := newTestCell(t, "a").CallJob(ctx, &egretmuxv1.JobCall{Verb: egretmuxv1.JobVerb_JOB_VERB_SUBMIT})
+	require.Equal(t, refusal.No, refusal.Of(err).Ran)
+}
+
 // deadlineRecorder records the read deadlines that a handler sets on its connection.
 type deadlineRecorder struct {
 	*httptest.ResponseRecorder
