dispatch: a job that fails everywhere does not close its workers

What callers saw: after a job whose tasks all fail, all workers rest for four seconds, and then get one run each until one is done. It needs no fault: three percent of the jobs of the sites can never be done, and such a job may have more tasks than the pool has workers.

Cause: each failed run counts against its worker, and so does each run without progress, whether the worker or the job is at fault. The class: the fault of one party is counted against another.

Why it works: failures are kept by step. A step that has failed on several workers, on most of those that had a run of it, and of which no run was done, tells nothing about its workers: its failures do not count, and workers that rest only for them are opened at once.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -264,6 +264,7 @@
 	for i, state := range ready.tasks {
 		t := &task{step: s, index: uint32(i), done: state.Done, highestRun: max(state.LastEndedRun, state.LastStartedRun), crashes: state.Crashes, startupCrashes: state.StartupCrashes}
 		j.started = j.started || state.LastEndedRun > 0
+		s.succeeded = s.succeeded || t.done
 		if !t.done {
 			s.tasksLeft++
 		}
--- a/internal/dispatch/learn.go
+++ b/internal/dispatch/learn.go
@@ -15,10 +15,10 @@
 	}
 	switch outcome {
 	case egretmuxv1.RunOutcome_RUN_OUTCOME_FAILED:
-		c.noteFailure(w, w.failures+1, "failed-runs", 0, now)
+		c.noteFailure(r, 1, "failed-runs", 0, now)
 		return
 	case egretmuxv1.RunOutcome_RUN_OUTCOME_DONE:
-		c.noteSuccess(w)
+		c.noteSuccess(r)
 	default:
 		return
 	}
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -123,9 +123,8 @@
 	c.stopGang(r, reason)
 }
 
-// backOffStuckWorker counts a run without progress as a failure of its worker, which
-// then gets no new runs for failureBackoff and is probed afterwards.
+// backOffStuckWorker counts a run without progress as failures of its worker, which then gets
+// no new runs for failureBackoff and is probed afterwards, unless the step fails everywhere.
 func (c *Core) backOffStuckWorker(r *run, now time.Duration) {
-	w := r.worker
-	c.noteFailure(w, max(w.failures+1, maxFailures), "no-progress", now-r.progressAt, now)
+	c.noteFailure(r, maxFailures, "no-progress", now-r.progressAt, now)
 }
--- a/internal/dispatch/probation.go
+++ b/internal/dispatch/probation.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // A worker on which run after run has failed rests, and is then probed: it gets one run, and
 // twice as many after each probePeriod in which none of them has failed. A probe that is done
@@ -21,8 +24,33 @@
 	left  int           // probes that the worker may get before the next plan
 }
 
-// failing reports whether the worker gets no other runs than probes.
-func (w *worker) failing() bool { return w.failures >= maxFailures }
+// maxFailingSteps bounds the steps by which the failures of a worker are kept.
+const maxFailingSteps = 16
+
+// failures are failed runs of one step on a worker; maxFailures or more after one without
+// progress.
+type failures struct {
+	step *step
+	runs int
+}
+
+// failing reports whether the worker gets no other runs than probes. Failures of steps that fail
+// everywhere tell nothing about it.
+func (w *worker) failing() bool {
+	runs := 0
+	for _, f := range w.failures {
+		if !f.step.failsEverywhere() {
+			runs += f.runs
+		}
+	}
+	return runs >= maxFailures
+}
+
+// failsEverywhere reports whether the runs of a step are likely to fail for its own sake: they
+// have failed on several workers, on most of those that had one, and none was done.
+func (s *step) failsEverywhere() bool {
+	return !s.succeeded && len(s.failedOn) > 1 && 2*len(s.failedOn) > len(s.triedOn)
+}
 
 // renewProbation computes how many probes a failing worker may get in a plan.
 func (w *worker) renewProbation(now time.Duration) {
@@ -62,20 +90,57 @@
 	}
 }
 
-// noteFailure counts failures of a worker's runs. A failing worker gets no runs for a while.
-func (c *Core) noteFailure(w *worker, failures float64, reason string, age, now time.Duration) {
-	w.failures = failures
+// workerSet is a set of workers; nil is an empty one.
+type workerSet map[*worker]bool
+
+// with adds a worker to the set, and returns it.
+func (set workerSet) with(w *worker) workerSet {
+	if set == nil {
+		set = make(workerSet)
+	}
+	set[w] = true
+	return set
+}
+
+// noteFailure counts a failed run, or one without progress, which weighs as many, against its
+// worker. A failing worker gets no runs for a while.
+func (c *Core) noteFailure(r *run, runs int, reason string, age, now time.Duration) {
+	w, s := r.worker, r.task.step
+	s.failedOn = s.failedOn.with(w)
+	i := slices.IndexFunc(w.failures, func(f failures) bool { return f.step == s })
+	if i < 0 {
+		w.failures = append(w.failures, failures{step: s})
+		w.failures = w.failures[max(0, len(w.failures)-maxFailingSteps):]
+		i = len(w.failures) - 1
+	}
+	w.failures[i].runs += runs
+	if s.failsEverywhere() {
+		c.reopenWorkers(s, now)
+		return
+	}
 	w.probation = probation{}
 	if w.failing() {
-		w.backoffUntil = now + failureBackoff
+		w.restUntil = now + failureBackoff
 		c.addNotice(Notice{Event: "worker_resting", Worker: w.Worker, Reason: reason, Age: age})
 	}
 }
 
-// noteSuccess records that a run of a worker is done.
-func (c *Core) noteSuccess(w *worker) {
+// reopenWorkers opens the workers that rest only for failures of a step that fails everywhere.
+func (c *Core) reopenWorkers(s *step, now time.Duration) {
+	for _, w := range c.sortedWorkers() {
+		if s.failedOn[w] && w.restUntil > now && !w.failing() {
+			w.restUntil, w.probation = 0, probation{}
+			c.addNotice(Notice{Event: "worker_reopened", Worker: w.Worker, Job: s.key.Job, Reason: "step-fails-everywhere"})
+		}
+	}
+}
+
+// noteSuccess records that a run is done.
+func (c *Core) noteSuccess(r *run) {
+	w := r.worker
+	r.task.step.succeeded = true
 	if w.failing() {
-		c.addNotice(Notice{Event: "worker_reopened", Worker: w.Worker})
+		c.addNotice(Notice{Event: "worker_reopened", Worker: w.Worker, Reason: "run-done"})
 	}
-	w.failures, w.probation = 0, probation{}
+	w.failures, w.probation = nil, probation{}
 }
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -68,6 +68,9 @@
 	advice    advice
 	held      map[*worker]int // number of tasks for which resources are held while tickets are requested
 	runsOn    map[*worker]int // number of runs by worker
+	triedOn   workerSet       // workers that had a run
+	failedOn  workerSet       // those on which one has failed or made no progress
+	succeeded bool            // whether a run was done
 	deferred  bool            // whether it has left room to gangs
 	urgent    bool            // whether its queue has priority 0, the highest, and it is within its customer's rate
 	overRate  bool            // whether it comes after the steps within rate
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -67,13 +67,14 @@
 	heardAt        time.Duration // when it last answered a poll or accepted a start
 	missedPolls    int           // consecutive polls without an answer
 	backoffUntil   time.Duration // it gets no starts before
+	restUntil      time.Duration // the same, as its runs have failed
 	stepScore      float64       // score for the step being placed; lower is better
 	stepRank       int           // rank for the step being placed, as its callers sort by it
 	speed          *speed.Worker // what its runs have taught about its speed
 	slowness       float64       // of speed, as of the last tick, listing or end; 1 is average
 	speedClass     int           // of slowness; higher is slower
-	failures       float64       // failed runs since the last successful one; at least maxFailures after a run without progress
-	probation      probation     // of a worker with maxFailures or more
+	failures       []failures    // since the last successful run, by step
+	probation      probation     // of a failing worker
 
 	lease         lease
 	storedCursor  uint64 // ends up to this number are stored in the log
@@ -130,12 +131,12 @@
 	maxMissedPolls   = 0               // consecutive polls without an answer that are tolerated
 	unhealthyBackoff = time.Second     // backoff after a start that did not reach it, got no answer or was refused as unhealthy
 	failureBackoff   = 4 * time.Second // backoff after maxFailures failed runs or a run without progress
-	maxFailures      = 3.0             // failed runs without a successful one in between
+	maxFailures      = 3               // failed runs without a successful one in between
 )
 
 // acceptsRuns reports whether the worker may get new runs.
 func (w *worker) acceptsRuns(now time.Duration) bool {
-	return w.synced && !w.keptForSuspect() && !w.draining && !w.cordoned && len(w.orphans) == 0 && w.missedPolls <= maxMissedPolls && now >= w.backoffUntil
+	return w.synced && !w.keptForSuspect() && !w.draining && !w.cordoned && len(w.orphans) == 0 && w.missedPolls <= maxMissedPolls && now >= max(w.backoffUntil, w.restUntil)
 }
 
 // closed reports whether a worker gets no further runs for now, whatever it has free.
