jobcell: a shutdown closes its listeners at the same time

Callers saw: operators' and runners' calls that began up to 5.3 s after SIGTERM were cut when the process ended, if a client's call was in flight for so long (LOST).

Cause: the listeners were closed one after the other under one deadline. While a request on the first one was waited for, the others still took new requests, and nothing was left of the time for these.

Evidence: TestRequestInFlightKeepsNoOtherListenerOpen failed before: "the listener takes requests until the process ends".

Fix: all listeners but that of the other instances are closed at once, and each has all of the time that is left for its own requests.

--- a/internal/jobcell/instance.go
+++ b/internal/jobcell/instance.go
@@ -240,16 +240,22 @@
 	noticed := time.After(min(balancerNoticeTime, max(0, i.cfg.ShutdownTime-exitReserve-listenerCloseTimeout)))
 	i.handOver(ctx)
 	<-noticed
+	var closing sync.WaitGroup
 	for _, s := range i.servers {
-		if s.name == "cell" {
-			continue // still carries the last calls to the leader
-		}
-		if err := s.http.Shutdown(ctx); err != nil {
-			cut := s.inFlight.Load()
-			telemetry.Add(`requests_cut_total{listener="`+s.name+`"}`, int(cut))
-			i.cfg.Logger.Warn().Err(err).Str("event", "listener_closed_hard").Str("listener", s.name).Int64("requests", cut).Msg("closed the listener with requests still in flight")
+		if s.name != "cell" { // it still carries the last calls to the leader
+			closing.Go(func() { i.drainServer(ctx, s) })
 		}
 	}
+	closing.Wait()
+}
+
+// drainServer closes a listener and waits until its requests are answered.
+func (i *Instance) drainServer(ctx context.Context, s *server) {
+	if err := s.http.Shutdown(ctx); err != nil {
+		cut := s.inFlight.Load()
+		telemetry.Add(`requests_cut_total{listener="`+s.name+`"}`, int(cut))
+		i.cfg.Logger.Warn().Err(err).Str("event", "listener_closed_hard").Str("listener", s.name).Int64("requests", cut).Msg("closed the listener with requests still in flight")
+	}
 }
 
 // endWaitingRequests ends the contexts of the requests in flight.
--- a/internal/jobcell/instance_test.go
+++ b/internal/jobcell/instance_test.go
@@ -241,6 +241,35 @@
 	require.Equal(t, refusal.No, refusal.Of(err).Ran)
 }
 
+// Guards against calls on one listener that were cut, as a request on another one took all the time of the
+// shutdown: the listeners were closed one after the other.
+func TestRequestInFlightKeepsNoOtherListenerOpen(t *testing.T) {
+	held := make(chan struct{})
+	control := freeAddress(t)
+	i := startInstanceWith(t, func(i *Instance) { i.Listen("control", control, http.NotFoundHandler()) }, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-held }), nil)
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		if resp, err := http.Get("http://" + i.callers); assert.NoError(t, err) {
+			assert.NoError(t, resp.Body.Close())
+		}
+	}()
+	t.Cleanup(func() {
+		close(held)
+		<-answered
+	})
+	require.Eventually(t, func() bool { return i.servers[0].inFlight.Load() == 1 }, formationTimeout, time.Millisecond)
+	i.stop()
+	require.Eventually(t, func() bool {
+		conn, err := net.Dial("tcp", control)
+		if err != nil {
+			return true
+		}
+		_ = conn.Close()
+		return false
+	}, testShutdownTime-exitReserve-listenerCloseTimeout/2, 20*time.Millisecond, "the listener takes requests until the process ends")
+}
+
 // deadlineRecorder records the read deadlines that a handler sets on its connection.
 type deadlineRecorder struct {
 	*httptest.ResponseRecorder
