edge, jobcell: requests that arrive as the listeners close are answered

Cause: http.Server.Shutdown takes a kept connection for idle until the header of its next request was parsed, and closes it meanwhile; a request that it reads on a new connection is dropped without an answer.

Evidence: TestRequestsThatArriveAsTheListenersCloseAreAnswered failed before: "unexpected EOF", "the connection ended without an answer".

Fix: the connections are tracked, and a drain ends them by their read deadline. Only the goroutine that reads a connection closes it, so what it has read is answered, with Connection: close. The connections that were established before the listener closed are accepted.

What remains: a request that crosses the end of an idle connection on its way. HTTP/1.1 has no notice for it; the process has not read it.

--- a/internal/jobcell/instance.go
+++ b/internal/jobcell/instance.go
@@ -68,7 +68,8 @@
 type server struct {
 	name, address string
 	http          *http.Server
-	inFlight      *atomic.Int64 // requests
+	inFlight      *atomic.Int64     // requests
+	connections   *edge.Connections // nil: not drained
 }
 
 // NewInstance returns an instance without listeners.
@@ -84,9 +85,10 @@
 		return
 	}
 	inFlight := new(atomic.Int64)
-	i.servers = append(i.servers, &server{name: name, address: address, inFlight: inFlight, http: &http.Server{
+	connections := edge.NewConnections()
+	i.servers = append(i.servers, &server{name: name, address: address, inFlight: inFlight, connections: connections, http: &http.Server{
 		Handler: edge.CountInFlight(inFlight, edge.CloseAfter(i.draining, edge.LimitBodyTime(bodyTimeout, h))), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		BaseContext: func(net.Listener) context.Context { return i.requestsCtx },
+		BaseContext: func(net.Listener) context.Context { return i.requestsCtx }, ConnState: connections.TrackState,
 	}})
 }
 
@@ -124,6 +126,9 @@
 		if err != nil {
 			return errors.Wrapf(err, "%s listener", s.name)
 		}
+		if s.connections != nil {
+			listener = s.connections.Listen(listener)
+		}
 		go func() {
 			if err := s.http.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 				i.failed <- errors.Wrapf(err, "%s listener", s.name)
@@ -242,7 +247,7 @@
 	<-noticed
 	var closing sync.WaitGroup
 	for _, s := range i.servers {
-		if s.name != "cell" { // it still carries the last calls to the leader
+		if s.connections != nil { // the cell listener still carries the last calls to the leader
 			closing.Go(func() { i.drainServer(ctx, s) })
 		}
 	}
@@ -251,7 +256,7 @@
 
 // drainServer closes a listener and waits until its requests are answered.
 func (i *Instance) drainServer(ctx context.Context, s *server) {
-	if err := s.http.Shutdown(ctx); err != nil {
+	if err := s.connections.Drain(ctx); err != nil {
 		cut := s.inFlight.Load()
 		telemetry.Add(`requests_cut_total{listener="`+s.name+`"}`, int(cut))
 		i.cfg.Logger.Warn().Err(err).Str("event", "listener_closed_hard").Str("listener", s.name).Int64("requests", cut).Msg("closed the listener with requests still in flight")
@@ -261,7 +266,7 @@
 // endWaitingRequests ends the contexts of the requests in flight.
 func (i *Instance) endWaitingRequests() {
 	for _, s := range i.servers {
-		if s.inFlight == nil {
+		if s.connections == nil {
 			continue
 		}
 		if waiting := s.inFlight.Load(); waiting > 0 {
--- a/internal/jobcell/instance_test.go
+++ b/internal/jobcell/instance_test.go
@@ -1,6 +1,7 @@
 package jobcell
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -270,6 +271,50 @@
 	}, testShutdownTime-exitReserve-listenerCloseTimeout/2, 20*time.Millisecond, "the listener takes requests until the process ends")
 }
 
+// Guards against requests that were read and dropped as the listeners closed: on a kept connection whose
+// next request was being read, and on a new one whose first request came just then.
+func TestRequestsThatArriveAsTheListenersCloseAreAnswered(t *testing.T) {
+	i := startInstance(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }), nil)
+	const begun, rest = "GET / HTTP/1.1\r\n", "Host: h\r\n\r\n"
+	send := func(conn net.Conn, text string) {
+		_, err := io.WriteString(conn, text)
+		require.NoError(t, err)
+	}
+	receive := func(conn net.Conn) *http.Response {
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err, "the connection ended without an answer")
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, http.StatusNoContent, resp.StatusCode)
+		return resp
+	}
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", i.callers)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+	kept := dial()
+	send(kept, begun+rest)
+	require.False(t, receive(kept).Close)
+	send(kept, begun)
+	i.stop()
+	<-i.draining
+	time.Sleep(balancerNoticeTime - closeReserve)
+	fresh := dial()
+	require.Eventually(t, func() bool {
+		conn, err := net.Dial("tcp", i.callers)
+		if err != nil {
+			return true
+		}
+		_ = conn.Close()
+		return false
+	}, testShutdownTime, time.Millisecond)
+	send(fresh, begun+rest)
+	require.True(t, receive(fresh).Close)
+	send(kept, rest)
+	require.True(t, receive(kept).Close)
+}
+
 // deadlineRecorder records the read deadlines that a handler sets on its connection.
 type deadlineRecorder struct {
 	*httptest.ResponseRecorder
