jobcell: answers about jobs keep the order of configurations, too

What callers saw (CONFIG, an instance goes back): a call is handled by a newer version, and one that was sent to the same instance up to two seconds later by an older one: a job is accepted under a queue that the newer version has dropped, or a queue is missing (404) that the earlier call was served under.

Cause: calls that wait while there is no leader reach the next one in any order, and changes that waited with them are stored in between. An instance kept the order only of answers about queues (404, and the number of pending jobs).

With the former rule TestAnswersAboutJobsDoNotShowAnOlderCatalogueToLaterCalls fails ("expected: 2, actual: 0", found), and TestAnswersOfQueuesThatStayAreDeliveredInAnyOrder ("expected: 0, actual: 1", counted).

Why this works: every answer is checked. One by an older version than has been shown is asked for again, so that the leader decides by the newer one. One by a newer version than a later call was answered by is withheld: with a 503 if nothing was changed, and as an unknown outcome (504) if a job was accepted or cancelled, which the client sends again. As most queues are the same in both versions, an instance remembers from and to which version it has seen a queue, and delivers answers that tell nothing of the order. Counts of such queues are not withheld any more, either.

Changed tests: admit takes the queue. TestStatesAndAcceptancesAreDeliveredInAnyOrder stated the fault; TestAnswersOfQueuesThatStayAreDeliveredInAnyOrder asks the same of queues that both versions have, and of more kinds of answers, and TestAnswersAboutJobsDoNotShowAnOlderCatalogueToLaterCalls the opposite of others.

--- a/internal/job/check.go
+++ b/internal/job/check.go
@@ -32,6 +32,14 @@
 	return true
 }
 
+// TrimID returns a path without the job id at its end, if it has one.
+func TrimID(path string) string {
+	if n := len(path) - idDigits; n >= 0 && ValidID(path[n:]) {
+		return path[:n]
+	}
+	return path
+}
+
 // Check returns a refusal if the job is invalid or exceeds a limit.
 func Check(j *egretmuxv1.Job) error {
 	invalid := func(remedy, format string, args ...any) error {
--- a/internal/jobcell/forward.go
+++ b/internal/jobcell/forward.go
@@ -47,27 +47,49 @@
 	if ctx.Err() != nil {
 		return nil, refusal.New(refusal.DeadlinePassed, "retry at another instance", "the call's time was over before it was tried").WithCause(ctx.Err())
 	}
-	arrived := c.order.earliestArrival(began)
+	arrived, queue := c.order.earliestArrival(began), queueOf(call.GetAddress())
 	answer, err := c.callUntilOutcomeKnown(ctx, call)
 	if err != nil {
 		return nil, err
 	}
-	verdict := c.order.admit(answer, arrived, began, time.Now())
+	executed := changes(call, answer)
+	verdict := c.order.admit(answer, queue, arrived, began, time.Now())
 	if verdict == behindOthers {
 		telemetry.CountRetry("catalogue-behind")
 		if answer, err = c.callUntilOutcomeKnown(ctx, call); err != nil {
+			if executed {
+				err = outcomeWithheld().WithCause(err)
+			}
 			return nil, err
 		}
-		verdict = c.order.admit(answer, arrived, began, time.Now())
+		verdict = c.order.admit(answer, queue, arrived, began, time.Now())
+		if executed && answer.GetNoQueue() {
+			return nil, outcomeWithheld()
+		}
 	}
 	if verdict == inOrder {
 		c.catalogues.note(answer.GetCatalogueVersion(), "call")
 		return answer, nil
 	}
 	telemetry.CountRetry("catalogue-out-of-order")
+	if executed || changes(call, answer) {
+		return nil, outcomeWithheld()
+	}
 	return nil, refusal.New(refusal.NoLeader, "retry shortly", "the configuration changed while the call waited").WithRetryAfter(time.Second)
 }
 
+// changes reports whether a call with this answer has changed something, so that it must not be refused
+// as one that was not executed.
+func changes(call *egretmuxv1.JobCall, answer *egretmuxv1.JobAnswer) bool {
+	return call.GetVerb() != egretmuxv1.JobVerb_JOB_VERB_SHOW && answer.GetFound()
+}
+
+// outcomeWithheld returns the refusal of a call that was executed, and whose answer would show clients an
+// older configuration than others have seen. If it is sent again, it is answered by the newest one.
+func outcomeWithheld() *refusal.Error {
+	return refusal.NewUnknown(refusal.OutcomeUnknown, "send it again", "the configuration changed while the call waited")
+}
+
 // VerbName returns the name of a verb in logs and metrics.
 func VerbName(v egretmuxv1.JobVerb) string {
 	return strings.ToLower(strings.TrimPrefix(v.String(), "JOB_VERB_"))
