dispatch: a task that was moved as stuck gets more patience

Cause: a run counts as stuck if its percent has not changed for 1.8 s and for a twentieth of the expected run time. Progress is listed in whole percent, so a run of more than 180 s changes less often, and the estimate that should tell so is never corrected, as no run ends. Nothing limited the number of moves.

Evidence, before:

TestLongRunWithAShortEstimateIsNotStoppedOverAndOver expected: 3, actual: 0, stopped 82 times

Why it works: each move of a task as stuck doubles the time after which its next run counts as stuck. A task that stands still because of its worker is moved as before; one that is slow to show progress is moved a few times at most.

--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -9,6 +9,9 @@
 	// stuckAfter is the time without progress after which a run counts as stuck.
 	// Progress is listed about every second.
 	stuckAfter = 1800 * time.Millisecond
+	// maxStuckDoublings bounds the doublings of stuckAfter, one for each time that the task was
+	// moved as stuck: it may be slow to show progress wherever it runs.
+	maxStuckDoublings = 6
 	// minStuckShare is the fraction of the expected run time that has to pass as well, as
 	// one percent of progress takes long in a long run.
 	minStuckShare = 0.05
@@ -94,7 +97,8 @@
 
 func (c *Core) isStuck(r *run, now time.Duration) bool {
 	stalledFor := now - max(r.progressAt, r.startedAt)
-	return stalledFor > stuckAfter && stalledFor > time.Duration(float64(c.expectedRunTime(r))*minStuckShare) && r.worker.answeredAt > r.progressAt+stuckAfter
+	patience := stuckAfter << min(r.task.stuckMoves, maxStuckDoublings)
+	return stalledFor > patience && stalledFor > time.Duration(float64(c.expectedRunTime(r))*minStuckShare) && r.worker.answeredAt > r.progressAt+patience
 }
 
 // gangProgresses reports whether another member of the run's gang is not stuck.
@@ -117,6 +121,7 @@
 // no progress, its worker backs off.
 func (c *Core) moveRun(r *run, reason string, now time.Duration) {
 	if reason == "no-progress" {
+		r.task.stuckMoves++
 		c.backOffStuckWorker(r, now)
 	}
 	c.stopRun(r, reason)
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -30,6 +30,7 @@
 
 	crashes        uint32  // workers that crashed under a run of it
 	startupCrashes uint32  // those of them that crashed during its startup
+	stuckMoves     int     // how often a run of it was moved as it made no progress
 	kept           *worker // worker that is kept for it until no other run is starting there
 }
 
