egretmuxd: SIGHUP does not end an instance that starts

Callers saw: nothing by themselves; an instance that renewed certificates were announced to while it read its settings or opened its data folder was ended by the signal.

Cause: signals were handled only once the instance was built. Until then SIGHUP has its default action.

Evidence: TestHangupDoesNotEndAnInstanceThatStarts failed before: "the process has ended", "signal: hangup".

Fix: SIGHUP is caught before the settings are read, and handled once the instance runs. Until then SIGTERM and SIGINT still end the process at once, since nothing is served.

--- a/cmd/egretmuxd/main.go
+++ b/cmd/egretmuxd/main.go
@@ -25,6 +25,8 @@
 	exitSettings = 3
 )
 
+const maxPendingSignals = 4
+
 type options struct {
 	Settings      string `long:"settings" short:"s" description:"settings file" default:"egretmuxd.ini"`
 	CheckSettings bool   `long:"check-settings" description:"check the settings file and exit"`
@@ -58,6 +60,10 @@
 		fmt.Print(inifile.Defaults(settings.Schema()))
 		return 0
 	}
+	signals := make(chan os.Signal, maxPendingSignals)
+	if !opts.CheckSettings {
+		signal.Notify(signals, syscall.SIGHUP) // it must not end a process that starts
+	}
 	s, err := settings.Load(opts.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -74,11 +80,11 @@
 	case portsErr != nil:
 		return exitSettings
 	}
-	return serve(s)
+	return serve(s, signals)
 }
 
 // serve runs the instance until a signal or a failure.
-func serve(s *settings.Settings) int {
+func serve(s *settings.Settings, signals chan os.Signal) int {
 	logger := telemetry.NewLogger(os.Stderr, s.Instance)
 	if _, err := telemetry.SetLevel(s.LogLevel); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -92,7 +98,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	stopNow := make(chan struct{})
-	go handleSignals(d, logger, cancel, stopNow)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go handleSignals(signals, d, logger, cancel, stopNow)
 	if err := d.Run(ctx, stopNow); err != nil {
 		logger.Error().Err(err).Str("event", "instance_failed").Msg("the instance stopped because of a failure")
 		return exitFailure
@@ -102,9 +109,7 @@
 
 // handleSignals begins a graceful shutdown at the first SIGTERM or SIGINT and stops
 // at once at the second. At SIGHUP it reloads changed certificates.
-func handleSignals(d *daemon.Daemon, logger zerolog.Logger, stop func(), stopNow chan<- struct{}) {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+func handleSignals(signals <-chan os.Signal, d *daemon.Daemon, logger zerolog.Logger, stop func(), stopNow chan<- struct{}) {
 	stopSignals := 0
 	for s := range signals {
 		logger.Info().Str("event", "signal_received").Str("signal", s.String()).Msg("received a signal")
--- a/cmd/egretmuxd/main_test.go
+++ b/cmd/egretmuxd/main_test.go
@@ -4,11 +4,15 @@
 	"net"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strconv"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/stretchr/testify/require"
 
 	"github.com/egretmux/egretmux/internal/cli"
 )
@@ -49,3 +53,34 @@
 		ts.Fatalf("%v ended with %d, not %s (%v)", args[1:], code, args[0], err)
 	}
 }
+
+// Guards against an instance that was ended by the notice of renewed certificates, as it had not yet begun
+// to handle signals.
+func TestHangupDoesNotEndAnInstanceThatStarts(t *testing.T) {
+	const pause = 200 * time.Millisecond
+	file := filepath.Join(t.TempDir(), "settings.ini")
+	require.NoError(t, syscall.Mkfifo(file, 0o600)) // the process waits for its content
+	process := exec.Command("egretmuxd", "--settings", file)
+	require.NoError(t, process.Start())
+	ended := make(chan error, 1)
+	go func() { ended <- process.Wait() }()
+	t.Cleanup(func() {
+		_ = process.Process.Kill() // it may have ended
+	})
+	var pipe *os.File
+	require.Eventually(t, func() bool {
+		var err error
+		pipe, err = os.OpenFile(file, os.O_WRONLY|syscall.O_NONBLOCK, 0)
+		return err == nil // else nobody reads it
+	}, time.Minute, 10*time.Millisecond)
+	defer func() { require.NoError(t, pipe.Close()) }()
+	require.NoError(t, process.Process.Signal(syscall.SIGHUP))
+	time.Sleep(pause)
+	select {
+	case err := <-ended:
+		require.FailNow(t, "the process has ended", "%v", err)
+	default:
+	}
+	require.NoError(t, process.Process.Signal(syscall.SIGTERM))
+	require.Error(t, <-ended, "nothing is served yet, so that it ends at once")
+}
