daemon: requests that arrive as the callers' listener closes are answered

Callers saw: a connection that ended without an answer, instead of the refusal with 503 that the other requests during a shutdown get.

Cause: the same as in jobcell, http.Server.Shutdown drops requests that it is reading.

Evidence: TestRequestThatArrivesAsTheListenerClosesIsAnswered failed before: "unexpected EOF", "the connection ended without an answer".

Fix: the callers' listener, which has HTTP/1.1 only, is drained by edge.Connections. HTTP/2 tells its clients that a connection ends.

--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/egretmux/egretmux/internal/certs"
+	"github.com/egretmux/egretmux/internal/edge"
 	"github.com/egretmux/egretmux/internal/settings"
 	"github.com/egretmux/egretmux/internal/telemetry"
 )
@@ -19,6 +20,7 @@
 	socket      net.Listener
 	certificate *certs.Pair // nil without TLS
 	server      *http.Server
+	connections *edge.Connections // nil on listeners with HTTP/2, which tells its clients that it ends
 }
 
 // openListeners opens all listeners before anything is served.
@@ -96,6 +98,10 @@
 		l.server.Protocols.SetUnencryptedHTTP2(true)
 		l.server.Protocols.SetHTTP2(true)
 		l.server.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: maxStreams}
+	} else {
+		l.connections = edge.NewConnections()
+		l.server.ConnState = l.connections.TrackState
+		l.socket = l.connections.Listen(l.socket)
 	}
 	go func() {
 		if err := l.serve(); err != nil && !errors.Is(err, http.ErrServerClosed) {
@@ -121,6 +127,9 @@
 
 func (d *Daemon) closeServers(ctx context.Context) {
 	for _, l := range d.listeners {
+		if l.connections != nil {
+			_ = l.connections.Drain(ctx) // Shutdown fails too if the time is over
+		}
 		if err := l.server.Shutdown(ctx); err != nil {
 			d.logger.Debug().Err(err).Str("event", "listener_closed_hard").Str("listener", l.name).Msg("graceful close of the listener failed; closing its connections")
 			_ = l.server.Close()
--- a/internal/daemon/shutdown_test.go
+++ b/internal/daemon/shutdown_test.go
@@ -58,6 +58,47 @@
 	require.Contains(t, r.log.String(), `"event":"part_failed"`)
 }
 
+// Guards against a request that was read and dropped as the listener of the callers closed.
+func TestRequestThatArrivesAsTheListenerClosesIsAnswered(t *testing.T) {
+	c := newCell(t, "a1")
+	r := c.start("a1", "")
+	<-r.relay.Ready()
+	conn, err := net.Dial("tcp", c.addresses["a1 callers"])
+	require.NoError(t, err)
+	defer func() { require.NoError(t, conn.Close()) }()
+	send := func(text string) {
+		_, err := io.WriteString(conn, text)
+		require.NoError(t, err)
+	}
+	const begun, rest = "GET /service/lease/x HTTP/1.1\r\n", "Host: x\r\n\r\n"
+	received := bufio.NewReader(conn)
+	receive := func() *http.Response {
+		resp, err := http.ReadResponse(received, nil)
+		require.NoError(t, err, "the connection ended without an answer")
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		return resp
+	}
+	send(begun + rest)
+	require.False(t, receive().Close)
+	send(begun)
+	r.stop()
+	require.Eventually(t, func() bool {
+		other, err := net.Dial("tcp", c.addresses["a1 callers"])
+		if err != nil {
+			return true
+		}
+		_ = other.Close()
+		return false
+	}, time.Minute, time.Millisecond)
+	send(rest)
+	resp := receive()
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.True(t, resp.Close)
+	require.NoError(t, r.wait())
+}
+
 // TestSecondSignalCutsRequests checks that the second signal ends the instance at
 // once and that the log has the number of requests cut.
 func TestSecondSignalCutsRequests(t *testing.T) {
--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"os"
@@ -48,6 +49,9 @@
 
 // TrackState is the server's hook ConnState.
 func (c *Connections) TrackState(conn net.Conn, state http.ConnState) {
+	if encrypted, ok := conn.(*tls.Conn); ok {
+		conn = encrypted.NetConn()
+	}
 	if tracked, ok := conn.(*connection); ok && state == http.StateIdle {
 		tracked.becomeIdle()
 	}
