jobcell: requests that a shutdown ends have time for their answers

Callers saw: possibly a call cut at the end of a shutdown, on a process that stood still for 300 ms just before.

Cause: the contexts of requests end 300 ms before the deadline of the shutdown.

Evidence: TestRequestsThatAreEndedLateAreAnswered failed before: one request in flight when Run had returned.

Fix: the 300 ms begin when the contexts have ended.

--- a/internal/jobcell/instance.go
+++ b/internal/jobcell/instance.go
@@ -239,9 +239,12 @@
 func (i *Instance) drain(deadline time.Time) {
 	close(i.draining)
 	i.cfg.Logger.Info().Str("event", "readiness_dropped").Msg("shutting down; readiness checks fail from now on")
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	defer time.AfterFunc(time.Until(deadline.Add(-answerTimeout)), i.endWaitingRequests).Stop()
+	defer time.AfterFunc(time.Until(deadline.Add(-answerTimeout)), func() {
+		i.endWaitingRequests()
+		time.AfterFunc(answerTimeout, cancel) // from now on, as this process may have got no processor time
+	}).Stop()
 	noticed := time.After(min(balancerNoticeTime, max(0, i.cfg.ShutdownTime-exitReserve-listenerCloseTimeout)))
 	i.handOver(ctx)
 	<-noticed
--- a/internal/jobcell/instance_test.go
+++ b/internal/jobcell/instance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -315,6 +316,45 @@
 	require.True(t, receive(kept).Close)
 }
 
+// stallingWriter stands still for a while when the given event is logged, as a process without processor time.
+type stallingWriter struct {
+	event string
+	stall time.Duration
+}
+
+// Write implements io.Writer.
+func (w *stallingWriter) Write(line []byte) (int, error) {
+	if bytes.Contains(line, []byte(w.event)) {
+		time.Sleep(w.stall)
+	}
+	return len(line), nil
+}
+
+// Guards against requests that were ended by a shutdown too late to be answered, as the process had stood
+// still: the time for the answers was over when it went on.
+func TestRequestsThatAreEndedLateAreAnswered(t *testing.T) {
+	stall := func(i *Instance) {
+		i.cfg.Logger = zerolog.New(&stallingWriter{event: `"requests_ended"`, stall: 2 * answerTimeout})
+	}
+	i := startInstanceWith(t, stall, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		w.WriteHeader(http.StatusGatewayTimeout)
+	}), nil)
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		if resp, err := http.Get("http://" + i.callers); assert.NoError(t, err) {
+			assert.Equal(t, http.StatusGatewayTimeout, resp.StatusCode)
+			assert.NoError(t, resp.Body.Close())
+		}
+	}()
+	require.Eventually(t, func() bool { return i.servers[0].inFlight.Load() == 1 }, formationTimeout, time.Millisecond)
+	i.stop()
+	<-i.ended
+	assert.Zero(t, i.servers[0].inFlight.Load(), "the process ends without an answer")
+	<-answered
+}
+
 // deadlineRecorder records the read deadlines that a handler sets on its connection.
 type deadlineRecorder struct {
 	*httptest.ResponseRecorder
