core: a learner is promoted only once it holds the membership in force

What callers may see: nothing is stored any more after one instance has lost its disk twice in a row.

Cause: the former replica of an instance that lost its disk is to be removed before the new one becomes a voter, as both would count and a further loss of this disk leaves two of four voters. The removal waits until the new one holds the membership that made it a learner. But a learner counted as caught up with the entries committed three heartbeats ago, which may be fewer, and then its promotion was accepted first.

Evidence: TestLearnerIsPromotedOnlyOnceItHoldsTheMembershipInForce failed before: "Expected error with "the learner does not hold the whole log yet; retry when it has caught up" in chain but got nil."

Why it works: until the learner holds that membership its promotion is refused, and from then on the removal is proposed first. Each other change is refused or accepted as before.

--- a/internal/consensus/core/core_test.go
+++ b/internal/consensus/core/core_test.go
@@ -428,3 +428,27 @@
 	require.True(t, c.TransferLeadership(3), "the next one begins anew")
 	require.True(t, c.HandingOver())
 }
+
+// Guards against a group that loses its majority as one instance loses its disk twice in a row: its
+// new replica became a voter beside the one before it, as the entries committed lately were fewer
+// than those until the membership that made it a learner.
+func TestLearnerIsPromotedOnlyOnceItHoldsTheMembershipInForce(t *testing.T) {
+	c := newLeader(t)
+	ack := message(egretmuxv1.MessageKind_MESSAGE_KIND_APPEND_REPLY, 2, 1, 2)
+	ack.Index = 2
+	c.Step(ack)
+	learner := &egretmuxv1.Membership{Replicas: []*egretmuxv1.Replica{{Id: 1}, {Id: 2}, {Id: 3}, {Id: 4, Learner: true}}}
+	require.NoError(t, c.ChangeMembership(learner))
+	c.Output()
+	c.MarkPersisted()
+	ack.Index = 3
+	c.Step(ack)
+	learnerAck := message(egretmuxv1.MessageKind_MESSAGE_KIND_APPEND_REPLY, 4, 1, 2)
+	voter := &egretmuxv1.Membership{Replicas: []*egretmuxv1.Replica{{Id: 1}, {Id: 2}, {Id: 3}, {Id: 4}}}
+	learnerAck.Index = 2
+	c.Step(learnerAck)
+	require.ErrorIs(t, c.ChangeMembership(voter), core.ErrChangeLagging)
+	learnerAck.Index = 3
+	c.Step(learnerAck)
+	require.NoError(t, c.ChangeMembership(voter))
+}
--- a/internal/consensus/core/membership.go
+++ b/internal/consensus/core/membership.go
@@ -157,8 +157,9 @@
 func (e ChangeError) Error() string { return string(e) }
 
 // ChangeMembership appends a new membership. Only one voter may change at a
-// time. A learner is promoted only once it is caught up, and voters change only
-// if a majority of the resulting voters is caught up.
+// time. A learner is promoted only once it is caught up and holds the membership in
+// force, up to which the former replica of its instance stays. Voters change only if
+// a majority of the resulting voters is caught up.
 func (c *Core) ChangeMembership(next *egretmuxv1.Membership) error {
 	if c.role != Leader || c.transferTo != 0 {
 		return ErrChangeNotLeader
@@ -196,7 +197,7 @@
 			continue
 		}
 		changed++
-		if !c.isCaughtUp(id) {
+		if !c.isCaughtUp(id) || !c.holdsMembership(id) {
 			return ErrChangeLagging
 		}
 	}
@@ -229,6 +230,11 @@
 	return p != nil && p.hasReplied && p.ticksSinceReply < c.cfg.ElectionTicks && p.match >= c.recentCommit[caughtUpHeartbeats-1]
 }
 
+// holdsMembership reports whether a replica holds the membership in force.
+func (c *Core) holdsMembership(id uint64) bool {
+	return id == c.cfg.ID || c.progress[id].match >= c.members.index()
+}
+
 func (c *Core) isMajorityCaughtUp(voters map[uint64]bool) bool {
 	count := 0
 	for id := range voters {
