consensus: random tests lose the power of all replicas at once

Cause: the random tests crashed one replica at a time, and a disk was lost while the others ran on. After a final fault all have lost what they had not synced, and one of them its disk.

Change: an action that crashes all replicas, one of them with the loss of its disk where that is tolerated, and starts some or all again. In every second cluster the former replica of an instance is removed before the new one is a voter, as voter.NextMembership does; before, all removed it after.

--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -70,10 +70,11 @@
 	rng            *rand.Rand
 	confirmedReads int // number of reads confirmed
 	starts         int // number of replica starts in all slots
+	removesFirst   bool
 }
 
 func newCluster(t testT, voters int, seed uint64) *cluster {
-	c := &cluster{t: t, blocked: make(map[[2]int]bool), rng: rand.New(rand.NewPCG(seed, seed))}
+	c := &cluster{t: t, blocked: make(map[[2]int]bool), rng: rand.New(rand.NewPCG(seed, seed)), removesFirst: seed%2 == 1}
 	c.oracle = oracle{commands: make(map[uint64]string), answers: make(map[string]int), leaders: make(map[uint64]uint64)}
 	members := &egretmuxv1.Membership{}
 	var first *wal.Log
@@ -391,7 +392,7 @@
 			if s.node == nil || s.paused || c.blocked[[2]int{s.number, l.number}] {
 				continue
 			}
-			if next := nextMembership(l.node.core.Status().Membership, s); next != nil {
+			if next := c.nextMembership(l.node.core.Status(), s); next != nil {
 				_ = l.node.core.ChangeMembership(next)
 				c.processOutput(l)
 				break
@@ -400,20 +401,29 @@
 	}
 }
 
-// nextMembership returns the next membership on the way to s being a voter, or nil.
-func nextMembership(current *egretmuxv1.Membership, s *slot) *egretmuxv1.Membership {
-	next := proto.Clone(current).(*egretmuxv1.Membership)
-	own, stale := -1, -1
+// nextMembership returns the next membership on the way to s being a voter, or nil. In every second
+// cluster the earlier replica of the instance is removed before the new one becomes a voter, as
+// voter.NextMembership does.
+func (c *cluster) nextMembership(leader core.Status, s *slot) *egretmuxv1.Membership {
+	next := proto.Clone(leader.Membership).(*egretmuxv1.Membership)
+	own, stale, otherVoters := -1, -1, 0
 	for i, r := range next.GetReplicas() {
-		if r.GetId() == s.id {
+		switch {
+		case r.GetId() == s.id:
 			own = i
-		} else if r.GetInstance() == s.instance() {
+		case r.GetInstance() == s.instance():
 			stale = i
+		case !r.GetLearner():
+			otherVoters++
 		}
 	}
 	switch {
 	case own < 0:
 		next.Replicas = append(next.Replicas, &egretmuxv1.Replica{Id: s.id, Instance: s.instance(), Learner: true})
+	case c.removesFirst && stale >= 0 && otherVoters > 0 && leader.Match[s.id] >= leader.MembershipIndex:
+		next.Replicas = slices.Delete(next.Replicas, stale, stale+1)
+	case c.removesFirst && stale >= 0 && otherVoters > 0 && next.Replicas[own].GetLearner():
+		return nil
 	case next.Replicas[own].GetLearner():
 		next.Replicas[own].Learner = false
 	case stale >= 0:
--- a/internal/consensus/fuzz_test.go
+++ b/internal/consensus/fuzz_test.go
@@ -66,6 +66,7 @@
 		{"restore disk", 3, f.restore},
 		{"restart", 6, f.restart},
 		{"lose disk", 1, f.loseDisk},
+		{"lose power", 1, f.losePower},
 		{"skew clock", 1, f.skewClock},
 		{"transfer", 1, f.transfer},
 		{"remove voter", 1, f.removeVoter},
@@ -198,6 +199,24 @@
 	}
 }
 
+// losePower crashes all replicas at the same moment. One of them may lose its disk.
+func (f *faults) losePower(t *rapid.T) {
+	lost := f.slot(t)
+	losesDisk := f.cluster.toleratesDiskLoss() && rapid.Bool().Draw(t, "disk")
+	for _, s := range f.cluster.slots {
+		f.cluster.crash(s)
+	}
+	if losesDisk {
+		f.cluster.loseDisk(lost)
+		testStats.lossesWithPower++
+	}
+	for _, s := range f.cluster.slots {
+		if rapid.IntRange(0, 3).Draw(t, "back") > 0 {
+			f.cluster.start(s)
+		}
+	}
+}
+
 func (f *faults) skewClock(t *rapid.T) { f.slot(t).rate = rapid.IntRange(6, 15).Draw(t, "rate") }
 
 func (f *faults) transfer(t *rapid.T) {
@@ -249,4 +268,4 @@
 
 // testStats counts the events of the random tests. TestMain prints it as a
 // measure of their coverage.
-var testStats struct{ checks, changes, reads, terms, losses, restored, installs, snapshots, failures, fullDisks int }
+var testStats struct{ checks, changes, reads, terms, losses, lossesWithPower, restored, installs, snapshots, failures, fullDisks int }
