platform: a soak that looks for work that waits in calm spans

Cause: the soak gives jobs 40 s after the last fault, and tries no gangs, occurrences, advice, cancels in numbers or jobs that can never be done. A job of which nothing runs for three seconds, although there is room, passed.

Change: TestNoJobWaitsInCalmSpans keeps less than half of the room in use and injects faults in bursts. In the calm spans after them (4 s after the last fault, orders that are carried out late included) it checks each job and each task that lasts every 100 ms, and 14 s after the end of the traffic every job at every instance. Jobs have gangs, copies, limits per runner, labels, occurrences, advice with tickets that expire, tasks that fail once, and jobs that can never be done, which come in numbers at the beginning of a calm span. Starts after a cancellation or a drain, before their time, without the label or beyond the limit per runner are violations. The stand-in has gangs whose members work and end together, and an advice service that checks tickets. It has no machines' API and no checkpoints, so that waves and checkpoints are left out.

--- a/internal/standin/jobs/client.go
+++ b/internal/standin/jobs/client.go
@@ -63,7 +63,11 @@
 // SubmitOnce sends a job once and returns the status, or 0 without a whole answer.
 func (c *Client) SubmitOnce(ctx context.Context, j *Job) int {
 	c.Ledger.RecordSubmission(j)
-	body, err := json.Marshal(map[string]any{"spec": j.Spec, "phases": j.Steps})
+	call := map[string]any{"spec": j.Spec, "phases": j.Steps}
+	if j.Repeats > 0 {
+		call["repeat_count"], call["start_at_ms"], call["interval_ms"] = j.Repeats, j.FirstDue.UnixMilli(), j.Interval.Milliseconds()
+	}
+	body, err := json.Marshal(call)
 	if err != nil {
 		return 0
 	}
@@ -126,6 +130,7 @@
 	c.Ledger.RecordCancellation(id)
 	for ctx.Err() == nil {
 		if status, _ := c.call(ctx, http.MethodDelete, c.Prefix+id, nil); status == http.StatusOK || status == http.StatusGone {
+			c.Ledger.RecordCancelled(id)
 			return true
 		}
 		time.Sleep(retryPause)
@@ -133,6 +138,23 @@
 	return false
 }
 
+// Pending asks for the number of jobs of the queue of which no task has started, until an instance
+// answers. It returns -1 when the context ends first.
+func (c *Client) Pending(ctx context.Context) int {
+	for ctx.Err() == nil {
+		if status, body := c.call(ctx, http.MethodGet, c.Prefix, nil); status == http.StatusOK {
+			var answer struct {
+				Pending int `json:"pending"`
+			}
+			if json.Unmarshal(body, &answer) == nil {
+				return answer.Pending
+			}
+		}
+		time.Sleep(retryPause)
+	}
+	return -1
+}
+
 // Await polls a job until it has the wanted final state, or is given up for the runners that
 // crashed under it. Another final state, or
 // the end of the context before it, is a violation.
--- a/internal/standin/jobs/ledger.go
+++ b/internal/standin/jobs/ledger.go
@@ -9,11 +9,12 @@
 	"time"
 )
 
-// Task identifies one task of a job.
+// Task identifies one task of an occurrence of a job.
 type Task struct {
-	Job   string
-	Step  int
-	Index int
+	Job        string
+	Step       int
+	Index      int
+	Occurrence int
 }
 
 // run is one run of a task, as its runner saw it.
@@ -36,7 +37,9 @@
 	doneAcknowledged     map[Task]bool // the leader has acknowledged an end with outcome done
 	failuresAcknowledged map[Task]int  // ends with outcome failed that the leader has acknowledged
 	crashes              map[Task]int  // runners that crashed under a run of the task
-	startsAfterCrashes   map[Task]int  // starts since the crash number maxCrashes
+	gangs                map[gangKey]*gang
+	lateOrders           int          // orders without an answer that are still to be carried out
+	startsAfterCrashes   map[Task]int // starts since the crash number maxCrashes
 	violations           []string
 	starts               int
 }
@@ -52,12 +55,22 @@
 // Job is a job that a client submits.
 type Job struct {
 	ID        string
+	Queue     string // path prefix, where it matters
 	Spec      string
 	Steps     []Step
 	Attempts  int
 	Accepted  bool
 	Refused   bool // every answer said that the job will not run
 	Cancelled bool // its client has sent a cancellation
+
+	// Occurrences of a periodic job; one without times if Repeats is zero.
+	Repeats            int
+	FirstDue           time.Time
+	Interval           time.Duration
+	Advised            bool      // its queue has advice, so that its starts need a ticket
+	AcceptedAt         time.Time // when its client was told that it is accepted
+	CancelAcknowledged time.Time // when its client was told that it is cancelled
+	Ended              bool      // it was shown in a final state
 }
 
 // Step is a set of identical tasks of a job.
@@ -71,6 +84,9 @@
 
 	LongRunning  bool `json:"long_running,omitempty"`
 	MaxPerRunner int  `json:"anti_affinity,omitempty"`
+
+	Speculative   bool   `json:"speculative,omitempty"`
+	RequiredLabel string `json:"required_label,omitempty"`
 }
 
 // NewLedger returns an empty ledger.
@@ -79,6 +95,7 @@
 		began: time.Now(), submitted: make(map[string]*Job), runs: make(map[Task][]*run),
 		doneAcknowledged: make(map[Task]bool), failuresAcknowledged: make(map[Task]int),
 		crashes: make(map[Task]int), startsAfterCrashes: make(map[Task]int),
+		gangs: make(map[gangKey]*gang),
 	}
 }
 
@@ -115,7 +132,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	j := l.submitted[id]
-	j.Accepted = j.Accepted || accepted
+	if accepted && !j.Accepted {
+		j.Accepted, j.AcceptedAt = true, time.Now()
+	}
 	j.Refused = refused && !j.Accepted
 	if j.Refused && l.hasRun(id) {
 		l.addViolationLocked("REFUSED %s has run, and its client was told that it never runs", id)
@@ -131,6 +150,15 @@
 	}
 }
 
+// RecordCancelled records that a client was told that its job is cancelled or gone.
+func (l *Ledger) RecordCancelled(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if j := l.submitted[id]; j != nil && j.CancelAcknowledged.IsZero() {
+		j.CancelAcknowledged = time.Now()
+	}
+}
+
 // AcceptedJobs returns the jobs whose acceptance their clients know of.
 func (l *Ledger) AcceptedJobs() []*Job {
 	l.mu.Lock()
@@ -173,7 +201,7 @@
 		l.addViolationLocked("UNASKED %v on %s: another text than the client's", t, runner)
 	case j.Refused:
 		l.addViolationLocked("REFUSED %v on %s: every answer said that the job never runs", t, runner)
-	case l.doneAcknowledged[t]:
+	case l.doneAcknowledged[t] && !j.speculative(t.Step):
 		l.addViolationLocked("TWICE %v run %d on %s: its end was acknowledged before", t, number, runner)
 	case j.Attempts > 0 && l.failuresAcknowledged[t] >= j.Attempts:
 		l.addViolationLocked("BUDGET %v run %d on %s: it has failed %d times", t, number, runner, l.failuresAcknowledged[t])
@@ -184,14 +212,14 @@
 		}
 	}
 	for _, other := range l.runs[t] {
-		if !other.ended {
+		if !other.ended && !j.speculative(t.Step) {
 			l.addViolationLocked("TWICE %v run %d on %s while run %d is on %s", t, number, runner, other.number, other.runner)
 		}
 	}
 	if j != nil {
 		for _, dependency := range j.Steps[t.Step].After {
 			for i := range j.Steps[dependency].Count {
-				if !l.hasEnded(Task{t.Job, dependency, i}) {
+				if !l.hasEnded(Task{t.Job, dependency, i, t.Occurrence}) {
 					l.addViolationLocked("ORDER %v: step %d is not done", t, dependency)
 				}
 			}
@@ -204,6 +232,8 @@
 // again however they end, so that nothing bounds their starts.
 func (j *Job) lasts(step int) bool { return j != nil && j.Steps[step].LongRunning }
 
+func (j *Job) speculative(step int) bool { return j != nil && j.Steps[step].Speculative }
+
 func (l *Ledger) hasEnded(t Task) bool {
 	for _, r := range l.runs[t] {
 		if r.ended {
@@ -237,7 +267,7 @@
 				continue
 			}
 			for _, later := range l.runs[t] {
-				if later.began.After(r.over) {
+				if later.began.After(r.over) && !l.submitted[t.Job].speculative(t.Step) {
 					l.addViolationLocked("TWICE %v run %d on %s began after run %d on %s was done, whose end is acknowledged", t, later.number, later.runner, number, runner)
 				}
 			}
--- a/internal/standin/jobs/runner.go
+++ b/internal/standin/jobs/runner.go
@@ -38,8 +38,16 @@
 	// Crashed, unless nil, is called after a task whose text begins with specCrash has
 	// crashed the runner.
 	Crashed func()
+	Labels  []string // "a" and "r1-1" if nil
+	Adviser *Adviser // checks the tickets of jobs that need one; nil: no ticket is checked
+	// MaxLateDelay is the longest time until an order without an answer is carried out;
+	// maxLateDelay if zero.
+	MaxLateDelay time.Duration
 }
 
+// specFailOnce begins the text of jobs the first run of whose tasks fails.
+const specFailOnce = "fail once"
+
 // specCrash begins the text of jobs whose first task crashes each runner that starts it,
 // crashDelay after its start.
 const (
@@ -65,6 +73,7 @@
 	mu           sync.Mutex
 	rng          *rand.Rand
 	draining     bool
+	drainNoted   time.Time // when an instance has acknowledged that it drains
 	ended        bool
 	crashed      bool // by one of its tasks
 	fencingToken uint64
@@ -87,6 +96,7 @@
 	number uint64
 	spec   string
 	cpu    int64
+	memMB  int64
 	began  time.Time
 	length time.Duration
 	timer  *time.Timer
@@ -108,6 +118,12 @@
 	if cfg.ClockRate == 0 {
 		cfg.ClockRate = 1
 	}
+	if cfg.Labels == nil {
+		cfg.Labels = []string{"a", "r1-1"}
+	}
+	if cfg.MaxLateDelay == 0 {
+		cfg.MaxLateDelay = maxLateDelay
+	}
 	listener, err := net.Listen("tcp", cfg.Address)
 	if err != nil {
 		return nil, err
@@ -198,6 +214,7 @@
 	taskRun.timer.Stop()
 	delete(r.running, t)
 	r.cfg.Ledger.recordEnd(t, taskRun.number, r.name(), "crashed")
+	r.cfg.Ledger.leaveGang(t, taskRun.number, "crashed")
 }
 
 func (r *Runner) name() string { return r.cfg.ID + "@" + strconv.FormatInt(r.born.UnixMilli(), 10) }
@@ -242,13 +259,13 @@
 		body := map[string]any{
 			"service": r.cfg.Pool, "address": r.address, "zone": r.cfg.Zone, "version": "v1", "slots": 8, "state": state,
 			"cold_remaining_ms": 0, "capacity": map[string]int64{"cpu": r.cpu, "mem_mb": r.cfg.MemMB, "gpu": 0},
-			"labels": []string{"a", "r1-1"}, "clock_ms": r.clockMs(), "sequence": r.sequence,
+			"labels": r.cfg.Labels, "clock_ms": r.clockMs(), "sequence": r.sequence,
 			"born": r.born.UnixMilli(), "machine": "m-" + r.cfg.ID,
 		}
 		cut := r.cutOff
 		r.mu.Unlock()
-		if !cut {
-			r.post("/Instances.Heartbeat/"+r.cfg.ID, body)
+		if !cut && r.post("/Instances.Heartbeat/"+r.cfg.ID, body) && state == "draining" {
+			r.noteDrain()
 		}
 		select {
 		case <-ctx.Done():
@@ -257,11 +274,12 @@
 	}
 }
 
-// post sends a report to instances in random order until one accepts it.
-func (r *Runner) post(path string, body map[string]any) {
+// post sends a report to instances in random order until one accepts it,
+// and reports whether one has.
+func (r *Runner) post(path string, body map[string]any) bool {
 	data, err := json.Marshal(body)
 	if err != nil {
-		return
+		return false
 	}
 	r.mu.Lock()
 	instances := r.rng.Perm(len(r.cfg.Controls))
@@ -274,9 +292,10 @@
 		}
 		_ = resp.Body.Close()
 		if resp.StatusCode/100 == 2 {
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // leaseLoop ends all runs when the lease has expired.
@@ -306,6 +325,7 @@
 	r.lastEnd++
 	r.finished = append(r.finished, finishedRun{r.lastEnd, t, taskRun.number, outcome, time.Now()})
 	r.cfg.Ledger.recordEnd(t, taskRun.number, r.name(), outcome)
+	r.cfg.Ledger.leaveGang(t, taskRun.number, outcome)
 	close(r.runEnded)
 	r.runEnded = make(chan struct{})
 }
@@ -318,6 +338,9 @@
 	FencingToken uint64 `json:"fencing_token"`
 	AckCursor    uint64 `json:"ack_cursor"`
 	WaitMs       int64  `json:"wait_ms"`
+	Ticket       string `json:"ticket"`
+
+	late bool // it is carried out late
 }
 
 // orderHandler returns a handler that executes one order. It leaves LateShare of
@@ -330,10 +353,15 @@
 		}
 		r.mu.Lock()
 		late := r.rng.Float64() < r.cfg.LateShare
-		delay := minLateDelay + time.Duration(r.rng.Int64N(int64(maxLateDelay-minLateDelay)))
+		delay := minLateDelay + time.Duration(r.rng.Int64N(int64(r.cfg.MaxLateDelay-minLateDelay)))
 		r.mu.Unlock()
 		if late {
-			time.AfterFunc(delay, func() { execute(t, order) })
+			order.late = true
+			r.cfg.Ledger.addLateOrders(1)
+			time.AfterFunc(delay, func() {
+				execute(t, order)
+				r.cfg.Ledger.addLateOrders(-1)
+			})
 			<-req.Context().Done()
 			return
 		}
@@ -361,6 +389,7 @@
 	parts := strings.Split(order.Task, ".")
 	if len(parts) == 4 {
 		t.Job = parts[0]
+		t.Occurrence, _ = strconv.Atoi(parts[1])
 		t.Step, _ = strconv.Atoi(parts[2])
 		t.Index, _ = strconv.Atoi(parts[3])
 	}
@@ -410,11 +439,16 @@
 	if order.DeadlineMs <= r.clockMs() {
 		return http.StatusConflict, "late"
 	}
+	j := r.cfg.Ledger.job(t.Job)
+	if a := r.cfg.Adviser; a != nil && j != nil && j.Advised && !a.accepts(order.Ticket, phaseOf(t), r.cfg.ID) {
+		return http.StatusConflict, "ticket"
+	}
 	r.extendLease(order.DeadlineMs)
 	r.cfg.Ledger.recordStart(t, order.Run, r.name(), order.Spec)
+	r.checkStart(t, j, order.late)
 	taskRun := &runningTask{number: order.Run, spec: order.Spec, began: time.Now(), length: 100 * time.Millisecond}
-	if j := r.cfg.Ledger.job(t.Job); j != nil && t.Step < len(j.Steps) {
-		taskRun.cpu = j.Steps[t.Step].CPU
+	if j != nil && t.Step < len(j.Steps) {
+		taskRun.cpu, taskRun.memMB = j.Steps[t.Step].CPU, j.Steps[t.Step].MemMB
 		taskRun.length = time.Duration(j.Steps[t.Step].Ms) * time.Millisecond
 	}
 	cpuInUse := taskRun.cpu
@@ -428,18 +462,31 @@
 	if strings.HasPrefix(order.Spec, "fail") {
 		outcome = "failed"
 	}
+	if strings.HasPrefix(order.Spec, specFailOnce) && order.Run > 1 {
+		outcome = "done"
+	}
 	crashes := strings.HasPrefix(order.Spec, specCrash) && t.Index == 0
 	if crashes {
 		taskRun.length = time.Hour // it does not end before it crashes the runner, however late that is
 	}
-	taskRun.timer = time.AfterFunc(taskRun.length, func() {
+	end := func(outcome string) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		if r.running[t] == taskRun {
 			r.finish(t, outcome)
 		}
-	})
+	}
 	r.running[t] = taskRun
+	if j != nil && j.Steps[t.Step].Gang {
+		taskRun.timer = time.AfterFunc(gangTimeout, func() {
+			if !r.cfg.Ledger.gangComplete(t, order.Run) {
+				end("alone")
+			}
+		})
+		r.cfg.Ledger.joinGang(t, order.Run, j.Steps[t.Step].Count, taskRun.length, end)
+	} else {
+		taskRun.timer = time.AfterFunc(taskRun.length, func() { end(outcome) })
+	}
 	if crashes {
 		time.AfterFunc(crashDelay, r.crashUnderATask)
 	}
@@ -536,4 +583,4 @@
 	r.finished = kept
 }
 
-func taskName(t Task) string { return fmt.Sprintf("%s.0.%d.%d", t.Job, t.Step, t.Index) }
+func taskName(t Task) string { return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index) }
