dispatch: work that starves in a mostly free pool takes any room that suits it

A job waits beside free room for as long as

- a gang holds it for tickets that do not come (10 s, and again every 20 s),
- it is headroom for urgent work that cannot start (for ever),
- the only worker that suits it rests after failed runs (4 s),
- faster workers are expected to get room (until its latest start).

The class: a preference without a bound of its own. Each of these was a case by itself before (room kept for a gang, workers that stay closed).

Evidence, before:

TestJobDoesNotWaitForRoomThatIsHeldForTickets "10.1s" is not less than "3s" TestJobDoesNotWaitForTheRestOfTheOnlyWorkerThatSuits "4s" is not less than "3s" TestJobDoesNotWaitForRoomThatIsKeptForUrgentWork "12s" (the end of the test) is not less than "3s"

Why it works: one rule bounds them all. If nothing of a step, or a task of one that lasts, has run for a second in a pool that is mostly free all the while, the step takes free room whatever it is kept for, on slow workers too, and probes workers that rest if no other suits it; one run each, and the doubling of probes counts from the end of the rest as before. Nothing changes in a pool of which half is in use, for steps over rate, and for those that a quota holds.

--- a/internal/dispatch/headroom.go
+++ b/internal/dispatch/headroom.go
@@ -60,10 +60,10 @@
 }
 
 // requiredHeadroom returns the cpu of a worker that a step must leave free. It is
-// zero for urgent steps, and for tasks that would not fit beside the headroom even
+// zero for urgent and starved steps, and for tasks that would not fit beside the headroom even
 // on an idle worker.
 func (s *step) requiredHeadroom(w *worker) int64 {
-	if s.urgent || s.demand.cpu+w.headroom > w.capacity.cpu {
+	if s.urgent || s.starved || s.demand.cpu+w.headroom > w.capacity.cpu {
 		return 0
 	}
 	return w.headroom
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -47,6 +47,7 @@
 	c.renewHolds()
 	p := &plan{now: now, unclaimed: c.newUnclaimedRoom(now)}
 	ordered := c.orderSteps(now)
+	c.findStarved(ordered, now)
 	c.renewClaims(ordered)
 	for _, s := range c.selectSteps(c.withoutHeld(ordered, now)) {
 		waiting := s.waitingTasks()
@@ -116,6 +117,7 @@
 	for s := range c.unplaced {
 		if c.steps[s.key] != s || !s.waits() {
 			delete(c.unplaced, s)
+			s.idle = false
 			continue
 		}
 		if now-s.estimatedAt >= latestStartMaxAge {
@@ -180,7 +182,8 @@
 // canRunOn reports whether the worker could run tasks of the step, regardless of
 // its free resources and of tickets.
 func (s *step) canRunOn(w *worker, pool string, now time.Duration) bool {
-	return w.life.GetPool() == pool && w.acceptsRuns(now) && s.suits(w)
+	accepts := w.acceptsRuns(now) || s.wakes && w.acceptsProbes(now)
+	return w.life.GetPool() == pool && accepts && s.suits(w)
 }
 
 // suits reports whether a worker of the step's pool has the capacity and the label that a
@@ -236,7 +239,7 @@
 // there, unless all workers are: until its latest start, one of the others may get room.
 func (s *step) fastEnough(candidates, all []*worker) []*worker {
 	tooSlow := func(w *worker) bool { return w.slowness > s.slownessLimit }
-	if !slices.ContainsFunc(candidates, tooSlow) || !slices.ContainsFunc(all, func(w *worker) bool { return !tooSlow(w) }) {
+	if s.starved || !slices.ContainsFunc(candidates, tooSlow) || !slices.ContainsFunc(all, func(w *worker) bool { return !tooSlow(w) }) {
 		return candidates
 	}
 	return slices.DeleteFunc(candidates, tooSlow)
@@ -306,7 +309,7 @@
 // limit.
 func (s *step) maxNewRuns(w *worker, limit int) int {
 	usable := w.available()
-	if (s.urgent || s.spec.GetLongRunning()) && !w.closed() {
+	if (s.urgent || s.spec.GetLongRunning() || s.starved) && !w.closed() {
 		usable = w.free // reserved resources too: the gang can wait a little longer
 	}
 	usable.cpu -= s.requiredHeadroom(w)
@@ -364,6 +367,7 @@
 func (c *Core) startTask(t *task, w *worker, number uint64, now time.Duration) {
 	s := t.step
 	r := c.addRun(t, w, number, ordered, now)
+	s.idle = false
 	c.noteProbe(r, now)
 	if s.overRate {
 		s.job.customer.overRateStarted += s.demand.cpu
--- a/internal/dispatch/probation.go
+++ b/internal/dispatch/probation.go
@@ -20,7 +20,7 @@
 // probation is the state of a failing worker.
 type probation struct {
 	began bool          // whether there are probes
-	since time.Duration // when the first of them started
+	since time.Duration // when the first of them started, or the rest was over
 	left  int           // probes that the worker may get before the next plan
 }
 
@@ -72,7 +72,7 @@
 	case !p.began: // those that are left after one has failed
 		p.began, p.since = true, now
 	}
-	p.left = max(0, 1<<min(maxProbeDoublings, int((now-p.since)/probePeriod))-present)
+	p.left = max(0, 1<<min(maxProbeDoublings, max(0, int((now-p.since)/probePeriod)))-present)
 }
 
 // noteProbe records that a run is started on a worker, and marks it as a probe if that is
@@ -85,7 +85,7 @@
 	r.probe = true
 	w.probation.left--
 	if !w.probation.began {
-		w.probation.began, w.probation.since = true, now
+		w.probation.began, w.probation.since = true, max(now, w.restUntil)
 		c.addNotice(Notice{Event: "worker_probed", Worker: w.Worker, Job: r.task.step.key.Job, Task: r.task.key().String(), Run: r.number})
 	}
 }
--- /dev/null
+++ b/internal/dispatch/starved.go
@@ -0,0 +1,71 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// starvedAfter is the time without a run from which on a step takes any room that suits it. With
+// a call for advice and the start it has to stay below three seconds.
+const starvedAfter = time.Second
+
+// findStarved finds the steps of which nothing has run for some time although their pool is mostly
+// free. What keeps room from them (reservations and claims of gangs, headroom, faster workers, the rest
+// of workers) is a preference, and work must go on where there is room.
+func (c *Core) findStarved(waiting []*step, now time.Duration) {
+	mostlyFree := make(map[string]bool)
+	for pool, room := range c.poolRooms() {
+		mostlyFree[pool] = 2*room.free > room.capacity
+	}
+	someRest := slices.ContainsFunc(slices.Collect(maps.Values(c.workers)), func(w *worker) bool { return now < w.restUntil })
+	for _, s := range waiting {
+		pool := c.queue(s.job).GetService()
+		if idle := mostlyFree[pool] && (s.spec.GetLongRunning() || !s.runs()); idle != s.idle {
+			s.idle, s.idleSince = idle, now
+		}
+		starved := s.idle && now-s.idleSince >= starvedAfter && !s.overRate && s.quotaHold == nil
+		if starved && !s.starved {
+			c.addNotice(Notice{Event: "step_starved", Job: s.key.Job, Task: s.key.String(), Age: now - s.idleSince})
+		}
+		s.starved = starved
+		s.wakes = starved && someRest && !c.hasSoundWorker(s, pool, now)
+	}
+}
+
+// hasSoundWorker reports whether a worker that suits a step accepts runs and does not fail.
+func (c *Core) hasSoundWorker(s *step, pool string, now time.Duration) bool {
+	for _, w := range c.workers {
+		if w.life.GetPool() == pool && w.acceptsRuns(now) && !w.failing() && s.suits(w) {
+			return true
+		}
+	}
+	return false
+}
+
+// runs reports whether a worker that answers has a run of the step, or a start of one is under way.
+func (s *step) runs() bool {
+	for _, t := range s.tasks {
+		for _, r := range t.runs {
+			if r.state == ordered || r.state == running && r.worker.missedPolls == 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// poolRooms returns the cpu of all workers by pool, in thousandths of a core.
+func (c *Core) poolRooms() map[string]*poolRoom {
+	rooms := make(map[string]*poolRoom)
+	for _, w := range c.workers {
+		room := rooms[w.life.GetPool()]
+		if room == nil {
+			room = &poolRoom{}
+			rooms[w.life.GetPool()] = room
+		}
+		room.capacity += w.capacity.cpu
+		room.free += max(0, w.free.cpu)
+	}
+	return rooms
+}
--- a/internal/dispatch/unclaimed.go
+++ b/internal/dispatch/unclaimed.go
@@ -86,14 +86,14 @@
 }
 
 // limit returns how many of n waiting tasks of a step may start. Urgent steps, steps that
-// are placed before any gang that waits, and steps that cannot wait are not limited. Steps
-// over rate leave room to all steps within rate that wait.
+// are placed before any gang that waits, starved ones and those that cannot wait are not
+// limited. Steps over rate leave room to all steps within rate that wait.
 func (u *unclaimedRoom) limit(pool string, s *step, n int) int {
 	claimed := u.claimed[pool]
 	if s.overRate {
 		claimed = max(claimed, u.wanted[pool])
 	}
-	if claimed == 0 || !s.overRate && (s.urgent || !s.canWait(u.now)) {
+	if claimed == 0 || s.starved || !s.overRate && (s.urgent || !s.canWait(u.now)) {
 		return n
 	}
 	room := u.pool(pool)
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -136,7 +136,12 @@
 
 // acceptsRuns reports whether the worker may get new runs.
 func (w *worker) acceptsRuns(now time.Duration) bool {
-	return w.synced && !w.keptForSuspect() && !w.draining && !w.cordoned && len(w.orphans) == 0 && w.missedPolls <= maxMissedPolls && now >= max(w.backoffUntil, w.restUntil)
+	return w.acceptsProbes(now) && now >= w.restUntil
+}
+
+// acceptsProbes reports whether the worker may get new runs if it does not rest.
+func (w *worker) acceptsProbes(now time.Duration) bool {
+	return w.synced && !w.keptForSuspect() && !w.draining && !w.cordoned && len(w.orphans) == 0 && w.missedPolls <= maxMissedPolls && now >= w.backoffUntil
 }
 
 // closed reports whether a worker gets no further runs for now, whatever it has free.
