edge: a drain does not end a request that arrived with the one before

Cause: a connection counted as idle from one answer to the next read. A request that had been read together with the one before needs no read. The read deadline that ends idle connections then ended the request's context.

Evidence: TestRequestThatArrivedWithTheOneBeforeIsNotEndedByADrain failed before: "expected: 200, actual: 503".

Why it works: the server tells when it has read the header of a request.

--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -52,7 +52,12 @@
 	if encrypted, ok := conn.(*tls.Conn); ok {
 		conn = encrypted.NetConn()
 	}
-	if tracked, ok := conn.(*connection); ok && state == http.StateIdle {
+	tracked, ok := conn.(*connection)
+	switch {
+	case !ok:
+	case state == http.StateActive: // the request may have arrived together with the one before
+		tracked.noteRead()
+	case state == http.StateIdle:
 		tracked.becomeIdle()
 	}
 }
--- a/internal/edge/drain_test.go
+++ b/internal/edge/drain_test.go
@@ -119,3 +119,33 @@
 	d.receive(conn)
 	require.NoError(t, d.drainWithin(drainTimeout))
 }
+
+// Guards against a request whose context ended as the listener closed, since it had arrived together with
+// the one before it and its connection counted as idle.
+func TestRequestThatArrivedWithTheOneBeforeIsNotEndedByADrain(t *testing.T) {
+	arrived, answer := make(chan struct{}, 2), make(chan struct{}, 2)
+	d := serveDrained(t, func(w http.ResponseWriter, r *http.Request) {
+		arrived <- struct{}{}
+		<-answer
+		if r.Context().Err() != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	conn := d.dial()
+	d.send(conn, wholeRequest+wholeRequest)
+	answers := bufio.NewReader(conn)
+	receive := func() int {
+		resp, err := http.ReadResponse(answers, nil)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		return resp.StatusCode
+	}
+	<-arrived
+	answer <- struct{}{}
+	require.Equal(t, http.StatusOK, receive())
+	<-arrived
+	require.ErrorIs(t, d.drainWithin(100*time.Millisecond), context.DeadlineExceeded)
+	answer <- struct{}{}
+	require.Equal(t, http.StatusOK, receive())
+	require.NoError(t, d.drainWithin(drainTimeout))
+}
