discovery: replicas call the members that they remember in different orders

Cause: each replica began with the first address in the order of the alphabet.

Evidence: TestReplicasCallTheMembersThatTheyRememberInDifferentOrders failed before: of 20 replicas 19 call the same one first.

Why it works: each begins with the address that follows its own.

--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -100,7 +100,7 @@
 	m := self()
 	d := &Directory{
 		self: self, selfAddress: m.GetAddress(), random: random, seeds: seeds, wake: make(chan struct{}, 1),
-		list: newMemberList(random.Uint64()), remembered: rememberedMembers{addresses: make(map[string]bool)}, lastDiscovery: now, nextRound: now,
+		list: newMemberList(random.Uint64()), remembered: rememberedMembers{addresses: make(map[string]bool), last: m.GetAddress()}, lastDiscovery: now, nextRound: now,
 		inFlight: make(map[string]bool), failedAt: make(map[string]time.Time),
 		positions: make(map[string]*egretmuxv1.ListPosition), untold: make(map[string]*notice),
 	}
--- a/internal/discovery/old_seeds_test.go
+++ b/internal/discovery/old_seeds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -189,3 +190,19 @@
 	addresses, _ = d.Addresses(version)
 	require.Len(t, addresses, 11)
 }
+
+// Guards against a link that is busy after all have lost power, as all replicas remember the same members
+// and call them in the same order.
+func TestReplicasCallTheMembersThatTheyRememberInDifferentOrders(t *testing.T) {
+	var all []string
+	for n := range 20 {
+		all = append(all, fmt.Sprintf("10.0.0.%02d:7720", n))
+	}
+	called := make(map[string]int)
+	for _, address := range all {
+		d := New(func() *egretmuxv1.Member { return &egretmuxv1.Member{Address: address} }, nil, rand.New(rand.NewPCG(1, 2)), time.Now())
+		d.Remember(all)
+		called[d.remembered.next()[0]]++
+	}
+	require.Len(t, called, len(all))
+}
--- a/internal/discovery/remembered.go
+++ b/internal/discovery/remembered.go
@@ -15,7 +15,7 @@
 	addresses   map[string]bool
 	version     uint64    // of addresses
 	calledSince time.Time // when they were first called on behalf of the present leader; zero if there is none
-	last        string    // the one that was called last
+	last        string    // the one that was called last; at first this instance, so that each begins elsewhere
 }
 
 // Remember adds addresses of members that this instance knew before its restart.
