discovery: the leader calls members that it has removed, one at a time

The leader calls members that fell silent only for as long as they are members.

Evidence: TestInstanceWithOldSeedsFindsTheLeaderAfterALongStop failed before ("20s" is not less than "12s").

--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -81,6 +81,7 @@
 	holderSizes map[string]int     // number of members that each holder of the list knows
 	untoldFrom  time.Time          // before that, newly found members count as told by a holder of the list
 	nextPolled  int                // round-robin position in the holders of the list
+	nextRemoved int                // the same in the removed members
 	// listContinuesAt is the instance that has more of the list for this one.
 	listContinuesAt string
 	noticesSent     int // notices in flight
--- a/internal/discovery/notices.go
+++ b/internal/discovery/notices.go
@@ -120,6 +120,27 @@
 	}
 }
 
+// callRemoved returns a notice for one of the members that were removed for their silence, for as long
+// as the list holds their tombstones: an instance that was down for long is not a member any more, and
+// its seeds may be gone.
+func (d *Directory) callRemoved() []Call {
+	if d.noticesSent >= maxNotices {
+		return nil
+	}
+	var removed []string
+	for address, e := range d.list.entries {
+		if e.member.GetGone() {
+			removed = append(removed, address)
+		}
+	}
+	if len(removed) == 0 {
+		return nil
+	}
+	slices.Sort(removed)
+	d.nextRemoved++
+	return []Call{d.newNotice(removed[d.nextRemoved%len(removed)], nil)}
+}
+
 // noticeGroups divides addresses into groups of which the first member tells the
 // others. Each address is in noticeCopies groups, as a first member may be down.
 func (d *Directory) noticeGroups(addresses []string) [][]string {
--- a/internal/discovery/old_seeds_test.go
+++ b/internal/discovery/old_seeds_test.go
@@ -206,3 +206,19 @@
 	}
 	require.Len(t, called, len(all))
 }
+
+// Guards against an instance that never finds the leader after its restart, since it was down for so long
+// that it is no member any more, and its settings name only seeds that have been replaced.
+func TestInstanceWithOldSeedsFindsTheLeaderAfterALongStop(t *testing.T) {
+	s := formedSimulation(t, 11, 7)
+	s.runUntil(s.now.Sub(s.start) + 5*time.Second)
+	old := s.giveOldSeeds()
+	for _, node := range old {
+		node.stop()
+	}
+	s.runUntil(s.now.Sub(s.start) + expiredForSure)
+	for _, node := range old {
+		node.restart()
+	}
+	require.Less(t, s.runFor(20*time.Second, s.allInContact), recoveryBound)
+}
--- a/internal/discovery/rounds.go
+++ b/internal/discovery/rounds.go
@@ -247,9 +247,10 @@
 		d.list.expire(d.selfAddress, silentSince, now)
 	}
 	d.callSilent(now)
+	removed := d.callRemoved()
 	holders := d.listHolders()
 	if len(holders) == 0 {
-		return nil
+		return removed
 	}
 	target := d.listContinuesAt
 	d.listContinuesAt = ""
@@ -258,9 +259,9 @@
 		target = holders[d.nextPolled%len(holders)]
 	}
 	if first {
-		return d.announceTo(now, target, holders...)
+		return append(removed, d.announceTo(now, target, holders...)...)
 	}
-	return d.announceTo(now, target, target)
+	return append(removed, d.announceTo(now, target, target)...)
 }
 
 // listHolders returns the other instances that keep the list of members.
