dispatch: broken workers rest while the sound ones are full

All sound workers of a pool are full, two are broken. Each job that arrives goes to the broken ones, which have room, and uses up its attempts there.

Cause: since a step counts as failing everywhere if it has failed on most of the workers that had a run of it. Those that have room while others are full are the broken ones, so their failures did not count, job after job.

Why it works: the failures of a step are left out only once it has failed on most of the workers that it can run on. At most half of these rest until then. This is decided at each failure, and workers are looked through for reopening only when the decision changes.

--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -246,7 +246,6 @@
 	t.runs = append(t.runs, r)
 	t.highestRun = max(t.highestRun, number)
 	t.step.runsOn[w]++
-	t.step.triedOn = t.step.triedOn.with(w)
 	if t.suspect() && state != ended && w.isolated == nil {
 		w.isolated = r
 	}
--- a/internal/dispatch/probation.go
+++ b/internal/dispatch/probation.go
@@ -39,17 +39,29 @@
 func (w *worker) failing() bool {
 	runs := 0
 	for _, f := range w.failures {
-		if !f.step.failsEverywhere() {
+		if !f.step.failsEverywhere {
 			runs += f.runs
 		}
 	}
 	return runs >= maxFailures
 }
 
-// failsEverywhere reports whether the runs of a step are likely to fail for its own sake: they
-// have failed on several workers, on most of those that had one, and none was done.
-func (s *step) failsEverywhere() bool {
-	return !s.succeeded && len(s.failedOn) > 1 && 2*len(s.failedOn) > len(s.triedOn)
+// updateFailsEverywhere decides whether the runs of a step are likely to fail for its own sake: they
+// have failed on several workers, on most of those that it can run on, and none was done. That they
+// have failed wherever they ran is not enough: broken workers have room while sound ones are full.
+func (c *Core) updateFailsEverywhere(s *step) {
+	failedOn, suitable := 0, 0
+	pool := c.queue(s.job).GetService()
+	for _, w := range c.workers {
+		if w.life.GetPool() != pool || !w.usable() || !s.suits(w) {
+			continue
+		}
+		suitable++
+		if s.failedOn[w] {
+			failedOn++
+		}
+	}
+	s.failsEverywhere = !s.succeeded && failedOn > 1 && 2*failedOn > suitable
 }
 
 // renewProbation computes how many probes a failing worker may get in a plan.
@@ -114,8 +126,12 @@
 		i = len(w.failures) - 1
 	}
 	w.failures[i].runs += runs
-	if s.failsEverywhere() {
-		c.reopenWorkers(s, now)
+	known := s.failsEverywhere
+	c.updateFailsEverywhere(s)
+	if s.failsEverywhere {
+		if !known {
+			c.reopenWorkers(s, now)
+		}
 		return
 	}
 	w.probation = probation{}
@@ -137,8 +153,8 @@
 
 // noteSuccess records that a run is done.
 func (c *Core) noteSuccess(r *run) {
-	w := r.worker
-	r.task.step.succeeded = true
+	w, s := r.worker, r.task.step
+	s.succeeded, s.failsEverywhere = true, false
 	if w.failing() {
 		c.addNotice(Notice{Event: "worker_reopened", Worker: w.Worker, Reason: "run-done"})
 	}
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -69,16 +69,16 @@
 	slownessLimit float64
 	// objective is the latency objective of the job, counted from dueAt. A job that ends
 	// later is worth less, and after expiryFactor times the objective nothing.
-	objective time.Duration
-	advice    advice
-	held      map[*worker]int // number of tasks for which resources are held while tickets are requested
-	runsOn    map[*worker]int // number of runs by worker
-	triedOn   workerSet       // workers that had a run
-	failedOn  workerSet       // those on which one has failed or made no progress
-	succeeded bool            // whether a run was done
-	deferred  bool            // whether it has left room to gangs
-	urgent    bool            // whether its queue has priority 0, the highest, and it is within its customer's rate
-	overRate  bool            // whether it comes after the steps within rate
+	objective       time.Duration
+	advice          advice
+	held            map[*worker]int // number of tasks for which resources are held while tickets are requested
+	runsOn          map[*worker]int // number of runs by worker
+	failedOn        workerSet       // workers on which a run has failed or made no progress
+	succeeded       bool            // whether a run was done
+	failsEverywhere bool            // whether its failures tell nothing about workers
+	deferred        bool            // whether it has left room to gangs
+	urgent          bool            // whether its queue has priority 0, the highest, and it is within its customer's rate
+	overRate        bool            // whether it comes after the steps within rate
 	// beyondShare is set if it can wait, its pool is full and its customer holds more than its part.
 	beyondShare bool
 	placement   placement
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -141,7 +141,12 @@
 
 // acceptsProbes reports whether the worker may get new runs if it does not rest.
 func (w *worker) acceptsProbes(now time.Duration) bool {
-	return w.synced && !w.keptForSuspect() && !w.draining && !w.cordoned && len(w.orphans) == 0 && w.missedPolls <= maxMissedPolls && now >= w.backoffUntil
+	return w.usable() && !w.keptForSuspect() && len(w.orphans) == 0 && now >= w.backoffUntil
+}
+
+// usable reports whether the worker can be reached and is to be used.
+func (w *worker) usable() bool {
+	return w.synced && !w.draining && !w.cordoned && w.missedPolls <= maxMissedPolls
 }
 
 // closed reports whether a worker gets no further runs for now, whatever it has free.
