dispatch: at most half of the workers of a pool rest for failed runs

Each small job fails on a few workers or one, and all together on all.

Why it works: a worker rests only while at most half of the workers of its pool do, or as the only one. Beyond that its failures are forgotten. Broken workers, if they are fewer, rest as before; more than half of a pool are not told from jobs that fail everywhere.

--- a/internal/dispatch/failing_workers_test.go
+++ b/internal/dispatch/failing_workers_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -28,3 +29,20 @@
 		require.NotEqual(t, egretmuxv1.JobPhase_JOB_PHASE_FAILED, h.phase(id(2+n)), "job %d", n)
 	}
 }
+
+// Guards against idle workers that get nothing for seconds after many small jobs that can never be done:
+// each fails on a few workers only, together they fail on all.
+func TestWorkersAreNotRestedForManyJobsThatFail(t *testing.T) {
+	h := newHarness(t)
+	for n := range 4 {
+		h.addWorker(fmt.Sprintf("w%d", n), 16)
+	}
+	for n := range 100 {
+		h.submit(id(100+n), tasks(2, 1))
+	}
+	h.plan()
+	h.failAll()
+	h.submit(id(1), tasks(16, 1))
+	h.plan()
+	require.Len(t, h.acceptStarts(), 16)
+}
--- a/internal/dispatch/probation.go
+++ b/internal/dispatch/probation.go
@@ -135,12 +135,33 @@
 		return
 	}
 	w.probation = probation{}
+	if w.failing() && !c.mayRest(w) {
+		w.failures = nil
+		return
+	}
 	if w.failing() {
 		w.restUntil = now + failureBackoff
 		c.addNotice(Notice{Event: "worker_resting", Worker: w.Worker, Reason: reason, Age: age})
 	}
 }
 
+// mayRest reports whether a failing worker may rest. At most half of the workers of a pool are failing,
+// or one: beyond that it is more likely that the jobs are at fault, however few workers each of them has
+// failed on.
+func (c *Core) mayRest(w *worker) bool {
+	usable, failing := 0, 0
+	for _, other := range c.workers {
+		if other != w && (other.life.GetPool() != w.life.GetPool() || !other.usable()) {
+			continue
+		}
+		usable++
+		if other.failing() {
+			failing++
+		}
+	}
+	return failing <= max(1, usable/2)
+}
+
 // reopenWorkers opens the workers that rest only for failures of a step that fails everywhere.
 func (c *Core) reopenWorkers(s *step, now time.Duration) {
 	for _, w := range c.sortedWorkers() {
