jobcell: a stop signal is not dropped behind notices of settings

Cause: both kinds of signals shared a channel of 16, and a full channel drops signals. A process that hangs at its start, and is told of changed settings 16 times meanwhile, would not notice that it has to stop (found by the review).

Change: each kind has a channel of its own, in which one signal is as good as many. A test waits for the answer whose request is not in flight any more.

--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -7,8 +7,8 @@
 // tells all instances, through some of them if there are many, and later those that fell
 // silent. Only seeds, instances with a data folder and the leader keep the list of all
 // members; lists are versioned, so that only changes are sent. After a restart the members
-// of before are called as well, as the seeds of some may all have been replaced. What an instance sends in a calm cell thus does not
-// depend on the size of the cell.
+// of before are called as well, as the seeds of some may all have been replaced. What an
+// instance sends in a calm cell thus does not depend on the size of the cell.
 package discovery
 
 import (
--- a/internal/jobcell/instance.go
+++ b/internal/jobcell/instance.go
@@ -33,23 +33,30 @@
 	reloadPeriod         = 2 * time.Second
 	maxHeaderBytes       = 16 << 10
 	maxCellStreams       = 4096
-	maxPendingSignals    = 16
 )
 
 // InstanceConfig holds the settings of an Instance.
 type InstanceConfig struct {
 	ShutdownTime time.Duration            // time between the stop signal and the kill
 	Reload       func() ([]string, error) // re-reads the settings and returns the seeds
-	Signals      <-chan os.Signal         // signals to this process, from HandleSignals; nil: none are handled
+	Signals      Signals                  // of this process; the zero value handles none
 	Logger       zerolog.Logger
 }
 
-// HandleSignals returns the channel of the signals that an instance handles. From then on they do not
-// end the process, so it is called before anything else and never undone.
-func HandleSignals() <-chan os.Signal {
-	signals := make(chan os.Signal, maxPendingSignals)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	return signals
+// Signals are the signals that an instance handles. They have a channel for each kind, as a channel
+// that is full drops signals.
+type Signals struct {
+	stop   <-chan os.Signal
+	reload <-chan os.Signal
+}
+
+// HandleSignals takes the signals of this process. From then on they do not end it, so it is called
+// before anything else and never undone.
+func HandleSignals() Signals {
+	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reload, syscall.SIGHUP)
+	return Signals{stop: stop, reload: reload}
 }
 
 // Instance is the server process around a Cell: it serves the listeners, reloads the
@@ -188,16 +195,18 @@
 // signalLoop handles signals until the process ends. The first stop signal begins the shutdown;
 // later signals change nothing in it, as requests are still in flight.
 func (i *Instance) signalLoop(reloads chan<- struct{}, stop func()) {
-	for s := range i.cfg.Signals {
-		i.cfg.Logger.Info().Str("event", "signal_received").Stringer("signal", s).Msg("received a signal")
-		if s != syscall.SIGHUP {
-			stop()
-			continue
-		}
+	for {
+		var received os.Signal
 		select {
-		case reloads <- struct{}{}:
-		default: // the reading that is about to begin sees the change
+		case received = <-i.cfg.Signals.stop:
+			stop()
+		case received = <-i.cfg.Signals.reload:
+			select {
+			case reloads <- struct{}{}:
+			default: // the reading that is about to begin sees the change
+			}
 		}
+		i.cfg.Logger.Info().Str("event", "signal_received").Stringer("signal", received).Msg("received a signal")
 	}
 }
 
--- a/internal/jobcell/instance_test.go
+++ b/internal/jobcell/instance_test.go
@@ -230,7 +230,8 @@
 	case got := <-status:
 		require.Equal(t, http.StatusGatewayTimeout, got)
 	case <-i.ended:
-		require.FailNow(t, "the process ends without an answer to the call")
+		require.Zero(t, i.servers[0].inFlight.Load(), "the process ends without an answer to the call")
+		require.Equal(t, http.StatusGatewayTimeout, <-status)
 	}
 }
 
