--- a/internal/standin/jobs/ledger.go
+++ b/internal/standin/jobs/ledger.go
@@ -297,6 +297,20 @@
 	return false
 }
 
+// RanBefore reports whether a run of a job had begun at a time.
+func (l *Ledger) RanBefore(id string, at time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for t, runs := range l.runs {
+		for _, r := range runs {
+			if t.Job == id && r.began.Before(at) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Starts returns the number of runs that were started.
 func (l *Ledger) Starts() int {
 	l.mu.Lock()
