egretmuxd: a certificate that hangs does not delay a stop

Callers saw: nothing by themselves; an instance that did not notice SIGTERM while it read a certificate again, as from a file system that hangs, was killed with requests in flight.

Fix: SIGHUP only requests a reload. One that is requested already sees the newest change.

--- a/cmd/egretmuxd/main.go
+++ b/cmd/egretmuxd/main.go
@@ -99,7 +99,7 @@
 	defer cancel()
 	stopNow := make(chan struct{})
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	go handleSignals(signals, d, logger, cancel, stopNow)
+	go handleSignals(signals, logger, d.ReloadCertificates, cancel, stopNow)
 	if err := d.Run(ctx, stopNow); err != nil {
 		logger.Error().Err(err).Str("event", "instance_failed").Msg("the instance stopped because of a failure")
 		return exitFailure
@@ -108,13 +108,24 @@
 }
 
 // handleSignals begins a graceful shutdown at the first SIGTERM or SIGINT and stops
-// at once at the second. At SIGHUP it reloads changed certificates.
-func handleSignals(signals <-chan os.Signal, d *daemon.Daemon, logger zerolog.Logger, stop func(), stopNow chan<- struct{}) {
+// at once at the second. SIGHUP reloads, in a goroutine of its own, as a file that
+// hangs must not delay a stop.
+func handleSignals(signals <-chan os.Signal, logger zerolog.Logger, reload, stop func(), stopNow chan<- struct{}) {
+	reloads := make(chan struct{}, 1)
+	defer close(reloads)
+	go func() {
+		for range reloads {
+			reload()
+		}
+	}()
 	stopSignals := 0
 	for s := range signals {
 		logger.Info().Str("event", "signal_received").Str("signal", s.String()).Msg("received a signal")
 		if s == syscall.SIGHUP {
-			d.ReloadCertificates()
+			select {
+			case reloads <- struct{}{}:
+			default: // the reload that is about to begin sees the change
+			}
 			continue
 		}
 		stopSignals++
--- a/cmd/egretmuxd/main_test.go
+++ b/cmd/egretmuxd/main_test.go
@@ -6,12 +6,14 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/egretmux/egretmux/internal/cli"
@@ -84,3 +86,33 @@
 	require.NoError(t, process.Process.Signal(syscall.SIGTERM))
 	require.Error(t, <-ended, "nothing is served yet, so that it ends at once")
 }
+
+// Guards against an instance that did not notice a stop signal while a certificate that was reloaded hung:
+// it was killed with requests in flight.
+func TestInstanceStopsWhileACertificateHangs(t *testing.T) {
+	signals, stopped, stopNow := make(chan os.Signal), make(chan struct{}), make(chan struct{})
+	reading, released, ended := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	reload := sync.OnceFunc(func() {
+		close(reading)
+		<-released
+	})
+	go func() {
+		defer close(ended)
+		handleSignals(signals, zerolog.Nop(), reload, func() { close(stopped) }, stopNow)
+	}()
+	defer func() {
+		close(released)
+		close(signals)
+		<-ended
+	}()
+	signals <- syscall.SIGHUP
+	<-reading
+	for _, s := range []os.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM} {
+		select {
+		case signals <- s:
+		case <-time.After(time.Minute):
+			require.FailNow(t, "the instance does not notice its signals")
+		}
+	}
+	<-stopped
+}
