--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -6,9 +6,9 @@
 // instances. One that knows no leader asks one seed or replica at a time. A new leader
 // tells all instances, through some of them if there are many, and later those that fell
 // silent. Only seeds, instances with a data folder and the leader keep the list of all
-// members; lists are versioned, so that only changes are sent. After a restart the members
-// of before are called as well, as the seeds of some may all have been replaced. What an
-// instance sends in a calm cell thus does not depend on the size of the cell.
+// members; lists are versioned, so that only changes are sent. What an instance sends in
+// a calm cell thus does not depend on the size of the cell. After a restart the members
+// of before are called as well, as the seeds of some may all have been replaced.
 package discovery
 
 import (
--- a/internal/discovery/old_seeds_test.go
+++ b/internal/discovery/old_seeds_test.go
@@ -13,16 +13,16 @@
 )
 
 const (
-	recoveryBound   = 12 * time.Second // from the start of the instances to contact with the leader
-	oldSeedsOf      = 20               // one in so many instances has only seeds that are gone
-	notYetExpired   = memberRetention - 10*time.Second
-	expiredForSure  = memberRetention + 15*time.Second
-	replacedSeedsOf = "10.200.0.%d:7720"
+	recoveryBound      = 12 * time.Second // from the start of the instances to contact with the leader
+	oldSeedsOf         = 20               // one in so many instances has only seeds that are gone
+	notYetExpired      = memberRetention - 10*time.Second
+	expiredForSure     = memberRetention + 15*time.Second
+	replacedSeedFormat = "10.200.0.%d:7720"
 )
 
 // replacedSeeds are addresses at which no instance runs any more.
 func replacedSeeds() []string {
-	return []string{fmt.Sprintf(replacedSeedsOf, 1), fmt.Sprintf(replacedSeedsOf, 2), fmt.Sprintf(replacedSeedsOf, 3)}
+	return []string{fmt.Sprintf(replacedSeedFormat, 1), fmt.Sprintf(replacedSeedFormat, 2), fmt.Sprintf(replacedSeedFormat, 3)}
 }
 
 // giveOldSeeds gives the spare and some instances without a disk seeds that are all gone, and all
