scheduler, dispatch: a worker that announces its end lives until its runs have ended

The runner had announced its end, the leader was cut off from 10:58:01.66 to 10:58:08.58, the announcement was stored (worker_gone, left, at 10:58:03.736) and its acknowledgement was lost; the runner repeated it until 10:58:09.669, and its run went on meanwhile. Run 2 began at 10:58:03.738.

Cause: the announcement of an end counted as the end. A runner that does not get the acknowledgement ends some seconds later by itself (PROTOCOL.md), and what it runs goes on until then. Class: after a lost answer, work ran again.

Why this works: a worker that announces its end gets no further starts and no longer lease. Its runs are stopped and moved, as those of any worker that drains; one that gives no answer is started elsewhere only once its lease has certainly expired. Its life ends when no run is left, at once if none is there.

--- a/internal/dispatch/membership.go
+++ b/internal/dispatch/membership.go
@@ -137,6 +137,40 @@
 	w.drainDeadline = now + remaining
 }
 
+// WorkerLeft records that a worker has announced its end. over tells that it is certainly this life
+// that ends. Its runs go on until it ends, which may be seconds later if it did not get the
+// acknowledgement: they are moved, or lost once its lease has certainly expired, which is not extended
+// any more.
+func (c *Core) WorkerLeft(t Target, over bool, now time.Duration) {
+	c.WorkerDraining(t, 0, now)
+	if w := c.workers[t.Worker]; w != nil && w.Born == t.Born {
+		w.left, w.over = true, w.over || over
+	}
+}
+
+// MayRun reports whether runs may be present on a worker.
+func (c *Core) MayRun(t Target) bool {
+	w := c.workers[t.Worker]
+	return w != nil && w.Born == t.Born && len(w.runs)+len(w.leftovers) > 0
+}
+
+// Left is a worker that has announced its end and has no runs any more.
+type Left struct {
+	Target
+	Over bool // it is certainly this life that is over
+}
+
+// WorkersThatLeft returns the workers that have announced their end and have no runs any more.
+func (c *Core) WorkersThatLeft() []Left {
+	var out []Left
+	for _, w := range c.sortedWorkers() {
+		if w.left && !c.MayRun(w.Target) {
+			out = append(out, Left{w.Target, w.over})
+		}
+	}
+	return out
+}
+
 // PollUnanswered records a poll that the worker did not answer.
 func (c *Core) PollUnanswered(t Target) {
 	w := c.workers[t.Worker]
@@ -170,7 +204,7 @@
 	}
 	// Each poll of a silent worker may have arrived; if they extended its lease,
 	// the lease would never expire.
-	if w.synced && w.missedPolls == 0 {
+	if w.synced && w.missedPolls == 0 && !w.left {
 		leaseUntil = w.lease.grant(c.confirmedAt)
 	}
 	if w.withheldEnd > 0 {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -76,6 +76,8 @@
 	failures       []failures    // since the last successful run, by step
 	probation      probation     // of a failing worker
 
+	left          bool // it has announced its end
+	over          bool // that was certainly this life
 	lease         lease
 	storedCursor  uint64 // ends up to this number are stored in the log
 	storingCursor uint64 // ends up to this number are stored or being stored
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -262,7 +262,7 @@
 	return err
 }
 
-// handleLeave ends the life of a worker that announced its departure. A report
+// handleLeave handles the report of a worker that announces its end. A report
 // about a superseded life changes nothing; one without a birth time ends the current
 // life.
 func (t *tenure) handleLeave(ctx context.Context, target dispatch.Target) error {
@@ -270,8 +270,27 @@
 		if w.Life.GetWorker() == target.Worker && (target.Born == 0 || w.Life.GetBornUnixMs() == target.Born) {
 			// A report without a birth time may be late, and then be from an earlier life.
 			over := target.Born != 0
-			return t.retireLeft(ctx, targetOf(w.Life), over)
+			return t.workerLeft(ctx, targetOf(w.Life), over)
 		}
 	}
 	return nil
 }
+
+// workerLeft ends the life of a worker that has announced its end, at once if no runs are there. Otherwise
+// it gets no new ones, and its life ends when they have.
+func (t *tenure) workerLeft(ctx context.Context, w dispatch.Target, over bool) error {
+	mayRun := false
+	t.updateCore(func(c *dispatch.Core, now time.Duration) {
+		c.WorkerDraining(w, 0, now) // from now on it gets no starts
+		mayRun = c.MayRun(w)
+	})
+	if !mayRun {
+		return t.retireLeft(ctx, w, over)
+	}
+	_, err := t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_EndLife{
+		EndLife: &egretmuxv1.EndLife{Worker: w.Worker, BornUnixMs: w.Born, Draining: true},
+	}}, func(job.Result) {
+		t.updateCore(func(c *dispatch.Core, now time.Duration) { c.WorkerLeft(w, over, now) })
+	})
+	return err
+}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -334,6 +334,40 @@
 	require.Never(t, func() bool { return s.WorkerCount() > 0 }, 200*time.Millisecond, 5*time.Millisecond)
 }
 
+// Guards against a task that runs twice, as the life of its worker ended with the announcement of its
+// end: a worker that does not get the acknowledgement runs on for some seconds.
+func TestLifeOfAWorkerThatLeavesLastsUntilItsRunsHaveEnded(t *testing.T) {
+	f := &fakeWorkers{}
+	goesOn := true
+	f.held = func(dispatch.StartOrder) bool { return goesOn }
+	s := startLeader(t, f)
+	ctx := t.Context()
+	_, err := s.PutCatalogue(ctx, catalogue(1, "one"))
+	require.NoError(t, err)
+	life := &egretmuxv1.WorkerLife{Worker: "w", BornUnixMs: 1, Address: "w:1", Pool: "p", CpuMillis: 4000, MemoryMib: 1000}
+	require.NoError(t, s.HandleHeartbeat(ctx, &egretmuxv1.WorkerBeat{Life: life, Sequence: 1}))
+	require.NoError(t, untilNotShed(func() error {
+		_, err := s.CallJob(ctx, &egretmuxv1.JobCall{Address: address(jobPath), Verb: egretmuxv1.JobVerb_JOB_VERB_SUBMIT, Job: &egretmuxv1.Job{Steps: []*egretmuxv1.JobStep{
+			{Count: 1, CpuMillis: 1000, MemoryMib: 10, EstimateMs: 10},
+		}}})
+		return err
+	}))
+	require.Eventually(t, func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.running) == 1
+	}, 10*time.Second, 5*time.Millisecond)
+	leave := &egretmuxv1.WorkerBeat{Life: &egretmuxv1.WorkerLife{Worker: "w", BornUnixMs: 1}, Leaving: true}
+	for range 2 { // the answer to the first may be lost
+		require.NoError(t, s.HandleHeartbeat(ctx, leave))
+		require.Never(t, func() bool { return s.WorkerCount() == 0 }, 300*time.Millisecond, 5*time.Millisecond)
+	}
+	f.mu.Lock()
+	goesOn = false
+	f.mu.Unlock()
+	require.Eventually(t, func() bool { return s.WorkerCount() == 0 }, 15*time.Second, 10*time.Millisecond)
+}
+
 // Guards against a message that arrives empty, or cut short, and is stored as a worker.
 func TestHeartbeatWithoutNameAddressOrPoolIsRefused(t *testing.T) {
 	s := startLeader(t, &fakeWorkers{})
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -235,8 +235,8 @@
 	})
 }
 
-// cleanUp removes ended jobs whose retention is over, and retires workers that have
-// been silent for silentWorkerTimeout.
+// cleanUp removes ended jobs whose retention is over, and retires workers that have left or
+// have been silent for silentWorkerTimeout.
 func (t *tenure) cleanUp() {
 	var ids []string
 	t.mu.Lock()
@@ -246,11 +246,12 @@
 			delete(t.endedAt, id)
 		}
 	}
-	silent := t.core.WorkersSilentFor(silentWorkerTimeout, t.now())
+	silent, left := t.core.WorkersSilentFor(silentWorkerTimeout, t.now()), t.core.WorkersThatLeft()
 	t.mu.Unlock()
 	if len(ids) > 0 {
 		t.proposeLogged("jobs_not_forgotten", &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_ForgetJobs{ForgetJobs: &egretmuxv1.ForgetJobs{Jobs: ids}}})
 	}
+	t.retireWorkersThatLeft(left)
 	for _, w := range silent {
 		// The process may only be cut off, so its life is not over.
 		end := &egretmuxv1.EndLife{Worker: w.Worker, BornUnixMs: w.Born}
@@ -260,6 +261,16 @@
 	}
 }
 
+// retireWorkersThatLeft ends the lives of workers that have announced their end, once their runs
+// have ended.
+func (t *tenure) retireWorkersThatLeft(left []dispatch.Left) {
+	for _, w := range left {
+		if err := t.retireLeft(t.ctx, w.Target, w.Over); err != nil {
+			t.cfg.Logger.Warn().Err(err).Str("event", "worker_not_retired").Str("worker", w.Worker).Msg("the end of the worker's life was not stored")
+		}
+	}
+}
+
 // retireLeft ends the life of a worker that has left. over tells that it is certainly this
 // life that is over, so that it does not come back.
 func (t *tenure) retireLeft(ctx context.Context, w dispatch.Target, over bool) error {
