dispatch: a flag of starved steps says what it allows

Cause: 'wakes' did not tell that the step may probe workers that rest.

Change: mayProbe; no decision changes.

Measured: the tests of starved steps, rests and probes pass.

--- a/internal/dispatch/starved.go
+++ b/internal/dispatch/starved.go
@@ -29,7 +29,7 @@
 			c.addNotice(Notice{Event: "step_starved", Job: s.key.Job, Task: s.key.String(), Age: now - s.idleSince})
 		}
 		s.starved = starved
-		s.wakes = starved && someRest && !c.hasSoundWorker(s, pool, now)
+		s.mayProbe = starved && someRest && !c.hasSoundWorker(s, pool, now)
 	}
 }
 
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -59,7 +59,7 @@
 	idle        bool          // whether tasks wait and, unless they last, nothing of it runs, in a mostly free pool
 	idleSince   time.Duration
 	starved     bool          // whether it takes room that is kept for others
-	wakes       bool          // whether it may probe workers that rest
+	mayProbe    bool          // whether it may probe workers that rest
 	latestStart time.Duration // latest start that still meets the objective
 	estimatedAt time.Duration // when latestStart was computed
 	lateness    int           // onTime, late or expired
