--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -82,11 +82,14 @@
 	Worker string
 	Run    uint64
 	Reason string
-	Age    time.Duration // time since the job, order, call, run or last answer that it is about
-	Asked  int           // number of workers in a call for advice
-	Good   int           // number of these that may run the step
-	CPU    int64         // capacity of a worker, thousandths of a core
-	Lost   int           // number of runs that a worker which is gone took along
+	// Outcome is how a run ended whose end is not stored.
+	Outcome string
+	Age     time.Duration // time since the job, order, call, run or last answer that it is about
+	Asked   int           // number of workers in a call for advice
+	Good    int           // number of these that may run the step
+	CPU     int64         // capacity of a worker, thousandths of a core
+	Lost    int           // number of runs that a worker which is gone took along
+	Runs    int           // number of runs on a worker that has announced its end
 
 	Customer string // only for decisions about its rate; no metric label
 	Pool     string // only for decisions about a pool
@@ -413,6 +416,15 @@
 	c.addNotice(Notice{Event: "job_begun", Job: j.id, Queue: c.queue(j).GetName(), Age: now - j.acceptedAt})
 }
 
+// RunCount returns the number of runs that may be present on workers.
+func (c *Core) RunCount() int {
+	n := 0
+	for _, w := range c.workers {
+		n += len(w.runs)
+	}
+	return n
+}
+
 // PendingJobs returns how many accepted jobs of a queue, periodic ones left out,
 // have had no run yet.
 func (c *Core) PendingJobs(host, prefix string) int {
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -89,7 +89,7 @@
 			newEnds = append(newEnds, runEndOf(e))
 		} else if r == nil && e.TaskParsed {
 			if reason := c.reasonToIgnore(e); reason != "" {
-				c.addNotice(Notice{Event: "end_ignored", Job: e.Task.Job, Task: e.Task.String(), Worker: w.Worker, Run: e.Run, Reason: reason})
+				c.addNotice(Notice{Event: "end_ignored", Job: e.Task.Job, Task: e.Task.String(), Worker: w.Worker, Run: e.Run, Reason: reason, Outcome: outcomeName(e.Outcome)})
 				continue
 			}
 			// The task gets no new run until this end is stored, as for a known run.
--- a/internal/dispatch/membership.go
+++ b/internal/dispatch/membership.go
@@ -144,6 +144,9 @@
 func (c *Core) WorkerLeft(t Target, over bool, now time.Duration) {
 	c.WorkerDraining(t, 0, now)
 	if w := c.workers[t.Worker]; w != nil && w.Born == t.Born {
+		if !w.left {
+			c.addNotice(Notice{Event: "worker_leaving", Worker: t.Worker, Runs: len(w.runs) + len(w.leftovers)})
+		}
 		w.left, w.over = true, w.over || over
 	}
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -52,7 +52,7 @@
 // explain what happened to a job. The timeline includes those between the job's
 // first and last event; of workers, only those of workers that its events name.
 var contextEvents = []string{
-	"tenure_began", "tenure_ended", "worker_silent", "worker_gone", "worker_draining", "worker_resting",
+	"tenure_began", "tenure_ended", "worker_silent", "worker_gone", "worker_draining", "worker_leaving", "worker_resting",
 	"instance_started", "instance_stopped", "log_lines_dropped",
 	"voter_missing", "leader_missing", "replica_stalled", "replica_resumed",
 }
--- a/internal/jobcell/weights.go
+++ b/internal/jobcell/weights.go
@@ -86,6 +86,9 @@
 func (p *workerProxy) send(ctx context.Context, stream *driveStream, order *egretmuxv1.DriveOrder) *egretmuxv1.DriveAnswer {
 	sent := time.Now()
 	answer := stream.call(ctx, order)
+	if answer == nil {
+		p.logUnanswered(stream, order, time.Since(sent))
+	}
 	if answer == nil && (errors.Is(ctx.Err(), context.Canceled) || stream.closed()) {
 		return nil
 	}
@@ -98,6 +101,22 @@
 	return answer
 }
 
+// logUnanswered logs a start or stop that got no answer: the instance may still pass it on.
+func (p *workerProxy) logUnanswered(stream *driveStream, order *egretmuxv1.DriveOrder, waited time.Duration) {
+	kind, task := "", (*egretmuxv1.TaskRef)(nil)
+	switch o := order.GetOrder().(type) {
+	case *egretmuxv1.DriveOrder_Start:
+		kind, task = "start", o.Start.GetTask()
+	case *egretmuxv1.DriveOrder_Stop:
+		kind, task = "stop", o.Stop.GetTask()
+	default:
+		return
+	}
+	telemetry.CountRetry("order-unanswered")
+	p.cell.cfg.Logger.Info().Str("event", "order_unanswered").Str("order", kind).Str("via", stream.address).Str("worker", order.GetWorker()).
+		Str("job", task.GetJob()).Str("task", taskKey(task).String()).Uint64("run", task.GetRun()).Int64("wait_ms", waited.Milliseconds()).Msg("")
+}
+
 // waitAtDelegate returns the time that an order took less the time for which the worker
 // was called, if that is known. A poll that ended early may have ended at any time.
 func waitAtDelegate(order *egretmuxv1.DriveOrder, answer *egretmuxv1.DriveAnswer, elapsed time.Duration) (wait time.Duration, known bool) {
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -103,7 +103,10 @@
 // run starts the tenure's loops and waits until its context is done.
 func (t *tenure) run() {
 	ctx := t.ctx
-	t.cfg.Logger.Info().Str("event", "tenure_began").Uint64("term", t.term).Int("workers", len(t.pollers)).Msg("leading the cell")
+	t.mu.Lock()
+	workers, runs := len(t.pollers), t.core.RunCount()
+	t.mu.Unlock()
+	t.cfg.Logger.Info().Str("event", "tenure_began").Uint64("term", t.term).Int("workers", workers).Int("runs", runs).Msg("leading the cell")
 	var loops sync.WaitGroup
 	loops.Go(func() { t.confirmLoop(ctx) })
 	loops.Go(func() {
@@ -189,7 +192,7 @@
 		telemetry.ObserveSeconds(`job_ended{queue="`+n.Queue+`"}`, n.Age)
 	}
 	e := t.cfg.Logger.Info().Str("event", n.Event).Uint64("term", t.term)
-	for _, f := range [][2]string{{"job", n.Job}, {"queue", n.Queue}, {"task", n.Task}, {"worker", n.Worker}, {"reason", n.Reason}, {"customer", n.Customer}, {"pool", n.Pool}} {
+	for _, f := range [][2]string{{"job", n.Job}, {"queue", n.Queue}, {"task", n.Task}, {"worker", n.Worker}, {"reason", n.Reason}, {"outcome", n.Outcome}, {"customer", n.Customer}, {"pool", n.Pool}} {
 		if f[1] != "" {
 			e = e.Str(f[0], f[1])
 		}
@@ -206,6 +209,9 @@
 	if n.Event == "worker_resized" {
 		e = e.Int64("cpu", n.CPU)
 	}
+	if n.Runs != 0 {
+		e = e.Int("runs", n.Runs)
+	}
 	if n.Lost != 0 {
 		e = e.Int("lost", n.Lost)
 	}
