job, dispatch: all leaders know the runs that were superseded unheard

What callers saw: TWICE, a run began after an earlier run of its task had ended done and that end was acknowledged.

Cause: a leader that gave up the run of a silent worker and started the task again withheld the end that the worker listed later. It knew this from the open step only. Once the job or the step was done, with the next leader, or after the worker was retired as silent, the end was ignored as job-ended, step-done or superseded and acknowledged. Class: what one leader has decided and does not store, the next one cannot know.

Evidence: TestNextLeaderDoesNotAcknowledgeTheEndOfASupersededRun, TestEndOfASupersededRunIsNotAcknowledgedAfterItsJobHasEnded, ...AfterItsStepIsDone, ...OnceItsWorkerWasRetiredAsSilent and TestRunOfARetiredWorkerThatALaterLeaderSupersedesIsNotAcknowledged failed before (the cursor was 1, the number of the end). TestStoredFailureIsAcknowledgedByTheNextLeader failed as well: a stored failure whose task runs again was withheld for nothing.

Why this works: the start that supersedes a run names it, so the same entry of the log makes the run superseded for every leader, by the life of its worker, until that life is over. What is withheld no longer depends on open steps; an end that was stored is acknowledged.

--- a/internal/dispatch/actions.go
+++ b/internal/dispatch/actions.go
@@ -71,6 +71,8 @@
 	Ticket     string
 	LeaseUntil int64 // end of the lease on the worker's clock, milliseconds
 	Clock      int64 // last known reading of the worker's clock, milliseconds
+	// Superseded are earlier runs of the task that may have ended unheard.
+	Superseded []*egretmuxv1.SupersededRun
 }
 
 // StopOrder orders a worker to stop a run.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -13,7 +13,8 @@
 //     a worker whose lease may be valid;
 //   - a worker's runs never use more than its capacity, and the resources of a
 //     run are released only once its end is listed or the lease has expired;
-//   - an end is acknowledged to a worker only after it is stored in the log;
+//   - an end is acknowledged to a worker only after it is stored in the log, or if it never
+//     matters; the end of a run whose task was started again as if the run had been lost does;
 //   - a step of which the log holds a start or an end is open until it is done, so that every
 //     leader knows its runs.
 package dispatch
@@ -294,6 +295,7 @@
 func (c *Core) adoptStoredRun(t *task, number uint64, on Target, now time.Duration) {
 	w := c.workers[on.Worker]
 	if w == nil || w.Born != on.Born {
+		t.addUnheard(on, number) // its worker may report itself again, unless its life is over
 		return
 	}
 	r := c.addRun(t, w, number, uncertain, now)
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -79,6 +79,7 @@
 	for _, s := range actions.Starts {
 		h.apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_NoteStarts{NoteStarts: &egretmuxv1.NoteStarts{Starts: []*egretmuxv1.RunStart{{
 			Job: s.Task.Job, Occurrence: s.Task.Occurrence, Step: s.Task.Step, Index: s.Task.Index, Run: s.Run, Worker: s.Worker, BornUnixMs: s.Born,
+			Superseded: s.Superseded,
 		}}}}})
 	}
 	h.starts = append(h.starts, actions.Starts...)
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -112,20 +112,6 @@
 // it, the withheld end is acknowledged after all, as a listing holds at most 500 ends.
 const withheldLimit = 400
 
-// superseded reports whether an end belongs to a run whose task was started again
-// after its lease had expired. That end must not count, as the newer run decides. It
-// must not be acknowledged either: to the worker, an acknowledged end has counted.
-func (c *Core) superseded(w *worker, e ListedEnd) bool {
-	if e.Outcome != egretmuxv1.RunOutcome_RUN_OUTCOME_DONE && e.Outcome != egretmuxv1.RunOutcome_RUN_OUTCOME_FAILED {
-		return false
-	}
-	s := c.steps[e.Task.StepKey]
-	if w.runs[runKey{e.Task, e.Run}] != nil || s == nil || int(e.Task.Index) >= len(s.tasks) || s.spec.GetSpeculative() {
-		return false
-	}
-	return s.tasks[e.Task.Index].highestRun > e.Run
-}
-
 func runEndOf(e ListedEnd) *egretmuxv1.RunEnd {
 	return &egretmuxv1.RunEnd{
 		Job: e.Task.Job, Occurrence: e.Task.Occurrence, Step: e.Task.Step, Index: e.Task.Index,
@@ -244,6 +230,7 @@
 		r.occupy()
 	}
 	t.runs = append(t.runs, r)
+	t.dropUnheard(w.Target, number)
 	t.highestRun = max(t.highestRun, number)
 	t.step.runsOn[w]++
 	if t.suspect() && state != ended && w.isolated == nil {
--- a/internal/dispatch/membership.go
+++ b/internal/dispatch/membership.go
@@ -191,6 +191,7 @@
 	w.lapsedRuns = append(w.lapsedRuns, w.crashedRuns()...)
 	for _, r := range w.sortedRuns() {
 		if r.state != ended {
+			r.task.addUnheard(w.Target, r.number)
 			c.loseRun(r, "lease-ended", now)
 		}
 	}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -388,7 +388,9 @@
 	order := StartOrder{
 		Target: w.Target, Task: t.key(), Run: number, Payload: s.job.spec.GetPayload(),
 		Checkpoint: checkpoint, LeaseUntil: w.lease.grant(c.confirmedAt), Clock: w.lease.clock,
+		Superseded: t.unheard,
 	}
+	t.unheard = nil
 	if issued, ok := s.advice.tickets[w]; ok {
 		order.Ticket = issued.value
 	}
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -28,10 +28,13 @@
 	runs       []*run
 	highestRun uint64 // highest run number that is stored, ordered or listed
 
-	crashes        uint32  // workers that crashed under a run of it
-	startupCrashes uint32  // those of them that crashed during its startup
-	stuckMoves     int     // how often a run of it was moved as it made no progress
-	kept           *worker // worker that is kept for it until no other run is starting there
+	crashes        uint32 // workers that crashed under a run of it
+	startupCrashes uint32 // those of them that crashed during its startup
+	stuckMoves     int    // how often a run of it was moved as it made no progress
+	// unheard are the runs that were given up as their worker's lease had expired, until their end
+	// is listed after all or the task is started again.
+	unheard []*egretmuxv1.SupersededRun
+	kept    *worker // worker that is kept for it until no other run is starting there
 }
 
 func (t *task) key() TaskKey { return TaskKey{t.step.key, t.index} }
--- /dev/null
+++ b/internal/dispatch/superseded_test.go
@@ -0,0 +1,139 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/dispatch"
+)
+
+// superseded returns the end of a run that its leader has given up, as worker a was silent until its
+// lease had expired, and the run that was started on worker b instead. The listing of a is still to come.
+func superseded(h *harness, outcome egretmuxv1.RunOutcome) (a dispatch.Target, end dispatch.ListedEnd, second dispatch.StartOrder) {
+	h.t.Helper()
+	a = h.addWorker("a", 4)
+	h.submit(id(1), tasks(1, 1))
+	h.plan()
+	first := h.acceptStarts()[0]
+	h.addWorker("b", 4)
+	h.core.PollUnanswered(a)
+	h.advance(testLease + time.Second)
+	h.plan()
+	second = h.acceptStarts()[0]
+	require.Equal(h.t, "b", second.Worker)
+	return a, h.listedEnd(first, outcome), second
+}
+
+// endSecond lets the second run end as done, which completes the job.
+func endSecond(h *harness, second dispatch.StartOrder) {
+	h.t.Helper()
+	h.handleListing(second.Target, nil, []dispatch.ListedEnd{h.listedEnd(second, done)})
+	h.storeEnds()
+	require.Equal(h.t, egretmuxv1.JobPhase_JOB_PHASE_COMPLETED, h.phase(id(1)))
+}
+
+func requireUnacknowledged(h *harness, a dispatch.Target, end dispatch.ListedEnd) {
+	h.t.Helper()
+	h.handleListing(a, nil, []dispatch.ListedEnd{end})
+	h.storeEnds()
+	_, cursor := h.core.GrantLease(a)
+	require.Less(h.t, cursor, end.Number)
+}
+
+// Guards against TWICE: a leader gave up the run of a silent worker, started the task again and withheld
+// the end of the first run. The next leader no longer knew why and acknowledged it.
+func TestNextLeaderDoesNotAcknowledgeTheEndOfASupersededRun(t *testing.T) {
+	for name, outcome := range map[string]egretmuxv1.RunOutcome{"done": done, "failed": failed} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			a, end, second := superseded(h, outcome)
+			requireUnacknowledged(h, a, end)
+			endSecond(h, second)
+			h.beginTenure()
+			requireUnacknowledged(h, a, end)
+		})
+	}
+}
+
+// Guards against TWICE as above: the worker comes back after the job has ended, with the same leader.
+func TestEndOfASupersededRunIsNotAcknowledgedAfterItsJobHasEnded(t *testing.T) {
+	h := newHarness(t)
+	a, end, second := superseded(h, done)
+	endSecond(h, second)
+	requireUnacknowledged(h, a, end)
+}
+
+// Guards against TWICE as above: the worker comes back after its step is done, while the job goes on.
+func TestEndOfASupersededRunIsNotAcknowledgedAfterItsStepIsDone(t *testing.T) {
+	h := newHarness(t)
+	a := h.addWorker("a", 4)
+	next := tasks(1, 1)
+	next.After = []uint32{0}
+	h.submit(id(1), tasks(1, 1), next)
+	h.plan()
+	first := h.acceptStarts()[0]
+	h.addWorker("b", 4)
+	h.core.PollUnanswered(a)
+	h.advance(testLease + time.Second)
+	h.plan()
+	second := h.acceptStarts()[0]
+	h.handleListing(second.Target, nil, []dispatch.ListedEnd{h.listedEnd(second, done)})
+	h.storeEnds()
+	h.plan()
+	require.Len(t, h.acceptStarts(), 1, "the second step has begun")
+	requireUnacknowledged(h, a, h.listedEnd(first, done))
+}
+
+// Guards against TWICE as above: a worker that was silent for so long that it was retired reports itself
+// again, in the same life.
+func TestEndOfASupersededRunIsNotAcknowledgedOnceItsWorkerWasRetiredAsSilent(t *testing.T) {
+	h := newHarness(t)
+	a, end, second := superseded(h, done)
+	endSecond(h, second)
+	h.apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_EndLife{EndLife: &egretmuxv1.EndLife{Worker: a.Worker, BornUnixMs: a.Born}}})
+	h.core.WorkerGone(a, "silent", h.now)
+	require.Equal(t, a, h.addWorker("a", 4))
+	requireUnacknowledged(h, a, end)
+}
+
+// Guards against TWICE as above: the task is started again by a leader that finds the worker retired.
+func TestRunOfARetiredWorkerThatALaterLeaderSupersedesIsNotAcknowledged(t *testing.T) {
+	h := newHarness(t)
+	a := h.addWorker("a", 4)
+	h.submit(id(1), tasks(1, 1))
+	h.plan()
+	first := h.acceptStarts()[0]
+	h.core.PollUnanswered(a)
+	h.advance(testLease + time.Second)
+	h.apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_EndLife{EndLife: &egretmuxv1.EndLife{Worker: a.Worker, BornUnixMs: a.Born}}})
+	h.beginTenure()
+	h.addWorker("b", 4)
+	h.plan()
+	second := h.acceptStarts()[0]
+	endSecond(h, second)
+	h.addWorker("a", 4)
+	requireUnacknowledged(h, a, h.listedEnd(first, done))
+}
+
+// An end that was stored is acknowledged, also by a leader that finds the task started again.
+func TestStoredFailureIsAcknowledgedByTheNextLeader(t *testing.T) {
+	h := newHarness(t)
+	a := h.addWorker("a", 4)
+	h.submit(id(1), tasks(1, 1))
+	h.plan()
+	first := h.acceptStarts()[0]
+	end := h.listedEnd(first, failed)
+	h.addWorker("b", 4)
+	h.handleListing(a, nil, []dispatch.ListedEnd{end})
+	h.storeEnds() // the leader is lost before it acknowledges the end
+	h.plan()
+	require.Len(t, h.acceptStarts(), 1)
+	h.beginTenure()
+	h.handleListing(a, nil, []dispatch.ListedEnd{end})
+	h.storeEnds()
+	_, cursor := h.core.GrantLease(a)
+	require.Equal(t, end.Number, cursor)
+}
--- a/internal/job/book.go
+++ b/internal/job/book.go
@@ -28,12 +28,14 @@
 	jobs      map[string]*Record
 	workers   map[string]*Worker
 	ended     *endedLives
-	waves     map[uint64]*egretmuxv1.Wave
+
+	superseded *supersededRuns
+	waves      map[uint64]*egretmuxv1.Wave
 }
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{jobs: make(map[string]*Record), workers: make(map[string]*Worker), ended: newEndedLives(), waves: make(map[uint64]*egretmuxv1.Wave)}
+	return &Book{jobs: make(map[string]*Record), workers: make(map[string]*Worker), ended: newEndedLives(), superseded: newSupersededRuns(), waves: make(map[uint64]*egretmuxv1.Wave)}
 }
 
 // Result is the outcome of an applied command.
@@ -67,9 +69,7 @@
 		}
 	case *egretmuxv1.JobCommand_NoteStarts:
 		for _, e := range c.NoteStarts.GetStarts() {
-			if r := b.jobs[e.GetJob()]; r != nil {
-				r.applyStart(e)
-			}
+			b.noteStart(e)
 		}
 	case *egretmuxv1.JobCommand_RecordLife:
 		return b.recordLife(c.RecordLife)
@@ -128,6 +128,9 @@
 	stored := b.workers[life.GetWorker()]
 	switch {
 	case stored == nil || stored.Life.GetBornUnixMs() < life.GetBornUnixMs():
+		if stored != nil {
+			b.superseded.forget(lifeKey{life.GetWorker(), stored.Life.GetBornUnixMs()})
+		}
 		b.workers[life.GetWorker()] = &Worker{Life: life, Sequence: c.GetSequence()}
 	case stored.Life.GetBornUnixMs() == life.GetBornUnixMs() && stored.Sequence < c.GetSequence():
 		b.workers[life.GetWorker()] = &Worker{Life: life, Draining: stored.Draining, Sequence: c.GetSequence()}
@@ -150,6 +153,7 @@
 	delete(b.workers, c.GetWorker())
 	if c.GetOver() {
 		b.ended.add(lifeKey{c.GetWorker(), c.GetBornUnixMs()})
+		b.superseded.forget(lifeKey{c.GetWorker(), c.GetBornUnixMs()})
 	}
 	for _, e := range c.GetCrashedRuns() {
 		if r := b.jobs[e.GetJob()]; r != nil {
@@ -209,6 +213,7 @@
 		snap.Workers = append(snap.Workers, &egretmuxv1.WorkerRecord{Life: w.Life, Draining: w.Draining, Sequence: w.Sequence})
 	}
 	snap.EndedLives = b.ended.toProto()
+	snap.Superseded = b.superseded.toProto()
 	for _, w := range b.waves {
 		snap.Waves = append(snap.Waves, w)
 	}
@@ -248,5 +253,6 @@
 	}
 	b.jobs, b.workers, b.waves = jobs, workers, waves
 	b.ended = endedLivesFromProto(snap.GetEndedLives())
+	b.superseded = supersededRunsFromProto(snap.GetSuperseded())
 	return nil
 }
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -121,16 +121,18 @@
 	return s
 }
 
-// applyStart stores a start before it is sent to the worker.
-func (r *Record) applyStart(e *egretmuxv1.RunStart) {
+// applyStart stores a start before it is sent to the worker, and reports whether it did.
+func (r *Record) applyStart(e *egretmuxv1.RunStart) bool {
 	if r.Ended() || !r.hasTask(e) {
-		return
+		return false
 	}
 	t := &r.ensureStep(e).tasks[e.GetIndex()]
-	if e.GetRun() > t.LastStartedRun {
-		r.keepSuperseded(e, *t)
-		t.LastStartedRun, t.Worker, t.Born = e.GetRun(), e.GetWorker(), e.GetBornUnixMs()
+	if e.GetRun() <= t.LastStartedRun {
+		return false
 	}
+	r.keepSuperseded(e, *t)
+	t.LastStartedRun, t.Worker, t.Born = e.GetRun(), e.GetWorker(), e.GetBornUnixMs()
+	return true
 }
 
 // HasTask reports whether a task exists in the job.
--- /dev/null
+++ b/internal/job/superseded.go
@@ -0,0 +1,102 @@
+package job
+
+import (
+	"slices"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+)
+
+// Bounds of the superseded runs that are remembered.
+const (
+	maxSupersededLives = 4096 // lives of workers
+	maxSupersededRuns  = 500  // of one life; a listing holds as many ends
+)
+
+// supersededRuns remembers, by the life of their worker, the runs whose tasks were started again
+// although the runs may have ended unheard. Their ends must never count, and not be acknowledged
+// either, whichever instance leads and whatever has become of the job.
+type supersededRuns struct {
+	byLife map[lifeKey][]RunKey // oldest first
+	order  []lifeKey            // oldest first; part of the replicated state
+}
+
+// RunKey identifies one run of a task.
+type RunKey struct {
+	Job                     string
+	Occurrence, Step, Index uint32
+	Run                     uint64
+}
+
+func newSupersededRuns() *supersededRuns {
+	return &supersededRuns{byLife: make(map[lifeKey][]RunKey)}
+}
+
+func (s *supersededRuns) add(life lifeKey, run RunKey) {
+	runs, known := s.byLife[life]
+	if slices.Contains(runs, run) {
+		return
+	}
+	if !known {
+		s.order = append(s.order, life)
+		if len(s.order) > maxSupersededLives {
+			delete(s.byLife, s.order[0])
+			s.order = s.order[1:]
+		}
+	}
+	if len(runs) >= maxSupersededRuns {
+		runs = runs[1:]
+	}
+	s.byLife[life] = append(runs, run)
+}
+
+// forget removes the runs of a life that is over, which lists nothing any more.
+func (s *supersededRuns) forget(life lifeKey) {
+	if _, known := s.byLife[life]; !known {
+		return
+	}
+	delete(s.byLife, life)
+	s.order = slices.DeleteFunc(s.order, func(other lifeKey) bool { return other == life })
+}
+
+func (s *supersededRuns) toProto() []*egretmuxv1.SupersededRecord {
+	out := make([]*egretmuxv1.SupersededRecord, 0, len(s.order))
+	for _, life := range s.order {
+		record := &egretmuxv1.SupersededRecord{Worker: life.worker, BornUnixMs: life.born}
+		for _, r := range s.byLife[life] {
+			record.Runs = append(record.Runs, &egretmuxv1.TaskRef{Job: r.Job, Occurrence: r.Occurrence, Step: r.Step, Index: r.Index, Run: r.Run})
+		}
+		out = append(out, record)
+	}
+	return out
+}
+
+func supersededRunsFromProto(in []*egretmuxv1.SupersededRecord) *supersededRuns {
+	s := newSupersededRuns()
+	for _, record := range in {
+		for _, r := range record.GetRuns() {
+			s.add(lifeKey{record.GetWorker(), record.GetBornUnixMs()}, RunKey{r.GetJob(), r.GetOccurrence(), r.GetStep(), r.GetIndex(), r.GetRun()})
+		}
+	}
+	return s
+}
+
+// noteStart stores a start, and the runs that it supersedes.
+func (b *Book) noteStart(e *egretmuxv1.RunStart) {
+	r := b.jobs[e.GetJob()]
+	if r == nil || !r.applyStart(e) {
+		return
+	}
+	for _, superseded := range e.GetSuperseded() {
+		life := lifeKey{superseded.GetWorker(), superseded.GetBornUnixMs()}
+		if _, over := b.ended.known[life]; !over {
+			b.superseded.add(life, RunKey{e.GetJob(), e.GetOccurrence(), e.GetStep(), e.GetIndex(), superseded.GetRun()})
+		}
+	}
+}
+
+// Superseded reports whether a run on a life of a worker was superseded.
+func (b *Book) Superseded(worker string, bornUnixMs int64, run RunKey) bool {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return slices.Contains(b.superseded.byLife[lifeKey{worker, bornUnixMs}], run)
+}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -24,7 +24,7 @@
 	for _, s := range starts {
 		stored.Starts = append(stored.Starts, &egretmuxv1.RunStart{
 			Job: s.Task.Job, Occurrence: s.Task.Occurrence, Step: s.Task.Step, Index: s.Task.Index,
-			Run: s.Run, Worker: s.Worker, BornUnixMs: s.Born,
+			Run: s.Run, Worker: s.Worker, BornUnixMs: s.Born, Superseded: s.Superseded,
 		})
 	}
 	if _, err := t.propose(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_NoteStarts{NoteStarts: stored}}); err != nil {
