--- a/internal/standin/jobs/runner.go
+++ b/internal/standin/jobs/runner.go
@@ -248,6 +248,28 @@
 	r.end()
 }
 
+// leavePeriod is the time between two announcements of an end that is not acknowledged.
+const leavePeriod = 300 * time.Millisecond
+
+// LeaveUnacknowledged announces the end of the runner again and again, loses all acknowledgements,
+// and stops it after a time. What it runs goes on until then.
+func (r *Runner) LeaveUnacknowledged(wait time.Duration) {
+	r.mu.Lock()
+	r.draining = true
+	r.mu.Unlock()
+	for began := time.Now(); time.Since(began) < wait; time.Sleep(leavePeriod) {
+		r.post("/Instances.Leave/"+r.cfg.ID, map[string]any{"born": r.born.UnixMilli()})
+	}
+	r.end()
+}
+
+// Up reports whether the runner works and is not about to end.
+func (r *Runner) Up() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.ended && !r.crashed && !r.draining
+}
+
 func (r *Runner) heartbeatLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		r.mu.Lock()
