dispatch: a withheld end is acknowledged once a lapsed run is listed behind it

What callers would see: TWICE, if 400 ends of a worker wait behind one that is not acknowledged: the withheld end was then acknowledged after all, although its task had been started again.

Cause: only the number of ends behind a withheld one decided, as a listing holds at most 500. Whether the worker would count the end was left to chance.

Change: the workers' protocol says that an end does not count if the lease expired between the end and its acknowledgement. A listed run that lapsed later shows that, so what was withheld before it is acknowledged at once. Where no run lapses by itself, the lease of a worker with 250 ends behind a withheld one is not extended until one does; starts go on under the old lease. Workers with tasks that last or gangs are spared, and their ends are acknowledged after all at 450.

Evidence: TestWithheldEndIsNotAcknowledgedBehindManyNewerOnes failed before (acknowledged with 404 ends behind it, nothing had lapsed), as did TestWithheldEndIsAcknowledgedOnceALaterRunHasLapsed.

--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -55,6 +55,13 @@
 	return until
 }
 
+// runningUntil returns the end of the latest grant on the worker's clock, and whether the lease may
+// still run.
+func (l *lease) runningUntil(now time.Duration) (until int64, running bool) {
+	clock := l.clock + time.Duration(float64(now-l.clockReadAt)*(1-clockDrift)).Milliseconds()
+	return l.grantedUntil, clock < l.grantedUntil
+}
+
 // inheritedLeaseWait returns how long a new leader waits until all leases that
 // earlier leaders may have granted have certainly expired.
 func inheritedLeaseWait(length time.Duration) time.Duration {
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -77,8 +77,11 @@
 			continue
 		}
 		highest = max(highest, e.Number)
-		if w.withheldEnd == 0 && c.superseded(w, e) {
-			w.withheldEnd = e.Number
+		if e.Outcome == egretmuxv1.RunOutcome_RUN_OUTCOME_LAPSED {
+			c.releaseBefore(w, e.Number)
+		}
+		if c.superseded(w, e) {
+			w.withheld = append(w.withheld, e.Number)
 			c.addNotice(Notice{Event: "end_withheld", Job: e.Task.Job, Task: e.Task.String(), Worker: w.Worker, Run: e.Run, Reason: outcomeName(e.Outcome)})
 		}
 		if r := w.runs[key]; r != nil && r.state != ended {
@@ -97,21 +100,16 @@
 			newEnds = append(newEnds, runEndOf(e))
 		}
 	}
-	if w.withheldEnd > 0 && w.storingCursor-min(w.storingCursor, w.withheldEnd) > withheldLimit {
-		w.withheldEnd = 0
-	}
 	if highest == w.storingCursor {
 		return
 	}
+	behind := w.behindWithheld()
 	w.storingCursor = highest
+	c.limitWithheld(w, behind)
 	w.endBatches = append(w.endBatches, endBatchState{cursor: highest})
 	c.actions.EndBatches = append(c.actions.EndBatches, EndBatch{Target: w.Target, Ends: newEnds, Cursor: highest})
 }
 
-// withheldLimit is how many ends may stay unacknowledged behind a withheld one. Beyond
-// it, the withheld end is acknowledged after all, as a listing holds at most 500 ends.
-const withheldLimit = 400
-
 func runEndOf(e ListedEnd) *egretmuxv1.RunEnd {
 	return &egretmuxv1.RunEnd{
 		Job: e.Task.Job, Occurrence: e.Task.Occurrence, Step: e.Task.Step, Index: e.Task.Index,
--- a/internal/dispatch/membership.go
+++ b/internal/dispatch/membership.go
@@ -208,11 +208,11 @@
 	}
 	// Each poll of a silent worker may have arrived; if they extended its lease,
 	// the lease would never expire.
-	if w.synced && w.missedPolls == 0 && !w.left {
+	if w.synced && w.missedPolls == 0 && !w.left && !w.mustLapse() {
 		leaseUntil = w.lease.grant(c.confirmedAt)
 	}
-	if w.withheldEnd > 0 {
-		return leaseUntil, min(w.storedCursor, w.withheldEnd-1)
+	if len(w.withheld) > 0 {
+		return leaseUntil, min(w.storedCursor, w.withheld[0]-1)
 	}
 	return leaseUntil, w.storedCursor
 }
@@ -222,7 +222,7 @@
 // end.
 func (c *Core) HasWithheldEnd(t Target) bool {
 	w := c.workers[t.Worker]
-	return w != nil && w.Born == t.Born && w.withheldEnd > 0
+	return w != nil && w.Born == t.Born && len(w.withheld) > 0
 }
 
 // Draining reports whether the target is a current incarnation that takes no new
--- a/internal/dispatch/superseded.go
+++ b/internal/dispatch/superseded.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	jobs "github.com/egretmux/egretmux/internal/job"
@@ -56,3 +57,62 @@
 	})
 	return stored
 }
+
+// Numbers of ends that wait for their acknowledgement behind a withheld one. The workers' protocol
+// lists at most 500 ends at a time.
+const (
+	lapseLimit    = 250 // beyond it, the worker's lease is not extended
+	withheldLimit = 450 // beyond it, the withheld end is acknowledged after all
+)
+
+// behindWithheld returns how many ends wait behind the first withheld one.
+func (w *worker) behindWithheld() uint64 {
+	if len(w.withheld) == 0 {
+		return 0
+	}
+	return w.storingCursor - min(w.storingCursor, w.withheld[0])
+}
+
+// releaseBefore releases the withheld ends before that of a run that lapsed: to the worker, an end
+// does not count if its lease expired between the end and the acknowledgement.
+func (c *Core) releaseBefore(w *worker, lapsed uint64) {
+	if len(w.withheld) == 0 || w.withheld[0] >= lapsed {
+		return
+	}
+	w.withheld = slices.DeleteFunc(w.withheld, func(number uint64) bool { return number < lapsed })
+	c.addNotice(Notice{Event: "end_released", Worker: w.Worker, Reason: "lapsed"})
+}
+
+// limitWithheld bounds how many ends wait behind a withheld one, of which there were as many as
+// before.
+func (c *Core) limitWithheld(w *worker, before uint64) {
+	switch behind := w.behindWithheld(); {
+	case behind > withheldLimit:
+		w.withheld = nil
+		c.addNotice(Notice{Event: "end_released", Worker: w.Worker, Reason: "limit"})
+	case behind > lapseLimit && before <= lapseLimit:
+		c.addNotice(Notice{Event: "worker_lapsing", Worker: w.Worker})
+	}
+}
+
+// mustLapse reports whether the lease of a worker has to expire while it runs something, as too many
+// ends wait behind a withheld one. Its runs are then lost once. Tasks that last and gangs are spared.
+func (w *worker) mustLapse() bool {
+	if w.behindWithheld() <= lapseLimit {
+		return false
+	}
+	for _, r := range w.runs {
+		if spec := r.task.step.spec; spec.GetLongRunning() || spec.GetGang() {
+			return false
+		}
+	}
+	return true
+}
+
+// leaseForStart returns the end of the lease that a start on a worker carries.
+func (c *Core) leaseForStart(w *worker, now time.Duration) int64 {
+	if until, running := w.lease.runningUntil(now); running && w.mustLapse() {
+		return until
+	}
+	return w.lease.grant(c.confirmedAt)
+}
--- a/internal/dispatch/superseded_test.go
+++ b/internal/dispatch/superseded_test.go
@@ -137,3 +137,77 @@
 	_, cursor := h.core.GrantLease(a)
 	require.Equal(t, end.Number, cursor)
 }
+
+// An end that was withheld is acknowledged once the worker lists that its lease has expired since: to
+// the worker the end does not count then, and the ends behind it wait no longer.
+func TestWithheldEndIsAcknowledgedOnceALaterRunHasLapsed(t *testing.T) {
+	h := newHarness(t)
+	a, end, _ := superseded(h, done)
+	requireUnacknowledged(h, a, end)
+	h.submit(id(2), tasks(1, 4))
+	h.plan()
+	started := h.acceptStarts()
+	require.Len(t, started, 1)
+	require.Equal(t, "a", started[0].Worker)
+	lapsed := h.listedEnd(started[0], egretmuxv1.RunOutcome_RUN_OUTCOME_LAPSED)
+	h.handleListing(a, nil, []dispatch.ListedEnd{end, lapsed})
+	h.storeEnds()
+	_, cursor := h.core.GrantLease(a)
+	require.Equal(t, lapsed.Number, cursor)
+	h.beginTenure()
+	h.handleListing(a, nil, []dispatch.ListedEnd{end, lapsed})
+	h.storeEnds()
+	_, cursor = h.core.GrantLease(a)
+	require.Equal(t, lapsed.Number, cursor, "with the next leader as well")
+}
+
+// Guards against TWICE: a withheld end was acknowledged after all once 400 newer ones waited behind it.
+// The worker here lets runs lapse only while it has any, and counts an acknowledged end unless one has
+// lapsed in between.
+func TestWithheldEndIsNotAcknowledgedBehindManyNewerOnes(t *testing.T) {
+	h := newHarness(t)
+	a, end, second := superseded(h, done)
+	endSecond(h, second)
+	h.core.WorkerGone(second.Target, "left", h.now)
+	const step = 100 * time.Millisecond
+	ends := []dispatch.ListedEnd{end}
+	running := make(map[dispatch.TaskKey]dispatch.StartOrder)
+	began := make(map[dispatch.TaskKey]time.Duration)
+	leaseUntil, lapsed, job := int64(0), false, 1
+	for h.now < 200*time.Second {
+		until, cursor := h.core.GrantLease(a)
+		leaseUntil = max(leaseUntil, until)
+		if cursor >= end.Number {
+			require.True(t, lapsed, "acknowledged with %d ends behind it", len(ends)-1)
+			return
+		}
+		h.advance(step)
+		for key, s := range running {
+			switch {
+			case h.now.Milliseconds()+1000 > leaseUntil:
+				ends, lapsed = append(ends, h.listedEnd(s, egretmuxv1.RunOutcome_RUN_OUTCOME_LAPSED)), true
+			case h.now-began[key] >= 5*step:
+				ends = append(ends, h.listedEnd(s, done))
+			default:
+				continue
+			}
+			delete(running, key)
+		}
+		var listed []dispatch.ListedRun
+		for _, s := range running {
+			listed = append(listed, listedRun(s))
+		}
+		h.handleListing(a, listed, ends)
+		h.storeEnds()
+		if len(running) == 0 {
+			job++
+			h.submit(id(job), tasks(4, 1))
+		}
+		h.plan()
+		for _, s := range h.acceptStarts() {
+			leaseUntil = max(leaseUntil, s.LeaseUntil)
+			running[s.Task], began[s.Task] = s, h.now
+		}
+	}
+	t.Fatalf("never acknowledged; %d ends wait", len(ends))
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -82,13 +82,11 @@
 	storedCursor  uint64 // ends up to this number are stored in the log
 	storingCursor uint64 // ends up to this number are stored or being stored
 	endBatches    []endBatchState
-	// withheldEnd is the number of the first end that must not be acknowledged;
-	// zero means none.
-	withheldEnd uint64
-	runs        map[runKey]*run
-	isolated    *run          // run of a suspect; while it is set, the worker gets no other runs
-	keptFor     *task         // suspect that starts here next; while it is set, the worker gets no other runs
-	keptSince   time.Duration // when keptFor was last changed
+	withheld      []uint64 // numbers of listed ends that must not be acknowledged, lowest first
+	runs          map[runKey]*run
+	isolated      *run          // run of a suspect; while it is set, the worker gets no other runs
+	keptFor       *task         // suspect that starts here next; while it is set, the worker gets no other runs
+	keptSince     time.Duration // when keptFor was last changed
 	// lapsedRuns are the runs that were given up when the lease expired. They were lost in a
 	// crash if the worker never answers again.
 	lapsedRuns []*egretmuxv1.CrashedRun
