scheduler, dispatch: a worker that answers while others are retired as silent keeps its runs

Cause: every 5 s the leader lists the workers that have been silent for 20 s without runs, and then ends their lives one after the other, each with a commit. A worker that answers meanwhile (dozens do when a cut heals) gets runs; its life ended all the same, its runs were removed at once with their leases valid, and their tasks were started elsewhere. A worker that has just joined counted as silent since the beginning of the tenure, so that a join beside another retirement was enough. Class: a decision is carried out after what it was based on has changed.

Evidence: TestWorkerThatAnswersWhileOthersAreRetiredAsSilentKeepsItsRuns failed before ('Condition satisfied' for a start of the task on a third worker), TestWorkerThatHasJustJoinedDoesNotCountAsSilent as well ('Should be empty').

Why this works: the silence is judged again under the core's lock before each end is proposed, and from then on the worker gets no starts and no lease and its listings are left out until the end is stored; the same for workers that announced their end.

--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -29,7 +29,7 @@
 // at the time asked.
 func (c *Core) HandleListing(t Target, asked, now time.Duration, l Listing) {
 	w := c.workers[t.Worker]
-	if w == nil || w.Born != t.Born {
+	if w == nil || w.Born != t.Born || w.retiring {
 		return
 	}
 	w.lease.observeClock(l.Clock, now)
--- a/internal/dispatch/membership.go
+++ b/internal/dispatch/membership.go
@@ -75,10 +75,17 @@
 		c.WorkerGone(t, "replaced", now)
 	}
 	c.addWorker(life)
+	c.workers[life.GetWorker()].answeredAt = now
 	c.addNotice(Notice{Event: "worker_joined", Worker: life.GetWorker()})
 }
 
-// WorkerGone removes an incarnation that has certainly ended, with its runs.
+// Reasons for which an incarnation is removed that may come back. Otherwise it has certainly ended.
+const (
+	GoneSilent = "silent"
+	GoneLeft   = "left"
+)
+
+// WorkerGone removes an incarnation, with its runs.
 func (c *Core) WorkerGone(t Target, reason string, now time.Duration) {
 	w := c.workers[t.Worker]
 	if w == nil || w.Born != t.Born {
@@ -208,7 +215,7 @@
 	}
 	// Each poll of a silent worker may have arrived; if they extended its lease,
 	// the lease would never expire.
-	if w.synced && w.missedPolls == 0 && !w.left && !w.mustLapse() {
+	if w.synced && w.missedPolls == 0 && !w.left && !w.retiring && !w.mustLapse() {
 		leaseUntil = w.lease.grant(c.confirmedAt)
 	}
 	if len(w.withheld) > 0 {
@@ -243,9 +250,42 @@
 func (c *Core) WorkersSilentFor(limit, now time.Duration) []Target {
 	var out []Target
 	for _, w := range c.sortedWorkers() {
-		if now-w.answeredAt > limit && len(w.runs) == 0 && now > w.lease.expiresAt {
+		if w.silentFor(limit, now) {
 			out = append(out, w.Target)
 		}
 	}
 	return out
 }
+
+func (w *worker) silentFor(limit, now time.Duration) bool {
+	return !w.retiring && now-w.answeredAt > limit && len(w.runs) == 0 && now > w.lease.expiresAt
+}
+
+// RetireSilent reports whether a worker is still silent, and if so uses it no more, so that the end of
+// its life can be stored.
+func (c *Core) RetireSilent(t Target, limit, now time.Duration) bool {
+	w := c.workers[t.Worker]
+	if w == nil || w.Born != t.Born || !w.silentFor(limit, now) {
+		return false
+	}
+	w.retiring = true
+	return true
+}
+
+// RetireLeft reports whether a worker has no runs, and if so uses it no more, so that the end of its
+// life can be stored.
+func (c *Core) RetireLeft(t Target) bool {
+	w := c.workers[t.Worker]
+	if w == nil || w.Born != t.Born || c.MayRun(t) {
+		return false
+	}
+	w.retiring = true
+	return true
+}
+
+// KeepWorker uses a worker again, as the end of its life was not stored.
+func (c *Core) KeepWorker(t Target) {
+	if w := c.workers[t.Worker]; w != nil && w.Born == t.Born {
+		w.retiring = false
+	}
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -76,6 +76,7 @@
 	failures       []failures    // since the last successful run, by step
 	probation      probation     // of a failing worker
 
+	retiring      bool // the end of its life is being stored
 	left          bool // it has announced its end
 	over          bool // that was certainly this life
 	lease         lease
@@ -146,7 +147,7 @@
 
 // usable reports whether the worker can be reached and is to be used.
 func (w *worker) usable() bool {
-	return w.synced && !w.draining && !w.cordoned && w.missedPolls <= maxMissedPolls
+	return w.synced && !w.retiring && !w.draining && !w.cordoned && w.missedPolls <= maxMissedPolls
 }
 
 // closed reports whether a worker gets no further runs for now, whatever it has free.
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -282,7 +282,7 @@
 	mayRun := false
 	t.updateCore(func(c *dispatch.Core, now time.Duration) {
 		c.WorkerDraining(w, 0, now) // from now on it gets no starts
-		mayRun = c.MayRun(w)
+		mayRun = c.MayRun(w) && !c.RetireLeft(w)
 	})
 	if !mayRun {
 		return t.retireLeft(ctx, w, over)
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -259,11 +259,22 @@
 	}
 	t.retireWorkersThatLeft(left)
 	for _, w := range silent {
-		// The process may only be cut off, so its life is not over.
-		end := &egretmuxv1.EndLife{Worker: w.Worker, BornUnixMs: w.Born}
-		if err := t.endLife(t.ctx, w, "silent", end); err != nil {
-			t.cfg.Logger.Warn().Err(err).Str("event", "worker_not_retired").Str("worker", w.Worker).Msg("the end of the worker's life was not stored")
-		}
+		t.retireSilent(w)
+	}
+}
+
+// retireSilent ends the life of a worker, unless it has answered meanwhile. The process may only be
+// cut off, so its life is not over.
+func (t *tenure) retireSilent(w dispatch.Target) {
+	t.mu.Lock()
+	silent := t.core.RetireSilent(w, silentWorkerTimeout, t.now())
+	t.mu.Unlock()
+	if !silent {
+		return
+	}
+	if err := t.endLife(t.ctx, w, dispatch.GoneSilent, &egretmuxv1.EndLife{Worker: w.Worker, BornUnixMs: w.Born}); err != nil {
+		t.updateCore(func(c *dispatch.Core, _ time.Duration) { c.KeepWorker(w) })
+		t.cfg.Logger.Warn().Err(err).Str("event", "worker_not_retired").Str("worker", w.Worker).Msg("the end of the worker's life was not stored")
 	}
 }
 
@@ -271,6 +282,12 @@
 // have ended.
 func (t *tenure) retireWorkersThatLeft(left []dispatch.Left) {
 	for _, w := range left {
+		t.mu.Lock()
+		empty := t.core.RetireLeft(w.Target)
+		t.mu.Unlock()
+		if !empty {
+			continue
+		}
 		if err := t.retireLeft(t.ctx, w.Target, w.Over); err != nil {
 			t.cfg.Logger.Warn().Err(err).Str("event", "worker_not_retired").Str("worker", w.Worker).Msg("the end of the worker's life was not stored")
 		}
@@ -280,7 +297,7 @@
 // retireLeft ends the life of a worker that has left. over tells that it is certainly this
 // life that is over, so that it does not come back.
 func (t *tenure) retireLeft(ctx context.Context, w dispatch.Target, over bool) error {
-	return t.endLife(ctx, w, "left", &egretmuxv1.EndLife{Worker: w.Worker, BornUnixMs: w.Born, Over: over})
+	return t.endLife(ctx, w, dispatch.GoneLeft, &egretmuxv1.EndLife{Worker: w.Worker, BornUnixMs: w.Born, Over: over})
 }
 
 // retireCrashed ends a life that may be over without a drain. The runs that it took along
