dispatch: a run on a life that may come back holds its task until its lease has expired

Cause: 'the life is not known' was taken for 'its lease has expired', in three places: the next leader started the task with its first plan; a life that joined again in the tenure had a lease that ended at zero, so that its listed run was given up by the next tick; and a run that was removed with a life was not recorded as superseded.

Evidence, failed before: TestRunOfARetiredWorkerHoldsItsTaskUntilItsLeaseHasExpired (a start at 100 ms), TestRunOfAWorkerThatJoinsAgainIsNotGivenUpBeforeItsLeaseHasExpired (a start on b), TestEndOfARunThatWasLostWithASilentWorkerIsNotAcknowledged (cursor 1).

Why this works: a task whose run was on a life that is neither known nor over gets no other run until every lease that may have been granted has expired, and the run counts as superseded from its next start. A life that joins has a lease of full length. Lives that are over hold nothing, as before.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -49,6 +49,7 @@
 	jobs               map[string]*job
 	steps              map[StepKey]*step  // steps that are open: all predecessors are done
 	unplaced           map[*step]struct{} // open steps that may have tasks without a run
+	heldTasks          []*task            // tasks of which a run may go on although its worker is not known
 	periodic           []*job             // jobs with occurrences that are not due yet
 	workers            map[string]*worker
 	customers          map[string]*customer
@@ -295,7 +296,7 @@
 func (c *Core) adoptStoredRun(t *task, number uint64, on Target, now time.Duration) {
 	w := c.workers[on.Worker]
 	if w == nil || w.Born != on.Born {
-		t.addUnheard(on, number) // its worker may report itself again, unless its life is over
+		c.giveUpUnheard(t, on, number, c.inheritedLeasesEnd, now)
 		return
 	}
 	r := c.addRun(t, w, number, uncertain, now)
@@ -455,6 +456,7 @@
 			c.periodic = slices.DeleteFunc(c.periodic, func(o *job) bool { return o == j })
 		}
 	}
+	c.releaseHeld(now)
 	var expiredWorkers []*worker
 	for _, w := range c.workers {
 		if w.hasExpiredRuns(now) {
--- a/internal/dispatch/membership.go
+++ b/internal/dispatch/membership.go
@@ -75,7 +75,10 @@
 		c.WorkerGone(t, "replaced", now)
 	}
 	c.addWorker(life)
-	c.workers[life.GetWorker()].answeredAt = now
+	w := c.workers[life.GetWorker()]
+	w.answeredAt = now
+	// It may have been known before, with a lease that still runs.
+	w.lease.expiresAt = now + inheritedLeaseWait(c.cfg.Lease)
 	c.addNotice(Notice{Event: "worker_joined", Worker: life.GetWorker()})
 }
 
@@ -85,7 +88,8 @@
 	GoneLeft   = "left"
 )
 
-// WorkerGone removes an incarnation, with its runs.
+// WorkerGone removes an incarnation, with its runs. A run of one that may come back holds its task
+// until the lease has certainly expired.
 func (c *Core) WorkerGone(t Target, reason string, now time.Duration) {
 	w := c.workers[t.Worker]
 	if w == nil || w.Born != t.Born {
@@ -93,6 +97,9 @@
 	}
 	lost := w.sortedRuns()
 	for _, r := range lost {
+		if r.state != ended && (reason == GoneSilent || reason == GoneLeft) {
+			c.giveUpUnheard(r.task, w.Target, r.number, w.lease.expiresAt, now)
+		}
 		c.loseRun(r, "worker-"+reason, now)
 	}
 	w.dropLeftovers(nil)
@@ -198,7 +205,7 @@
 	w.lapsedRuns = append(w.lapsedRuns, w.crashedRuns()...)
 	for _, r := range w.sortedRuns() {
 		if r.state != ended {
-			r.task.addUnheard(w.Target, r.number)
+			c.giveUpUnheard(r.task, w.Target, r.number, w.lease.expiresAt, now)
 			c.loseRun(r, "lease-ended", now)
 		}
 	}
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -33,8 +33,9 @@
 	stuckMoves     int    // how often a run of it was moved as it made no progress
 	// unheard are the runs that were given up as their worker's lease had expired, until their end
 	// is listed after all or the task is started again.
-	unheard []*egretmuxv1.SupersededRun
-	kept    *worker // worker that is kept for it until no other run is starting there
+	unheard   []*egretmuxv1.SupersededRun
+	heldUntil time.Duration // while it is set, an unheard run may go on under its lease
+	kept      *worker       // worker that is kept for it until no other run is starting there
 }
 
 func (t *task) key() TaskKey { return TaskKey{t.step.key, t.index} }
@@ -92,7 +93,7 @@
 	siblings    siblings
 }
 
-func (t *task) waits() bool { return !t.done && len(t.runs) == 0 }
+func (t *task) waits() bool { return !t.done && len(t.runs) == 0 && t.heldUntil == 0 }
 
 // waitingTasks returns the tasks without a run.
 func (s *step) waitingTasks() []*task {
@@ -125,6 +126,9 @@
 	n := 0
 	for _, t := range s.tasks {
 		n += len(t.runs)
+		if t.heldUntil > 0 {
+			n++
+		}
 	}
 	return n
 }
--- a/internal/dispatch/superseded.go
+++ b/internal/dispatch/superseded.go
@@ -13,19 +13,45 @@
 // later run decides, and must not be acknowledged, as to the worker an acknowledged end has counted.
 // The start that supersedes a run is stored with it, so that all leaders know.
 
-// addUnheard records a run that may have ended unheard. Speculative steps let each run count.
-func (t *task) addUnheard(on Target, number uint64) {
-	if t.step.spec.GetSpeculative() {
+// giveUpUnheard records that a run, which may have ended unheard, is given up. Its task gets no other
+// run before the lease has certainly expired. If the life is over, its process has ended and lists
+// nothing any more. Speculative steps let each run count.
+func (c *Core) giveUpUnheard(t *task, on Target, number uint64, expiresAt, now time.Duration) {
+	if c.cfg.Book.LifeOver(on.Worker, on.Born) {
 		return
 	}
-	t.unheard = append(t.unheard, &egretmuxv1.SupersededRun{Worker: on.Worker, BornUnixMs: on.Born, Run: number})
+	if now < expiresAt {
+		t.heldUntil = max(t.heldUntil, expiresAt)
+		c.heldTasks = append(c.heldTasks, t)
+	}
+	if !t.step.spec.GetSpeculative() {
+		t.unheard = append(t.unheard, &egretmuxv1.SupersededRun{Worker: on.Worker, BornUnixMs: on.Born, Run: number})
+	}
+}
+
+// releaseHeld lets tasks start again of which no run may go on any more.
+func (c *Core) releaseHeld(now time.Duration) {
+	c.heldTasks = slices.DeleteFunc(c.heldTasks, func(t *task) bool {
+		if now < t.heldUntil {
+			return false
+		}
+		t.heldUntil = 0
+		c.unplaced[t.step] = struct{}{}
+		return true
+	})
 }
 
 // dropUnheard removes a run that is listed after all.
 func (t *task) dropUnheard(on Target, number uint64) {
+	if len(t.unheard) == 0 {
+		return
+	}
 	t.unheard = slices.DeleteFunc(t.unheard, func(r *egretmuxv1.SupersededRun) bool {
 		return r.GetRun() == number && r.GetWorker() == on.Worker && r.GetBornUnixMs() == on.Born
 	})
+	if len(t.unheard) == 0 {
+		t.heldUntil = 0
+	}
 }
 
 // superseded reports whether an end belongs to a superseded run, or to one beside which another run
--- a/internal/job/superseded.go
+++ b/internal/job/superseded.go
@@ -94,6 +94,14 @@
 	}
 }
 
+// LifeOver reports whether a life of a worker is known to be over.
+func (b *Book) LifeOver(worker string, bornUnixMs int64) bool {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	_, over := b.ended.known[lifeKey{worker, bornUnixMs}]
+	return over
+}
+
 // Superseded reports whether a run on a life of a worker was superseded.
 func (b *Book) Superseded(worker string, bornUnixMs int64, run RunKey) bool {
 	b.mu.RLock()
