dispatch: a lease counts from a reading of the worker's clock before the confirmation

The machine of a leader is suspended for some seconds, another leader is elected and waits for the leases that may be valid; the first one wakes and extends a lease for almost a whole length.

Cause: a grant added the time between the confirmation and the latest reading of the worker's clock, on the leader's steady clock, also where the reading came after the confirmation. The steady clock leaves out a suspension between the two, so the confirmation looked more recent than it was.

No machine was suspended here, and the users' record shows none.

Why this works: a grant is computed from a reading that arrived before the confirmation. A suspension between the two then makes the lease end sooner, never later, and no clock has to be trusted. Waits stay on the steady clock, which only lengthens them.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -142,7 +142,12 @@
 func (c *Core) addNotice(n Notice) { c.notices = append(c.notices, n) }
 
 // LeaderConfirmed records that a quorum confirmed this leader at the given time.
-func (c *Core) LeaderConfirmed(at time.Duration) { c.confirmedAt = max(c.confirmedAt, at) }
+func (c *Core) LeaderConfirmed(at time.Duration) {
+	c.confirmedAt = max(c.confirmedAt, at)
+	for _, w := range c.workers {
+		w.lease.confirm(c.confirmedAt)
+	}
+}
 
 // JobAccepted adds a job that has been stored in the log.
 func (c *Core) JobAccepted(id string, now time.Duration) {
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -10,55 +10,69 @@
 // covers the resolution of the workers' clocks.
 const leaseExpiryMargin = 50 * time.Millisecond
 
-// lease holds the last reading of a worker's clock and the lease granted to the
-// worker on that clock.
+// lease holds readings of a worker's clock and the lease granted to the worker on that
+// clock.
 //
 // A grant counts from a moment at which a quorum confirmed this leader, so it ends
 // at most one lease length after that moment. A new leader is elected after that
 // moment, so that waiting for inheritedLeaseWait outlasts every grant of its
-// predecessors.
+// predecessors. It is computed from a reading before that moment: the clock of this
+// process may stand still while its machine is suspended, and a reading after the
+// suspension would let the moment look more recent than it is.
 type lease struct {
 	length       time.Duration
-	clockKnown   bool
-	clock        int64         // last reading of the worker's clock, milliseconds
-	clockReadAt  time.Duration // when the answer with that reading arrived
+	latest       clockReading
+	anchor       clockReading  // the latest one known to be from before the latest confirmation
 	grantedUntil int64         // end of the latest grant on the worker's clock, milliseconds
 	expiresAt    time.Duration // when the latest grant has certainly expired
 }
 
+// clockReading is a reading of a worker's clock.
+type clockReading struct {
+	known bool
+	clock int64         // milliseconds
+	at    time.Duration // when the answer with the reading arrived
+}
+
 // observeClock records a reading of the worker's clock that arrived at now.
-func (l *lease) observeClock(clock int64, now time.Duration) {
-	if l.clockKnown && clock <= l.clock {
+func (l *lease) observeClock(clock int64, now, confirmedAt time.Duration) {
+	if l.latest.known && clock <= l.latest.clock {
 		return // an older answer that arrived out of order
 	}
-	l.clock, l.clockReadAt, l.clockKnown = clock, now, true
+	l.latest = clockReading{true, clock, now}
+	l.confirm(confirmedAt)
+}
+
+// confirm takes note of a confirmation of this leader.
+func (l *lease) confirm(at time.Duration) {
+	if l.latest.known && l.latest.at <= at {
+		l.anchor = l.latest
+	}
 }
 
 // grant extends the lease for a leader that was confirmed at the given time, and
-// returns its end on the worker's clock. The two clocks may drift by clockDrift, so the
-// end on the worker's clock is rounded down, and the time here at which the lease has
-// certainly expired is rounded up (1+2*clockDrift is more than 1/(1-clockDrift)).
+// returns its end on the worker's clock, or zero before the first reading that a confirmation
+// follows. The two clocks may drift by clockDrift, so the end on the worker's clock is rounded
+// down, and the time here at which the lease has certainly expired is rounded up
+// (1+2*clockDrift is more than 1/(1-clockDrift)).
 func (l *lease) grant(confirmedAt time.Duration) int64 {
-	confirmedAfterReading := confirmedAt - l.clockReadAt
-	if confirmedAfterReading > 0 {
-		confirmedAfterReading = time.Duration(float64(confirmedAfterReading) * (1 - clockDrift))
-	} else {
-		confirmedAfterReading = time.Duration(float64(confirmedAfterReading) * (1 + clockDrift))
+	if !l.anchor.known {
+		return 0
 	}
-	until := l.clock + (confirmedAfterReading + l.length).Milliseconds()
+	until := l.anchor.clock + (time.Duration(float64(confirmedAt-l.anchor.at)*(1-clockDrift)) + l.length).Milliseconds()
 	if until <= l.grantedUntil {
 		return l.grantedUntil
 	}
 	l.grantedUntil = until
-	remaining := time.Duration(until-l.clock) * time.Millisecond
-	l.expiresAt = max(l.expiresAt, l.clockReadAt+time.Duration(float64(remaining)*(1+2*clockDrift))+leaseExpiryMargin)
+	remaining := time.Duration(until-l.latest.clock) * time.Millisecond
+	l.expiresAt = max(l.expiresAt, l.latest.at+time.Duration(float64(remaining)*(1+2*clockDrift))+leaseExpiryMargin)
 	return until
 }
 
 // runningUntil returns the end of the latest grant on the worker's clock, and whether the lease may
 // still run.
 func (l *lease) runningUntil(now time.Duration) (until int64, running bool) {
-	clock := l.clock + time.Duration(float64(now-l.clockReadAt)*(1-clockDrift)).Milliseconds()
+	clock := l.latest.clock + time.Duration(float64(now-l.latest.at)*(1-clockDrift)).Milliseconds()
 	return l.grantedUntil, clock < l.grantedUntil
 }
 
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -32,7 +32,7 @@
 	if w == nil || w.Born != t.Born || w.retiring {
 		return
 	}
-	w.lease.observeClock(l.Clock, now)
+	w.lease.observeClock(l.Clock, now, c.confirmedAt)
 	w.answeredAt, w.heardAt, w.missedPolls = now, now, 0
 	first := !w.synced
 	w.synced = true
--- a/internal/dispatch/membership.go
+++ b/internal/dispatch/membership.go
@@ -231,6 +231,13 @@
 	return leaseUntil, w.storedCursor
 }
 
+// NeedsConfirmation reports whether a worker can be granted no lease before the next confirmation of
+// this leader.
+func (c *Core) NeedsConfirmation(t Target) bool {
+	w := c.workers[t.Worker]
+	return w != nil && w.Born == t.Born && w.synced && !w.lease.anchor.known
+}
+
 // HasWithheldEnd reports whether a worker keeps listing an end that is not
 // acknowledged, so that it answers a poll at once instead of waiting for the next
 // end.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -387,7 +387,7 @@
 	r.timed = checkpoint == ""
 	order := StartOrder{
 		Target: w.Target, Task: t.key(), Run: number, Payload: s.job.spec.GetPayload(),
-		Checkpoint: checkpoint, LeaseUntil: c.leaseForStart(w, now), Clock: w.lease.clock,
+		Checkpoint: checkpoint, LeaseUntil: c.leaseForStart(w, now), Clock: w.lease.latest.clock,
 		Superseded: t.unheard,
 	}
 	t.unheard = nil
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -147,7 +147,7 @@
 
 // usable reports whether the worker can be reached and is to be used.
 func (w *worker) usable() bool {
-	return w.synced && !w.retiring && !w.draining && !w.cordoned && w.missedPolls <= maxMissedPolls
+	return w.synced && w.lease.anchor.known && !w.retiring && !w.draining && !w.cordoned && w.missedPolls <= maxMissedPolls
 }
 
 // closed reports whether a worker gets no further runs for now, whatever it has free.
--- a/internal/scheduler/poller.go
+++ b/internal/scheduler/poller.go
@@ -107,7 +107,14 @@
 		switch result {
 		case PollAnswered:
 			wait = pollWait
-			t.updateCore(func(c *dispatch.Core, now time.Duration) { c.HandleListing(target, asked, now, listing) })
+			unconfirmed := false
+			t.updateCore(func(c *dispatch.Core, now time.Duration) {
+				c.HandleListing(target, asked, now, listing)
+				unconfirmed = c.NeedsConfirmation(target)
+			})
+			if unconfirmed {
+				t.requestConfirmation()
+			}
 			if t.hasUnstoredEnds(target) {
 				pause = 0
 				t.awaitEndsStored(ctx, p)
