scheduler, clock: a confirmation of leadership expires while the machine is suspended

What callers would see: an instance whose machine was suspended takes itself for the leader for up to 0.9 s after waking, by a confirmation that is older than it believes. Reads of jobs and of the configuration confirm anew; the list of customers and the answer to a worker's announcement that it does not know do not.

Cause: the age of a confirmation was measured on the steady clock, which leaves out suspensions. Class: a permission that expires, measured by its holder on a clock that can stand still.

Why this works: the age is measured on CLOCK_BOOTTIME, with one system call for each check; other systems keep the steady clock.

--- a/internal/scheduler/confirm.go
+++ b/internal/scheduler/confirm.go
@@ -49,7 +49,7 @@
 // valid. If it is not, the instance must not answer as the leader: its replica may
 // hang, as on a blocked disk, while another instance already leads.
 func (t *tenure) confirmedRecently() bool {
-	return t.now()-time.Duration(t.lastConfirmed.Load()) < confirmValidity
+	return t.cfg.Clock()-time.Duration(t.lastConfirmed.Load()) < confirmValidity
 }
 
 // overloaded reports whether this instance falls behind, which shows in slow
@@ -105,10 +105,10 @@
 		waiting := t.confirmations.waiting
 		t.confirmations.waiting = nil
 		t.confirmations.mu.Unlock()
-		began := t.now()
+		began, clockBegan := t.now(), t.cfg.Clock()
 		err := t.node.ConfirmLeader(ctx)
 		if err == nil {
-			t.lastConfirmed.Store(int64(began))
+			t.lastConfirmed.Store(int64(clockBegan))
 			t.updateCore(func(c *dispatch.Core, _ time.Duration) { c.LeaderConfirmed(began) })
 		}
 		for _, w := range waiting {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/clock"
 	"github.com/egretmux/egretmux/internal/consensus"
 	"github.com/egretmux/egretmux/internal/consensus/core"
 	"github.com/egretmux/egretmux/internal/dispatch"
@@ -69,6 +70,7 @@
 	StopTimeout  time.Duration
 	RateWindow   time.Duration // time whose worth of jobs a customer may submit at once; zero: one second
 	StatusKeep   time.Duration // retention of ended jobs
+	Clock        clock.Clock   // by which confirmations of leadership expire; nil: clock.New
 	Logger       zerolog.Logger
 }
 
@@ -83,7 +85,12 @@
 }
 
 // New returns a scheduler without a replica.
-func New(cfg Config) *Scheduler { return &Scheduler{cfg: cfg} }
+func New(cfg Config) *Scheduler {
+	if cfg.Clock == nil {
+		cfg.Clock = clock.New()
+	}
+	return &Scheduler{cfg: cfg}
+}
 
 // SetReplica sets the replica and its state. It must be called before Run.
 func (s *Scheduler) SetReplica(n *consensus.Node, b *job.Book) {
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -60,7 +60,8 @@
 	planRequested chan struct{}
 	endsQueue     *endsQueue
 	confirmations confirmQueue
-	// lastConfirmed is when the last confirmation began, in nanoseconds since began.
+	// lastConfirmed is when the last confirmation began, in nanoseconds on the clock of cfg, as other
+	// instances do not wait while this one's machine is suspended.
 	lastConfirmed  atomic.Int64
 	workerCount    atomic.Int64 // polled workers
 	startLatency   atomic.Int64 // moving average, in nanoseconds
@@ -68,11 +69,13 @@
 }
 
 func newTenure(ctx context.Context, cfg Config, node *consensus.Node, book *job.Book, term uint64) *tenure {
-	return &tenure{
+	t := &tenure{
 		ctx: ctx, cfg: cfg, node: node, book: book, term: term, began: time.Now(),
 		pollers: make(map[dispatch.Target]*poller), endedAt: make(map[string]time.Time), proposed: make(map[string]int),
 		planRequested: make(chan struct{}, 1), endsQueue: newEndsQueue(),
 	}
+	t.lastConfirmed.Store(int64(cfg.Clock()))
+	return t
 }
 
 // now returns the time since the tenure began.
