relay: an instance's lease doesn't outlive a suspension of its machine

What callers would see: an instance whose machine was suspended serves on by contracts that have been replaced, and on slots that others have got meanwhile, for up to the length of its lease after waking. Not seen in a log.

The lease was measured with time.Since, which leaves out suspensions, while the leader waits by its own clock.

Why this works: the sending of a report, from which a renewal counts, and the end of the lease are times on CLOCK_BOOTTIME. The leader confirms its leadership after it has got the report, so it has no such fault.

The simulations of entry and leader give the lease their simulated time; what they require is unchanged.

--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -96,8 +96,8 @@
 	table.Update(states)
 	book := contract.NewBook()
 	book.Apply(1, []*egretmuxv1.ContractVersion{{Customer: "dixie", CellVersion: 1, Text: testContract}})
-	lease := relay.NewLease()
-	lease.Extend(time.Now().Add(time.Hour))
+	lease := relay.NewLease(nil)
+	lease.Extend(lease.Now() + time.Hour)
 	mux := http.NewServeMux()
 	mux.Handle("/service/{name}/{rest...}", entry.New(entry.Config{
 		Instance: "i", Lease: lease, Book: book, Routes: table, Links: pool, MaxBodyBytes: 1 << 20, MaxInFlight: 4096, BufferBytes: 64 << 10, Logger: zerolog.Nop(),
--- a/internal/entry/simulation_test.go
+++ b/internal/entry/simulation_test.go
@@ -211,11 +211,13 @@
 }
 
 func newSimulation(entries, endpoints int) *simulation {
+	began := time.Now()
+	simulatedTime := func() time.Duration { return time.Since(began) }
 	s := &simulation{
-		network: standin.NewNetwork(), lease: relay.NewLease(), attempts: &fakeAttempts{byKey: make(map[string]*egretmuxv1.RequestRecord)},
+		network: standin.NewNetwork(), lease: relay.NewLease(simulatedTime), attempts: &fakeAttempts{byKey: make(map[string]*egretmuxv1.RequestRecord)},
 		behaviours: make(map[string]*behaviour), runs: make(map[string]int),
 	}
-	s.lease.Extend(time.Now().Add(time.Hour))
+	s.lease.Extend(s.lease.Now() + time.Hour)
 	ctx, stop := context.WithCancel(context.Background())
 	s.stop = stop
 	var states []*egretmuxv1.EndpointState
--- a/internal/leader/cluster_test.go
+++ b/internal/leader/cluster_test.go
@@ -112,10 +112,13 @@
 	})
 	ctx, cancel := context.WithCancel(c.ctx)
 	p.cancel = cancel
+	began := time.Now()
+	simulatedTime := func() time.Duration { return time.Since(began) }
 	p.relay = relay.New(relay.Config{
 		Instance: &egretmuxv1.Instance{Id: instanceName(id), CellAddress: instanceName(id), Voter: id < voterCount},
 		Leader:   &caller{cluster: c, from: id}, Contracts: p.book, Endpoints: p.routes,
 		Commands: relay.NewCommander(nil, "http", zerolog.Nop()), EndpointSilenceTimeout: timing.EndpointSilent, Logger: zerolog.Nop(),
+		Clock: simulatedTime,
 	})
 	c.mu.Lock()
 	c.processes[id] = p
--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -3,22 +3,34 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/egretmux/egretmux/internal/clock"
 )
 
-// Lease holds the time until which this instance may serve, on the monotonic clock.
-// A renewal counts from before the request for it was sent, so that the lease never
-// outlasts the leader's view of it.
+// Lease holds the time until which this instance may serve, on a clock that counts
+// suspensions. A renewal counts from before the request for it was sent, so that the
+// lease never outlasts the leader's view of it.
 type Lease struct {
-	base  time.Time
-	until atomic.Int64 // nanoseconds after base
+	clock clock.Clock
+	base  time.Duration // on clock
+	until atomic.Int64  // nanoseconds after base
+}
+
+// NewLease returns an expired lease that is measured by the given clock, or clock.New if it
+// is nil.
+func NewLease(c clock.Clock) *Lease {
+	if c == nil {
+		c = clock.New()
+	}
+	return &Lease{clock: c, base: c()}
 }
 
-// NewLease returns an expired lease.
-func NewLease() *Lease { return &Lease{base: time.Now()} }
+// Now returns the time on the lease's clock.
+func (l *Lease) Now() time.Duration { return l.clock() - l.base }
 
-// Extend prolongs the lease until the given time. It never shortens the lease.
-func (l *Lease) Extend(until time.Time) {
-	next := int64(until.Sub(l.base))
+// Extend prolongs the lease until the given time on its clock. It never shortens the lease.
+func (l *Lease) Extend(until time.Duration) {
+	next := int64(until)
 	for {
 		old := l.until.Load()
 		if next <= old || l.until.CompareAndSwap(old, next) {
@@ -32,5 +44,5 @@
 
 // Remaining returns the time until the lease expires, negative once it has expired.
 func (l *Lease) Remaining() time.Duration {
-	return time.Duration(l.until.Load()) - time.Since(l.base)
+	return time.Duration(l.until.Load()) - l.Now()
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/clock"
 	"github.com/egretmux/egretmux/internal/contract"
 	"github.com/egretmux/egretmux/internal/peer"
 	"github.com/egretmux/egretmux/internal/refusal"
@@ -58,6 +59,7 @@
 	Endpoints              Endpoints
 	Commands               *Commander
 	EndpointSilenceTimeout time.Duration // time without an announcement after which an endpoint is reported as silent
+	Clock                  clock.Clock   // by which the lease expires; nil: clock.New
 	Logger                 zerolog.Logger
 }
 
@@ -84,7 +86,7 @@
 // New returns a Relay with an expired lease.
 func New(cfg Config) *Relay {
 	return &Relay{
-		cfg: cfg, lease: NewLease(), incarnation: newIncarnation(),
+		cfg: cfg, lease: NewLease(cfg.Clock), incarnation: newIncarnation(),
 		reportRequested: make(chan struct{}, 1), heartbeatPending: make(chan struct{}, 1),
 		endpoints: newAttachedEndpoints(cfg.EndpointSilenceTimeout), nextFull: true, firstLease: make(chan struct{}),
 	}
@@ -158,7 +160,7 @@
 	req, announcements := r.buildReport()
 	telemetry.Count("relay_reports_total")
 	telemetry.Add("relay_report_bytes_total", proto.Size(req))
-	sent := time.Now()
+	sent := r.lease.Now()
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	var resp *egretmuxv1.ReportResponse
@@ -215,7 +217,7 @@
 
 // applyReportResponse renews the lease, counted from before the request was sent. The
 // lease is not renewed while this instance lacks the newest contracts.
-func (r *Relay) applyReportResponse(req *egretmuxv1.ReportRequest, resp *egretmuxv1.ReportResponse, sent time.Time) error {
+func (r *Relay) applyReportResponse(req *egretmuxv1.ReportRequest, resp *egretmuxv1.ReportResponse, sent time.Duration) error {
 	if newerIncarnation := resp.GetSupersededBy(); newerIncarnation != 0 {
 		return r.handleSuperseded(newerIncarnation)
 	}
@@ -231,7 +233,7 @@
 	if resp.GetEntryLeaseMs() == 0 || r.cfg.Contracts.Version() < resp.GetContractVersion() {
 		return nil
 	}
-	r.lease.Extend(sent.Add(time.Duration(resp.GetEntryLeaseMs()) * time.Millisecond))
+	r.lease.Extend(sent + time.Duration(resp.GetEntryLeaseMs())*time.Millisecond)
 	r.markLeased()
 	if req.GetContractVersion() < r.cfg.Contracts.Version() {
 		r.RequestReport() // reports the contract version applied in the meantime
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -100,11 +100,11 @@
 func TestSupersededProcess(t *testing.T) {
 	r := newTestRelay(fakeGrants{})
 	req, _ := r.buildReport()
-	require.Error(t, r.applyReportResponse(req, &egretmuxv1.ReportResponse{Term: 1, SupersededBy: req.GetIncarnation() + 5}, time.Now()))
+	require.Error(t, r.applyReportResponse(req, &egretmuxv1.ReportResponse{Term: 1, SupersededBy: req.GetIncarnation() + 5}, r.lease.Now()))
 	next, _ := r.buildReport()
 	require.Equal(t, req.GetIncarnation()+6, next.GetIncarnation())
-	require.NoError(t, r.applyReportResponse(next, &egretmuxv1.ReportResponse{Term: 1, EntryLeaseMs: 8000}, time.Now()))
-	require.Error(t, r.applyReportResponse(next, &egretmuxv1.ReportResponse{Term: 1, SupersededBy: next.GetIncarnation() + 5}, time.Now()))
+	require.NoError(t, r.applyReportResponse(next, &egretmuxv1.ReportResponse{Term: 1, EntryLeaseMs: 8000}, r.lease.Now()))
+	require.Error(t, r.applyReportResponse(next, &egretmuxv1.ReportResponse{Term: 1, SupersededBy: next.GetIncarnation() + 5}, r.lease.Now()))
 	last, _ := r.buildReport()
 	require.Equal(t, next.GetIncarnation(), last.GetIncarnation())
 }
