consensus: a message that no replica sends changes nothing

What callers would see: a replica's process ends, or ends and gives up its data folder, or its log has gaps, after one message that a fault or another release produced.

Cause: the core checked only the receiver and the term. Class: one bad message takes a process down.

Why this works: entries have to follow the one before them in number and term and stay within the message's term, and a message has a sender; others are left out, counted and logged.

--- a/internal/consensus/core/election.go
+++ b/internal/consensus/core/election.go
@@ -137,21 +137,39 @@
 	}
 }
 
-// Step handles one message from another replica.
-func (c *Core) Step(m *egretmuxv1.Message) {
+// Step handles one message from another replica. It reports whether the message was one
+// that a replica sends.
+func (c *Core) Step(m *egretmuxv1.Message) bool {
+	if !isWellFormed(m) {
+		return false
+	}
 	if m.GetTo() != c.cfg.ID || c.stale {
-		return
+		return true
 	}
 	switch {
 	case m.GetTerm() > c.term:
 		if !c.acceptHigherTerm(m) {
-			return
+			return true
 		}
 	case m.GetTerm() < c.term:
 		c.replyToLowerTerm(m)
-		return
+		return true
 	}
 	c.dispatch(m)
+	return true
+}
+
+// isWellFormed reports whether a message has a sender, and its entries follow the one before them,
+// in number and in term.
+func isWellFormed(m *egretmuxv1.Message) bool {
+	index, term := m.GetIndex(), m.GetLogTerm()
+	for _, e := range m.GetEntries() {
+		if index++; e.GetIndex() != index || e.GetTerm() < term || e.GetTerm() > m.GetTerm() {
+			return false
+		}
+		term = e.GetTerm()
+	}
+	return m.GetFrom() != 0
 }
 
 // acceptHigherTerm enters the term of the message, except for a pre-vote request
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -190,7 +190,11 @@
 
 func (n *Node) stepAll(messages []*egretmuxv1.Message) {
 	for _, m := range messages {
-		n.core.Step(m)
+		if !n.core.Step(m) {
+			telemetry.Count("replica_messages_malformed_total")
+			n.cfg.Logger.Warn().Str("event", "replica_message_malformed").Stringer("kind", m.GetKind()).Uint64("from", m.GetFrom()).Uint64("term", m.GetTerm()).
+				Uint64("index", m.GetIndex()).Int("entries", len(m.GetEntries())).Msg("a message that no replica sends is left out")
+		}
 	}
 }
 
