jobcell: an order of a kind that an instance does not know counts as unanswered

What callers would see, with the next kind of order and instances of two releases: a task that is shown as running and was never started, or a worker that counts as read.

Cause: the zero value of a DriveAnswer's result means an accepted start and an answered poll, and that is what an instance answered to an order without a kind that it knows.

Evidence: TestOrderThatAnotherReleaseDoesNotKnowCountsAsUnanswered failed for start and poll ('expected: 1, actual: 0'). No order of today is unknown to the release before.

Why this works: such an order is answered with a result that no order has, and the leader takes results that it does not know for none, of polls as well as of starts.

--- a/internal/jobcell/drive.go
+++ b/internal/jobcell/drive.go
@@ -204,7 +204,18 @@
 	if answer == nil {
 		return dispatch.Listing{}, scheduler.PollUnanswered
 	}
-	return decodeListing(answer), scheduler.PollResult(answer.GetResult())
+	return decodeListing(answer), decodePollResult(answer)
+}
+
+// decodePollResult returns the result of a poll that another instance sent. One that this
+// release does not know shows nothing of the worker.
+func decodePollResult(answer *egretmuxv1.DriveAnswer) scheduler.PollResult {
+	result := scheduler.PollResult(answer.GetResult())
+	if !result.Known() {
+		telemetry.CountRetry("poll-result-unknown")
+		return scheduler.PollUnanswered
+	}
+	return result
 }
 
 func decodeListing(answer *egretmuxv1.DriveAnswer) dispatch.Listing {
--- a/internal/jobcell/drive_server.go
+++ b/internal/jobcell/drive_server.go
@@ -80,9 +80,13 @@
 			Wait: time.Duration(kind.Look.GetWaitMs()) * time.Millisecond,
 		})
 	}
-	return &egretmuxv1.DriveAnswer{}
+	return &egretmuxv1.DriveAnswer{Result: resultOfUnknownOrder}
 }
 
+// resultOfUnknownOrder answers an order of a kind that this release does not know. It is none of the
+// results of an order, so that the leader takes the order for unanswered.
+const resultOfUnknownOrder = -1
+
 // boolAnswer encodes whether the worker answered a stop or pace order: result 1 if it
 // did, else 0.
 func boolAnswer(ok bool) *egretmuxv1.DriveAnswer {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -39,6 +39,9 @@
 	PollAnotherIncarnation            // answered by another life (incarnation) of the worker
 )
 
+// Known reports whether the value is one of the results.
+func (r PollResult) Known() bool { return r >= PollAnswered && r <= PollAnotherIncarnation }
+
 // WorkerClient sends orders and polls to workers.
 type WorkerClient interface {
 	// Start returns the worker's answer and its clock, which is zero if unknown.
