scheduler: only a confirmed leader acknowledges the end of a worker that it does not know

What callers would see: a worker that announced its end and got the acknowledgement is used on by the leader; its end counts as a crash of its runs.

Cause: a leader that stands still and is replaced takes itself for the leader for some hundred milliseconds. A worker that joined with the next one is unknown to it, and it acknowledged the end without asking a quorum. All other acknowledgements commit or confirm. Class: at a hand-over both acted.

Why this works: the acknowledgement waits for a confirmation that began after the call.

--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -273,7 +273,7 @@
 			return t.workerLeft(ctx, targetOf(w.Life), over)
 		}
 	}
-	return nil
+	return t.confirm(ctx) // a later leader may know the worker
 }
 
 // workerLeft ends the life of a worker that has announced its end, at once if no runs are there. Otherwise
