dispatch: numbers in a listing that no leader or worker has reached decide nothing

What callers would see, after a damaged listing: run numbers of a task that begin anew, with which workers refuse or repeat work; or ends that are acknowledged before they happen, so that a job never ends.

Cause: the number of a listed run became the highest of its task although no start of it is stored, and wrapped; the number of a listed end became the cursor, however high.

Evidence: TestRunThatNoLeaderStartedDoesNotWrapTheNumbersOfItsTask ('Should not be zero') and TestEndWithANumberFarBeyondDoesNotHideLaterEnds ('expected: 3, actual: 0') failed before.

Why this works: starts are stored before they are sent, so a run above the highest known number is not ours and is stopped like any foreign one. Ends beyond 2^53, which JSON does not hold exactly, are left out; lower numbers that are damaged are not recognized.

--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -64,6 +64,10 @@
 	}
 }
 
+// maxEndNumber is the highest number of an end. JSON holds greater ones inexactly, and one that no
+// worker has reached would acknowledge all its later ends.
+const maxEndNumber = 1 << 53
+
 // handleEnds releases the resources of ended runs and orders their ends to be
 // stored.
 func (c *Core) handleEnds(w *worker, ends []ListedEnd, listed map[runKey]bool, now time.Duration) {
@@ -73,7 +77,7 @@
 		key := runKey{e.Task, e.Run}
 		listed[key] = true
 		w.dropLeftover(key)
-		if e.Number <= w.storingCursor {
+		if e.Number <= w.storingCursor || e.Number > maxEndNumber {
 			continue
 		}
 		highest = max(highest, e.Number)
@@ -186,7 +190,7 @@
 // is not wanted any more. It returns nil if the step of the run is not open.
 func (c *Core) adoptListedRun(w *worker, lr ListedRun, previousStops map[runKey]time.Duration, now time.Duration) *run {
 	s := c.steps[lr.Task.StepKey]
-	if s == nil || int(lr.Task.Index) >= len(s.tasks) {
+	if s == nil || int(lr.Task.Index) >= len(s.tasks) || lr.Run > s.tasks[lr.Task.Index].highestRun {
 		c.stopOrphan(w, lr, previousStops, now)
 		return nil
 	}
