job: a life that drains is over once it is removed

What callers would see: DRAIN, a worker that had announced that it drains is used again: it was silent, was removed, and a delayed heartbeat from before brought it back as ready.

Cause: removing a silent life dropped that it drains, and the number of its newest heartbeat. Class: after a restart or removal, a server that had left was in use again.

Evidence: TestLateHeartbeatOfAWorkerThatWasRetiredWhileDrainingDoesNotOpenIt, by the reviewer, failed before.

Why this works: a worker that drains ends by itself, so a draining life that is silent for 20 s and runs nothing is over: no later heartbeat of it opens it.

--- a/internal/job/book.go
+++ b/internal/job/book.go
@@ -151,7 +151,7 @@
 		return
 	}
 	delete(b.workers, c.GetWorker())
-	if c.GetOver() {
+	if c.GetOver() || stored.Draining {
 		b.ended.add(lifeKey{c.GetWorker(), c.GetBornUnixMs()})
 		b.superseded.forget(lifeKey{c.GetWorker(), c.GetBornUnixMs()})
 	}
