scheduler: the next leader cordons a machine before it repeats the order of its upkeep

What callers would see: work that is stopped for nothing, and AVAIL where a lasting step can't spare the task: a task is started on a machine whose upkeep is ordered, and the upkeep ends it.

Cause: a leader stores that the upkeep of a machine is ordered and gets no clear answer; the next one repeats the order, but the cordon is known only to the leader that set it. Class: as with superseded runs, what one leader has decided and does not store, the next one cannot know.

Why this works: the order itself is stored, and whoever repeats it cordons the machine first, and waits while its tasks can't be spared. A machine that is up again after its upkeep is opened, as a repeated order may have met its next worker.

--- a/internal/dispatch/cordon.go
+++ b/internal/dispatch/cordon.go
@@ -29,12 +29,12 @@
 	return Target{}, false, true
 }
 
-// Uncordon lets the workers of a machine get new runs again, as it is not maintained.
-func (c *Core) Uncordon(machine string) {
+// Uncordon lets the workers of a machine get new runs again.
+func (c *Core) Uncordon(machine, reason string) {
 	for _, w := range c.sortedWorkers() {
 		if w.life.GetMachine() == machine && w.cordoned {
 			w.cordoned = false
-			c.addNotice(Notice{Event: "worker_uncordoned", Worker: w.Worker, Reason: "upkeep-refused"})
+			c.addNotice(Notice{Event: "worker_uncordoned", Worker: w.Worker, Reason: reason})
 		}
 	}
 }
--- a/internal/scheduler/upkeep.go
+++ b/internal/scheduler/upkeep.go
@@ -78,6 +78,8 @@
 	for m := range u.down {
 		if states[m] == MachineUp {
 			delete(u.down, m)
+			// A repeated order may have cordoned the machine's next worker.
+			t.updateCore(func(c *dispatch.Core, _ time.Duration) { c.Uncordon(m, "upkeep-done") })
 		}
 	}
 	for _, w := range waves {
@@ -118,11 +120,21 @@
 				return
 			}
 			down++
+		} else if !t.cordonAgain(m) {
+			continue
 		}
 		t.orderUpkeep(ctx, u, w, m)
 	}
 }
 
+// cordonAgain cordons a machine whose upkeep was ordered without an answer, perhaps by an earlier
+// leader. It reports whether the order may be repeated: the machine has begun its upkeep, or its tasks
+// can be spared.
+func (t *tenure) cordonAgain(machine string) (allowed bool) {
+	t.updateCore(func(c *dispatch.Core, now time.Duration) { _, _, allowed = c.Cordon(machine, now) })
+	return allowed
+}
+
 // cordonAndCheckReady cordons a machine and reports whether its upkeep may be ordered:
 // it is idle, or evacuateTimeout has passed. It returns false, without a cordon, while
 // the core does not allow one, as the machine's tasks cannot be spared.
@@ -170,7 +182,7 @@
 	case UpkeepRefused:
 		if t.markWave(w, machine, true /* settled */) == nil { // else it is ordered again
 			delete(u.evacuationStarted, machine)
-			t.updateCore(func(c *dispatch.Core, _ time.Duration) { c.Uncordon(machine) })
+			t.updateCore(func(c *dispatch.Core, _ time.Duration) { c.Uncordon(machine, "upkeep-refused") })
 		}
 	case UpkeepStaleFence:
 		t.requestConfirmation()
