dispatch: a listed run that the log holds as started is not foreign

The log counts as well now. A leader that runs knows all starts of the log, so that nothing else changes.

--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -190,7 +190,7 @@
 // is not wanted any more. It returns nil if the step of the run is not open.
 func (c *Core) adoptListedRun(w *worker, lr ListedRun, previousStops map[runKey]time.Duration, now time.Duration) *run {
 	s := c.steps[lr.Task.StepKey]
-	if s == nil || int(lr.Task.Index) >= len(s.tasks) || lr.Run > s.tasks[lr.Task.Index].highestRun {
+	if s == nil || int(lr.Task.Index) >= len(s.tasks) || lr.Run > c.highestStart(s.tasks[lr.Task.Index]) {
 		c.stopOrphan(w, lr, previousStops, now)
 		return nil
 	}
@@ -204,6 +204,17 @@
 	return r
 }
 
+// highestStart returns the number of the highest run of a task that a leader has ordered.
+func (c *Core) highestStart(t *task) uint64 {
+	highest, key := t.highestRun, t.key()
+	c.cfg.Book.View(key.Job, func(rec *jobs.Record) {
+		if rec != nil && !rec.Ended() {
+			highest = max(highest, rec.Task(key.Occurrence, key.Step, key.Index).LastStartedRun)
+		}
+	})
+	return highest
+}
+
 // orphanStopInterval is the time after which the stop of an orphan run is repeated: a
 // stop is answered within a second or not at all.
 const orphanStopInterval = time.Second
