dispatch: the lease of a busy worker keeps its length

What callers would see, minutes into a tenure: leases that get shorter by 2% of the time since the first reading, and in the end runs that lapse on workers that answer.

Cause: a grant is computed from a reading before the latest confirmation, and only the latest reading was considered when a confirmation came. A busy worker is read every few milliseconds, so that its latest reading is always from after the confirmation's beginning, and the reading in use was never replaced.

Why this works: the earliest reading that no confirmation follows yet is kept beside the latest one and is used once one does, so the reading in use is two confirmations old at most.

--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -22,7 +22,8 @@
 type lease struct {
 	length       time.Duration
 	latest       clockReading
-	anchor       clockReading  // the latest one known to be from before the latest confirmation
+	anchor       clockReading  // one from before the latest confirmation, from which grants are computed
+	next         clockReading  // the earliest one after anchor that no confirmation is known to follow
 	grantedUntil int64         // end of the latest grant on the worker's clock, milliseconds
 	expiresAt    time.Duration // when the latest grant has certainly expired
 }
@@ -40,13 +41,20 @@
 		return // an older answer that arrived out of order
 	}
 	l.latest = clockReading{true, clock, now}
+	if !l.next.known {
+		l.next = l.latest
+	}
 	l.confirm(confirmedAt)
 }
 
-// confirm takes note of a confirmation of this leader.
+// confirm takes note of a confirmation of this leader that began at the given time. Readings may
+// have arrived since.
 func (l *lease) confirm(at time.Duration) {
-	if l.latest.known && l.latest.at <= at {
-		l.anchor = l.latest
+	switch {
+	case l.latest.known && l.latest.at <= at:
+		l.anchor, l.next = l.latest, clockReading{}
+	case l.next.known && l.next.at <= at:
+		l.anchor, l.next = l.next, l.latest
 	}
 }
 
