--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -92,6 +92,8 @@
 	CPU     int64         // capacity of a worker, thousandths of a core
 	Lost    int           // number of runs that a worker which is gone took along
 	Runs    int           // number of runs on a worker that has announced its end
+	Behind  int           // number of ends that wait behind a withheld one
+	KnownBy string        // what tells that the run of a withheld end is superseded
 
 	Customer string // only for decisions about its rate; no metric label
 	Pool     string // only for decisions about a pool
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -84,9 +84,9 @@
 		if e.Outcome == egretmuxv1.RunOutcome_RUN_OUTCOME_LAPSED {
 			c.releaseBefore(w, e.Number)
 		}
-		if c.superseded(w, e) {
+		if known := c.supersededBy(w, e); known != "" {
 			w.withheld = append(w.withheld, e.Number)
-			c.addNotice(Notice{Event: "end_withheld", Job: e.Task.Job, Task: e.Task.String(), Worker: w.Worker, Run: e.Run, Reason: outcomeName(e.Outcome)})
+			c.addNotice(Notice{Event: "end_withheld", Job: e.Task.Job, Task: e.Task.String(), Worker: w.Worker, Run: e.Run, Reason: outcomeName(e.Outcome), KnownBy: known, Behind: int(w.behindWithheld())})
 		}
 		if r := w.runs[key]; r != nil && r.state != ended {
 			c.learnFromEnd(r, e.Outcome, now)
--- a/internal/dispatch/superseded.go
+++ b/internal/dispatch/superseded.go
@@ -54,26 +54,35 @@
 	}
 }
 
-// superseded reports whether an end belongs to a superseded run, or to one beside which another run
-// of the task is present.
-func (c *Core) superseded(w *worker, e ListedEnd) bool {
+// What tells that a run is superseded.
+const (
+	knownByLog    = "log"
+	knownByLeader = "leader" // as its step is open here
+)
+
+// supersededBy returns what tells that an end belongs to a superseded run, or to one beside which
+// another run of the task is present; an empty string if it does not.
+func (c *Core) supersededBy(w *worker, e ListedEnd) string {
 	if e.Outcome != egretmuxv1.RunOutcome_RUN_OUTCOME_DONE && e.Outcome != egretmuxv1.RunOutcome_RUN_OUTCOME_FAILED {
-		return false
+		return ""
 	}
 	key := e.Task
 	if w.runs[runKey{key, e.Run}] != nil {
-		return false
+		return ""
 	}
 	if c.cfg.Book.Superseded(w.Worker, w.Born, jobs.RunKey{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Index: key.Index, Run: e.Run}) {
-		return true
+		return knownByLog
 	}
 	// A start that is being stored does not show there yet.
 	s := c.steps[key.StepKey]
 	if s == nil || int(key.Index) >= len(s.tasks) || s.spec.GetSpeculative() {
-		return false
+		return ""
 	}
 	t := s.tasks[key.Index]
-	return !t.done && (t.highestRun > e.Run || len(t.runs) > 0) && !c.endStored(e)
+	if !t.done && (t.highestRun > e.Run || len(t.runs) > 0) && !c.endStored(e) {
+		return knownByLeader
+	}
+	return ""
 }
 
 // endStored reports whether the end of a run, or of a later run of its task, is stored.
@@ -105,8 +114,9 @@
 	if len(w.withheld) == 0 || w.withheld[0] >= lapsed {
 		return
 	}
+	behind := w.behindWithheld()
 	w.withheld = slices.DeleteFunc(w.withheld, func(number uint64) bool { return number < lapsed })
-	c.addNotice(Notice{Event: "end_released", Worker: w.Worker, Reason: "lapsed"})
+	c.addNotice(Notice{Event: "end_released", Worker: w.Worker, Reason: "lapsed", Behind: int(behind)})
 }
 
 // limitWithheld bounds how many ends wait behind a withheld one, of which there were as many as
@@ -115,9 +125,9 @@
 	switch behind := w.behindWithheld(); {
 	case behind > withheldLimit:
 		w.withheld = nil
-		c.addNotice(Notice{Event: "end_released", Worker: w.Worker, Reason: "limit"})
+		c.addNotice(Notice{Event: "end_released", Worker: w.Worker, Reason: "limit", Behind: int(behind)})
 	case behind > lapseLimit && before <= lapseLimit:
-		c.addNotice(Notice{Event: "worker_lapsing", Worker: w.Worker})
+		c.addNotice(Notice{Event: "worker_lapsing", Worker: w.Worker, Behind: int(behind)})
 	}
 }
 
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -195,7 +195,7 @@
 		telemetry.ObserveSeconds(`job_ended{queue="`+n.Queue+`"}`, n.Age)
 	}
 	e := t.cfg.Logger.Info().Str("event", n.Event).Uint64("term", t.term)
-	for _, f := range [][2]string{{"job", n.Job}, {"queue", n.Queue}, {"task", n.Task}, {"worker", n.Worker}, {"reason", n.Reason}, {"outcome", n.Outcome}, {"customer", n.Customer}, {"pool", n.Pool}} {
+	for _, f := range [][2]string{{"job", n.Job}, {"queue", n.Queue}, {"task", n.Task}, {"worker", n.Worker}, {"reason", n.Reason}, {"outcome", n.Outcome}, {"customer", n.Customer}, {"pool", n.Pool}, {"known_by", n.KnownBy}} {
 		if f[1] != "" {
 			e = e.Str(f[0], f[1])
 		}
@@ -215,6 +215,9 @@
 	if n.Runs != 0 {
 		e = e.Int("runs", n.Runs)
 	}
+	if n.Behind != 0 {
+		e = e.Int("behind", n.Behind)
+	}
 	if n.Lost != 0 {
 		e = e.Int("lost", n.Lost)
 	}
