dispatch: nothing but a lapse releases a withheld end

Cause: the end of a superseded run is withheld, and with it all later ends of the worker, until a run there lapses. With gangs nearly always on a worker it never lapsed.

Evidence, on: TestWithheldEndIsNotAcknowledgedBehindManyNewerOnes, 8 of 10 plays acknowledged with 453 or 454 ends unacknowledged and no lapse; the two with small tasks only pass. The ledger now counts one end as done for all of its gang.

Change: the limit is gone. An idle worker with a withheld end gets one run under a lease shorter than the run. A busy one goes on until 100 ends wait; then, a fifth of the pool at a time, it gets no gangs and no tasks that last, those that last are moved within may-miss, and its lease is left to expire. Gangs are spared for 10 s at most. Ends and runs of such a worker stay below what one listing holds, so that the end that lapses is listed.

--- a/internal/dispatch/answers.go
+++ b/internal/dispatch/answers.go
@@ -75,6 +75,10 @@
 		w.backoffUntil = max(w.backoffUntil, now+unhealthyBackoff)
 	case NoRoom, StaleFence:
 		w.backoffUntil = max(w.backoffUntil, now+unhealthyBackoff/4)
+	case LeaseTooOld:
+		if w.lapse.trial {
+			w.lapse.missed++
+		}
 	case TicketRefused:
 		r.task.step.advice.dropTicket(w)
 	}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -475,6 +475,7 @@
 		c.endLease(w, now)
 	}
 	c.updateSlowness(now)
+	c.updateLapses(now)
 	c.moveRunsAtRisk(now)
 	c.copyStragglers(now)
 }
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -77,6 +77,20 @@
 	return until
 }
 
+// grantShort is like grant for a lease that ends sooner. The worker's clock is at least as far as the
+// latest reading and the time since then show.
+func (l *lease) grantShort(confirmedAt, now, length time.Duration) int64 {
+	if !l.anchor.known {
+		return 0
+	}
+	full := l.length
+	sinceConfirmed := time.Duration(float64(confirmedAt-l.anchor.at) * (1 - clockDrift))
+	ahead := time.Duration(l.latest.clock-l.anchor.clock)*time.Millisecond + time.Duration(float64(now-l.latest.at)*(1-clockDrift))
+	l.length = min(full, max(0, ahead-sinceConfirmed+length))
+	defer func() { l.length = full }()
+	return l.grant(confirmedAt)
+}
+
 // runningUntil returns the end of the latest grant on the worker's clock, and whether the lease may
 // still run.
 func (l *lease) runningUntil(now time.Duration) (until int64, running bool) {
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -107,9 +107,7 @@
 	if highest == w.storingCursor {
 		return
 	}
-	behind := w.behindWithheld()
 	w.storingCursor = highest
-	c.limitWithheld(w, behind)
 	w.endBatches = append(w.endBatches, endBatchState{cursor: highest})
 	c.actions.EndBatches = append(c.actions.EndBatches, EndBatch{Target: w.Target, Ends: newEnds, Cursor: highest})
 }
--- a/internal/dispatch/membership.go
+++ b/internal/dispatch/membership.go
@@ -222,7 +222,7 @@
 	}
 	// Each poll of a silent worker may have arrived; if they extended its lease,
 	// the lease would never expire.
-	if w.synced && w.missedPolls == 0 && !w.left && !w.retiring && !w.mustLapse() {
+	if w.synced && w.missedPolls == 0 && !w.left && !w.retiring && w.mayExtendLease() {
 		leaseUntil = w.lease.grant(c.confirmedAt)
 	}
 	if len(w.withheld) > 0 {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -43,6 +43,7 @@
 		w.reserved = resources{}
 		w.endIsolation(now)
 		w.renewProbation(now)
+		w.updateLapse(now)
 	}
 	c.renewHolds()
 	p := &plan{now: now, unclaimed: c.newUnclaimedRoom(now)}
@@ -183,7 +184,7 @@
 // its free resources and of tickets.
 func (s *step) canRunOn(w *worker, pool string, now time.Duration) bool {
 	accepts := w.acceptsRuns(now) || s.mayProbe && w.acceptsProbes(now)
-	return w.life.GetPool() == pool && accepts && s.suits(w)
+	return w.life.GetPool() == pool && accepts && s.suits(w) && w.mayStart(s)
 }
 
 // suits reports whether a worker of the step's pool has the capacity and the label that a
@@ -320,7 +321,7 @@
 	if maxPerWorker := int(s.spec.GetMaxPerWorker()); maxPerWorker > 0 {
 		n = min(n, maxPerWorker-s.runsOn[w])
 	}
-	return max(0, n)
+	return w.newRunsLeft(s, max(0, n))
 }
 
 // placeTasks starts as many of the waiting tasks as fit, requests advice for the rest,
@@ -387,7 +388,7 @@
 	r.timed = checkpoint == ""
 	order := StartOrder{
 		Target: w.Target, Task: t.key(), Run: number, Payload: s.job.spec.GetPayload(),
-		Checkpoint: checkpoint, LeaseUntil: c.leaseForStart(w, now), Clock: w.lease.latest.clock,
+		Checkpoint: checkpoint, LeaseUntil: c.leaseForStart(w, s, now), Clock: w.lease.latest.clock,
 		Superseded: t.unheard,
 	}
 	t.unheard = nil
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -84,6 +84,7 @@
 	storingCursor uint64 // ends up to this number are stored or being stored
 	endBatches    []endBatchState
 	withheld      []uint64 // numbers of listed ends that must not be acknowledged, lowest first
+	lapse         lapse    // while there are any
 	runs          map[runKey]*run
 	isolated      *run          // run of a suspect; while it is set, the worker gets no other runs
 	keptFor       *task         // suspect that starts here next; while it is set, the worker gets no other runs
--- a/internal/standin/jobs/ledger.go
+++ b/internal/standin/jobs/ledger.go
@@ -261,15 +261,12 @@
 	defer l.mu.Unlock()
 	switch outcome {
 	case "done":
-		l.doneAcknowledged[t] = true
+		for _, member := range l.representedBy(t) {
+			l.doneAcknowledged[member] = true
+		}
 		for _, r := range l.runs[t] {
-			if r.number != number || r.runner != runner || !r.done {
-				continue
-			}
-			for _, later := range l.runs[t] {
-				if later.began.After(r.over) && !l.submitted[t.Job].speculative(t.Step) {
-					l.addViolationLocked("TWICE %v run %d on %s began after run %d on %s was done, whose end is acknowledged", t, later.number, later.runner, number, runner)
-				}
+			if r.number == number && r.runner == runner && r.done {
+				l.checkNoLaterStart(t, r)
 			}
 		}
 	case "failed":
@@ -277,6 +274,35 @@
 	}
 }
 
+// representedBy returns the tasks for which an end of a task as done counts: all of its gang, as these
+// end together. The caller holds l.mu.
+func (l *Ledger) representedBy(t Task) []Task {
+	j := l.submitted[t.Job]
+	if j == nil || !j.Steps[t.Step].Gang {
+		return []Task{t}
+	}
+	members := make([]Task, j.Steps[t.Step].Count)
+	for i := range members {
+		members[i] = Task{t.Job, t.Step, i, t.Occurrence}
+	}
+	return members
+}
+
+// checkNoLaterStart checks that no run began after one that was done, and whose end is acknowledged.
+// The caller holds l.mu.
+func (l *Ledger) checkNoLaterStart(t Task, r *run) {
+	if l.submitted[t.Job].speculative(t.Step) {
+		return
+	}
+	for _, member := range l.representedBy(t) {
+		for _, later := range l.runs[member] {
+			if later.began.After(r.over) {
+				l.addViolationLocked("TWICE %v run %d on %s began after run %d of %v on %s was done, whose end is acknowledged", member, later.number, later.runner, r.number, t, r.runner)
+			}
+		}
+	}
+}
+
 // recordCrash records that a runner crashed under a run of a task.
 func (l *Ledger) recordCrash(t Task) {
 	l.mu.Lock()
--- a/internal/standin/jobs/runner.go
+++ b/internal/standin/jobs/runner.go
@@ -23,6 +23,7 @@
 	stopDelay       = 20 * time.Millisecond // time that a stop takes, and period of lease checks
 	minLateDelay    = 500 * time.Millisecond
 	maxLateDelay    = 12 * time.Second // until an order without an answer is carried out
+	maxListedEnds   = 500              // ends in one answer, oldest first
 )
 
 // RunnerConfig describes a stand-in runner.
@@ -263,6 +264,13 @@
 	r.end()
 }
 
+// Ends returns how many ends of runs the runner has listed.
+func (r *Runner) Ends() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lastEnd
+}
+
 // Up reports whether the runner works and is not about to end.
 func (r *Runner) Up() bool {
 	r.mu.Lock()
@@ -581,7 +589,7 @@
 		percent := min(99, 100*float64(time.Since(taskRun.began))/float64(max(1, taskRun.length)))
 		running = append(running, []any{taskName(t), taskRun.number, "", int(percent)})
 	}
-	for _, f := range r.finished {
+	for _, f := range r.finished[:min(len(r.finished), maxListedEnds)] {
 		ended = append(ended, []any{f.cursor, taskName(f.task), f.number, f.outcome, ""})
 	}
 	r.mu.Unlock()
