dispatch: a task whose end is being stored waits for that, also when its worker is gone

What callers would see: a task that ended as done, and whose end is in the log, is started once more (TWICE); for a gang all members that were on that worker.

Cause: WorkerGone took all runs of a worker that was replaced, or in whose place another life answered, for lost, also those whose end was listed and on its way into the log. Their tasks waited again and the next plan started them; the slower the log, the wider the window.

Change: a run whose end is listed stays with its task until that end is stored; EndsStored finds it there when its worker is gone. A proposal that fails ends the tenure, so the run cannot stay for ever.

--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -283,18 +283,12 @@
 // EndsStored handles ends that are now stored in the log: their runs are removed, and
 // their tasks, steps and jobs advance.
 func (c *Core) EndsStored(t Target, cursor uint64, ends []*egretmuxv1.RunEnd, now time.Duration) {
-	w := c.workers[t.Worker]
-	if w != nil && w.Born == t.Born {
+	if w := c.workers[t.Worker]; w != nil && w.Born == t.Born {
 		w.markEndsStored(cursor)
-	} else {
-		w = nil
 	}
 	for _, e := range ends {
 		key := TaskKey{StepKey{e.GetJob(), e.GetOccurrence(), e.GetStep()}, e.GetIndex()}
-		var r *run
-		if w != nil {
-			r = w.runs[runKey{key, e.GetRun()}]
-		}
+		r := c.findEndedRun(t, key, e.GetRun())
 		if r != nil {
 			c.removeRun(r)
 		}
@@ -302,6 +296,23 @@
 	}
 }
 
+// findEndedRun returns a run of a task whose end is being stored. Its worker may be gone since.
+func (c *Core) findEndedRun(on Target, key TaskKey, number uint64) *run {
+	if r := c.findRun(on, key, number); r != nil {
+		return r
+	}
+	s := c.steps[key.StepKey]
+	if s == nil || int(key.Index) >= len(s.tasks) {
+		return nil
+	}
+	for _, r := range s.tasks[key.Index].runs {
+		if r.number == number && r.state == ended && r.worker.Worker == on.Worker && r.worker.Born == on.Born {
+			return r
+		}
+	}
+	return nil
+}
+
 // advanceStep updates a step from the book after an end of one of its runs.
 func (c *Core) advanceStep(key TaskKey, r *run, e *egretmuxv1.RunEnd, now time.Duration) {
 	s := c.steps[key.StepKey]
--- a/internal/dispatch/membership.go
+++ b/internal/dispatch/membership.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -89,15 +90,15 @@
 )
 
 // WorkerGone removes an incarnation, with its runs. A run of one that may come back holds its task
-// until the lease has certainly expired.
+// until the lease has certainly expired, and one whose end is listed until that is stored.
 func (c *Core) WorkerGone(t Target, reason string, now time.Duration) {
 	w := c.workers[t.Worker]
 	if w == nil || w.Born != t.Born {
 		return
 	}
-	lost := w.sortedRuns()
+	lost := slices.DeleteFunc(w.sortedRuns(), func(r *run) bool { return r.state == ended })
 	for _, r := range lost {
-		if r.state != ended && (reason == GoneSilent || reason == GoneLeft) {
+		if reason == GoneSilent || reason == GoneLeft {
 			c.giveUpUnheard(r.task, w.Target, r.number, w.lease.expiresAt, now)
 		}
 		c.loseRun(r, "worker-"+reason, now)
