dispatch: the start after a run that was taken for absent supersedes it as well

What callers would see: a task is started again, and the end as done of its first run is acknowledged after the job has ended or by the next leader (TWICE), if the proof that the first run was absent is wrong.

Cause: only runs that were given up with their lease were named in the start that supersedes them. A run that a complete listing lacks, or whose start was refused as old, in a way that is not understood, or by another life, was removed without a trace; its end was withheld by the present leader alone and while the step was open alone.

Change: these runs are named too. Refusals that say that nothing began (room, ticket, lease, fence, unhealthy, not sent) are not, so a crowded worker adds nothing to the log.

--- a/internal/dispatch/answers.go
+++ b/internal/dispatch/answers.go
@@ -57,6 +57,7 @@
 		c.stopRun(r, "start-unanswered")
 		c.stopGang(r, "gang-member-unsure")
 	case AnotherIncarnation:
+		r.task.addUnheard(s.Target, s.Run)
 		c.loseRun(r, answer.String(), now)
 	default:
 		if r.state != ordered && r.state != stopping {
@@ -75,6 +76,8 @@
 		w.backoffUntil = max(w.backoffUntil, now+unhealthyBackoff)
 	case NoRoom, StaleFence:
 		w.backoffUntil = max(w.backoffUntil, now+unhealthyBackoff/4)
+	case OldRun, NotUnderstood: // neither says that the run never began
+		r.task.addUnheard(w.Target, r.number)
 	case LeaseTooOld:
 		if w.lapse.trial {
 			w.lapse.missed++
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -276,6 +276,7 @@
 	}
 	sortRuns(missing)
 	for _, r := range missing {
+		r.task.addUnheard(w.Target, r.number) // should the worker list its end after all
 		c.loseRun(r, "not-listed", now)
 	}
 }
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -31,8 +31,8 @@
 	crashes        uint32 // workers that crashed under a run of it
 	startupCrashes uint32 // those of them that crashed during its startup
 	stuckMoves     int    // how often a run of it was moved as it made no progress
-	// unheard are the runs that were given up as their worker's lease had expired, until their end
-	// is listed after all or the task is started again.
+	// unheard are the runs that were given up as their worker's lease had expired, or taken for absent,
+	// until their end is listed after all or the task is started again.
 	unheard   []*egretmuxv1.SupersededRun
 	heldUntil time.Duration // while it is set, an unheard run may go on under its lease
 	kept      *worker       // worker that is kept for it until no other run is starting there
--- a/internal/dispatch/superseded.go
+++ b/internal/dispatch/superseded.go
@@ -15,7 +15,7 @@
 
 // giveUpUnheard records that a run, which may have ended unheard, is given up. Its task gets no other
 // run before the lease has certainly expired. If the life is over, its process has ended and lists
-// nothing any more. Speculative steps let each run count.
+// nothing any more.
 func (c *Core) giveUpUnheard(t *task, on Target, number uint64, expiresAt, now time.Duration) {
 	if c.cfg.Book.LifeOver(on.Worker, on.Born) {
 		return
@@ -24,6 +24,12 @@
 		t.heldUntil = max(t.heldUntil, expiresAt)
 		c.heldTasks = append(c.heldTasks, t)
 	}
+	t.addUnheard(on, number)
+}
+
+// addUnheard records a run whose end must not count once its task is started again. Speculative steps
+// let each run count.
+func (t *task) addUnheard(on Target, number uint64) {
 	if !t.step.spec.GetSpeculative() {
 		t.unheard = append(t.unheard, &egretmuxv1.SupersededRun{Worker: on.Worker, BornUnixMs: on.Born, Run: number})
 	}
--- a/internal/dispatch/superseded_test.go
+++ b/internal/dispatch/superseded_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -162,3 +163,41 @@
 	_, cursor = h.core.GrantLease(a)
 	require.Equal(t, lapsed.Number, cursor, "with the next leader as well")
 }
+
+// Guards against TWICE: a run that a leader took for absent ends as done nevertheless. The task has been started
+// again, and the next leader, or the same one after the end of the job, acknowledged the end.
+func TestEndOfARunThatWasTakenForAbsentIsNotAcknowledgedOnceItsTaskWasStartedAgain(t *testing.T) {
+	for name, takeForAbsent := range map[string]func(h *harness, first dispatch.StartOrder){
+		"not listed": func(h *harness, first dispatch.StartOrder) {
+			h.core.StartAnswered(first, dispatch.Accepted, h.now, h.now)
+			h.advance(time.Second)
+			h.handleListing(first.Target, nil, nil)
+		},
+		"refused as old": func(h *harness, first dispatch.StartOrder) {
+			h.core.StartAnswered(first, dispatch.OldRun, h.now, h.now)
+		},
+	} {
+		for _, nextLeader := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, next leader %v", name, nextLeader), func(t *testing.T) {
+				h := newHarness(t)
+				a := h.addWorker("a", 4)
+				h.submit(id(1), tasks(1, 1))
+				h.plan()
+				require.Len(t, h.starts, 1)
+				first := h.starts[0]
+				h.starts = nil
+				b := h.addWorker("b", 4)
+				takeForAbsent(h, first)
+				h.core.PollUnanswered(a)
+				h.plan()
+				second := h.acceptStarts()[0]
+				require.Equal(t, b, second.Target)
+				endSecond(h, second)
+				if nextLeader {
+					h.beginTenure()
+				}
+				requireUnacknowledged(h, a, h.listedEnd(first, done))
+			})
+		}
+	}
+}
