job: a life of which superseded runs were forgotten is known as such

What callers would see: the end as done of a superseded run is acknowledged (TWICE), as the log no longer names the run.

Cause: of one life of a worker 500 superseded runs were remembered, and 4096 lives; the oldest were dropped without a trace, also those of workers in use.

Change: beyond the limit a mark stays in place of the oldest run, and ends of that life that no leader has stored are withheld; a lapse releases them. Lives of present workers are dropped last. The bound of 500 remembered runs is as before (TestSupersededRunsOfOneLifeAreBounded, unchanged).

--- a/internal/dispatch/superseded.go
+++ b/internal/dispatch/superseded.go
@@ -79,6 +79,9 @@
 	if c.cfg.Book.Superseded(w.Worker, w.Born, jobs.RunKey{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Index: key.Index, Run: e.Run}) {
 		return knownByLog
 	}
+	if c.cfg.Book.ForgotSuperseded(w.Worker, w.Born) && !c.endStored(e) {
+		return knownByLog
+	}
 	// A start that is being stored does not show there yet.
 	s := c.steps[key.StepKey]
 	if s == nil || int(key.Index) >= len(s.tasks) || s.spec.GetSpeculative() {
--- a/internal/dispatch/superseded_test.go
+++ b/internal/dispatch/superseded_test.go
@@ -201,3 +201,19 @@
 		}
 	}
 }
+
+// Guards against TWICE: the log no longer names each superseded run of a worker, as there were too many.
+func TestEndOfAWorkerOfWhichTooManyRunsWereSupersededIsNotAcknowledged(t *testing.T) {
+	const remembered = 500
+	h := newHarness(t)
+	a, end, second := superseded(h, done)
+	for n := range uint64(remembered + 1) {
+		h.apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_NoteStarts{NoteStarts: &egretmuxv1.NoteStarts{Starts: []*egretmuxv1.RunStart{{
+			Job: id(1), Run: second.Run + 1 + n, Worker: "b", BornUnixMs: 1,
+			Superseded: []*egretmuxv1.SupersededRun{{Worker: a.Worker, BornUnixMs: a.Born, Run: 1000 + n}},
+		}}}}})
+	}
+	h.apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_Cancel{Cancel: &egretmuxv1.CancelJob{Job: id(1)}}})
+	h.beginTenure()
+	requireUnacknowledged(h, a, end)
+}
--- a/internal/job/superseded.go
+++ b/internal/job/superseded.go
@@ -9,7 +9,7 @@
 // Bounds of the superseded runs that are remembered.
 const (
 	maxSupersededLives = 4096 // lives of workers
-	maxSupersededRuns  = 500  // of one life; a listing holds as many ends
+	maxSupersededRuns  = 500  // of one life, beside those that are forgotten; a listing holds as many ends
 )
 
 // supersededRuns remembers, by the life of their worker, the runs whose tasks were started again
@@ -31,7 +31,12 @@
 	return &supersededRuns{byLife: make(map[lifeKey][]RunKey)}
 }
 
-func (s *supersededRuns) add(life lifeKey, run RunKey) {
+// forgotten stands for runs of a life that are no longer remembered one by one: any run may be one of
+// them.
+var forgotten = RunKey{}
+
+// add remembers a run. Of too many lives the oldest that is not in use is dropped.
+func (s *supersededRuns) add(life lifeKey, run RunKey, inUse func(lifeKey) bool) {
 	runs, known := s.byLife[life]
 	if slices.Contains(runs, run) {
 		return
@@ -39,12 +44,16 @@
 	if !known {
 		s.order = append(s.order, life)
 		if len(s.order) > maxSupersededLives {
-			delete(s.byLife, s.order[0])
-			s.order = s.order[1:]
+			oldest := max(0, slices.IndexFunc(s.order, func(other lifeKey) bool { return !inUse(other) }))
+			delete(s.byLife, s.order[oldest])
+			s.order = slices.Delete(s.order, oldest, oldest+1)
 		}
 	}
-	if len(runs) >= maxSupersededRuns {
-		runs = runs[1:]
+	switch {
+	case len(runs) > maxSupersededRuns: // the first one is forgotten
+		runs[1], runs = forgotten, runs[1:]
+	case len(runs) == maxSupersededRuns:
+		runs[0] = forgotten
 	}
 	s.byLife[life] = append(runs, run)
 }
@@ -73,8 +82,10 @@
 func supersededRunsFromProto(in []*egretmuxv1.SupersededRecord) *supersededRuns {
 	s := newSupersededRuns()
 	for _, record := range in {
+		life := lifeKey{record.GetWorker(), record.GetBornUnixMs()}
+		s.order = append(s.order, life)
 		for _, r := range record.GetRuns() {
-			s.add(lifeKey{record.GetWorker(), record.GetBornUnixMs()}, RunKey{r.GetJob(), r.GetOccurrence(), r.GetStep(), r.GetIndex(), r.GetRun()})
+			s.byLife[life] = append(s.byLife[life], RunKey{r.GetJob(), r.GetOccurrence(), r.GetStep(), r.GetIndex(), r.GetRun()})
 		}
 	}
 	return s
@@ -89,7 +100,7 @@
 	for _, superseded := range e.GetSuperseded() {
 		life := lifeKey{superseded.GetWorker(), superseded.GetBornUnixMs()}
 		if _, over := b.ended.known[life]; !over {
-			b.superseded.add(life, RunKey{e.GetJob(), e.GetOccurrence(), e.GetStep(), e.GetIndex(), superseded.GetRun()})
+			b.superseded.add(life, RunKey{e.GetJob(), e.GetOccurrence(), e.GetStep(), e.GetIndex(), superseded.GetRun()}, b.inUse)
 		}
 	}
 }
@@ -102,9 +113,24 @@
 	return over
 }
 
+// inUse reports whether a life is that of a worker.
+func (b *Book) inUse(life lifeKey) bool {
+	w := b.workers[life.worker]
+	return w != nil && w.Life.GetBornUnixMs() == life.born
+}
+
 // Superseded reports whether a run on a life of a worker was superseded.
 func (b *Book) Superseded(worker string, bornUnixMs int64, run RunKey) bool {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	return slices.Contains(b.superseded.byLife[lifeKey{worker, bornUnixMs}], run)
 }
+
+// ForgotSuperseded reports whether so many runs on a life of a worker were superseded that some are not
+// remembered one by one.
+func (b *Book) ForgotSuperseded(worker string, bornUnixMs int64) bool {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	runs := b.superseded.byLife[lifeKey{worker, bornUnixMs}]
+	return len(runs) > 0 && runs[0] == forgotten
+}
