--- a/internal/standin/forwarder.go
+++ b/internal/standin/forwarder.go
@@ -17,14 +17,23 @@
 	mu     sync.Mutex
 	pairs  map[*forwardedPair]bool
 	faults LinkFaults
+	freeAt [2]time.Time // by direction: when a link of limited rate has carried what it was given
 }
 
+// Directions of a link.
+const (
+	inbound = iota
+	outbound
+)
+
 // LinkFaults are the faults of all connections of a forwarder. The zero value has
 // none.
 type LinkFaults struct {
 	Delay        time.Duration // added in both directions
 	DropInbound  bool          // drops bytes towards the target
 	DropOutbound bool          // drops bytes from the target
+	// BytesPerSecond is what all connections together carry in each direction; zero: without limit.
+	BytesPerSecond int
 }
 
 // SetFaults replaces the faults of open and new connections.
@@ -83,10 +92,10 @@
 	f.mu.Unlock()
 	var directions sync.WaitGroup
 	directions.Go(func() {
-		p.copy(upstream, downstream, func() (time.Duration, bool) { faults := f.currentFaults(); return faults.Delay, faults.DropInbound })
+		p.copy(upstream, downstream, func(n int) (time.Duration, bool) { return f.delay(inbound, n), f.currentFaults().DropInbound })
 	})
 	directions.Go(func() {
-		p.copy(downstream, upstream, func() (time.Duration, bool) { faults := f.currentFaults(); return faults.Delay, faults.DropOutbound })
+		p.copy(downstream, upstream, func(n int) (time.Duration, bool) { return f.delay(outbound, n), f.currentFaults().DropOutbound })
 	})
 	directions.Wait()
 	f.mu.Lock()
@@ -94,16 +103,31 @@
 	f.mu.Unlock()
 }
 
+// delay returns how long bytes take in one direction, behind those that were given to the link before.
+func (f *Forwarder) delay(direction, bytes int) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.faults.BytesPerSecond == 0 {
+		return f.faults.Delay
+	}
+	now := time.Now()
+	if f.freeAt[direction].Before(now) {
+		f.freeAt[direction] = now
+	}
+	f.freeAt[direction] = f.freeAt[direction].Add(time.Duration(bytes) * time.Second / time.Duration(f.faults.BytesPerSecond))
+	return f.faults.Delay + f.freeAt[direction].Sub(now)
+}
+
 // copy forwards one direction of a pair until either end closes. It drops what it
 // reads while the pair is silent or the current faults say so.
-func (p *forwardedPair) copy(to, from net.Conn, currentFaults func() (delay time.Duration, drop bool)) {
+func (p *forwardedPair) copy(to, from net.Conn, currentFaults func(bytes int) (delay time.Duration, drop bool)) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
 		p.mu.Lock()
 		discard := p.silent
 		p.mu.Unlock()
-		delay, drop := currentFaults()
+		delay, drop := currentFaults(n)
 		discard = discard || drop
 		time.Sleep(delay)
 		if n > 0 && !discard {
