dispatch: an old listing does not bring back a run that was given up

Cause: a leader that stood still for longer than a lease, and kept its term, gives up the runs of its workers first and reads the answers to its polls from before after that. A run in such an answer was adopted as present, although the log named it as superseded, and the end of a run that is present counts.

Change: runs of a listing that was asked for before the worker's runs were given up are not adopted; a run that the log names as superseded is stopped and not adopted; and an end is looked up in the log first.

--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -45,6 +45,9 @@
 		key := runKey{lr.Task, lr.Run}
 		listed[key] = true
 		r := w.runs[key]
+		if r == nil && asked < w.givenUpAt {
+			continue // the listing is from before the lease expired, and its runs have been given up
+		}
 		if r == nil {
 			r = c.adoptListedRun(w, lr, previousStops, now)
 		}
@@ -185,10 +188,10 @@
 }
 
 // adoptListedRun adds a listed run that an earlier leader started, and stops it if it
-// is not wanted any more. It returns nil if the step of the run is not open.
+// is not wanted any more. It returns nil if the step of the run is not open, or if the run is superseded.
 func (c *Core) adoptListedRun(w *worker, lr ListedRun, previousStops map[runKey]time.Duration, now time.Duration) *run {
 	s := c.steps[lr.Task.StepKey]
-	if s == nil || int(lr.Task.Index) >= len(s.tasks) || lr.Run > c.highestStart(s.tasks[lr.Task.Index]) {
+	if s == nil || int(lr.Task.Index) >= len(s.tasks) || lr.Run > c.highestStart(s.tasks[lr.Task.Index]) || c.logSupersedes(w, lr.Task, lr.Run) {
 		c.stopOrphan(w, lr, previousStops, now)
 		return nil
 	}
--- a/internal/dispatch/membership.go
+++ b/internal/dispatch/membership.go
@@ -204,6 +204,7 @@
 // endLease removes the runs of a worker whose lease has certainly expired.
 func (c *Core) endLease(w *worker, now time.Duration) {
 	w.lapsedRuns = append(w.lapsedRuns, w.crashedRuns()...)
+	w.givenUpAt = now
 	for _, r := range w.sortedRuns() {
 		if r.state != ended {
 			c.giveUpUnheard(r.task, w.Target, r.number, w.lease.expiresAt, now)
--- a/internal/dispatch/superseded.go
+++ b/internal/dispatch/superseded.go
@@ -73,12 +73,12 @@
 		return ""
 	}
 	key := e.Task
+	if c.logSupersedes(w, key, e.Run) {
+		return knownByLog
+	}
 	if w.runs[runKey{key, e.Run}] != nil {
 		return ""
 	}
-	if c.cfg.Book.Superseded(w.Worker, w.Born, jobs.RunKey{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Index: key.Index, Run: e.Run}) {
-		return knownByLog
-	}
 	if c.cfg.Book.ForgotSuperseded(w.Worker, w.Born) && !c.endStored(e) {
 		return knownByLog
 	}
@@ -94,6 +94,11 @@
 	return ""
 }
 
+// logSupersedes reports whether the log names a run as superseded.
+func (c *Core) logSupersedes(w *worker, key TaskKey, number uint64) bool {
+	return c.cfg.Book.Superseded(w.Worker, w.Born, jobs.RunKey{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Index: key.Index, Run: number})
+}
+
 // endStored reports whether the end of a run, or of a later run of its task, is stored.
 func (c *Core) endStored(e ListedEnd) (stored bool) {
 	c.cfg.Book.View(e.Task.Job, func(rec *jobs.Record) {
--- a/internal/dispatch/superseded_test.go
+++ b/internal/dispatch/superseded_test.go
@@ -217,3 +217,35 @@
 	h.beginTenure()
 	requireUnacknowledged(h, a, end)
 }
+
+// Guards against TWICE: a leader that stood still gave up the run of a worker and started the task again, and only
+// then read an answer from before. The run that this answer lists was taken for present, so that its end counted.
+func TestOldListingDoesNotMakeTheEndOfASupersededRunCount(t *testing.T) {
+	for name, plan := range map[string]bool{"started again": true, "not yet started again": false} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			a := h.addWorker("a", 4)
+			h.submit(id(1), tasks(1, 1))
+			h.plan()
+			first := h.acceptStarts()[0]
+			asked, clock := h.now, 1000+h.now.Milliseconds()
+			h.addWorker("b", 4)
+			h.core.PollUnanswered(a)
+			h.advance(testLease + time.Second)
+			if plan {
+				h.plan()
+				require.Equal(t, "b", h.acceptStarts()[0].Worker)
+			}
+			h.core.HandleListing(a, asked, h.now, dispatch.Listing{Clock: clock, Running: []dispatch.ListedRun{listedRun(first)}, Complete: true})
+			h.takeActions()
+			h.core.GrantLease(a)
+			h.core.PollUnanswered(a)
+			if !plan {
+				h.plan()
+				require.Equal(t, "b", h.acceptStarts()[0].Worker)
+			}
+			h.advance(200 * time.Millisecond)
+			requireUnacknowledged(h, a, h.listedEnd(first, done))
+		})
+	}
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -66,6 +66,7 @@
 	answeredAt     time.Duration // when it last answered a poll
 	heardAt        time.Duration // when it last answered a poll or accepted a start
 	missedPolls    int           // consecutive polls without an answer
+	givenUpAt      time.Duration // when its runs were last given up, as its lease had expired
 	backoffUntil   time.Duration // it gets no starts before
 	restUntil      time.Duration // the same, as its runs have failed
 	stepScore      float64       // score for the step being placed; lower is better
