dispatch: a forgotten superseded run is not taken for one whose end is stored

What callers would see: the end as done of a superseded run is acknowledged (TWICE) on a life of which superseded runs were forgotten, once a later run of its task has failed; or the reverse, lives on which starts are refused as malformed forget their runs, and later leaders withhold honest ends there.

Evidence: TestForgottenSupersededRunIsNotAcknowledgedAfterALaterRunHasFailed and TestRefusedStartsDoNotMakeALifeForgetful failed.

Change: of such a life only an end that is stored itself is acknowledged; refusals of malformed starts are not named. The log says known_by forgotten for the first.

--- a/internal/dispatch/answers.go
+++ b/internal/dispatch/answers.go
@@ -76,7 +76,7 @@
 		w.backoffUntil = max(w.backoffUntil, now+unhealthyBackoff)
 	case NoRoom, StaleFence:
 		w.backoffUntil = max(w.backoffUntil, now+unhealthyBackoff/4)
-	case OldRun, NotUnderstood: // neither says that the run never began
+	case OldRun: // the run may be the one that has ended there
 		r.task.addUnheard(w.Target, r.number)
 	case LeaseTooOld:
 		if w.lapse.trial {
--- a/internal/dispatch/superseded.go
+++ b/internal/dispatch/superseded.go
@@ -64,6 +64,8 @@
 const (
 	knownByLog    = "log"
 	knownByLeader = "leader" // as its step is open here
+	// knownForgotten: the log has forgotten which runs of the life are superseded, and holds no end of this one.
+	knownForgotten = "forgotten"
 )
 
 // supersededBy returns what tells that an end belongs to a superseded run, or to one beside which
@@ -79,8 +81,8 @@
 	if w.runs[runKey{key, e.Run}] != nil {
 		return ""
 	}
-	if c.cfg.Book.ForgotSuperseded(w.Worker, w.Born) && !c.endStored(e) {
-		return knownByLog
+	if c.cfg.Book.ForgotSuperseded(w.Worker, w.Born) && c.latestStoredEnd(e) != e.Run {
+		return knownForgotten
 	}
 	// A start that is being stored does not show there yet.
 	s := c.steps[key.StepKey]
@@ -100,9 +102,14 @@
 }
 
 // endStored reports whether the end of a run, or of a later run of its task, is stored.
-func (c *Core) endStored(e ListedEnd) (stored bool) {
+func (c *Core) endStored(e ListedEnd) bool { return c.latestStoredEnd(e) >= e.Run }
+
+// latestStoredEnd returns the highest run of a task whose end is stored, zero if its job has ended.
+func (c *Core) latestStoredEnd(e ListedEnd) (latest uint64) {
 	c.cfg.Book.View(e.Task.Job, func(rec *jobs.Record) {
-		stored = rec != nil && !rec.Ended() && rec.Task(e.Task.Occurrence, e.Task.Step, e.Task.Index).LastEndedRun >= e.Run
+		if rec != nil && !rec.Ended() {
+			latest = rec.Task(e.Task.Occurrence, e.Task.Step, e.Task.Index).LastEndedRun
+		}
 	})
-	return stored
+	return latest
 }
--- a/internal/dispatch/superseded_test.go
+++ b/internal/dispatch/superseded_test.go
@@ -249,3 +249,43 @@
 		})
 	}
 }
+
+// Guards against TWICE: of a life of which superseded runs were forgotten, the stored end of a later run was taken for
+// that of an earlier one.
+func TestForgottenSupersededRunIsNotAcknowledgedAfterALaterRunHasFailed(t *testing.T) {
+	h := newHarness(t)
+	a, end, second := superseded(h, done)
+	for n := range uint64(501) {
+		h.apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_Submit{Submit: &egretmuxv1.SubmitJob{Job: &egretmuxv1.Job{
+			Id: id(9), Host: "h", Prefix: "/q/", Service: "ledger", Steps: []*egretmuxv1.JobStep{tasks(1, 1)}, Attempts: 2}}}})
+		h.apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_NoteStarts{NoteStarts: &egretmuxv1.NoteStarts{Starts: []*egretmuxv1.RunStart{{
+			Job: id(9), Run: 1 + n, Worker: "b", BornUnixMs: 1,
+			Superseded: []*egretmuxv1.SupersededRun{{Worker: a.Worker, BornUnixMs: a.Born, Run: 1000 + n}},
+		}}}}})
+	}
+	h.handleListing(second.Target, nil, []dispatch.ListedEnd{h.listedEnd(second, failed)})
+	h.storeEnds()
+	h.core.PollUnanswered(a)
+	h.plan()
+	third := h.acceptStarts()
+	require.NotEmpty(t, third)
+	requireUnacknowledged(h, a, end)
+}
+
+// Guards against honest ends that are withheld: starts that a worker does not understand used up the superseded runs
+// that are remembered.
+func TestRefusedStartsDoNotMakeALifeForgetful(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a", 4)
+	h.submit(id(1), tasks(1, 1))
+	for range 600 {
+		h.plan()
+		for _, s := range h.starts {
+			h.core.StartAnswered(s, dispatch.NotUnderstood, h.now, h.now)
+		}
+		h.starts = nil
+		h.advance(10 * time.Millisecond)
+		h.handleListing(targetOf(life("a", 4)), nil, nil)
+	}
+	require.False(t, h.book.ForgotSuperseded("a", 1), "after %v", h.now)
+}
