dispatch: trials begin when their start is sent, and turns to lapse are bounded

What callers would see, since: workers with a withheld end stay closed to small tasks while the log is slow, or for good after starts that came too late; a task that lasts is taken from the only worker that may run it and not started again (LOST).

Cause: the short lease of a trial began when the start was planned, so that storing it could take longer, and the run was given up before it was sent; its length only grew; the bound of unacknowledged ends left trials out; a turn had no end.

Change: the lease of a trial is granted when its start is sent, and doubled or halved by what became of the last one; the leader counts on the full lease meanwhile, so that a run that ends first counts. After eight trials the worker works on until its turn. A turn ends after 25 s, or when nothing there can lapse; tasks that last are moved only if another worker has room, or from a worker that is nearly full. The first 490 unacknowledged ends include all trials.

--- a/internal/dispatch/actions.go
+++ b/internal/dispatch/actions.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"strconv"
 	"strings"
+	"time"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 )
@@ -70,6 +71,9 @@
 	Checkpoint string
 	Ticket     string
 	LeaseUntil int64 // end of the lease on the worker's clock, milliseconds
+	// TrialLease, unless zero, is the length of a lease that is granted when the start is sent, in place
+	// of LeaseUntil.
+	TrialLease time.Duration
 	Clock      int64 // last known reading of the worker's clock, milliseconds
 	// Superseded are earlier runs of the task that may have ended unheard.
 	Superseded []*egretmuxv1.SupersededRun
--- a/internal/dispatch/answers.go
+++ b/internal/dispatch/answers.go
@@ -80,7 +80,7 @@
 		r.task.addUnheard(w.Target, r.number)
 	case LeaseTooOld:
 		if w.lapse.trial {
-			w.lapse.missed++
+			w.lapse.doubled++
 		}
 	case TicketRefused:
 		r.task.step.advice.dropTicket(w)
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -67,7 +67,17 @@
 	if !l.anchor.known {
 		return 0
 	}
-	until := l.anchor.clock + (time.Duration(float64(confirmedAt-l.anchor.at)*(1-clockDrift)) + l.length).Milliseconds()
+	return l.extendTo(l.longestUntil(confirmedAt))
+}
+
+// longestUntil returns the end of the longest lease that a leader which was confirmed at the given time may
+// grant.
+func (l *lease) longestUntil(confirmedAt time.Duration) int64 {
+	return l.anchor.clock + (time.Duration(float64(confirmedAt-l.anchor.at)*(1-clockDrift)) + l.length).Milliseconds()
+}
+
+// extendTo extends the lease to a moment on the worker's clock, if it ends before, and returns its end.
+func (l *lease) extendTo(until int64) int64 {
 	if until <= l.grantedUntil {
 		return l.grantedUntil
 	}
@@ -77,18 +87,19 @@
 	return until
 }
 
-// grantShort is like grant for a lease that ends sooner. The worker's clock is at least as far as the
-// latest reading and the time since then show.
-func (l *lease) grantShort(confirmedAt, now, length time.Duration) int64 {
+// grantFor is like grant for a lease that ends about the given time from now. The worker's clock is at least
+// as far as the latest reading and the time since then show.
+func (l *lease) grantFor(length, confirmedAt, now time.Duration) int64 {
 	if !l.anchor.known {
 		return 0
 	}
-	full := l.length
-	sinceConfirmed := time.Duration(float64(confirmedAt-l.anchor.at) * (1 - clockDrift))
-	ahead := time.Duration(l.latest.clock-l.anchor.clock)*time.Millisecond + time.Duration(float64(now-l.latest.at)*(1-clockDrift))
-	l.length = min(full, max(0, ahead-sinceConfirmed+length))
-	defer func() { l.length = full }()
-	return l.grant(confirmedAt)
+	clock := l.latest.clock + time.Duration(float64(now-l.latest.at)*(1-clockDrift)).Milliseconds()
+	return l.extendTo(min(l.longestUntil(confirmedAt), clock+length.Milliseconds()))
+}
+
+// reserve lets the lease count as running for its full length, before it is granted.
+func (l *lease) reserve(now time.Duration) {
+	l.expiresAt = max(l.expiresAt, now+inheritedLeaseWait(l.length))
 }
 
 // runningUntil returns the end of the latest grant on the worker's clock, and whether the lease may
--- a/internal/dispatch/leftover.go
+++ b/internal/dispatch/leftover.go
@@ -99,5 +99,9 @@
 
 // hasExpiredRuns reports whether a worker's lease has certainly expired while runs count on it.
 func (w *worker) hasExpiredRuns(now time.Duration) bool {
-	return now >= w.lease.expiresAt && len(w.runs)+len(w.leftovers) > 0
+	expiresAt := w.lease.expiresAt
+	if len(w.withheld) > 0 && !w.mayExtendLease() {
+		expiresAt += lapseHearing
+	}
+	return now >= expiresAt && len(w.runs)+len(w.leftovers) > 0
 }
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -93,6 +93,7 @@
 		}
 		if r := w.runs[key]; r != nil && r.state != ended {
 			c.learnFromEnd(r, e.Outcome, now)
+			w.learnFromTrial(e.Outcome)
 			r.state = ended
 			c.markJobStarted(r.task.step.job, now)
 			r.vacate()
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -367,6 +367,7 @@
 // startTask adds a run of a task and orders its start.
 func (c *Core) startTask(t *task, w *worker, number uint64, now time.Duration) {
 	s := t.step
+	leaseUntil, trialLease := c.leaseForStart(w, s, now)
 	r := c.addRun(t, w, number, ordered, now)
 	s.idle = false
 	c.noteProbe(r, now)
@@ -388,7 +389,7 @@
 	r.timed = checkpoint == ""
 	order := StartOrder{
 		Target: w.Target, Task: t.key(), Run: number, Payload: s.job.spec.GetPayload(),
-		Checkpoint: checkpoint, LeaseUntil: c.leaseForStart(w, s, now), Clock: w.lease.latest.clock,
+		Checkpoint: checkpoint, LeaseUntil: leaseUntil, TrialLease: trialLease, Clock: w.lease.latest.clock,
 		Superseded: t.unheard,
 	}
 	t.unheard = nil
--- a/internal/dispatch/withheld.go
+++ b/internal/dispatch/withheld.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 )
 
 // The end of a superseded run is withheld: it is not acknowledged, nor is any later end of its worker,
@@ -11,37 +13,52 @@
 // between the end and the acknowledgement, and an end that lapsed proves that it has. So such a worker
 // has to let a run lapse. Nothing else releases a withheld end.
 //
-// An idle worker whose lease has expired gets one run under a lease that is shorter than the run. A busy
-// one goes on until too many ends wait; then its lease is not extended, and its turn is bounded, so that
-// gangs and tasks that last, which are spared, have other workers.
+// An idle worker whose lease has expired gets a trial: one run under a lease that is to end before the run.
+// If trials do not help, or the worker is busy, it goes on until too many ends wait. Then it gets its turn:
+// its lease is not extended. Turns are bounded in time and number, so that gangs and tasks that last, which are
+// spared, have other workers.
 
 const (
-	lapseLimit       = 100 // waiting ends beyond which a busy worker has to lapse, if it is its turn
-	urgentLapseLimit = 300 // waiting ends beyond which it has to lapse at once
-	// maxUnacknowledged bounds the unacknowledged ends and the runs of a worker with a withheld end.
-	// Its protocol lists at most 500 ends, and the end that lapses has to be among them.
+	lapseLimit = 100 // waiting ends beyond which a busy worker may get a turn
+	// maxUnacknowledged bounds the unacknowledged ends and the runs of a worker with a withheld end,
+	// beside the ends of trials. Its protocol lists at most 500, and the end that lapses has to be among them.
 	maxUnacknowledged = 450
-	maxLapsingShare   = 0.2              // largest fraction of a pool's workers whose turn it is
-	maxLapseTurn      = 10 * time.Second // after which gangs are not spared any more
-	maxTrialWait      = time.Second      // for which an idle worker waits for a run that can lapse
-
-	minLapseLease = 50 * time.Millisecond // of a run that is to lapse; its start takes some ten milliseconds
-	maxLapseLease = 500 * time.Millisecond
-	// maxLapseDoublings bounds the doublings of such a lease, one for each start that came too late.
-	maxLapseDoublings = 4
+	nearlyFull        = 400
+	maxListed         = 490
+	maxLapsingShare   = 0.2 // largest fraction of a pool's workers that have their turn
+
+	maxSparedTurn = 10 * time.Second // part of a turn after which gangs lapse, and tasks that last if any number may miss
+	maxTurn       = 25 * time.Second
+	maxIdleTurn   = 3 * time.Second // beside a lease; after it a turn ends in which nothing ran that could lapse
+	turnPause     = 10 * time.Second
+	maxTrialWait  = time.Second // for which an idle worker waits for a run that can lapse
+	// lapseHearing is the time for which the end of a run that lapsed is awaited before the run is given up.
+	lapseHearing = 700 * time.Millisecond
+
+	maxTrials     = 8 // without a lapse
+	minTrialLease = 10 * time.Millisecond
+	maxTrialLease = 500 * time.Millisecond // before it is doubled
 )
 
 // lapse is the progress of a worker with a withheld end towards a run that lapses.
 type lapse struct {
-	began  time.Duration // of the turn of a busy worker, or when an idle one was first free to lapse
-	turn   bool          // whether the lease of a busy worker is left to expire
-	trial  bool          // whether a run was started under a short lease
-	missed int           // starts that came after the end of such a lease
+	turn      bool
+	turnBegan time.Duration
+	idleSince time.Duration // in a turn, from when on nothing ran that ends by itself; zero while something does
+	restUntil time.Duration // earliest next turn
+
+	trial   bool // whether the trial run or its lease may be going on
+	trials  int
+	doubled int // how often the lease of a trial is doubled, as starts came too late; halved, as runs ended first, if negative
 
 	free      bool // whether the worker was idle and its lease had expired at the latest plan
+	freeSince time.Duration
 	impatient bool // whether gangs were not spared any more at the latest plan
 }
 
+// isSpared reports whether the runs of a step are not to lapse.
+func (s *step) isSpared() bool { return s.spec.GetLongRunning() || s.spec.GetGang() }
+
 // behindWithheld returns how many ends wait behind the first withheld one.
 func (w *worker) behindWithheld() uint64 {
 	if len(w.withheld) == 0 {
@@ -68,40 +85,44 @@
 		return
 	}
 	_, running := w.lease.runningUntil(now)
+	wasFree := l.free
 	l.free = len(w.runs) == 0 && !running
-	if l.free && l.began == 0 {
-		l.began = now
+	if l.free && !wasFree {
+		l.freeSince = now
 	}
-	limit := maxTrialWait
+	l.trial = l.trial && !l.free
 	if l.turn {
-		limit = maxLapseTurn
+		l.impatient = now-l.turnBegan >= maxSparedTurn || l.idleSince > 0 && now-l.idleSince >= maxTrialWait
+	} else {
+		l.impatient = l.free && now-l.freeSince >= maxTrialWait
 	}
-	l.impatient = l.began > 0 && now-l.began >= limit
 }
 
-// freeToLapse reports whether the next start on a worker begins a new lease, which may be short.
-func (w *worker) freeToLapse() bool { return w.lapse.free && len(w.runs) == 0 }
+// trialDue reports whether the next run of a worker is a trial.
+func (w *worker) trialDue() bool {
+	return w.lapse.free && len(w.runs) == 0 && (w.lapse.trials < maxTrials || w.lapse.turn || w.full())
+}
+
+// full reports whether a worker has nearly as many ends and runs as it may have with a withheld end, so that
+// a wide gang may find no room any more.
+func (w *worker) full() bool { return w.unacknowledged() >= nearlyFull }
+
+func (w *worker) unacknowledged() int { return int(w.behindWithheld()) + 1 + len(w.runs) }
 
 // mayExtendLease reports whether polls may extend the lease of a worker. One with a withheld end needs
-// none while it is idle, and lapses while it has a trial run, or in its turn once nothing is spared there.
+// none while it is idle, and lapses while it has a trial, or in its turn once nothing is spared there.
 func (w *worker) mayExtendLease() bool {
-	switch {
-	case len(w.withheld) == 0:
-		return true
-	case len(w.runs) == 0 || w.lapse.trial:
-		return false
-	}
-	return !w.mustLapse()
+	return len(w.withheld) == 0 || len(w.runs) > 0 && !w.lapse.trial && !w.mustLapse()
 }
 
-// mustLapse reports whether it is a worker's turn to lapse and nothing is spared there: no task that
-// lasts, and no member of a gang before the turn has taken too long.
+// mustLapse reports whether a worker has its turn and nothing is spared there: after a part of the turn
+// only tasks that last of which a limited number may miss.
 func (w *worker) mustLapse() bool {
 	if !w.lapse.turn {
 		return false
 	}
 	for _, r := range w.runs {
-		if spec := r.task.step.spec; spec.GetLongRunning() || spec.GetGang() && !w.lapse.impatient {
+		if s := r.task.step; s.isSpared() && (!w.lapse.impatient || s.spec.GetLongRunning() && s.spec.GetMayMiss() > 0) {
 			return false
 		}
 	}
@@ -117,65 +138,97 @@
 		return true
 	case s.spec.GetLongRunning():
 		return !l.turn
-	case s.spec.GetGang() && (l.turn || l.trial || l.free):
-		return l.impatient
+	case s.spec.GetGang():
+		return l.impatient || !l.turn && !l.trial && !w.trialDue()
 	}
 	return true
 }
 
 // newRunsLeft returns how many runs of a step may start on a worker as far as its withheld ends are
-// concerned, at most limit. Beside a trial run there are no others, as they would be lost as well.
+// concerned, at most limit. A trial has no other runs beside it, as they would be lost as well.
 func (w *worker) newRunsLeft(s *step, limit int) int {
-	if len(w.withheld) == 0 {
+	left := maxUnacknowledged - w.unacknowledged()
+	switch {
+	case len(w.withheld) == 0:
 		return limit
+	case s.isSpared() && w.lapse.turn: // a gang that is to lapse
+		left = maxListed - w.unacknowledged()
+	case s.isSpared():
+	case w.trialDue():
+		left = min(1, maxListed-w.unacknowledged())
+	case w.lapse.trial:
+		left = 0
 	}
-	spared := s.spec.GetLongRunning() || s.spec.GetGang()
-	if !spared && w.freeToLapse() {
-		return min(limit, 1)
-	}
-	if !spared && w.lapse.trial {
-		return 0
-	}
-	return max(0, min(limit, maxUnacknowledged-int(w.behindWithheld())-len(w.runs)))
+	return max(0, min(limit, left))
 }
 
-// leaseForStart returns the end of the lease that a start of a step on a worker carries.
-func (c *Core) leaseForStart(w *worker, s *step, now time.Duration) int64 {
-	if len(w.withheld) == 0 {
-		return w.lease.grant(c.confirmedAt)
-	}
+// leaseForStart returns the end of the lease that a start of a step on a worker carries, or, for a trial, the
+// length of the lease that is granted when the start is sent.
+func (c *Core) leaseForStart(w *worker, s *step, now time.Duration) (until int64, trial time.Duration) {
 	until, running := w.lease.runningUntil(now)
-	if spared := s.spec.GetLongRunning() || s.spec.GetGang(); spared && !w.lapse.turn {
-		w.lapse.trial = false
-		return w.lease.grant(c.confirmedAt)
-	}
 	switch {
+	case len(w.withheld) == 0 || s.isSpared() && !w.lapse.turn:
+		return w.lease.grant(c.confirmedAt), 0
 	case running && (w.lapse.trial || w.mustLapse()):
-		return until
-	case running:
+		return until, 0
+	case !running && (w.lapse.trial || w.trialDue()):
+		if !w.lapse.trial {
+			w.lapse.trial = true
+			w.lapse.trials++
+			c.addNotice(Notice{Event: "worker_lapsing", Worker: w.Worker, Reason: "trial", Behind: int(w.behindWithheld())})
+		}
+		w.lease.reserve(now)
+		return 0, w.trialLease(s)
+	}
+	return w.lease.grant(c.confirmedAt), 0
+}
+
+// trialLease returns the length of a lease that is to end in the middle of a run of a step.
+func (w *worker) trialLease(s *step) time.Duration {
+	length := min(maxTrialLease, s.expectedRun/2)
+	if w.lapse.doubled < 0 {
+		length >>= min(-w.lapse.doubled, maxTrials)
+	} else {
+		length <<= min(w.lapse.doubled, maxTrials)
+	}
+	return min(w.lease.length, max(minTrialLease, length))
+}
+
+// GrantTrialLease returns the end, on its worker's clock, of the lease of a trial whose start is about to be
+// sent.
+func (c *Core) GrantTrialLease(s StartOrder, now time.Duration) int64 {
+	w := c.workers[s.Worker]
+	switch {
+	case w == nil || w.Born != s.Born:
+		return 0
+	case !w.lapse.trial: // a run has lapsed meanwhile
 		return w.lease.grant(c.confirmedAt)
 	}
-	if !w.lapse.trial {
-		w.lapse.trial = true
-		c.addNotice(Notice{Event: "worker_lapsing", Worker: w.Worker, Reason: "idle", Behind: int(w.behindWithheld())})
+	return w.lease.grantFor(s.TrialLease, c.confirmedAt, now)
+}
+
+// learnFromTrial adapts the length of trials to one whose run ended before its lease did.
+func (w *worker) learnFromTrial(outcome egretmuxv1.RunOutcome) {
+	if w.lapse.trial && outcome != egretmuxv1.RunOutcome_RUN_OUTCOME_LAPSED {
+		w.lapse.doubled--
 	}
-	short := min(maxLapseLease, max(minLapseLease, s.expectedRun/2)) << min(w.lapse.missed, maxLapseDoublings)
-	return w.lease.grantShort(c.confirmedAt, now, short)
 }
 
-// updateLapses gives the workers with the most waiting ends their turn to lapse, and moves the tasks
-// that last away from them, as far as their steps can spare them.
+// updateLapses ends the turns that are over and gives the workers with the most waiting ends theirs.
 func (c *Core) updateLapses(now time.Duration) {
 	var waiting []*worker
 	size, lapsing := make(map[string]int), make(map[string]int) // by pool
 	for _, w := range c.workers {
-		size[w.life.GetPool()]++
+		pool := w.life.GetPool()
+		size[pool]++
 		switch {
 		case len(w.withheld) == 0:
 		case w.lapse.turn:
-			lapsing[w.life.GetPool()]++
-			c.moveLastingRuns(w, now)
-		case w.behindWithheld() > lapseLimit:
+			c.continueTurn(w, now)
+			if w.lapse.turn {
+				lapsing[pool]++
+			}
+		case w.usable() && (w.full() || w.behindWithheld() > lapseLimit && now >= w.lapse.restUntil && w.hasEndingRuns()):
 			waiting = append(waiting, w)
 		}
 	}
@@ -184,25 +237,58 @@
 	})
 	for _, w := range waiting {
 		pool := w.life.GetPool()
-		if lapsing[pool] >= max(1, int(maxLapsingShare*float64(size[pool]))) && w.behindWithheld() <= urgentLapseLimit {
+		if lapsing[pool] >= max(1, int(maxLapsingShare*float64(size[pool]))) {
 			continue
 		}
 		lapsing[pool]++
-		w.lapse.turn, w.lapse.began = true, now
+		w.lapse.turn, w.lapse.turnBegan, w.lapse.idleSince = true, now, 0
 		c.addNotice(Notice{Event: "worker_lapsing", Worker: w.Worker, Reason: "turn", Behind: int(w.behindWithheld())})
 	}
 }
 
-// moveLastingRuns stops the runs that last on a worker that has to lapse, while their steps stay within
-// the number of tasks that may be unavailable.
-func (c *Core) moveLastingRuns(w *worker, now time.Duration) {
+// hasEndingRuns reports whether a worker has runs that end by themselves.
+func (w *worker) hasEndingRuns() bool {
+	for _, r := range w.runs {
+		if !r.task.step.spec.GetLongRunning() {
+			return true
+		}
+	}
+	return false
+}
+
+// continueTurn ends the turn of a worker that takes too long, or on which nothing lapses, and moves the
+// runs that last as far as others can take them, or, from a full worker, as far as their steps can spare them.
+func (c *Core) continueTurn(w *worker, now time.Duration) {
+	l := &w.lapse
+	switch {
+	case w.hasEndingRuns():
+		l.idleSince = 0
+	case l.idleSince == 0:
+		l.idleSince = now
+	}
+	if !w.usable() || now-l.turnBegan >= maxTurn || l.idleSince > 0 && now-l.idleSince >= w.lease.length+maxIdleTurn {
+		l.turn, l.restUntil = false, now+turnPause
+		c.addNotice(Notice{Event: "worker_lapse_put_off", Worker: w.Worker, Behind: int(w.behindWithheld()), Age: now - l.turnBegan})
+		return
+	}
 	for _, r := range w.sortedRuns() {
 		s := r.task.step
 		if r.state != running || !s.spec.GetLongRunning() {
 			continue
 		}
-		if limit := int(s.spec.GetMayMiss()); limit == 0 || s.unavailableTasks() < limit {
+		if limit := int(s.spec.GetMayMiss()); (limit == 0 || s.unavailableTasks() < limit) && (w.full() || c.otherCanTake(r, now)) {
 			c.moveRun(r, "worker-lapses", now)
 		}
 	}
 }
+
+// otherCanTake reports whether another worker has room for the task of a run.
+func (c *Core) otherCanTake(r *run, now time.Duration) bool {
+	s, pool := r.task.step, r.worker.life.GetPool()
+	for _, w := range c.workers {
+		if w != r.worker && s.canRunOn(w, pool, now) && s.maxNewRuns(w, 1) > 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/dispatch/withheld_liveness_test.go
@@ -0,0 +1,167 @@
+package dispatch_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/dispatch"
+)
+
+func removeSecond(h *harness, second dispatch.StartOrder) {
+	h.core.WorkerGone(second.Target, "left", h.now)
+	h.apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_EndLife{EndLife: &egretmuxv1.EndLife{Worker: second.Worker, BornUnixMs: second.Born, Over: true}}})
+}
+
+// Guards against a worker that stays closed: starts that came too late lengthened the leases of trials for good, so that
+// each run ended before its lease.
+func TestLateStartDoesNotKeepAWorkerWithAWithheldEndFromLapsing(t *testing.T) {
+	for _, late := range []int{0, 1, 4} {
+		h := newHarness(t)
+		target, end, second := superseded(h, done)
+		w := newListingWorker(h, target, end)
+		endSecond(h, second)
+		removeSecond(h, second)
+		h.submit(id(2), tasks(5000, 1))
+		h.handleListing(target, nil, w.ends)
+		h.storeEnds()
+		for n := late; n > 0; { // refusals arrive at once
+			h.plan()
+			for _, s := range h.starts {
+				h.core.StartAnswered(s, dispatch.LeaseTooOld, h.now, h.now)
+				n--
+			}
+			h.starts = nil
+			h.advance(runnerStep)
+			w.clock += runnerStep
+			h.core.HandleListing(target, h.now, h.now, dispatch.Listing{Clock: w.clock.Milliseconds(), Ended: w.ends, Complete: true})
+			h.storeEnds()
+		}
+		elapsed := time.Duration(0)
+		for ; elapsed < withheldPeriod && w.lapsed == 0; elapsed += runnerStep {
+			w.poll()
+		}
+		t.Logf("%d late: lapsed %d after %v; ends waiting %d, last end %d", late, w.lapsed, elapsed, len(w.ends), h.endNumbers["a"])
+		if w.lapsed == 0 {
+			t.Errorf("%d late: never lapsed; %d runs in %v", late, h.endNumbers["a"]-1, elapsed)
+		}
+	}
+}
+
+// Guards against a worker that stays closed: storing a start took longer than the lease of a trial.
+func TestSlowLogDoesNotCloseAWorkerWithAWithheldEnd(t *testing.T) {
+	for _, took := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond} {
+		for _, estimate := range []uint32{200, 1000, 5000} {
+			h := newHarness(t)
+			target, end, second := superseded(h, done)
+			endSecond(h, second)
+			removeSecond(h, second)
+			step := tasks(4, 1)
+			step.EstimateMs = int64(estimate)
+			h.submit(id(2), step)
+			ends := []dispatch.ListedEnd{end}
+			h.handleListing(target, nil, ends)
+			h.storeEnds()
+			ordered, wanted := 0, 0
+			type pending struct {
+				s  dispatch.StartOrder
+				at time.Duration
+			}
+			var queue []pending
+			began := h.now
+			for h.now-began < time.Minute && wanted == 0 {
+				h.core.GrantLease(target)
+				h.advance(runnerStep / 2)
+				for len(queue) > 0 && h.now-queue[0].at >= took {
+					s := queue[0].s
+					queue = queue[1:]
+					if !h.core.StartWanted(s) {
+						h.core.StartAnswered(s, dispatch.NotSent, h.now, h.now)
+						continue
+					}
+					if s.TrialLease > 0 {
+						s.LeaseUntil = h.core.GrantTrialLease(s, h.now)
+					}
+					if (runnerClock + h.now).Milliseconds() > s.LeaseUntil {
+						h.core.StartAnswered(s, dispatch.LeaseTooOld, h.now, h.now)
+						continue
+					}
+					wanted++
+				}
+				h.handleListing(target, nil, ends)
+				h.storeEnds()
+				h.plan()
+				for _, s := range h.starts {
+					ordered++
+					queue = append(queue, pending{s, h.now})
+				}
+				h.starts = nil
+			}
+			t.Logf("store and send takes %v, estimate %d ms: ordered %d, begun %d, after %v", took, estimate, ordered, wanted, h.now-began)
+			if wanted == 0 {
+				t.Errorf("no run within a minute")
+			}
+		}
+	}
+}
+
+// Guards against LOST: a task that lasts was moved away from the only worker that may run it, and not started again.
+func TestTaskThatLastsRunsOnAWorkerWithAWithheldEndOnceThereIsNoOtherWork(t *testing.T) {
+	h := newHarness(t)
+	target, end, second := superseded(h, done)
+	w := newListingWorker(h, target, end)
+	endSecond(h, second)
+	removeSecond(h, second)
+	lasting := tasks(1, 1)
+	lasting.LongRunning, lasting.MayMiss = true, 1
+	w.lasts[id(2)] = true
+	h.submit(id(2), lasting)
+	job := 2
+	turn := func() bool {
+		return slices.ContainsFunc(h.notices, func(n dispatch.Notice) bool { return n.Event == "worker_lapsing" && n.Reason == "turn" })
+	}
+	for i := 0; i < 6000 && !turn(); i++ {
+		if len(w.running) <= 1 {
+			job++
+			h.submit(id(job), tasks(4, 1))
+		}
+		w.poll()
+	}
+	require.True(t, turn())
+	for range 6000 { // ten minutes
+		w.poll()
+	}
+	t.Logf("lapsed %d, running %d", w.lapsed, len(w.running))
+	require.NotEmpty(t, w.running, "the task that lasts has not run for ten minutes")
+}
+
+// Guards against a worker that stays closed: so many ends waited that one that lapses would not have been listed.
+func TestRunsTooShortToLapseLeaveRoomInTheListing(t *testing.T) {
+	h := newHarness(t)
+	target, end, second := superseded(h, done)
+	endSecond(h, second)
+	removeSecond(h, second)
+	step := tasks(3000, 1)
+	step.EstimateMs = 40
+	h.submit(id(2), step)
+	ends := []dispatch.ListedEnd{end}
+	most := 0
+	for range 6000 {
+		_, cursor := h.core.GrantLease(target)
+		ends = slices.DeleteFunc(ends, func(e dispatch.ListedEnd) bool { return e.Number <= cursor })
+		h.advance(runnerStep)
+		for _, s := range h.acceptStarts() {
+			ends = append(ends, h.listedEnd(s, done))
+		}
+		most = max(most, len(ends))
+		h.core.HandleListing(target, h.now, h.now, dispatch.Listing{Clock: (runnerClock + h.now).Milliseconds(), Ended: ends[:min(len(ends), maxEndsListed)], Complete: len(ends) < maxEndsListed})
+		h.takeActions()
+		h.storeEnds()
+		h.plan()
+	}
+	t.Logf("most %d, left %d", most, len(ends))
+	require.LessOrEqual(t, most, maxEndsListed)
+}
--- a/internal/dispatch/withheld_test.go
+++ b/internal/dispatch/withheld_test.go
@@ -96,6 +96,9 @@
 func (w *listingWorker) obey() {
 	for _, s := range w.h.acceptStarts() {
 		if s.Worker == w.target.Worker {
+			if s.TrialLease > 0 {
+				s.LeaseUntil = w.h.core.GrantTrialLease(s, w.h.now)
+			}
 			w.leaseUntil = max(w.leaseUntil, s.LeaseUntil)
 			w.running[s.Task], w.began[s.Task] = s, w.clock
 		}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -43,6 +43,11 @@
 // sendStart sends a start, repeats it once if it gets no answer, and reports the
 // outcome to the core.
 func (t *tenure) sendStart(s dispatch.StartOrder) {
+	if s.TrialLease > 0 {
+		t.mu.Lock()
+		s.LeaseUntil = t.core.GrantTrialLease(s, t.now())
+		t.mu.Unlock()
+	}
 	sent := t.now()
 	answer, clock := t.tryStart(s, t.answerWait())
 	repeated := answer == dispatch.Unanswered && t.stillWanted(s)
