dispatch: the model of withheld ends plays trials, and a turn takes tasks that last along after ten seconds

Change: late in a turn (10 s, as for gangs) the tasks that last are moved as far as their steps can spare them, also if no other worker has room right now, if something runs there that can lapse. The model asks for the lease of a trial as the scheduler does.

--- a/internal/dispatch/withheld.go
+++ b/internal/dispatch/withheld.go
@@ -257,7 +257,8 @@
 }
 
 // continueTurn ends the turn of a worker that takes too long, or on which nothing lapses, and moves the
-// runs that last as far as others can take them, or, from a full worker, as far as their steps can spare them.
+// runs that last as far as others can take them, or, late in the turn or from a full worker, as far as their steps
+// can spare them.
 func (c *Core) continueTurn(w *worker, now time.Duration) {
 	l := &w.lapse
 	switch {
@@ -271,12 +272,13 @@
 		c.addNotice(Notice{Event: "worker_lapse_put_off", Worker: w.Worker, Behind: int(w.behindWithheld()), Age: now - l.turnBegan})
 		return
 	}
+	pressing := w.full() || w.hasEndingRuns() && now-l.turnBegan >= maxSparedTurn
 	for _, r := range w.sortedRuns() {
 		s := r.task.step
 		if r.state != running || !s.spec.GetLongRunning() {
 			continue
 		}
-		if limit := int(s.spec.GetMayMiss()); (limit == 0 || s.unavailableTasks() < limit) && (w.full() || c.otherCanTake(r, now)) {
+		if limit := int(s.spec.GetMayMiss()); (limit == 0 || s.unavailableTasks() < limit) && (pressing || c.otherCanTake(r, now)) {
 			c.moveRun(r, "worker-lapses", now)
 		}
 	}
--- a/internal/dispatch/withheld_model_test.go
+++ b/internal/dispatch/withheld_model_test.go
@@ -449,6 +449,9 @@
 	}
 	for _, s := range starts {
 		if p.core.StartWanted(s) {
+			if s.TrialLease > 0 {
+				s.LeaseUntil = p.core.GrantTrialLease(s, p.now)
+			}
 			p.sendStart(s)
 		} else {
 			p.core.StartAnswered(s, dispatch.NotSent, p.now, p.now)
