dispatch: trials of a given-up run, beside spared tasks, and under an inherited lease

What callers would see, since: a task is started twice (TWICE), if the goroutine that sends a trial is held up between its check and its lease while the run is given up and the task started elsewhere; a task that lasts, or a gang, that started beside a trial lapses with it (AVAIL); withheld ends stay for a minute after a change of the leader.

Cause: the lease of a trial was granted without asking whether its run is still wanted; what is spared could start while a trial ran; a new leader doesn't know that a lease of its predecessor goes on, so that its trials end first and are used up; at 490 unacknowledged ends no run could come any more.

Change: no lease and no start for a run that was given up; nothing spared starts beside a trial; trials under an inherited lease are not counted; from 490 to 498 ends a run of a second or more gets a trial.

--- a/internal/dispatch/superseded_test.go
+++ b/internal/dispatch/superseded_test.go
@@ -257,7 +257,8 @@
 	a, end, second := superseded(h, done)
 	for n := range uint64(501) {
 		h.apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_Submit{Submit: &egretmuxv1.SubmitJob{Job: &egretmuxv1.Job{
-			Id: id(9), Host: "h", Prefix: "/q/", Service: "ledger", Steps: []*egretmuxv1.JobStep{tasks(1, 1)}, Attempts: 2}}}})
+			Id: id(9), Host: "h", Prefix: "/q/", Service: "ledger", Steps: []*egretmuxv1.JobStep{tasks(1, 1)}, Attempts: 2,
+		}}}})
 		h.apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_NoteStarts{NoteStarts: &egretmuxv1.NoteStarts{Starts: []*egretmuxv1.RunStart{{
 			Job: id(9), Run: 1 + n, Worker: "b", BornUnixMs: 1,
 			Superseded: []*egretmuxv1.SupersededRun{{Worker: a.Worker, BornUnixMs: a.Born, Run: 1000 + n}},
--- a/internal/dispatch/withheld.go
+++ b/internal/dispatch/withheld.go
@@ -24,7 +24,9 @@
 	// beside the ends of trials. Its protocol lists at most 500, and the end that lapses has to be among them.
 	maxUnacknowledged = 450
 	nearlyFull        = 400
-	maxListed         = 490
+	maxTrialsListed   = 490 // beyond it only runs of longRun get a trial
+	maxListed         = 498
+	longRun           = time.Second
 	maxLapsingShare   = 0.2 // largest fraction of a pool's workers that have their turn
 
 	maxSparedTurn = 10 * time.Second // part of a turn after which gangs lapse, and tasks that last if any number may miss
@@ -137,9 +139,11 @@
 	case len(w.withheld) == 0:
 		return true
 	case s.spec.GetLongRunning():
-		return !l.turn
+		return !l.turn && !l.trial
+	case s.spec.GetGang() && l.impatient:
+		return l.turn || !l.trial
 	case s.spec.GetGang():
-		return l.impatient || !l.turn && !l.trial && !w.trialDue()
+		return !l.turn && !l.trial && !w.trialDue()
 	}
 	return true
 }
@@ -147,15 +151,18 @@
 // newRunsLeft returns how many runs of a step may start on a worker as far as its withheld ends are
 // concerned, at most limit. A trial has no other runs beside it, as they would be lost as well.
 func (w *worker) newRunsLeft(s *step, limit int) int {
-	left := maxUnacknowledged - w.unacknowledged()
+	left, listed := maxUnacknowledged-w.unacknowledged(), maxTrialsListed
+	if s.expectedRun >= longRun {
+		listed = maxListed
+	}
 	switch {
 	case len(w.withheld) == 0:
 		return limit
 	case s.isSpared() && w.lapse.turn: // a gang that is to lapse
-		left = maxListed - w.unacknowledged()
+		left = listed - w.unacknowledged()
 	case s.isSpared():
 	case w.trialDue():
-		left = min(1, maxListed-w.unacknowledged())
+		left = min(1, listed-w.unacknowledged())
 	case w.lapse.trial:
 		left = 0
 	}
@@ -174,7 +181,9 @@
 	case !running && (w.lapse.trial || w.trialDue()):
 		if !w.lapse.trial {
 			w.lapse.trial = true
-			w.lapse.trials++
+			if now >= c.inheritedLeasesEnd { // else an earlier leader's lease may outlast the trial
+				w.lapse.trials++
+			}
 			c.addNotice(Notice{Event: "worker_lapsing", Worker: w.Worker, Reason: "trial", Behind: int(w.behindWithheld())})
 		}
 		w.lease.reserve(now)
@@ -195,13 +204,13 @@
 }
 
 // GrantTrialLease returns the end, on its worker's clock, of the lease of a trial whose start is about to be
-// sent.
+// sent; zero if it must not be sent any more.
 func (c *Core) GrantTrialLease(s StartOrder, now time.Duration) int64 {
 	w := c.workers[s.Worker]
 	switch {
-	case w == nil || w.Born != s.Born:
+	case c.findRun(s.Target, s.Task, s.Run) == nil: // it was given up, and its task may have been started elsewhere
 		return 0
-	case !w.lapse.trial: // a run has lapsed meanwhile
+	case !w.lapse.trial: // the worker has no withheld end any more
 		return w.lease.grant(c.confirmedAt)
 	}
 	return w.lease.grantFor(s.TrialLease, c.confirmedAt, now)
@@ -209,7 +218,7 @@
 
 // learnFromTrial adapts the length of trials to one whose run ended before its lease did.
 func (w *worker) learnFromTrial(outcome egretmuxv1.RunOutcome) {
-	if w.lapse.trial && outcome != egretmuxv1.RunOutcome_RUN_OUTCOME_LAPSED {
+	if w.lapse.trial && w.lapse.trials > 0 && outcome != egretmuxv1.RunOutcome_RUN_OUTCOME_LAPSED {
 		w.lapse.doubled--
 	}
 }
@@ -228,7 +237,7 @@
 			if w.lapse.turn {
 				lapsing[pool]++
 			}
-		case w.usable() && (w.full() || w.behindWithheld() > lapseLimit && now >= w.lapse.restUntil && w.hasEndingRuns()):
+		case w.usable() && (w.full() && len(w.runs) > 0 || w.behindWithheld() > lapseLimit && now >= w.lapse.restUntil && w.hasEndingRuns()):
 			waiting = append(waiting, w)
 		}
 	}
--- a/internal/dispatch/withheld_liveness_test.go
+++ b/internal/dispatch/withheld_liveness_test.go
@@ -165,3 +165,96 @@
 	t.Logf("most %d, left %d", most, len(ends))
 	require.LessOrEqual(t, most, maxEndsListed)
 }
+
+func idleWithheld(h *harness) (dispatch.Target, *listingWorker) {
+	target, end, second := superseded(h, done)
+	w := newListingWorker(h, target, end)
+	endSecond(h, second)
+	removeSecond(h, second)
+	h.handleListing(target, nil, w.ends)
+	h.storeEnds()
+	return target, w
+}
+
+// Guards against AVAIL: a task that lasts, or a gang, started beside a trial, and lapsed with it.
+func TestTasksThatAreSparedDoNotStartBesideATrial(t *testing.T) {
+	for _, kind := range []string{"lasting, same plan", "lasting, later", "gang, same plan", "gang, later"} {
+		t.Run(kind, func(t *testing.T) {
+			h := newHarness(t)
+			_, w := idleWithheld(h)
+			for range 30 { // idle until the lease has expired and for a second more
+				w.poll()
+			}
+			step := tasks(1, 1)
+			if kind[0] == 'l' {
+				step.LongRunning = true
+			} else {
+				step.Gang = true
+				step.Count = 2
+				step.EstimateMs = 20000
+			}
+			h.submit(id(2), tasks(1, 1))
+			w.lasts[id(3)] = true
+			if kind[len(kind)-1] == 'r' {
+				w.poll()
+			}
+			h.submit(id(3), step)
+			for i := range 100 {
+				before := w.lost
+				w.poll()
+				if w.lost > before {
+					for _, e := range w.ends {
+						if e.Task.Job == id(3) && e.Outcome == egretmuxv1.RunOutcome_RUN_OUTCOME_LAPSED {
+							t.Fatalf("the spared task lapsed after %d polls", i)
+						}
+					}
+				}
+			}
+			t.Logf("lost %d; running %d, ends %d", w.lost, len(w.running), len(w.ends))
+		})
+	}
+}
+
+// Guards against TWICE: a trial was given up and its task started elsewhere, between the check that it is wanted and its sending.
+func TestTrialThatWasGivenUpBeforeItIsSentGetsNoLease(t *testing.T) {
+	h := newHarness(t)
+	target, w := idleWithheld(h)
+	for range 30 {
+		w.poll()
+	}
+	h.submit(id(2), tasks(1, 1))
+	h.plan()
+	require.Len(t, h.starts, 1)
+	s := h.starts[0]
+	require.Positive(t, s.TrialLease)
+	h.starts = nil
+	require.True(t, h.core.StartWanted(s))
+	h.core.PollUnanswered(target)
+	h.advance(8 * time.Second)
+	h.addWorker("c", 4)
+	h.plan()
+	require.Len(t, h.starts, 1)
+	require.Equal(t, "c", h.starts[0].Worker)
+	until := h.core.GrantTrialLease(s, h.now)
+	require.LessOrEqual(t, until, (runnerClock + h.now).Milliseconds(), "a lease for a run that was given up, and runs on c")
+}
+
+// Guards against withheld ends that stay: a new leader used up its trials while the lease of the leader before went on.
+func TestNextLeaderReleasesAWithheldEndOnceTheLeaseBeforeItHasExpired(t *testing.T) {
+	for _, inherited := range []time.Duration{0, 2 * time.Second, 5500 * time.Millisecond} {
+		h := newHarness(t)
+		_, w := idleWithheld(h)
+		job := 1
+		h.beginTenure()
+		w.leaseUntil = (w.clock + inherited).Milliseconds()
+		elapsed := time.Duration(0)
+		for ; elapsed < withheldPeriod && w.lapsed == 0; elapsed += runnerStep {
+			if len(w.running) == 0 {
+				job++
+				h.submit(id(job), tasks(1, 1))
+			}
+			w.poll()
+		}
+		require.Less(t, elapsed, 2*testLease, "inherited %v: %d ends at most unacknowledged", inherited, w.most)
+	}
+}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -47,6 +47,10 @@
 		t.mu.Lock()
 		s.LeaseUntil = t.core.GrantTrialLease(s, t.now())
 		t.mu.Unlock()
+		if s.LeaseUntil == 0 {
+			t.updateCore(func(c *dispatch.Core, now time.Duration) { c.StartAnswered(s, dispatch.NotSent, now, now) })
+			return
+		}
 	}
 	sent := t.now()
 	answer, clock := t.tryStart(s, t.answerWait())
