--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -94,6 +94,7 @@
 	Runs    int           // number of runs on a worker that has announced its end
 	Behind  int           // number of ends that wait behind a withheld one
 	KnownBy string        // what tells that the run of a withheld end is superseded
+	Born    int64         // of the life that joined or is gone, Unix milliseconds
 
 	Customer string // only for decisions about its rate; no metric label
 	Pool     string // only for decisions about a pool
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -199,6 +199,7 @@
 	t := s.tasks[lr.Task.Index]
 	r := c.addRun(t, w, lr.Run, running, now)
 	r.inherited = true
+	c.addNotice(Notice{Event: "run_adopted", Job: lr.Task.Job, Task: lr.Task.String(), Worker: w.Worker, Run: lr.Run})
 	c.markJobStarted(s.job, now)
 	if t.done || (len(t.runs) > 1 && !s.spec.GetSpeculative()) {
 		c.stopRun(r, "not-wanted")
--- a/internal/dispatch/membership.go
+++ b/internal/dispatch/membership.go
@@ -80,7 +80,7 @@
 	w.answeredAt = now
 	// It may have been known before, with a lease that still runs.
 	w.lease.expiresAt = now + inheritedLeaseWait(c.cfg.Lease)
-	c.addNotice(Notice{Event: "worker_joined", Worker: life.GetWorker()})
+	c.addNotice(Notice{Event: "worker_joined", Worker: life.GetWorker(), Born: life.GetBornUnixMs()})
 }
 
 // Reasons for which an incarnation is removed that may come back. Otherwise it has certainly ended.
@@ -105,7 +105,7 @@
 	}
 	w.dropLeftovers(nil)
 	delete(c.workers, t.Worker)
-	c.addNotice(Notice{Event: "worker_gone", Worker: t.Worker, Reason: reason, Age: now - w.heardAt, Lost: len(lost)})
+	c.addNotice(Notice{Event: "worker_gone", Worker: t.Worker, Born: t.Born, Reason: reason, Age: now - w.heardAt, Lost: len(lost)})
 }
 
 // CapacityChanged takes note of a heartbeat of a known life and reports whether it has
@@ -205,6 +205,7 @@
 func (c *Core) endLease(w *worker, now time.Duration) {
 	w.lapsedRuns = append(w.lapsedRuns, w.crashedRuns()...)
 	w.givenUpAt = now
+	c.addNotice(Notice{Event: "lease_expired", Worker: w.Worker, Runs: len(w.runs) + len(w.leftovers), Age: now - w.answeredAt})
 	for _, r := range w.sortedRuns() {
 		if r.state != ended {
 			c.giveUpUnheard(r.task, w.Target, r.number, w.lease.expiresAt, now)
--- a/internal/job/book.go
+++ b/internal/job/book.go
@@ -43,6 +43,7 @@
 	Known    bool                // submit, cancel: the job exists; wave: it exists; catalogue: this or a higher version is in force
 	Conflict bool                // the catalogue in force has the same version but other content
 	Outdated bool                // life: it is over
+	NotTaken int                 // starts: how many changed nothing, as their job has ended or a later run was stored before
 	Phase    egretmuxv1.JobPhase // submit, cancel: of the known job; unspecified until it has ended
 }
 
@@ -68,9 +69,13 @@
 			}
 		}
 	case *egretmuxv1.JobCommand_NoteStarts:
+		notTaken := 0
 		for _, e := range c.NoteStarts.GetStarts() {
-			b.noteStart(e)
+			if !b.noteStart(e) {
+				notTaken++
+			}
 		}
+		return Result{NotTaken: notTaken}
 	case *egretmuxv1.JobCommand_RecordLife:
 		return b.recordLife(c.RecordLife)
 	case *egretmuxv1.JobCommand_EndLife:
--- a/internal/job/superseded.go
+++ b/internal/job/superseded.go
@@ -91,11 +91,11 @@
 	return s
 }
 
-// noteStart stores a start, and the runs that it supersedes.
-func (b *Book) noteStart(e *egretmuxv1.RunStart) {
+// noteStart stores a start, and the runs that it supersedes. It reports whether the start was new.
+func (b *Book) noteStart(e *egretmuxv1.RunStart) bool {
 	r := b.jobs[e.GetJob()]
 	if r == nil || !r.applyStart(e) {
-		return
+		return false
 	}
 	for _, superseded := range e.GetSuperseded() {
 		life := lifeKey{superseded.GetWorker(), superseded.GetBornUnixMs()}
@@ -103,6 +103,7 @@
 			b.superseded.add(life, RunKey{e.GetJob(), e.GetOccurrence(), e.GetStep(), e.GetIndex(), superseded.GetRun()}, b.inUse)
 		}
 	}
+	return true
 }
 
 // LifeOver reports whether a life of a worker is known to be over.
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -234,6 +234,7 @@
 	}
 	_, err := t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_RecordLife{RecordLife: &egretmuxv1.RecordLife{Life: life, Sequence: sequence}}}, func(result job.Result) {
 		if result.Outdated {
+			t.cfg.Logger.Info().Str("event", "heartbeat_outdated").Str("worker", life.GetWorker()).Int64("born", life.GetBornUnixMs()).Uint64("sequence", sequence).Msg("this life of the worker is over")
 			return
 		}
 		t.updateCore(func(c *dispatch.Core, now time.Duration) {
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -27,10 +27,14 @@
 			Run: s.Run, Worker: s.Worker, BornUnixMs: s.Born, Superseded: s.Superseded,
 		})
 	}
-	if _, err := t.propose(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_NoteStarts{NoteStarts: stored}}); err != nil {
+	result, err := t.propose(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_NoteStarts{NoteStarts: stored}})
+	if err != nil {
 		t.cfg.Logger.Warn().Err(err).Str("event", "starts_not_stored").Int("starts", len(starts)).Msg("")
 		return
 	}
+	if result.NotTaken > 0 {
+		t.cfg.Logger.Info().Str("event", "starts_not_taken").Int("starts", result.NotTaken).Msg("their jobs have ended, or later runs of their tasks were stored before")
+	}
 	for _, s := range starts {
 		if !t.stillWanted(s) {
 			t.updateCore(func(c *dispatch.Core, now time.Duration) { c.StartAnswered(s, dispatch.NotSent, now, now) })
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -203,6 +203,9 @@
 	if n.Run != 0 {
 		e = e.Uint64("run", n.Run)
 	}
+	if n.Born != 0 {
+		e = e.Int64("born", n.Born)
+	}
 	if n.Age != 0 {
 		e = e.Int64("age_ms", n.Age.Milliseconds())
 	}
