scheduler: a late heartbeat does not end the life that has taken its worker's place

What callers saw: a task ran twice at a time, on a worker that was up and on the one on which it was started again.

Cause: a worker whose time of day went back starts again with an earlier birth. A late heartbeat of its former life names a later one, so the leader ended the life that runs as replaced, and started its runs again at once, before the log told that the heartbeat's life was over. The same for another worker at the former one's address. Class: acting on a claim before it is checked.

Change: the log is asked first. If it does not know that life as over, each life that would end is polled: one that answers is not over, so the heartbeat is late. If none answers within 250 ms, births decide as before. heartbeat_outdated tells which of the two it was.

--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -8,6 +8,7 @@
 	"github.com/egretmux/egretmux/internal/dispatch"
 	"github.com/egretmux/egretmux/internal/job"
 	"github.com/egretmux/egretmux/internal/refusal"
+	"github.com/egretmux/egretmux/internal/telemetry"
 )
 
 // noCatalogue returns the refusal of calls before the first configuration. Its kind
@@ -227,6 +228,10 @@
 	t.mu.Lock()
 	replaced := t.core.ReplacedBy(life)
 	t.mu.Unlock()
+	if late, evidence := t.isOver(ctx, life, replaced); late {
+		t.logOutdated(life, sequence, evidence)
+		return false, nil
+	}
 	for _, old := range replaced {
 		if err := t.retireCrashed(ctx, old, "replaced"); err != nil {
 			return false, err
@@ -234,7 +239,7 @@
 	}
 	_, err := t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_RecordLife{RecordLife: &egretmuxv1.RecordLife{Life: life, Sequence: sequence}}}, func(result job.Result) {
 		if result.Outdated {
-			t.cfg.Logger.Info().Str("event", "heartbeat_outdated").Str("worker", life.GetWorker()).Int64("born", life.GetBornUnixMs()).Uint64("sequence", sequence).Msg("this life of the worker is over")
+			t.logOutdated(life, sequence, overByLog)
 			return
 		}
 		t.updateCore(func(c *dispatch.Core, now time.Duration) {
@@ -254,6 +259,38 @@
 	return t.core.Knows(target), nil
 }
 
+// What shows that a life of a worker is over.
+const (
+	overByLog  = "log"
+	overByPoll = "poll" // a life that it would have replaced has answered after its heartbeat came
+)
+
+// lifeProbeTimeout limits the poll of a life that a heartbeat would end. The heartbeat is to be stored within the time of
+// a call to the leader.
+const lifeProbeTimeout = 250 * time.Millisecond
+
+// isOver reports whether a life is over whose heartbeat would end others, and what shows that. The births tell which
+// life is the later one only while the time of day of a worker does not go back between two of them.
+func (t *tenure) isOver(ctx context.Context, life *egretmuxv1.WorkerLife, replaced []dispatch.Target) (over bool, evidence string) {
+	if t.book.LifeOver(life.GetWorker(), life.GetBornUnixMs()) {
+		return true, overByLog
+	}
+	ctx, cancel := context.WithTimeout(ctx, lifeProbeTimeout)
+	defer cancel()
+	for _, other := range replaced {
+		if _, result := t.cfg.WorkerClient.Poll(ctx, Poll{Target: other, Fence: t.term}); result == PollAnswered {
+			return true, overByPoll
+		}
+	}
+	return false, ""
+}
+
+func (t *tenure) logOutdated(life *egretmuxv1.WorkerLife, sequence uint64, evidence string) {
+	telemetry.Count(`heartbeats_refused_total{reason="outdated"}`)
+	t.cfg.Logger.Info().Str("event", "heartbeat_outdated").Str("worker", life.GetWorker()).Int64("born", life.GetBornUnixMs()).Uint64("sequence", sequence).
+		Str("reason", evidence).Msg("this life of the worker is over")
+}
+
 // resizeWorker stores a heartbeat with another capacity, so that the next leader does not
 // start from the one before, and then uses it.
 func (t *tenure) resizeWorker(ctx context.Context, life *egretmuxv1.WorkerLife, sequence uint64) error {
