dispatch: ends of a listing are taken by their numbers

What callers saw: a task was started again after an end that was acknowledged.

Cause: withheld ends are kept back from the first listed one on, and the protocol does not say in which order ends are listed. With the later of two listed first, the earlier one was acknowledged. Class: an order that nobody promised.

Change: ends are sorted by number before they are handled.

Evidence: TestWithheldEndsAreKeptBackInWhateverOrderTheyAreListed failed before (cursor 1 where 0 is due) and passes; the other tests of internal/dispatch are as before, with the known red ones.

--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -76,7 +76,7 @@
 func (c *Core) handleEnds(w *worker, ends []ListedEnd, listed map[runKey]bool, now time.Duration) {
 	var newEnds []*egretmuxv1.RunEnd
 	highest := w.storingCursor
-	for _, e := range ends {
+	for _, e := range inOrder(ends) {
 		key := runKey{e.Task, e.Run}
 		listed[key] = true
 		w.dropLeftover(key)
@@ -116,6 +116,15 @@
 	c.actions.EndBatches = append(c.actions.EndBatches, EndBatch{Target: w.Target, Ends: newEnds, Cursor: highest})
 }
 
+// inOrder returns ends by their numbers, lowest first. Workers may list them in any order.
+func inOrder(ends []ListedEnd) []ListedEnd {
+	byNumber := func(a, b ListedEnd) int { return cmp.Compare(a.Number, b.Number) }
+	if slices.IsSortedFunc(ends, byNumber) {
+		return ends
+	}
+	return slices.SortedFunc(slices.Values(ends), byNumber)
+}
+
 func runEndOf(e ListedEnd) *egretmuxv1.RunEnd {
 	return &egretmuxv1.RunEnd{
 		Job: e.Task.Job, Occurrence: e.Task.Occurrence, Step: e.Task.Step, Index: e.Task.Index,
