job: a start that is stored after a later one names its superseded runs

What callers saw: a task was started again after an end that was acknowledged.

Cause: a start names the runs that it supersedes, and the core forgets them with the order. If its worker is replaced before the start is stored, the next start does not name them; if that one is stored first, the log dropped the names with the outdated start. Class: a decision that depends on the order in which independent commands are stored. Found by reading; seen in no run.

Change: the names are stored unless the job has ended, whether or not the start is new.

Evidence: TestStartThatIsStoredAfterALaterOneNamesItsSupersededRun failed before; tests of internal/job pass, of internal/dispatch as before.

--- a/internal/job/superseded.go
+++ b/internal/job/superseded.go
@@ -91,19 +91,21 @@
 	return s
 }
 
-// noteStart stores a start, and the runs that it supersedes. It reports whether the start was new.
+// noteStart stores a start, and the runs that it supersedes. It reports whether the start was new. Starts of a task may be
+// stored in another order than they were decided on; the runs that one of them names are superseded in any case.
 func (b *Book) noteStart(e *egretmuxv1.RunStart) bool {
 	r := b.jobs[e.GetJob()]
-	if r == nil || !r.applyStart(e) {
+	if r == nil || r.Ended() || !r.hasTask(e) {
 		return false
 	}
+	taken := r.applyStart(e)
 	for _, superseded := range e.GetSuperseded() {
 		life := lifeKey{superseded.GetWorker(), superseded.GetBornUnixMs()}
 		if _, over := b.ended.known[life]; !over {
 			b.superseded.add(life, RunKey{e.GetJob(), e.GetOccurrence(), e.GetStep(), e.GetIndex(), superseded.GetRun()}, b.inUse)
 		}
 	}
-	return true
+	return taken
 }
 
 // LifeOver reports whether a life of a worker is known to be over.
--- a/internal/job/superseded_test.go
+++ b/internal/job/superseded_test.go
@@ -87,3 +87,18 @@
 	require.True(t, b.Superseded("a", 1, job.RunKey{Job: testJob, Run: 11}))
 	require.True(t, b.Superseded("a", 1, job.RunKey{Job: testJob, Run: listed + 10}))
 }
+
+// Guards against TWICE: starts are proposed independently. One that was stored after a later one of its task was dropped
+// with the superseded run that it names, whose end the next leader acknowledged.
+func TestStartThatIsStoredAfterALaterOneNamesItsSupersededRun(t *testing.T) {
+	first := job.RunKey{Job: testJob, Run: 1}
+	b := newBookWithLapsedRun(t)
+	result := apply(t, b, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_NoteStarts{NoteStarts: &egretmuxv1.NoteStarts{Starts: []*egretmuxv1.RunStart{{
+		Job: testJob, Run: 3, Worker: "b", BornUnixMs: 1,
+	}}}}})
+	require.Zero(t, result.NotTaken)
+	result = apply(t, b, supersedingStart(2, 1))
+	require.Equal(t, 1, result.NotTaken, "it is not sent")
+	require.True(t, b.Superseded("a", 1, first))
+	b.View(testJob, func(r *job.Record) { require.Equal(t, uint64(3), r.Task(0, 0, 0).LastStartedRun) })
+}
