dispatch: superseded runs are named until a start that names them is stored

What callers saw: a task was started again after an end that was acknowledged.

Cause: the core forgot the superseded runs of a task as it ordered the start that names them. If that run was removed before its start was stored, the next start did not name them; if that one completed the job first, the log dropped the earlier start with its names.

Change: a run keeps the names until its start is stored, and gives them back to its task if it is removed before.

Evidence: TestStartThatTakesThePlaceOfAnUnstoredOneNamesItsSupersededRuns failed before (the end was acknowledged); tests of internal/dispatch as before, with the known red ones.

--- a/internal/dispatch/answers.go
+++ b/internal/dispatch/answers.go
@@ -16,6 +16,13 @@
 	return w.runs[runKey{task, number}]
 }
 
+// StartStored records that the log holds a start, or never will, as its job has ended.
+func (c *Core) StartStored(s StartOrder) {
+	if r := c.findRun(s.Target, s.Task, s.Run); r != nil {
+		r.superseding = nil
+	}
+}
+
 // StartWanted reports whether a start should still be sent after it was stored. If the end of
 // its job was stored before it, the log does not hold the start, and a later leader would not
 // know of the run.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -388,6 +388,7 @@
 	}
 	delete(r.worker.runs, runKey{r.task.key(), r.number})
 	r.task.removeRun(r)
+	r.task.unheard = append(r.task.unheard, r.superseding...) // the next start names them as well
 	s := r.task.step
 	c.unplaced[s] = struct{}{}
 	if s.runsOn[r.worker]--; s.runsOn[r.worker] <= 0 {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -392,7 +392,7 @@
 		Checkpoint: checkpoint, LeaseUntil: leaseUntil, TrialLease: trialLease, Clock: w.lease.latest.clock,
 		Superseded: t.unheard,
 	}
-	t.unheard = nil
+	r.superseding, t.unheard = t.unheard, nil
 	if issued, ok := s.advice.tickets[w]; ok {
 		order.Ticket = issued.value
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -211,5 +211,7 @@
 	paceInFlight         bool    // a pace order is being sent
 	overRate             bool    // whether its step came after those within rate when it was added
 	probe                bool    // whether it was started to probe a failing worker
-	progress             progress
+	// superseding are the runs that its start names as superseded, until the start is stored.
+	superseding []*egretmuxv1.SupersededRun
+	progress    progress
 }
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -35,6 +35,11 @@
 	if result.NotTaken > 0 {
 		t.cfg.Logger.Info().Str("event", "starts_not_taken").Int("starts", result.NotTaken).Msg("their jobs have ended, or later runs of their tasks were stored before")
 	}
+	t.mu.Lock()
+	for _, s := range starts {
+		t.core.StartStored(s)
+	}
+	t.mu.Unlock()
 	for _, s := range starts {
 		if !t.stillWanted(s) {
 			t.updateCore(func(c *dispatch.Core, now time.Duration) { c.StartAnswered(s, dispatch.NotSent, now, now) })
