scheduler: a heartbeat ends other lives only once its own life has answered

What callers saw: as before, a task ran twice at a time.

Cause: the fix of late heartbeats asked the life that would end, and went by births if it did not answer within 250 ms. A worker that answers in 300 ms, or whose answers are lost, lost its life to a late heartbeat all the same.

Change: the life of the heartbeat is polled instead. If another life answers in its place, it is over. If nothing does, the heartbeat is not acknowledged and ends nothing; the worker sends the next one.

--- a/internal/scheduler/births_that_go_back_test.go
+++ b/internal/scheduler/births_that_go_back_test.go
@@ -13,17 +13,17 @@
 	"github.com/egretmux/egretmux/internal/scheduler"
 )
 
-// restartedWorkers implements scheduler.WorkerClient. All polls and starts of a life other than the current one are
-// answered by that.
+// restartedWorkers implements scheduler.WorkerClient. Polls of a life other than the current one have the result ofOthers.
 type restartedWorkers struct {
 	*fakeWorkers
-	current atomic.Int64 // birth of the life that answers
+	current  atomic.Int64 // birth of the life that answers
+	ofOthers scheduler.PollResult
 }
 
 func (r *restartedWorkers) Poll(ctx context.Context, poll scheduler.Poll) (dispatch.Listing, scheduler.PollResult) {
 	if poll.Born != r.current.Load() {
 		time.Sleep(5 * time.Millisecond)
-		return dispatch.Listing{}, scheduler.PollAnotherIncarnation
+		return dispatch.Listing{}, r.ofOthers
 	}
 	return r.fakeWorkers.Poll(ctx, poll)
 }
@@ -33,7 +33,7 @@
 func startWithRestartedWorker(t *testing.T, second *egretmuxv1.WorkerLife) (*scheduler.Scheduler, *restartedWorkers, *egretmuxv1.WorkerLife) {
 	t.Helper()
 	first := &egretmuxv1.WorkerLife{Worker: "w", BornUnixMs: 9000, Address: "w:1", Pool: "p", CpuMillis: 4000, MemoryMib: 1000}
-	r := &restartedWorkers{fakeWorkers: &fakeWorkers{held: func(dispatch.StartOrder) bool { return true }}}
+	r := &restartedWorkers{fakeWorkers: &fakeWorkers{held: func(dispatch.StartOrder) bool { return true }}, ofOthers: scheduler.PollAnotherIncarnation}
 	r.current.Store(first.GetBornUnixMs())
 	s := startLeader(t, r.fakeWorkers, func(cfg *scheduler.Config) { cfg.WorkerClient = r })
 	_, err := s.PutCatalogue(t.Context(), catalogue(1, "one"))
@@ -73,18 +73,23 @@
 }
 
 // Guards against TWICE as above, where the log does not know that the life of the heartbeat is over: the worker had started
-// again before the cell heard of it.
-func TestHeartbeatDoesNotEndALifeThatAnswers(t *testing.T) {
-	r := &restartedWorkers{fakeWorkers: &fakeWorkers{held: func(dispatch.StartOrder) bool { return true }}}
-	second := &egretmuxv1.WorkerLife{Worker: "w", BornUnixMs: 5000, Address: "w:1", Pool: "p", CpuMillis: 4000, MemoryMib: 1000}
-	r.current.Store(second.GetBornUnixMs())
-	s := startLeader(t, r.fakeWorkers, func(cfg *scheduler.Config) { cfg.WorkerClient = r })
-	_, err := s.PutCatalogue(t.Context(), catalogue(1, "one"))
-	require.NoError(t, err)
-	require.NoError(t, s.HandleHeartbeat(t.Context(), &egretmuxv1.WorkerBeat{Life: second, Sequence: 1}))
-	require.NoError(t, untilNotShed(func() error { return submitOneTask(t.Context(), s) }))
-	require.Eventually(t, func() bool { return r.startCount() == 1 }, 10*time.Second, 5*time.Millisecond)
-	first := &egretmuxv1.WorkerLife{Worker: "w", BornUnixMs: 9000, Address: "w:1", Pool: "p", CpuMillis: 4000, MemoryMib: 1000}
-	require.NoError(t, s.HandleHeartbeat(t.Context(), &egretmuxv1.WorkerBeat{Life: first, Sequence: 2}))
-	require.Never(t, func() bool { return r.startCount() > 1 || s.WorkerCount() != 1 }, time.Second, 5*time.Millisecond)
+// again before the cell heard of it, or its answers come too late or not at all.
+func TestHeartbeatOfALifeThatDoesNotAnswerEndsNoOther(t *testing.T) {
+	for name, result := range map[string]scheduler.PollResult{"another life answers": scheduler.PollAnotherIncarnation, "nothing answers": scheduler.PollUnanswered} {
+		t.Run(name, func(t *testing.T) {
+			r := &restartedWorkers{fakeWorkers: &fakeWorkers{held: func(dispatch.StartOrder) bool { return true }}, ofOthers: result}
+			second := &egretmuxv1.WorkerLife{Worker: "w", BornUnixMs: 5000, Address: "w:1", Pool: "p", CpuMillis: 4000, MemoryMib: 1000}
+			r.current.Store(second.GetBornUnixMs())
+			s := startLeader(t, r.fakeWorkers, func(cfg *scheduler.Config) { cfg.WorkerClient = r })
+			_, err := s.PutCatalogue(t.Context(), catalogue(1, "one"))
+			require.NoError(t, err)
+			require.NoError(t, s.HandleHeartbeat(t.Context(), &egretmuxv1.WorkerBeat{Life: second, Sequence: 1}))
+			require.NoError(t, untilNotShed(func() error { return submitOneTask(t.Context(), s) }))
+			require.Eventually(t, func() bool { return r.startCount() == 1 }, 10*time.Second, 5*time.Millisecond)
+			first := &egretmuxv1.WorkerLife{Worker: "w", BornUnixMs: 9000, Address: "w:1", Pool: "p", CpuMillis: 4000, MemoryMib: 1000}
+			err = s.HandleHeartbeat(t.Context(), &egretmuxv1.WorkerBeat{Life: first, Sequence: 2})
+			require.Equal(t, result == scheduler.PollUnanswered, err != nil, "what cannot be checked is not acknowledged")
+			require.Never(t, func() bool { return r.startCount() > 1 || s.WorkerCount() != 1 }, time.Second, 5*time.Millisecond)
+		})
+	}
 }
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -228,9 +228,10 @@
 	t.mu.Lock()
 	replaced := t.core.ReplacedBy(life)
 	t.mu.Unlock()
-	if late, evidence := t.isOver(ctx, life, replaced); late {
-		t.logOutdated(life, sequence, evidence)
-		return false, nil
+	if len(replaced) > 0 {
+		if over, err := t.isOver(ctx, life, sequence); over || err != nil {
+			return false, err
+		}
 	}
 	for _, old := range replaced {
 		if err := t.retireCrashed(ctx, old, "replaced"); err != nil {
@@ -262,27 +263,31 @@
 // What shows that a life of a worker is over.
 const (
 	overByLog  = "log"
-	overByPoll = "poll" // a life that it would have replaced has answered after its heartbeat came
+	overByPoll = "poll" // another life has answered in its place
 )
 
-// lifeProbeTimeout limits the poll of a life that a heartbeat would end. The heartbeat is to be stored within the time of
-// a call to the leader.
-const lifeProbeTimeout = 250 * time.Millisecond
+// lifeProbeTimeout limits the poll of a life that would end others. Its heartbeat is to be stored within the time of a
+// call to the leader.
+const lifeProbeTimeout = 400 * time.Millisecond
 
-// isOver reports whether a life is over whose heartbeat would end others, and what shows that. The births tell which
-// life is the later one only while the time of day of a worker does not go back between two of them.
-func (t *tenure) isOver(ctx context.Context, life *egretmuxv1.WorkerLife, replaced []dispatch.Target) (over bool, evidence string) {
+// isOver reports whether a life is over whose heartbeat would end others, as births tell which life is the later one only
+// while the time of day does not go back. A life that is over does not answer, so nothing is ended before it has.
+func (t *tenure) isOver(ctx context.Context, life *egretmuxv1.WorkerLife, sequence uint64) (bool, error) {
 	if t.book.LifeOver(life.GetWorker(), life.GetBornUnixMs()) {
-		return true, overByLog
+		t.logOutdated(life, sequence, overByLog)
+		return true, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, lifeProbeTimeout)
 	defer cancel()
-	for _, other := range replaced {
-		if _, result := t.cfg.WorkerClient.Poll(ctx, Poll{Target: other, Fence: t.term}); result == PollAnswered {
-			return true, overByPoll
-		}
+	switch _, result := t.cfg.WorkerClient.Poll(ctx, Poll{Target: targetOf(life), Fence: t.term}); result {
+	case PollAnswered:
+		return false, nil
+	case PollAnotherIncarnation:
+		t.logOutdated(life, sequence, overByPoll)
+		return true, nil
 	}
-	return false, ""
+	telemetry.Count(`heartbeats_refused_total{reason="unconfirmed"}`)
+	return false, refusal.New(refusal.Shed, "send the next heartbeat", "worker %q, started at %d ms, does not answer polls, and other lives would end with its heartbeat", life.GetWorker(), life.GetBornUnixMs()).WithRetryAfter(time.Second)
 }
 
 func (t *tenure) logOutdated(life *egretmuxv1.WorkerLife, sequence uint64, evidence string) {
