--- a/internal/standin/jobs/client.go
+++ b/internal/standin/jobs/client.go
@@ -162,6 +162,13 @@
 	for ctx.Err() == nil {
 		switch state := c.State(ctx, j.ID); state {
 		case wantState:
+			c.Ledger.recordShown(j.ID, state)
+			return
+		case "gone":
+			if c.Ledger.mayBeForgotten(j) {
+				return
+			}
+			c.Ledger.AddViolation("LOST %s is not known", j.ID)
 			return
 		case "queued", "running", "":
 			time.Sleep(pollPeriod)
--- a/internal/standin/jobs/watch.go
+++ b/internal/standin/jobs/watch.go
@@ -105,7 +105,7 @@
 	defer r.mu.Unlock()
 	room := Room{
 		Runner: r, CPU: r.cpu, MemMB: r.cfg.MemMB, TotalCPU: r.cpu, runsByStep: make(map[string]int),
-		AcceptsNewRuns: !r.ended && !r.crashed && !r.draining && !r.cutOff,
+		AcceptsNewRuns: !r.ended && !r.crashed && !r.draining && r.loss == (Loss{}),
 	}
 	for t, taskRun := range r.running {
 		room.CPU -= taskRun.cpu
