--- a/internal/dispatch/superseded_test.go
+++ b/internal/dispatch/superseded_test.go
@@ -176,6 +176,9 @@
 		"refused as old": func(h *harness, first dispatch.StartOrder) {
 			h.core.StartAnswered(first, dispatch.OldRun, h.now, h.now)
 		},
+		"refused by another life": func(h *harness, first dispatch.StartOrder) {
+			h.core.StartAnswered(first, dispatch.AnotherIncarnation, h.now, h.now)
+		},
 	} {
 		for _, nextLeader := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, next leader %v", name, nextLeader), func(t *testing.T) {
