--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -93,6 +93,7 @@
 	require.Len(t, h.stops, 1)
 	h.plan()
 	require.Empty(t, h.starts)
+	h.now += 10 * time.Millisecond
 	asked := h.now
 	h.now += 10 * time.Millisecond
 	h.core.StopAnswered(h.stops[0], true, h.now)
--- a/internal/dispatch/single_run_test.go
+++ b/internal/dispatch/single_run_test.go
@@ -70,6 +70,8 @@
 	first, second := supersededUnstored(h)
 	h.advance(100 * time.Millisecond)
 	h.handleListing(first.Target, []dispatch.ListedRun{listedRun(first)}, nil)
+	require.Len(t, h.stops, 1)
+	require.Equal(t, first.Run, h.stops[0].Run)
 	h.store(second)
 	requireUnacknowledged(h, first.Target, h.listedEnd(first, done))
 }
