--- a/internal/dispatch/absence_test.go
+++ b/internal/dispatch/absence_test.go
@@ -205,3 +205,101 @@
 		require.Len(t, h.starts, 2)
 	})
 }
+
+// Guards against TWICE: the lease of a worker expired while the end of its run, as done, was being stored, and the run was
+// given up.
+func TestRunWhoseEndIsBeingStoredIsNotGivenUpWithTheLease(t *testing.T) {
+	h := newHarness(t)
+	first := startOne(h)
+	h.core.StartAnswered(first, dispatch.Accepted, h.now, h.now)
+	h.handleListing(first.Target, nil, []dispatch.ListedEnd{h.listedEnd(first, done)})
+	h.core.PollUnanswered(first.Target)
+	h.advance(2 * testLease)
+	h.handleListing(targetOf(life("b", 4)), nil, nil)
+	h.plan()
+	require.Empty(t, h.starts)
+	h.storeEnds()
+	require.Equal(t, egretmuxv1.JobPhase_JOB_PHASE_COMPLETED, h.phase(id(1)))
+}
+
+// Guards against TWICE: two heartbeats of a new life were stored one after the other, and the second one replaced the worker
+// with its runs.
+func TestLifeThatIsStoredAgainKeepsItsRuns(t *testing.T) {
+	h := newHarness(t)
+	first := startOne(h)
+	h.core.WorkerJoined(life("a", 4), h.now)
+	require.True(t, h.core.MayRun(first.Target))
+	require.True(t, h.core.StartWanted(first))
+}
+
+// Guards against TWICE: a worker was retired while a run was there, or its lease had not expired.
+func TestWorkerIsRetiredOnlyOnceNothingCanRunThere(t *testing.T) {
+	const limit = time.Second
+	t.Run("silent with a run", func(t *testing.T) {
+		h := newHarness(t)
+		first := startOne(h)
+		h.core.StartAnswered(first, dispatch.Accepted, h.now, h.now)
+		later := h.now + 2*testLease // no tick has given the run up yet
+		require.NotContains(t, h.core.WorkersSilentFor(limit, later), first.Target)
+		require.False(t, h.core.RetireSilent(first.Target, limit, later))
+	})
+	t.Run("silent with a lease", func(t *testing.T) {
+		h := newHarness(t)
+		a := h.addWorker("a", 4)
+		h.advance(10 * time.Second)
+		h.handleListing(a, nil, nil)
+		h.advance(time.Millisecond)
+		until, _ := h.core.GrantLease(a)
+		require.Positive(t, until)
+		for 1000+h.now.Milliseconds() < until {
+			require.False(t, h.core.RetireSilent(a, limit, h.now), "%v", h.now)
+			h.now += 100 * time.Millisecond
+		}
+		require.True(t, h.core.RetireSilent(a, limit, h.now+time.Second))
+	})
+	t.Run("left with a run", func(t *testing.T) {
+		h := newHarness(t)
+		first := startOne(h)
+		h.core.WorkerLeft(first.Target, true, h.now)
+		require.False(t, h.core.RetireLeft(first.Target))
+	})
+	t.Run("left without a run", func(t *testing.T) {
+		h := newHarness(t)
+		a := h.addWorker("a", 4)
+		h.core.WorkerLeft(a, true, h.now)
+		require.True(t, h.core.RetireLeft(a))
+		h.handleListing(a, nil, []dispatch.ListedEnd{{Number: 1, Run: 1, Outcome: done, TaskParsed: true}})
+		require.Empty(t, h.endBatches, "the end of its life is being stored")
+	})
+}
+
+// Guards against TWICE: a leader that finds the worker of a stored run gone gave the next start the number of that run. The
+// log does not take such a start, so that the next leader would not know of it.
+func TestNextLeaderNumbersStartsAfterTheStoredRunOfARetiredWorker(t *testing.T) {
+	h := newHarness(t)
+	_, first := retireWithRun(h)
+	h.beginTenure()
+	b := h.addWorker("b", 4)
+	h.advance(testLease + time.Second)
+	h.handleListing(b, nil, nil)
+	h.plan()
+	require.Len(t, h.starts, 1)
+	require.Greater(t, h.starts[0].Run, first.Run)
+}
+
+// Guards against TWICE: the stored run of a former life, which is not known to be over, was taken for one of the life that
+// the log holds, and for absent as that lists no runs.
+func TestRunOfAFormerLifeIsNotProvenAbsentByTheListingOfTheNextOne(t *testing.T) {
+	h := newHarness(t)
+	_, first := retireWithRun(h)
+	next := life("a", 4)
+	next.BornUnixMs = 2
+	h.apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_RecordLife{RecordLife: &egretmuxv1.RecordLife{Life: next}}})
+	h.beginTenure()
+	for h.now < testLease {
+		h.advance(100 * time.Millisecond)
+		h.handleListing(targetOf(next), nil, nil)
+		h.plan()
+		require.Empty(t, h.starts, "%v after the beginning of the tenure; run %d may go on", h.now, first.Run)
+	}
+}
--- a/internal/dispatch/draining_silent_test.go
+++ b/internal/dispatch/draining_silent_test.go
@@ -56,6 +56,9 @@
 	require.Equal(h.t, other, len(again) == 1)
 	require.Greater(h.t, 1000+h.now.Milliseconds(), leaseUntil, "retired before its lease has expired")
 	h.apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_EndLife{EndLife: &egretmuxv1.EndLife{Worker: a.Worker, BornUnixMs: a.Born}}})
+	h.handleListing(a, []dispatch.ListedRun{listedRun(first)}, []dispatch.ListedEnd{{Number: 1, Task: first.Task, Run: first.Run, Outcome: done, TaskParsed: true}})
+	require.Empty(h.t, h.endBatches, "it answers before the leader knows that the end of its life is stored")
+	require.False(h.t, h.core.MayRun(a))
 	h.core.WorkerGone(a, dispatch.GoneSilent, h.now)
 	return first, leaseUntil
 }
--- a/internal/job/superseded_test.go
+++ b/internal/job/superseded_test.go
@@ -102,3 +102,14 @@
 	require.True(t, b.Superseded("a", 1, first))
 	b.View(testJob, func(r *job.Record) { require.Equal(t, uint64(3), r.Task(0, 0, 0).LastStartedRun) })
 }
+
+// Guards against TWICE: a job that is forgotten before it has ended is accepted, and run, again.
+func TestOnlyJobsThatHaveEndedAreForgotten(t *testing.T) {
+	b := newBookWithLapsedRun(t)
+	forget := &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_ForgetJobs{ForgetJobs: &egretmuxv1.ForgetJobs{Jobs: []string{testJob}}}}
+	apply(t, b, forget)
+	b.View(testJob, func(r *job.Record) { require.NotNil(t, r) })
+	apply(t, b, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_Cancel{Cancel: &egretmuxv1.CancelJob{Job: testJob}}})
+	apply(t, b, forget)
+	b.View(testJob, func(r *job.Record) { require.Nil(t, r) })
+}
