--- a/internal/jobcell/unknown_order_test.go
+++ b/internal/jobcell/unknown_order_test.go
@@ -23,24 +23,29 @@
 func serveUnknowingDelegate(t *testing.T) string {
 	t.Helper()
 	other := newTestCell(t, "other")
-	mux := http.NewServeMux()
-	mux.Handle(egretmuxv1connect.JobCellServiceDriveProcedure, connect.NewBidiStreamHandler(egretmuxv1connect.JobCellServiceDriveProcedure,
-		func(ctx context.Context, stream *connect.BidiStream[egretmuxv1.DriveRequest, egretmuxv1.DriveResponse]) error {
-			for {
-				msg, err := stream.Receive()
-				if err != nil {
+	return serveDelegateAt(t, func(ctx context.Context, stream *connect.BidiStream[egretmuxv1.DriveRequest, egretmuxv1.DriveResponse]) error {
+		for {
+			msg, err := stream.Receive()
+			if err != nil {
+				return nil
+			}
+			for _, order := range msg.GetOrders() {
+				order.Order = nil // what an unknown kind is decoded as
+				answer := other.executeOrder(ctx, order)
+				answer.Id = order.GetId()
+				if err := stream.Send(&egretmuxv1.DriveResponse{Answers: []*egretmuxv1.DriveAnswer{answer}}); err != nil {
 					return nil
 				}
-				for _, order := range msg.GetOrders() {
-					order.Order = nil // what an unknown kind is decoded as
-					answer := other.executeOrder(ctx, order)
-					answer.Id = order.GetId()
-					if err := stream.Send(&egretmuxv1.DriveResponse{Answers: []*egretmuxv1.DriveAnswer{answer}}); err != nil {
-						return nil
-					}
-				}
 			}
-		}))
+		}
+	})
+}
+
+// serveDelegateAt serves the Drive RPC with a handler of the test's own and returns its address.
+func serveDelegateAt(t *testing.T, drive func(context.Context, *connect.BidiStream[egretmuxv1.DriveRequest, egretmuxv1.DriveResponse]) error) string {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.Handle(egretmuxv1connect.JobCellServiceDriveProcedure, connect.NewBidiStreamHandler(egretmuxv1connect.JobCellServiceDriveProcedure, drive))
 	s := httptest.NewUnstartedServer(mux)
 	s.Config.Protocols = new(http.Protocols)
 	s.Config.Protocols.SetUnencryptedHTTP2(true)
@@ -94,3 +99,21 @@
 		require.False(t, c.workers.Pace(ctx, dispatch.PaceOrder{Target: target, Task: key, Run: 1}, 3))
 	})
 }
+
+// Guards against an order without an answer that the leader takes for carried out, or for not sent: the other instance may
+// have passed it on, or may do so later.
+func TestOrderThatAnotherInstanceDoesNotAnswerCountsAsUnanswered(t *testing.T) {
+	c := leadThrough(t, serveDelegateAt(t, func(ctx context.Context, _ *connect.BidiStream[egretmuxv1.DriveRequest, egretmuxv1.DriveResponse]) error {
+		<-ctx.Done()
+		return nil
+	}))
+	target := dispatch.Target{Worker: "w", Born: 1, Address: unreachable}
+	require.NotNil(t, c.workers.chooseStream("w"), "the leader calls the worker itself")
+	key := dispatch.TaskKey{StepKey: dispatch.StepKey{Job: "j"}}
+	result, _ := c.workers.Start(contextWithTimeout(t, 50*time.Millisecond), dispatch.StartOrder{Target: target, Task: key, Run: 1}, 3)
+	require.Equal(t, dispatch.Unanswered, result)
+	listing, polled := c.workers.Poll(contextWithTimeout(t, 50*time.Millisecond), scheduler.Poll{Target: target, Fence: 3})
+	require.False(t, listing.Complete)
+	require.Equal(t, scheduler.PollUnanswered, polled)
+	require.False(t, c.workers.Stop(contextWithTimeout(t, 50*time.Millisecond), dispatch.StopOrder{Target: target, Task: key, Run: 1}, 3))
+}
--- a/internal/scheduler/births_that_go_back_test.go
+++ b/internal/scheduler/births_that_go_back_test.go
@@ -18,9 +18,14 @@
 type restartedWorkers struct {
 	*fakeWorkers
 	current atomic.Int64 // birth of the life that answers
+	muted   atomic.Bool  // whether no life answers polls
 }
 
 func (r *restartedWorkers) Poll(ctx context.Context, poll scheduler.Poll) (dispatch.Listing, scheduler.PollResult) {
+	if r.muted.Load() {
+		time.Sleep(5 * time.Millisecond)
+		return dispatch.Listing{}, scheduler.PollUnanswered
+	}
 	if poll.Born != r.current.Load() {
 		time.Sleep(5 * time.Millisecond)
 		return dispatch.Listing{}, scheduler.PollAnotherIncarnation
@@ -88,3 +93,12 @@
 	require.NoError(t, s.HandleHeartbeat(t.Context(), &egretmuxv1.WorkerBeat{Life: first, Sequence: 2}))
 	require.Never(t, func() bool { return r.startCount() > 1 || s.WorkerCount() != 1 }, time.Second, 5*time.Millisecond)
 }
+
+// Guards against TWICE as above, where the life that runs cannot be asked.
+func TestLateHeartbeatOfALifeThatIsOverDoesNotEndTheNextOneWhileThatIsSilent(t *testing.T) {
+	second := &egretmuxv1.WorkerLife{Worker: "w", BornUnixMs: 5000, Address: "w:1", Pool: "p", CpuMillis: 4000, MemoryMib: 1000}
+	s, r, first := startWithRestartedWorker(t, second)
+	r.muted.Store(true)
+	require.NoError(t, s.HandleHeartbeat(t.Context(), &egretmuxv1.WorkerBeat{Life: first, Sequence: 2}))
+	require.Never(t, func() bool { return s.WorkerCount() != 1 }, time.Second, 5*time.Millisecond)
+}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/consensus"
 	"github.com/egretmux/egretmux/internal/dispatch"
 	"github.com/egretmux/egretmux/internal/job"
 	"github.com/egretmux/egretmux/internal/peer"
@@ -29,6 +31,7 @@
 	ended          []dispatch.ListedEnd
 	cursor         uint64
 	starts         int
+	stopped        []uint64 // runs, by the stops for them
 	// refuse, if set, answers a start unless it returns Accepted.
 	refuse func(ctx context.Context, earlierStarts int) dispatch.StartResult
 	held   func(dispatch.StartOrder) bool // reports whether a run goes on; nil if none does
@@ -52,7 +55,13 @@
 	f.running = append(f.running, s)
 	return dispatch.Accepted, 0
 }
-func (f *fakeWorkers) Stop(context.Context, dispatch.StopOrder, uint64) bool { return true }
+
+func (f *fakeWorkers) Stop(_ context.Context, s dispatch.StopOrder, _ uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stopped = append(f.stopped, s.Run)
+	return true
+}
 func (f *fakeWorkers) Pace(context.Context, dispatch.PaceOrder, uint64) bool { return true }
 func (f *fakeWorkers) Release(dispatch.Target)                               {}
 
@@ -86,14 +95,6 @@
 // leads.
 func startLeader(t *testing.T, f *fakeWorkers, options ...func(*scheduler.Config)) *scheduler.Scheduler {
 	t.Helper()
-	dialer, err := peer.NewDialer("", "")
-	require.NoError(t, err)
-	v, err := voter.Open(&settings.Settings{
-		Instance: "a", DataFolder: t.TempDir(), Cell: settings.Listener{Address: "a"},
-		Tick: 5 * time.Millisecond, ElectionTicks: 6, HeartbeatTicks: 2, SnapshotEntries: 1000,
-	}, dialer, zerolog.Nop())
-	require.NoError(t, err)
-	require.NoError(t, v.Bootstrap(&egretmuxv1.Membership{Replicas: []*egretmuxv1.Replica{v.Replica()}}))
 	book := job.NewBook()
 	f.stored = func(s dispatch.StartOrder) bool {
 		stored := false
@@ -102,9 +103,23 @@
 		})
 		return stored
 	}
-	node, err := v.StartReplica(book, func(err error) { t.Error(err) })
+	return startLeaderOn(t, book, book, f, options...)
+}
+
+// startLeaderOn is like startLeader, with a state machine that applies commands to the book.
+func startLeaderOn(t *testing.T, book *job.Book, applied consensus.StateMachine, workers scheduler.WorkerClient, options ...func(*scheduler.Config)) *scheduler.Scheduler {
+	t.Helper()
+	dialer, err := peer.NewDialer("", "")
+	require.NoError(t, err)
+	v, err := voter.Open(&settings.Settings{
+		Instance: "a", DataFolder: t.TempDir(), Cell: settings.Listener{Address: "a"},
+		Tick: 5 * time.Millisecond, ElectionTicks: 6, HeartbeatTicks: 2, SnapshotEntries: 1000,
+	}, dialer, zerolog.Nop())
+	require.NoError(t, err)
+	require.NoError(t, v.Bootstrap(&egretmuxv1.Membership{Replicas: []*egretmuxv1.Replica{v.Replica()}}))
+	node, err := v.StartReplica(applied, func(err error) { t.Error(err) })
 	require.NoError(t, err)
-	cfg := scheduler.Config{WorkerClient: f, AdviceClient: noAdvice{}, Lease: 6 * time.Second, FarFactor: 1, StatusKeep: time.Minute, Logger: zerolog.Nop()}
+	cfg := scheduler.Config{WorkerClient: workers, AdviceClient: noAdvice{}, Lease: 6 * time.Second, FarFactor: 1, StatusKeep: time.Minute, Logger: zerolog.Nop()}
 	for _, set := range options {
 		set(&cfg)
 	}
@@ -276,7 +291,8 @@
 // The unanswered first try may still be carried out, so that the run must be stopped
 // and the task started as a new run.
 func TestRefusalOfARepeatedStartDoesNotProveThatNothingRuns(t *testing.T) {
-	runs := runSingleTask(t, &fakeWorkers{refuse: func(ctx context.Context, earlierStarts int) dispatch.StartResult {
+	f := &fakeWorkers{}
+	f.refuse = func(ctx context.Context, earlierStarts int) dispatch.StartResult {
 		switch earlierStarts {
 		case 0:
 			<-ctx.Done()
@@ -284,9 +300,14 @@
 		case 1:
 			return dispatch.NoRoom
 		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if !slices.Contains(f.stopped, 1) {
+			t.Error("started again before a stop of the first run")
+		}
 		return dispatch.Accepted
-	}})
-	require.Equal(t, []uint64{2}, runs)
+	}
+	require.Equal(t, []uint64{2}, runSingleTask(t, f))
 }
 
 // Guards against heartbeats of a known worker whose capacity is not looked at (LIMIT).
