dispatch: the harness and the model tell the core that starts are stored

The scheduler does so with each commit since superseded runs are named until then. Without it the harness's next start names runs once more; TestStartNamesOnlyTheUnheardRunsThatWereNotListed, which was written beside that change, failed for that reason, and passes.

--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -81,6 +81,7 @@
 			Job: s.Task.Job, Occurrence: s.Task.Occurrence, Step: s.Task.Step, Index: s.Task.Index, Run: s.Run, Worker: s.Worker, BornUnixMs: s.Born,
 			Superseded: s.Superseded,
 		}}}}})
+		h.core.StartStored(s)
 	}
 	h.starts = append(h.starts, actions.Starts...)
 	h.stops = append(h.stops, actions.Stops...)
--- a/internal/dispatch/twice_model_play_test.go
+++ b/internal/dispatch/twice_model_play_test.go
@@ -367,6 +367,9 @@
 	}
 	l.propose(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_NoteStarts{NoteStarts: stored}}, func(result job.Result) {
 		l.counts["starts not taken"] += result.NotTaken
+		for _, s := range starts {
+			l.core.StartStored(s)
+		}
 		for _, s := range starts {
 			if l.core.StartWanted(s) {
 				l.sendStart(s)
