scheduler: a worker that has left without runs takes none in while that is being stored

workerLeft marked the worker as retiring only if runs may be there, and RetireLeft refuses just then, so that it never did. A listing that came while the end of the life was being stored could bring a run there that had been given up before, and the end of the life then lost that run without holding its task. The task was free before as well, as the run had been given up, so that no run of the rule TWICE follows from it alone. A second test guards the check before a start is repeated.

--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -320,7 +320,8 @@
 	mayRun := false
 	t.updateCore(func(c *dispatch.Core, now time.Duration) {
 		c.WorkerDraining(w, 0, now) // from now on it gets no starts
-		mayRun = c.MayRun(w) && !c.RetireLeft(w)
+		mayRun = c.MayRun(w)
+		c.RetireLeft(w) // if it has no runs, none may be taken in while the end of its life is being stored
 	})
 	if !mayRun {
 		return t.retireLeft(ctx, w, over)
--- a/internal/scheduler/orders_test.go
+++ b/internal/scheduler/orders_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
@@ -266,3 +269,105 @@
 	}
 	require.Never(t, func() bool { _, cursor := w.sent(); return cursor > 0 }, 500*time.Millisecond, 5*time.Millisecond)
 }
+
+// Guards against TWICE: a start got no answer until its run was given up with the lease, and was sent again all the same.
+func TestStartWhoseRunWasGivenUpIsNotRepeated(t *testing.T) {
+	const lease = time.Second
+	var silent atomic.Bool
+	answered := make(chan struct{})
+	w := &scriptedWorkers{}
+	w.start = func(_ dispatch.StartOrder, earlier int) (dispatch.StartResult, int64) {
+		if earlier == 0 {
+			silent.Store(true)
+			time.Sleep(2 * lease)
+			close(answered)
+			return dispatch.Unanswered, 0
+		}
+		return dispatch.Accepted, 0
+	}
+	w.poll = func(scheduler.Poll) (dispatch.Listing, scheduler.PollResult) {
+		if silent.Load() {
+			return dispatch.Listing{}, scheduler.PollUnanswered
+		}
+		return dispatch.Listing{Clock: time.Now().UnixMilli(), Complete: true}, scheduler.PollAnswered
+	}
+	startScripted(t, w, nil, lease, "a")
+	select {
+	case <-answered:
+	case <-time.After(20 * time.Second):
+		t.Fatal("nothing is started")
+	}
+	require.Never(t, func() bool { runs, _ := w.sent(); return len(runs) > 1 }, 500*time.Millisecond, 5*time.Millisecond)
+}
+
+// logLines is a writer that keeps the lines of a log.
+type logLines struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (l *logLines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lines = append(l.lines, string(p))
+	return len(p), nil
+}
+
+func (l *logLines) holds(event string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.ContainsFunc(l.lines, func(line string) bool { return strings.Contains(line, `"`+event+`"`) })
+}
+
+// Guards against a run that is taken in, and lost without a hold of its task, while the end of its worker's life is being
+// stored: the worker had announced its end without runs, and lists one that was given up before.
+func TestWorkerThatHasAnnouncedItsEndTakesInNoRunsWhileThatIsBeingStored(t *testing.T) {
+	const lease = time.Second
+	var silent, lists atomic.Bool
+	log := &logLines{}
+	w := &scriptedWorkers{}
+	w.poll = func(scheduler.Poll) (dispatch.Listing, scheduler.PollResult) {
+		if silent.Load() {
+			return dispatch.Listing{}, scheduler.PollUnanswered
+		}
+		listing := dispatch.Listing{Clock: time.Now().UnixMilli(), Complete: true}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if lists.Load() && len(w.starts) > 0 {
+			listing.Running = []dispatch.ListedRun{{Task: w.starts[0].Task, Run: w.starts[0].Run}}
+		}
+		return listing, scheduler.PollAnswered
+	}
+	book := job.NewBook()
+	s := startLeaderOn(t, book, guardedBook{book, func(cmd *egretmuxv1.JobCommand) error {
+		if cmd.GetEndLife().GetOver() { // polls go on meanwhile
+			lists.Store(true)
+			time.Sleep(200 * time.Millisecond)
+		}
+		return nil
+	}}, w, func(cfg *scheduler.Config) { cfg.Lease, cfg.Logger = lease, zerolog.New(log) })
+	_, err := s.PutCatalogue(t.Context(), catalogue(1, "one"))
+	require.NoError(t, err)
+	beat := func(cpu int64, sequence uint64, leaving bool) {
+		require.NoError(t, untilNotShed(func() error {
+			return s.HandleHeartbeat(t.Context(), &egretmuxv1.WorkerBeat{
+				Life: &egretmuxv1.WorkerLife{Worker: "a", BornUnixMs: 1, Address: "a:1", Pool: "p", CpuMillis: cpu, MemoryMib: 1000}, Sequence: sequence, Leaving: leaving,
+			})
+		}))
+	}
+	beat(4000, 1, false)
+	lists.Store(true)
+	require.NoError(t, untilNotShed(func() error { return submitOneTask(t.Context(), s) }))
+	require.Eventually(t, func() bool { runs, _ := w.sent(); return len(runs) == 1 }, 10*time.Second, 5*time.Millisecond)
+	beat(0, 2, false) // the task finds no room there any more
+	silent.Store(true)
+	require.Eventually(t, func() bool { return log.holds("run_lost") }, 10*time.Second, 5*time.Millisecond, "the run is given up with the lease")
+	lists.Store(false)
+	silent.Store(false)
+	time.Sleep(100 * time.Millisecond)
+	require.False(t, log.holds("run_adopted"))
+	beat(0, 3, true)
+	require.True(t, lists.Load())
+	require.Eventually(t, func() bool { return s.WorkerCount() == 0 }, 10*time.Second, 5*time.Millisecond)
+	require.False(t, log.holds("run_adopted"))
+}
