--- a/internal/dispatch/absence_test.go
+++ b/internal/dispatch/absence_test.go
@@ -185,6 +185,9 @@
 		h.storeEnds()
 		h.plan()
 		require.Len(t, h.starts, 2)
+		for _, again := range h.starts {
+			require.Equal(t, a.Run+1, again.Run, "all members under one new number")
+		}
 	})
 	t.Run("held", func(t *testing.T) {
 		h := newHarness(t)
@@ -303,3 +306,15 @@
 		require.Empty(t, h.starts, "%v after the beginning of the tenure; run %d may go on", h.now, first.Run)
 	}
 }
+
+// Guards against TWICE: a run was taken for lost as a listing that is not complete lacks it.
+func TestListingThatIsNotCompleteProvesNoAbsence(t *testing.T) {
+	h := newHarness(t)
+	first := startOne(h)
+	h.core.StartAnswered(first, dispatch.Accepted, h.now, h.now)
+	h.advance(10 * time.Millisecond)
+	h.core.HandleListing(first.Target, h.now, h.now, dispatch.Listing{Clock: 1000 + h.now.Milliseconds()})
+	h.plan()
+	require.Empty(t, h.starts)
+	require.True(t, h.core.MayRun(first.Target))
+}
