consensus: a test that a leader refuses proposals of an earlier term

The check that a decision enters the log only in the term that it was made in had no test of its own.

--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -63,6 +63,27 @@
 	require.Contains(t, c.oracle.answers, proposed.change)
 }
 
+// Guards against a decision that enters the log in a later term than it was made in: its leader was replaced, and leads
+// again, while the proposal waited.
+func TestProposalOfAnEarlierTermIsRefusedByTheLeaderOfALaterOne(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	c.run(3 * testElectionTicks)
+	leader := c.leader()
+	term, answer := leader.lastStatus.Term, make(chan result, 1)
+	require.Positive(t, term-1)
+	leader.node.proposals <- proposal{term: term - 1, data: []byte("decided before"), done: answer}
+	ticks := make(chan time.Time, 1)
+	ticks <- time.Time{}
+	require.True(t, leader.node.handleEvents(ticks))
+	c.processOutput(leader)
+	c.run(testElectionTicks)
+	require.Same(t, leader, c.leader())
+	require.Equal(t, term, leader.lastStatus.Term)
+	require.Len(t, answer, 1)
+	require.ErrorIs(t, (<-answer).err, ErrNotLeader)
+	require.Empty(t, leader.machine.Changes)
+}
+
 func TestPromiseTrackerRecordsOnlyPromises(t *testing.T) {
 	tracker := NewPromiseTracker()
 	tracker.Observe([]*egretmuxv1.Message{
