dispatch: heartbeats outlive their senders in the model of what must run once

Half of the lives that end leave a heartbeat behind that arrives up to 15 s later. The cell can be set up by a test without rapid.

--- a/internal/dispatch/twice_model_play_test.go
+++ b/internal/dispatch/twice_model_play_test.go
@@ -35,10 +35,16 @@
 	cellCompaction    = 400         // entries of the log after which a snapshot is taken
 )
 
+// cellT is a test, or a check of rapid.
+type cellT interface {
+	require.TestingT
+	Fatalf(format string, args ...any)
+}
+
 // cell is a cell in virtual time: a replicated log, its leader and leaders that do not know yet that they are
 // replaced, workers, and the calls between them.
 type cell struct {
-	rt         require.TestingT
+	rt         cellT
 	rng        *rand.Rand // of what is too fine for the acts
 	clock      time.Duration
 	events     eventQueue
--- a/internal/dispatch/twice_model_test.go
+++ b/internal/dispatch/twice_model_test.go
@@ -23,7 +23,6 @@
 // twiceLedger holds what has really run, and fails when something that must run once runs twice.
 type twiceLedger struct {
 	*cell
-	rt        *rapid.T
 	order     int
 	present   map[dispatch.TaskKey][]*cellRun
 	gangs     map[gangKey][]*cellRun
@@ -54,17 +53,17 @@
 	what, key := g.describe(r.w, r.Task, r.Run), g.key(r.Task)
 	if !g.stepOf(r.Task).GetSpeculative() {
 		for _, other := range g.present[r.Task] {
-			g.rt.Fatalf("%s begins, while %s goes on since %v", what, g.describe(other.w, other.Task, other.Run), other.began)
+			g.cell.rt.Fatalf("%s begins, while %s goes on since %v", what, g.describe(other.w, other.Task, other.Run), other.began)
 		}
 		if counts, known := g.counting[key]; known {
-			g.rt.Fatalf("%s begins after an end that counts: %s", what, counts.what)
+			g.cell.rt.Fatalf("%s begins after an end that counts: %s", what, counts.what)
 		}
 	}
 	if at, known := g.countedAt[key]; known && inTouch && sent-at > cellGraceOfRule {
-		g.rt.Fatalf("%s was sent at %v, after an end that counts since %v", what, sent, at)
+		g.cell.rt.Fatalf("%s was sent at %v, after an end that counts since %v", what, sent, at)
 	}
 	if at, known := g.completed[r.Task.Job]; known && inTouch && sent-at > cellGraceOfRule {
-		g.rt.Fatalf("%s was sent at %v, and its job is shown as completed since %v", what, sent, at)
+		g.cell.rt.Fatalf("%s was sent at %v, and its job is shown as completed since %v", what, sent, at)
 	}
 	g.order++
 	g.began[key] = ledgerEntry{g.order, what}
@@ -107,7 +106,7 @@
 	}
 	what, key := g.describe(w, e.Task, e.Run), g.key(e.Task)
 	if began := g.began[key]; began.order > e.order && !g.stepOf(e.Task).GetSpeculative() {
-		g.rt.Fatalf("the end of %s is acknowledged, before which this began: %s", what, began.what)
+		g.cell.rt.Fatalf("the end of %s is acknowledged, before which this began: %s", what, began.what)
 	}
 	if _, known := g.counting[key]; !known {
 		g.counting[key], g.countedAt[key] = ledgerEntry{e.order, what}, g.clock
@@ -121,15 +120,13 @@
 }
 
 // newCell returns a cell with workers and a leader.
-func newCell(rt *rapid.T) *cell {
-	seed := rapid.Uint64().Draw(rt, "seed")
+func newCell(rt cellT, seed uint64, workers int) *cell {
 	p := &cell{
 		rt: rt, rng: rand.New(rand.NewPCG(seed, 1)), jobs: make(map[string]*egretmuxv1.Job), takes: make(map[string]time.Duration), counts: make(map[string]int),
-		answerWait: rapid.SampledFrom([]time.Duration{answerLimit, 200 * time.Millisecond}).Draw(rt, "answer wait"),
-		statusKeep: rapid.SampledFrom([]time.Duration{4 * time.Second, time.Minute}).Draw(rt, "status keep"),
+		answerWait: answerLimit, statusKeep: time.Minute,
 	}
 	p.ledger = &twiceLedger{
-		cell: p, rt: rt, present: make(map[dispatch.TaskKey][]*cellRun), gangs: make(map[gangKey][]*cellRun), began: make(map[dispatch.TaskKey]ledgerEntry),
+		cell: p, present: make(map[dispatch.TaskKey][]*cellRun), gangs: make(map[gangKey][]*cellRun), began: make(map[dispatch.TaskKey]ledgerEntry),
 		counting: make(map[dispatch.TaskKey]ledgerEntry), countedAt: make(map[dispatch.TaskKey]time.Duration), completed: make(map[string]time.Duration),
 	}
 	p.elect(0)
@@ -138,7 +135,7 @@
 		Version: 1, Queues: []*egretmuxv1.Queue{queue()}, Pools: []*egretmuxv1.Pool{{Name: "ledger"}},
 	}}}}, nil, nil)
 	p.run(time.Second)
-	for n := range rapid.IntRange(2, 6).Draw(rt, "workers") {
+	for n := range workers {
 		pace := 1 - float64(p.rng.IntN(3))/100
 		p.slots = append(p.slots, p.newLife(fmt.Sprintf("w%d", n), 1_000_000, pace))
 	}
@@ -317,7 +314,9 @@
 		lengths = append(lengths, shortPlay, 2*shortPlay)
 	}
 	rapid.Check(t, func(rt *rapid.T) {
-		p := newCell(rt)
+		p := newCell(rt, rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(2, 6).Draw(rt, "workers"))
+		p.answerWait = rapid.SampledFrom([]time.Duration{answerLimit, 200 * time.Millisecond}).Draw(rt, "answer wait")
+		p.statusKeep = rapid.SampledFrom([]time.Duration{4 * time.Second, time.Minute}).Draw(rt, "status keep")
 		acts := rapid.SampledFrom(lengths).Draw(rt, "acts")
 		p.crowded = acts == longPlay && rapid.Bool().Draw(rt, "crowded")
 		for range acts {
--- a/internal/dispatch/twice_model_workers_test.go
+++ b/internal/dispatch/twice_model_workers_test.go
@@ -93,26 +93,32 @@
 		return
 	}
 	w.sequence++
-	l := life(w.Worker, standInCores)
-	l.BornUnixMs = w.Born
-	b := cellBeat{life: l, sequence: w.sequence, draining: w.draining, remaining: w.leavesAt - w.cell.clock, acked: func() {}}
 	delay := w.between(time.Millisecond, 6*time.Millisecond)
 	if w.late.hits(w.cell.clock, heartbeatCall) {
 		delay = w.between(time.Second, 15*time.Second)
 	}
-	if to := w.leader; !w.silent.hits(w.cell.clock, pollCall) || !w.silent.hits(w.cell.clock, startCall) {
-		w.after(delay, func() {
-			if current := w.leader; w.chance(80) {
-				to = current // else the one that led when the heartbeat was sent
-			}
-			if to.core != nil {
-				to.do(func() { to.heartbeat(b) })
-			}
-		})
+	if !w.silent.hits(w.cell.clock, pollCall) || !w.silent.hits(w.cell.clock, startCall) {
+		w.sendBeat(delay)
 	}
 	w.after(cellHeartbeat, w.beat)
 }
 
+// sendBeat sends a heartbeat to the instance that leads now, or to the one that does when it arrives.
+func (w *cellWorker) sendBeat(delay time.Duration) {
+	l := life(w.Worker, standInCores)
+	l.BornUnixMs = w.Born
+	b := cellBeat{life: l, sequence: w.sequence, draining: w.draining, remaining: w.leavesAt - w.cell.clock, acked: func() {}}
+	to := w.leader
+	w.after(delay, func() {
+		if current := w.leader; w.chance(80) {
+			to = current
+		}
+		if to.core != nil {
+			to.do(func() { to.heartbeat(b) })
+		}
+	})
+}
+
 // hold carries out a poll and reports whether it is valid.
 func (w *cellWorker) hold(until int64, cursor, term uint64) bool {
 	if term < w.term {
@@ -358,6 +364,9 @@
 		w.breakGang(r)
 	}
 	w.counts["lives"]++
+	if w.chance(50) {
+		w.sendBeat(w.between(0, 15*time.Second)) // it is delayed, and outlives its sender
+	}
 	w.after(down, func() {
 		born := w.Born + 1000
 		if back {
