--- a/internal/jobcell/unknown_order_test.go
+++ b/internal/jobcell/unknown_order_test.go
@@ -62,6 +62,7 @@
 func leadThrough(t *testing.T, delegate string) *Cell {
 	t.Helper()
 	c := startCell(t, 1, 1)[0].cell
+	t.Cleanup(func() { c.workers.closeStreams(delegate) })
 	require.Eventually(t, c.scheduler.Leads, formationBound, checkPeriod)
 	meet(c, &egretmuxv1.Member{Address: delegate, Replica: 2}, time.Now())
 	for n := range maxDirectWorkers + 1 {
@@ -117,3 +118,18 @@
 	require.Equal(t, scheduler.PollUnanswered, polled)
 	require.False(t, c.workers.Stop(contextWithTimeout(t, 50*time.Millisecond), dispatch.StopOrder{Target: target, Task: key, Run: 1}, 3))
 }
+
+// closeStreams ends the orders through an instance, for good. A stream that ended after the test would still be logged.
+func (p *workerProxy) closeStreams(delegate string) {
+	for range 2 { // the first time, others may be opened meanwhile
+		p.mu.Lock()
+		stream := p.streams[delegate]
+		p.mu.Unlock()
+		if stream != nil {
+			stream.close()
+		}
+		p.mu.Lock()
+		p.avoidUntil[delegate], p.delegates = time.Now().Add(time.Hour), nil
+		p.mu.Unlock()
+	}
+}
