scheduler: the test of cancels that are not committed reads the commit index when it is settled

A replica answers a proposal in the pass that applies it and publishes its status at the end of that pass.

--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -231,12 +231,16 @@
 // Load: clients cancel paths that can name no job. Each would cost the cell a write to its log.
 func TestCancelOfWhatIsNoJobIDIsNotCommitted(t *testing.T) {
 	s := startLeaderWith(t, catalogue(1, "one"))
-	before, _ := s.Node().Status()
+	committed := func() uint64 { // the status is published at the end of the pass that commits, before the next pass confirms
+		require.NoError(t, s.Node().ConfirmLeader(t.Context()))
+		status, _ := s.Node().Status()
+		return status.Commit
+	}
+	before := committed()
 	for _, path := range []string{"/q/", "/q/short", "/q/00000000000000zz", "/q/00000000000000aa/x"} {
 		require.Equal(t, "unknown job", outcome(t.Context(), s, keyCall(cancelVerb, path, "")), path)
 	}
-	after, _ := s.Node().Status()
-	require.Equal(t, before.Commit, after.Commit)
+	require.Equal(t, before, committed())
 	stallReplica(t, s)
 	ctx, cancel := context.WithTimeout(t.Context(), callerPatience)
 	defer cancel()
