--- a/internal/scheduler/silent_retirement_test.go
+++ b/internal/scheduler/silent_retirement_test.go
@@ -6,17 +6,13 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/dispatch"
 	"github.com/egretmux/egretmux/internal/job"
-	"github.com/egretmux/egretmux/internal/peer"
 	"github.com/egretmux/egretmux/internal/scheduler"
-	"github.com/egretmux/egretmux/internal/settings"
-	"github.com/egretmux/egretmux/internal/voter"
 )
 
 // gatedBook is a book that calls before with each end of a life, before it is applied.
@@ -102,29 +98,9 @@
 			}
 		}
 	}}
-	dialer, err := peer.NewDialer("", "")
-	require.NoError(t, err)
-	v, err := voter.Open(&settings.Settings{
-		Instance: "a", DataFolder: t.TempDir(), Cell: settings.Listener{Address: "a"},
-		Tick: 5 * time.Millisecond, ElectionTicks: 6, HeartbeatTicks: 2, SnapshotEntries: 1000,
-	}, dialer, zerolog.Nop())
-	require.NoError(t, err)
-	require.NoError(t, v.Bootstrap(&egretmuxv1.Membership{Replicas: []*egretmuxv1.Replica{v.Replica()}}))
-	node, err := v.StartReplica(gated, func(err error) { t.Error(err) })
-	require.NoError(t, err)
-	s := scheduler.New(scheduler.Config{WorkerClient: m, AdviceClient: noAdvice{}, Lease: 6 * time.Second, FarFactor: 1, StatusKeep: time.Minute, Logger: zerolog.Nop()})
-	s.SetReplica(node, book)
-	ctx, cancel := context.WithCancel(t.Context())
-	var running sync.WaitGroup
-	running.Go(func() { s.Run(ctx) })
-	t.Cleanup(func() {
-		cancel()
-		running.Wait()
-		require.NoError(t, v.Close())
-	})
-	require.Eventually(t, s.Leads, 10*time.Second, 5*time.Millisecond)
+	s, ctx := startLeaderOn(t, book, gated, m), t.Context()
 
-	_, err = s.PutCatalogue(ctx, catalogue(1, "one"))
+	_, err := s.PutCatalogue(ctx, catalogue(1, "one"))
 	require.NoError(t, err)
 	join := func(worker string) {
 		require.NoError(t, untilNotShed(func() error {
