--- a/internal/jobcell/forward.go
+++ b/internal/jobcell/forward.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/peer"
@@ -217,13 +218,19 @@
 // Catalogue returns the source of the leader's current configuration, or a
 // RedirectError if it is too large.
 func (c *Cell) Catalogue(ctx context.Context) ([]byte, error) {
-	known := c.catalogues.newest.Load()
+	began, known := time.Now(), c.catalogues.newest.Load()
+	catalogue, err := c.readCatalogue(ctx)
+	if err != nil {
+		c.logReadRefused(err, time.Since(began))
+		return nil, err
+	}
+	c.catalogues.noteRead(catalogue.GetVersion(), known)
+	return catalogue.GetSource(), nil
+}
+
+func (c *Cell) readCatalogue(ctx context.Context) (*egretmuxv1.Catalogue, error) {
 	if c.scheduler.Leads() {
-		catalogue, err := c.scheduler.Catalogue(ctx)
-		if err == nil {
-			c.catalogues.noteRead(catalogue.GetVersion(), known)
-		}
-		return catalogue.GetSource(), err
+		return c.scheduler.Catalogue(ctx)
 	}
 	var out *egretmuxv1.GetCatalogueResponse
 	err := c.callLeader(ctx, func(ctx context.Context, p *peer.Clients) error {
@@ -239,8 +246,23 @@
 	case out.GetControl() != "":
 		return nil, &RedirectError{Control: out.GetControl()}
 	}
-	c.catalogues.noteRead(out.GetCatalogue().GetVersion(), known)
-	return out.GetCatalogue().GetSource(), nil
+	return out.GetCatalogue(), nil
+}
+
+// logReadRefused logs why a read of the configuration was not answered here. Who the leader was
+// taken for, and whether it answers announcements, tells a cell without a leader from an instance
+// that does not reach it.
+func (c *Cell) logReadRefused(err error, elapsed time.Duration) {
+	event := c.cfg.Logger.Warn().Str("leader", c.leaderAddress()).Bool("in_contact", c.directory.InContact(time.Now())).Int64("age_ms", elapsed.Milliseconds())
+	var redirect *RedirectError
+	if errors.As(err, &redirect) {
+		telemetry.Count("catalogue_reads_redirected_total")
+		event.Str("event", "catalogue_read_redirected").Str("to", redirect.Control).Msg("the operator reads the configuration elsewhere")
+		return
+	}
+	refused := refusal.Of(err)
+	telemetry.Count(`catalogue_reads_refused_total{reason="` + string(refused.Kind) + `"}`)
+	event.Str("event", "catalogue_read_refused").Str("reason", string(refused.Kind)).Err(err).Msg("the configuration could not be read here")
 }
 
 // ForwardHeartbeat forwards a worker's heartbeat to the leader, unless it contains
