egretmuxd: the notice of changed settings does not end a process before its main function

Cause: signals are taken at the beginning of main; until then the runtime and the packages are set up, and SIGHUP has its default. Change: SIGHUP is ignored from before the constructors of the libraries until signal.Notify takes it. The settings are read after that, so nothing is missed.

--- /dev/null
+++ b/cmd/egretmuxd/hangup.go
@@ -0,0 +1,3 @@
+package main
+
+import "C" // builds hangup.c
