jobcell: an address in use does not end an instance that starts

The metrics address sufficed. Cause: a failed bind of any listener ended the process. Class: a condition that passes, or that concerns one part, ends the whole. Change: an address that the system refuses is tried again every 200 ms; the other listeners serve meanwhile. Without the listener for callers the instance is not ready. An address that is none still ends it. New events address_not_available and address_available. Evidence: TestAddressInUseDoesNotEndAProcessThatStarts fails for each of the five listeners without the change, and passes with it.

--- a/internal/jobcell/instance.go
+++ b/internal/jobcell/instance.go
@@ -31,10 +31,14 @@
 	closeTimeout         = time.Second             // for the replica to stop and the data folder to close
 	closeReserve         = 200 * time.Millisecond  // part of exitReserve for that, if nothing is left of the time before
 	reloadPeriod         = 2 * time.Second
+	listenRetryPeriod    = 200 * time.Millisecond
 	maxHeaderBytes       = 16 << 10
 	maxCellStreams       = 4096
 )
 
+// CallersListener is the name of the listener that load balancers send callers to.
+const CallersListener = "callers"
+
 // InstanceConfig holds the settings of an Instance.
 type InstanceConfig struct {
 	ShutdownTime time.Duration            // time between the stop signal and the kill
@@ -77,6 +81,7 @@
 	http          *http.Server
 	inFlight      *atomic.Int64     // requests
 	connections   *edge.Connections // nil: not drained
+	open          atomic.Bool       // the listener is open
 }
 
 // NewInstance returns an instance without listeners.
@@ -117,33 +122,34 @@
 		return
 	default:
 	}
-	if !i.cell.Ready() {
+	if !i.cell.Ready() || !i.servesCallers() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
+// servesCallers reports whether the listeners for callers are open.
+func (i *Instance) servesCallers() bool {
+	for _, s := range i.servers {
+		if s.name == CallersListener && !s.open.Load() {
+			return false
+		}
+	}
+	return true
+}
+
 // ServeMetrics writes the counters and histograms.
 func (i *Instance) ServeMetrics(w http.ResponseWriter, _ *http.Request) { telemetry.WriteMetrics(w) }
 
 // Run serves until a stop signal, the end of the context or a failure.
 func (i *Instance) Run(ctx context.Context) error {
 	log := i.cfg.Logger
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
 	for _, s := range i.servers {
-		listener, err := net.Listen("tcp", s.address)
-		if err != nil {
-			return errors.Wrapf(err, "%s listener", s.name)
+		if err := i.open(ctx, s); err != nil {
+			return err
 		}
-		if s.connections != nil {
-			listener = s.connections.Listen(listener)
-		}
-		go func() {
-			if err := s.http.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-				i.failed <- errors.Wrapf(err, "%s listener", s.name)
-			}
-		}()
 	}
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -171,6 +177,61 @@
 	return err
 }
 
+// open opens a listener. While its address cannot be used, as another process holds it, it is
+// tried again in the background until the context ends: the other listeners serve without it.
+func (i *Instance) open(ctx context.Context, s *server) error {
+	listener, err := net.Listen("tcp", s.address)
+	if err == nil {
+		i.serve(s, listener)
+		return nil
+	}
+	err = errors.Wrapf(err, "%s listener", s.name)
+	if !isSystemError(err) {
+		return err
+	}
+	i.cfg.Logger.Error().Err(err).Str("event", "address_not_available").Str("listener", s.name).Str("address", s.address).Msg("cannot listen; trying again. Find the process that holds the address, or correct the settings")
+	go i.openLater(ctx, s, time.Now())
+	return nil
+}
+
+func (i *Instance) openLater(ctx context.Context, s *server, since time.Time) {
+	ticker := time.NewTicker(listenRetryPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-i.draining:
+			return
+		case <-ticker.C:
+		}
+		telemetry.CountRetry("address-not-available")
+		if listener, err := net.Listen("tcp", s.address); err == nil {
+			i.cfg.Logger.Info().Str("event", "address_available").Str("listener", s.name).Str("address", s.address).Int64("age_ms", time.Since(since).Milliseconds()).Msg("listening now")
+			i.serve(s, listener)
+			return
+		}
+	}
+}
+
+func (i *Instance) serve(s *server, listener net.Listener) {
+	if s.connections != nil {
+		listener = s.connections.Listen(listener)
+	}
+	s.open.Store(true)
+	go func() {
+		if err := s.http.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			i.failed <- errors.Wrapf(err, "%s listener", s.name)
+		}
+	}()
+}
+
+// isSystemError reports whether the operating system refused something that it may grant later.
+func isSystemError(err error) bool {
+	var number syscall.Errno
+	return errors.As(err, &number)
+}
+
 // waitForStop blocks until the instance has a reason to stop. Meanwhile the settings are
 // re-read every reloadPeriod and at SIGHUP.
 func (i *Instance) waitForStop(ctx context.Context) error {
