--- a/internal/jobcell/instance.go
+++ b/internal/jobcell/instance.go
@@ -63,6 +63,9 @@
 	return Signals{stop: stop, reload: reload}
 }
 
+// Stop returns the channel of the stop signals, for what comes before an Instance runs.
+func (s Signals) Stop() <-chan os.Signal { return s.stop }
+
 // Instance is the server process around a Cell: it serves the listeners, reloads the
 // settings and shuts down gracefully.
 type Instance struct {
