jobcell: an instance whose data folder cannot be opened serves without its replica

Cause: the folder was opened before anything else, in line. Class: a condition of one part ends or holds up the whole. Change: the folder is opened in the background.

--- a/internal/jobcell/announce.go
+++ b/internal/jobcell/announce.go
@@ -41,7 +41,7 @@
 			c.allowReplicaStart()
 		}
 		pause := max(minDiscoveryPause, time.Until(next))
-		if c.voter != nil {
+		if c.voter() != nil {
 			pause = min(pause, replicaWatchPeriod)
 		}
 		timer := time.NewTimer(pause)
--- a/internal/jobcell/bootstrap.go
+++ b/internal/jobcell/bootstrap.go
@@ -127,16 +127,16 @@
 func (c *Cell) writeInitialMembership(membership *egretmuxv1.Membership) error {
 	c.bootstrapMu.Lock()
 	defer c.bootstrapMu.Unlock()
-	if c.voter == nil {
+	if c.voter() == nil {
 		return refusal.New(refusal.Invalid, "choose an instance with a data folder", "this instance keeps no replica")
 	}
-	if !c.voter.Empty() {
+	if !c.voter().Empty() {
 		return nil // written by an earlier call
 	}
 	if c.scheduler.Node() != nil {
 		return refusal.New(refusal.Invalid, "the replica joins the cell that exists", "the replica has started without a cell of its own")
 	}
-	if err := c.voter.Bootstrap(membership); err != nil {
+	if err := c.voter().Bootstrap(membership); err != nil {
 		return err
 	}
 	c.allowReplicaStart()
--- a/internal/jobcell/cell.go
+++ b/internal/jobcell/cell.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -22,9 +23,7 @@
 	"github.com/egretmux/egretmux/internal/peer"
 	"github.com/egretmux/egretmux/internal/periodic"
 	"github.com/egretmux/egretmux/internal/scheduler"
-	"github.com/egretmux/egretmux/internal/settings"
 	"github.com/egretmux/egretmux/internal/telemetry"
-	"github.com/egretmux/egretmux/internal/voter"
 )
 
 // Timing of the replicated log between instances.
@@ -65,8 +64,8 @@
 	cfg                 Config
 	dialer              *peer.Dialer
 	leader              *peer.LeaderClient
-	voter               *voter.Voter // nil without a data folder
-	memberFile          *memberFile  // nil without a data folder
+	folder              atomic.Pointer[dataFolder]
+	folderOpened        chan error // outcomes of opening the data folder
 	scheduler           *scheduler.Scheduler
 	directory           *discovery.Directory
 	advice              *adviceBalancer
@@ -82,13 +81,13 @@
 	bootstrapMu         sync.Mutex // held while the initial membership is written or the replica starts
 }
 
-// New opens the data folder, if there is one, and returns a Cell that is not running.
+// New returns a Cell that is not running. It begins to open the data folder, if there is one.
 func New(cfg Config) (*Cell, error) {
 	dialer, err := peer.NewDialer("", "")
 	if err != nil {
 		return nil, err
 	}
-	c := &Cell{cfg: cfg, dialer: dialer, failed: make(chan error, 1), replicaStartAllowed: make(chan struct{})}
+	c := &Cell{cfg: cfg, dialer: dialer, failed: make(chan error, 1), replicaStartAllowed: make(chan struct{}), folderOpened: make(chan error, 1)}
 	c.directory = discovery.New(c.self, cfg.Seeds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), time.Now())
 	c.advice = newAdviceBalancer(c)
 	c.workers = newWorkerProxy(c, cfg.Scheduler.WorkerClient)
@@ -105,15 +104,8 @@
 	if cfg.DataFolder == "" {
 		return c, nil
 	}
-	c.voter, err = voter.Open(&settings.Settings{
-		Instance: cfg.Address, DataFolder: cfg.DataFolder, Cell: settings.Listener{Address: cfg.Address},
-		Tick: tickInterval, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, SnapshotEntries: snapshotEntries,
-	}, dialer, cfg.Logger)
-	if err != nil {
-		return nil, err
-	}
-	c.memberFile = newMemberFile(c.voter.Disk(), cfg.Logger)
-	c.directory.Remember(c.memberFile.read())
+	c.beginOpening()
+	c.waitBriefly()
 	return c, nil
 }
 
@@ -125,8 +117,8 @@
 	limit := connect.WithHandlerOptions(connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompression("gzip", nil, nil))
 	mux := http.NewServeMux()
 	mux.Handle(egretmuxv1connect.NewJobCellServiceHandler(&service{c}, limit))
-	if c.voter != nil {
-		mux.Handle(c.voter.Handler())
+	if c.cfg.DataFolder != "" {
+		mux.HandleFunc(replicaPath, c.serveReplica)
 	}
 	return telemetry.CountMessages("cell", mux)
 }
@@ -141,9 +133,8 @@
 	if c.cfg.Founding && len(c.cfg.Seeds) > 0 && c.cfg.Seeds[0] == c.cfg.Address {
 		loops.Go(func() { c.bootstrapLoop(ctx) })
 	}
-	if c.voter != nil {
-		loops.Go(func() { c.runReplica(ctx) })
-		loops.Go(func() { c.memberFileLoop(ctx) })
+	if c.cfg.DataFolder != "" {
+		loops.Go(func() { c.runDataFolder(ctx) })
 	}
 	loops.Wait()
 }
@@ -152,7 +143,7 @@
 // on its first start. Otherwise it first waits until the cell has been bootstrapped,
 // here or elsewhere.
 func (c *Cell) runReplica(ctx context.Context) {
-	if c.voter.Empty() && c.cfg.Founding {
+	if c.voter().Empty() && c.cfg.Founding {
 		select {
 		case <-ctx.Done():
 			return
@@ -161,7 +152,7 @@
 	}
 	book := job.NewBook()
 	c.bootstrapMu.Lock()
-	node, err := c.voter.StartReplica(book, c.fail)
+	node, err := c.voter().StartReplica(book, c.fail)
 	c.bootstrapMu.Unlock()
 	if err != nil {
 		c.fail(err)
@@ -184,11 +175,12 @@
 
 // Close stops the replica.
 func (c *Cell) Close() error {
-	if c.voter == nil {
+	v := c.voter()
+	if v == nil {
 		return nil
 	}
-	c.voter.EndStreams()
-	return c.voter.Close()
+	v.EndStreams()
+	return v.Close()
 }
 
 // HandOver transfers leadership to another replica before this instance stops.
@@ -205,8 +197,8 @@
 	m := &egretmuxv1.Member{
 		Address: c.cfg.Address, Control: c.cfg.Control, Zone: c.cfg.Zone, Founding: c.cfg.Founding, Name: c.cfg.Name,
 	}
-	if c.voter != nil {
-		m.Replica, m.Empty = c.voter.Replica().GetId(), c.voter.Empty()
+	if v := c.voter(); v != nil {
+		m.Replica, m.Empty = v.Replica().GetId(), v.Empty()
 	}
 	return m
 }
@@ -216,7 +208,7 @@
 
 // replicaFormed reports whether the replica of this instance holds entries of the cell.
 func (c *Cell) replicaFormed() bool {
-	if c.voter != nil && !c.voter.Empty() {
+	if v := c.voter(); v != nil && !v.Empty() {
 		return true
 	}
 	if node := c.scheduler.Node(); node != nil {
--- a/internal/jobcell/instance.go
+++ b/internal/jobcell/instance.go
@@ -158,7 +158,7 @@
 		defer close(done)
 		i.cell.Run(ctx)
 	}()
-	log.Info().Str("event", "instance_started").Str("zone", i.cell.cfg.Zone).Bool("replica", i.cell.voter != nil).Bool("founding", i.cell.cfg.Founding).Strs("seeds", i.cell.cfg.Seeds).Msg("instance started")
+	log.Info().Str("event", "instance_started").Str("zone", i.cell.cfg.Zone).Bool("replica", i.cell.voter() != nil).Bool("founding", i.cell.cfg.Founding).Strs("seeds", i.cell.cfg.Seeds).Msg("instance started")
 	err := i.waitForStop(ctx)
 	deadline := time.Now().Add(max(listenerCloseTimeout, i.cfg.ShutdownTime-exitReserve))
 	i.drain(deadline)
--- a/internal/jobcell/lost_disk_test.go
+++ b/internal/jobcell/lost_disk_test.go
@@ -148,7 +148,7 @@
 	running := make(map[uint64]bool)
 	for _, i := range instances {
 		if i.folder != "" {
-			running[i.cell.voter.Replica().GetId()] = true
+			running[i.cell.voter().Replica().GetId()] = true
 		}
 	}
 	voters := 0
--- a/internal/jobcell/member_file.go
+++ b/internal/jobcell/member_file.go
@@ -112,5 +112,5 @@
 
 // memberFileLoop has a goroutine of its own, as it waits for a disk that hangs.
 func (c *Cell) memberFileLoop(ctx context.Context) {
-	periodic.Run(ctx, memberFilePeriod, func(now time.Time) { c.memberFile.update(c.directory, now) })
+	periodic.Run(ctx, memberFilePeriod, func(now time.Time) { c.folder.Load().members.update(c.directory, now) })
 }
--- a/internal/jobcell/member_file_test.go
+++ b/internal/jobcell/member_file_test.go
@@ -159,8 +159,9 @@
 	require.NoError(t, err)
 	hanging := &hangingDisk{called: make(chan struct{}), released: make(chan struct{})}
 	i.configure = func(c *Cell) {
-		hanging.Disk = c.memberFile.disk
-		c.memberFile.disk, c.memberFile.written, c.memberFile.version = hanging, nil, 0
+		members := c.folder.Load().members
+		hanging.Disk = members.disk
+		members.disk, members.written, members.version = hanging, nil, 0
 	}
 	i.start(listener, false)
 	defer close(hanging.released)
@@ -178,7 +179,7 @@
 func TestInstanceWithOldSeedsIsReadyAfterAllLostPower(t *testing.T) {
 	all := startCell(t, 6, 3)
 	require.Eventually(t, func() bool {
-		return !slices.ContainsFunc(all[:3], func(i *liveInstance) bool { return len(newMemberFile(i.cell.voter.Disk(), zerolog.Nop()).read()) < 5 })
+		return !slices.ContainsFunc(all[:3], func(i *liveInstance) bool { return len(newMemberFile(i.cell.voter().Disk(), zerolog.Nop()).read()) < 5 })
 	}, formationBound, checkPeriod, "not all members are on disk")
 	for round, lost := range []*liveInstance{nil, all[0], all[2]} {
 		for n, i := range all {
