egretmuxd: a log that nobody reads any more does not end the process

Cause: Go ends a process whose write to its standard output or error fails with EPIPE, unless SIGPIPE is taken or ignored. Class: a signal's default ends the process.

--- a/cmd/egretmuxd/main.go
+++ b/cmd/egretmuxd/main.go
@@ -63,6 +63,7 @@
 	signals := make(chan os.Signal, maxPendingSignals)
 	if !opts.CheckSettings {
 		signal.Notify(signals, syscall.SIGHUP) // it must not end a process that starts
+		signal.Ignore(syscall.SIGPIPE)         // of a log that nobody reads any more
 	}
 	s, err := settings.Load(opts.Settings)
 	if err != nil {
--- a/cmd/egretmuxd/main_test.go
+++ b/cmd/egretmuxd/main_test.go
@@ -116,3 +116,19 @@
 	}
 	<-stopped
 }
+
+// Guards against an instance that was ended by its next line since nobody read its log any more.
+func TestInstanceWhoseLogIsNotReadIsNotEndedByIt(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "settings.ini")
+	require.NoError(t, os.WriteFile(file, []byte("[none]\n"), 0o600)) // it tells of that in its log
+	reader, writer, err := os.Pipe()
+	require.NoError(t, err)
+	require.NoError(t, reader.Close())
+	process := exec.Command("egretmuxd", "--settings", file)
+	process.Stderr = writer
+	require.NoError(t, process.Start())
+	require.NoError(t, writer.Close())
+	var exit *exec.ExitError
+	require.ErrorAs(t, process.Wait(), &exit)
+	require.Equal(t, exitSettings, exit.ExitCode(), "%v", exit)
+}
--- a/internal/jobcell/instance.go
+++ b/internal/jobcell/instance.go
@@ -60,6 +60,7 @@
 	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reload, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE) // of a log that nobody reads any more; failed writes are counted
 	return Signals{stop: stop, reload: reload}
 }
 
