jobcell: a listener that fails for a moment does not end an instance

Found by reading, as the same cause as an address in use. What callers would see: the system refuses to accept connections at one listener (no memory for them, a firewall), and the whole instance ends. Cause: an error of Accept that net/http does not take for temporary ended the process. Change: the listener is opened again as at the start. Evidence: TestListenerThatFailsForAMomentDoesNotEndAnInstance fails without the change (the instance has ended) and passes with it.

--- a/internal/jobcell/instance.go
+++ b/internal/jobcell/instance.go
@@ -181,19 +181,24 @@
 	return err
 }
 
-// open opens a listener. While its address cannot be used, as another process holds it, it is
+// open opens a listener. While the system refuses that, as another process holds its address, it is
 // tried again in the background until the context ends: the other listeners serve without it.
 func (i *Instance) open(ctx context.Context, s *server) error {
 	listener, err := net.Listen("tcp", s.address)
 	if err == nil {
-		i.serve(s, listener)
+		i.serve(ctx, s, listener)
 		return nil
 	}
-	err = errors.Wrapf(err, "%s listener", s.name)
-	if !isSystemError(err) {
-		return err
+	return i.reopen(ctx, s, err)
+}
+
+// reopen opens a listener again that failed, or returns the failure if that does not help.
+func (i *Instance) reopen(ctx context.Context, s *server, failure error) error {
+	failure = errors.Wrapf(failure, "%s listener", s.name)
+	if !isSystemError(failure) {
+		return failure
 	}
-	i.cfg.Logger.Error().Err(err).Str("event", "address_not_available").Str("listener", s.name).Str("address", s.address).Msg("cannot listen; trying again. Find the process that holds the address, or correct the settings")
+	i.cfg.Logger.Error().Err(failure).Str("event", "address_not_available").Str("listener", s.name).Str("address", s.address).Msg("cannot listen; trying again. Find the process that holds the address, or correct the settings")
 	go i.openLater(ctx, s, time.Now())
 	return nil
 }
@@ -212,20 +217,25 @@
 		telemetry.CountRetry("address-not-available")
 		if listener, err := net.Listen("tcp", s.address); err == nil {
 			i.cfg.Logger.Info().Str("event", "address_available").Str("listener", s.name).Str("address", s.address).Int64("age_ms", time.Since(since).Milliseconds()).Msg("listening now")
-			i.serve(s, listener)
+			i.serve(ctx, s, listener)
 			return
 		}
 	}
 }
 
-func (i *Instance) serve(s *server, listener net.Listener) {
+func (i *Instance) serve(ctx context.Context, s *server, listener net.Listener) {
 	if s.connections != nil {
 		listener = s.connections.Listen(listener)
 	}
 	s.open.Store(true)
 	go func() {
-		if err := s.http.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			i.failed <- errors.Wrapf(err, "%s listener", s.name)
+		err := s.http.Serve(listener)
+		if err == nil || errors.Is(err, http.ErrServerClosed) {
+			return
+		}
+		s.open.Store(false)
+		if err := i.reopen(ctx, s, err); err != nil {
+			i.failed <- err
 		}
 	}()
 }
--- a/internal/jobcell/listen_test.go
+++ b/internal/jobcell/listen_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"syscall"
 	"testing"
 	"time"
 
@@ -36,3 +37,33 @@
 	i.Listen("control", "127.0.0.1:none", http.NotFoundHandler())
 	require.ErrorContains(t, i.Run(t.Context()), "control listener")
 }
+
+// failingListener is a listener that the system refuses further connections at, as without memory for them.
+type failingListener struct{ net.Listener }
+
+func (l failingListener) Accept() (net.Conn, error) {
+	return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.ENOBUFS}
+}
+
+// Guards against an instance that ended since the system could not accept connections at one listener for a moment.
+func TestListenerThatFailsForAMomentDoesNotEndAnInstance(t *testing.T) {
+	address := freeAddress(t)
+	i := startInstanceWith(t, func(*Instance) {}, http.NotFoundHandler(), nil)
+	s := &server{name: "control", address: address, http: &http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: readHeaderTimeout}}
+	listener, err := net.Listen("tcp", address)
+	require.NoError(t, err)
+	i.serve(t.Context(), s, failingListener{listener})
+	require.Eventually(t, func() bool {
+		resp, err := http.Get("http://" + address)
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		return true
+	}, 2*time.Second, 10*time.Millisecond)
+	select {
+	case <-i.ended:
+		require.FailNow(t, "the instance has ended")
+	default:
+	}
+}
