jobcell: a test that replicas which all start again keep their identities

Instances of jobs start their replica without that check (Cell.runReplica calls StartReplica, not Start).

--- a/internal/jobcell/data_folder_test.go
+++ b/internal/jobcell/data_folder_test.go
@@ -65,3 +65,28 @@
 	require.NoError(t, os.WriteFile(path, nil, 0o600))
 	return func() { require.NoError(t, os.WriteFile(path, content, 0o600)) }
 }
+
+// Guards against voters that are taken for restored backups and set aside when all of them start again at the same
+// moment, which would leave the cell without a majority.
+func TestReplicasThatAllStartAgainKeepTheirIdentities(t *testing.T) {
+	const disks = 3
+	instances := startCell(t, disks, disks)
+	require.NoError(t, instances[0].cell.PutCatalogue(t.Context(), &egretmuxv1.Catalogue{Version: 1, Source: []byte("configuration")}))
+	var before []uint64
+	for _, i := range instances {
+		before = append(before, i.cell.voter().Replica().GetId())
+	}
+	for _, i := range instances {
+		i.kill()
+	}
+	for _, i := range instances {
+		i.restart()
+	}
+	require.Eventually(t, func() bool { return liveVoters(instances) == disks }, redundancyBound, checkPeriod)
+	for n, i := range instances {
+		require.Equal(t, before[n], i.cell.voter().Replica().GetId())
+		read, err := i.cell.Catalogue(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, "configuration", string(read))
+	}
+}
