jobcell: a test that large configurations are read at the leader

On links of 1.5 Mbit/s a read of 260 KB through an instance takes longer than operators wait. The new test fails without the redirect and passes with it.

--- a/internal/jobcell/catalogue_read_test.go
+++ b/internal/jobcell/catalogue_read_test.go
@@ -6,9 +6,11 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/scheduler"
 )
 
@@ -29,3 +31,26 @@
 	require.Contains(t, log.String(), `"reason":"no-leader"`)
 	require.Contains(t, log.String(), `"in_contact":false`)
 }
+
+// Guards against a large configuration that is read through an instance whose link takes longer for it than operators
+// wait, and against one that is refused at the leader.
+func TestLargeConfigurationIsReadAtTheLeader(t *testing.T) {
+	const control = "127.0.0.1:1"
+	instances := startCell(t, 2, 1)
+	leader, other := instances[0], instances[1]
+	leader.configure = func(c *Cell) { c.cfg.Control = control }
+	leader.kill()
+	leader.restart()
+	require.Eventually(t, leader.cell.scheduler.Leads, redundancyBound, checkPeriod)
+	large := bytes.Repeat([]byte("x"), maxForwardedBytes+1)
+	require.NoError(t, leader.cell.PutCatalogue(t.Context(), &egretmuxv1.Catalogue{Version: 1, Source: large}))
+	var redirect *RedirectError
+	require.Eventually(t, func() bool {
+		_, err := other.cell.Catalogue(t.Context())
+		return errors.As(err, &redirect)
+	}, redundancyBound, checkPeriod)
+	require.Equal(t, control, redirect.Control)
+	read, err := leader.cell.Catalogue(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, large, read)
+}
