--- a/internal/jobcell/catalogue_read_test.go
+++ b/internal/jobcell/catalogue_read_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/consensus/core"
 	"github.com/egretmux/egretmux/internal/scheduler"
 )
 
@@ -54,3 +55,31 @@
 	require.NoError(t, err)
 	require.Equal(t, large, read)
 }
+
+// Guards against reads that wait for a leader whose disk hangs, at that instance or at another one.
+func TestConfigurationCanBeReadWhileTheDiskOfTheLeaderHangs(t *testing.T) {
+	const calm = 4 * time.Second // from a fault until reads must be answered again
+	instances := startCell(t, 4, 3)
+	require.NoError(t, instances[3].cell.PutCatalogue(t.Context(), &egretmuxv1.Catalogue{Version: 1, Source: []byte("configuration")}))
+	leader := leaderOf(instances)
+	require.NotNil(t, leader)
+	stalled, released := make(chan struct{}), make(chan struct{})
+	go func() {
+		_ = leader.cell.scheduler.Node().Do(context.Background(), func(*core.Core) error {
+			close(stalled)
+			<-released
+			return nil
+		})
+	}()
+	<-stalled
+	defer close(released)
+	deadline := time.Now().Add(calm)
+	for _, i := range instances {
+		require.Eventually(t, func() bool {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			read, err := i.cell.Catalogue(ctx)
+			return err == nil && string(read) == "configuration"
+		}, time.Until(deadline), checkPeriod, "instance %s, which led: %v", i.address, i == leader)
+	}
+}
