--- a/internal/jobcell/data_folder.go
+++ b/internal/jobcell/data_folder.go
@@ -17,6 +17,9 @@
 	folderRetryPeriod = time.Second
 )
 
+// replicaPath is the path of the messages between replicas.
+const replicaPath = "/" + egretmuxv1connect.ConsensusServiceName + "/"
+
 // dataFolder is the data folder of this instance, opened.
 type dataFolder struct {
 	voter   *voter.Voter
@@ -114,5 +117,3 @@
 	}
 	folder.handler.ServeHTTP(w, r)
 }
-
-const replicaPath = "/" + egretmuxv1connect.ConsensusServiceName + "/"
