--- a/internal/consensus/wal/crash_test.go
+++ b/internal/consensus/wal/crash_test.go
@@ -189,13 +189,37 @@
 	}
 }
 
+// Guards against a data folder that can never be opened again after a loss of power during its first start.
+func TestFolderCanBeOpenedAfterACrashDuringItsFirstStart(t *testing.T) {
+	const seeds, mostOperations = 100, 40
+	for seed := range uint64(seeds) {
+		for operations := range mostOperations {
+			random := rand.New(rand.NewPCG(seed, uint64(operations)))
+			keep := func(unsynced int) int { return random.IntN(unsynced + 1) }
+			disk := standin.NewDisk()
+			disk.DieAfter(operations)
+			if _, err := wal.Identity(disk, random.Uint64); err == nil {
+				if log, _, err := wal.Open(disk); err == nil {
+					_ = log.Append(&egretmuxv1.HardState{Term: 1, Vote: 1}, []*egretmuxv1.Entry{entry(1, 1)}) // may fail
+				}
+			}
+			disk.Crash(keep)
+			_, err := wal.Identity(disk, random.Uint64)
+			require.NoError(t, err, "seed %d, crash after %d operations", seed, operations)
+			_, _, err = wal.Open(disk)
+			require.NoError(t, err, "seed %d, crash after %d operations", seed, operations)
+		}
+	}
+}
+
 // crashAt reports whether the crash interrupted the workload.
 func crashAt(t *testing.T, operations int, keep func(int) int) bool {
 	t.Helper()
 	at := fmt.Sprintf("crash after %d operations", operations)
 	disk := standin.NewDisk()
 	w := &workload{entries: make(map[uint64]uint64)}
-	var err error
+	id, err := wal.Identity(disk, rand.Uint64)
+	require.NoError(t, err)
 	w.log, _, err = wal.Open(disk)
 	require.NoError(t, err)
 	w.log.SetSegmentBytes(testSegmentBytes)
@@ -207,6 +231,9 @@
 		_, _, _ = wal.Open(disk)
 	}
 	disk.Crash(keep)
+	kept, err := wal.Identity(disk, rand.Uint64)
+	require.NoError(t, err, at)
+	require.Equal(t, id, kept, "%s: the replica has forgotten its votes", at)
 	log, rec, err := wal.Open(disk)
 	require.NoError(t, err, at)
 	w.check(t, rec, at)
