standin: every soak judges members of gangs that wait for the others in vain

The ledger now knows the timeout, the stops that a member got, and the faults of instances, links and runners; without one of them near, such an end breaks GANG. Plays of slow instances can ask for no excuse but the member's own order, carried out late.

--- a/internal/standin/forwarder.go
+++ b/internal/standin/forwarder.go
@@ -12,6 +12,10 @@
 // lost its connection table, it can silence open connections: they stay open but
 // carry nothing more, while new ones work.
 type Forwarder struct {
+	// OnFault, unless nil, is called when a fault begins (active) or ends. Faults without a duration end as
+	// they begin. It is set before Run.
+	OnFault func(active bool)
+
 	target string
 
 	mu     sync.Mutex
@@ -38,11 +42,18 @@
 
 // SetFaults replaces the faults of open and new connections.
 func (f *Forwarder) SetFaults(faults LinkFaults) {
+	f.noteFault(faults != LinkFaults{})
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.faults = faults
 }
 
+func (f *Forwarder) noteFault(active bool) {
+	if f.OnFault != nil {
+		f.OnFault(active)
+	}
+}
+
 func (f *Forwarder) currentFaults() LinkFaults {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -151,6 +162,7 @@
 // Silence makes every open connection carry nothing more and returns their
 // number.
 func (f *Forwarder) Silence() int {
+	f.noteFault(f.currentFaults() != LinkFaults{})
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for p := range f.pairs {
@@ -163,6 +175,7 @@
 
 // Cut closes every open connection and returns their number.
 func (f *Forwarder) Cut() int {
+	f.noteFault(f.currentFaults() != LinkFaults{})
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for p := range f.pairs {
--- a/internal/standin/jobs/contact.go
+++ b/internal/standin/jobs/contact.go
@@ -32,6 +32,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.loss = loss
+	r.cfg.Ledger.setRunnerFault(r, loss != Loss{})
 }
 
 // CutOffAtPoll cuts the runner off once it has carried out the next poll, so that its lease lasts as long as the
@@ -40,6 +41,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.cutAtPoll = true
+	r.cfg.Ledger.setRunnerFault(r, true)
 }
 
 // loses reports whether a message is lost.
@@ -56,6 +58,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lateChance = share
+	r.cfg.Ledger.setRunnerFault(r, share > 0)
 }
 
 func (r *Runner) isLatePoll() bool {
--- a/internal/standin/jobs/ledger.go
+++ b/internal/standin/jobs/ledger.go
@@ -27,6 +27,8 @@
 	lapsed bool      // its lease has expired
 	over   time.Time // when it ended
 	lease  *leaseEnd // of its runner
+	late   bool      // its order got no answer and was carried out late
+	stopAt time.Time // when its runner was first told to stop it; zero: never
 }
 
 // goesOn reports whether a run goes on at a moment. Its end by an expired lease may not be recorded yet.
@@ -49,6 +51,11 @@
 	failuresAcknowledged map[Task]int // ends with outcome failed that the leader has acknowledged
 	crashes              map[Task]int // runners that crashed under a run of the task
 	gangs                map[gangKey]*gang
+	gangTimeout          time.Duration
+	gangsBesideFaults    bool // see JudgeGangsBesideFaults
+	gangCounts           GangCounts
+	instanceFaults       faults
+	runnerFaults         faults
 	lateOrders           int          // orders without an answer that are still to be carried out
 	startsAfterCrashes   map[Task]int // starts since the crash number maxCrashes
 	violations           []string
@@ -107,7 +114,7 @@
 		began: time.Now(), submitted: make(map[string]*Job), runs: make(map[Task][]*run),
 		doneAcknowledged: make(map[Task]time.Time), completed: make(map[string]time.Time), checkpoints: make(map[savedWork]time.Duration), failuresAcknowledged: make(map[Task]int),
 		crashes: make(map[Task]int), startsAfterCrashes: make(map[Task]int),
-		gangs: make(map[gangKey]*gang),
+		gangs: make(map[gangKey]*gang), gangTimeout: defaultGangTimeout,
 	}
 }
 
@@ -243,7 +250,7 @@
 			}
 		}
 	}
-	l.runs[t] = append(l.runs[t], &run{runner: runner, number: number, began: now, lease: lease})
+	l.runs[t] = append(l.runs[t], &run{runner: runner, number: number, began: now, lease: lease, late: late})
 }
 
 // lasts reports whether a step's tasks last until the job is cancelled. They have to be started
@@ -271,6 +278,9 @@
 	for _, r := range l.runs[t] {
 		if r.number == number && r.runner == runner {
 			r.ended, r.done, r.lapsed, r.over = true, outcome == "done", outcome == "lapsed", at
+			if outcome == "alone" {
+				l.judgeAloneLocked(t, r)
+			}
 		}
 	}
 }
--- a/internal/standin/jobs/runner.go
+++ b/internal/standin/jobs/runner.go
@@ -207,6 +207,7 @@
 func (r *Runner) end() {
 	r.cancel()
 	_ = r.server.Close()
+	r.cfg.Ledger.setRunnerFault(r, false)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expireLease()
@@ -258,6 +259,7 @@
 	if cut {
 		r.loss = allLost
 	}
+	r.cfg.Ledger.setRunnerFault(r, cut)
 }
 
 // Drain reports the runner as draining, waits, then deregisters and stops it.
@@ -265,6 +267,7 @@
 	r.mu.Lock()
 	r.draining, r.drainUntil = true, time.Now().Add(wait)
 	r.mu.Unlock()
+	r.cfg.Ledger.setRunnerFault(r, true)
 	time.Sleep(wait)
 	r.post("/Instances.Leave/"+r.cfg.ID, map[string]any{"born": r.born})
 	r.end()
@@ -279,6 +282,7 @@
 	r.mu.Lock()
 	r.draining = true
 	r.mu.Unlock()
+	r.cfg.Ledger.setRunnerFault(r, true)
 	for began := time.Now(); time.Since(began) < wait; time.Sleep(leavePeriod) {
 		r.post("/Instances.Leave/"+r.cfg.ID, map[string]any{"born": r.born})
 	}
@@ -395,6 +399,7 @@
 		if late {
 			order.late = true
 			r.cfg.Ledger.addLateOrders(1)
+			r.cfg.Ledger.noteLateMember(t, order.Run)
 			time.AfterFunc(delay, func() {
 				execute(t, order)
 				r.cfg.Ledger.addLateOrders(-1)
@@ -528,12 +533,12 @@
 	}
 	r.running[t] = taskRun
 	if j != nil && j.Steps[t.Step].Gang {
-		taskRun.timer = time.AfterFunc(gangTimeout, func() {
+		wait := r.cfg.Ledger.joinGang(t, order.Run, j.Steps[t.Step].Count, taskRun.length, end)
+		taskRun.timer = time.AfterFunc(wait, func() {
 			if !r.cfg.Ledger.gangComplete(t, order.Run) {
 				end("alone")
 			}
 		})
-		r.cfg.Ledger.joinGang(t, order.Run, j.Steps[t.Step].Count, taskRun.length, end)
 	} else {
 		taskRun.timer = time.AfterFunc(taskRun.length, func() { end(outcome) })
 	}
@@ -567,6 +572,7 @@
 	r.expireLease()
 	r.highestRun[t] = max(r.highestRun[t], order.Run)
 	if taskRun := r.running[t]; taskRun != nil && taskRun.number <= order.Run {
+		r.cfg.Ledger.recordStop(t, taskRun.number, r.name())
 		time.AfterFunc(r.stopTime(), func() {
 			r.mu.Lock()
 			defer r.mu.Unlock()
