dispatch, scheduler, jobcell: a gang is whole or stopped before its members give up waiting

Cause: the waits in a row had no bound. An order through another instance was given up after up to 1.2 s, repeated through the same instance with as long again, and only then was the gang stopped, through the same instance. gang_timeout_ms was read nowhere.

Change: the core knows the time for which members wait. It stops a gang that is not whole after half of that time, less that of a stop; one that another leader started, sooner. An unanswered start is repeated directly, and a stop that is not passed on within 200 ms is also sent directly. All starts of one gang are sent at once, without the core's lock between them.

The new core and jobcell tests need the new calls; the sums of waits are checked beside the bounds of the deployments (TestWaitsInARowAddUpToLessThanTheirBounds).

Test changed: the stop that another release does not understand now also goes out directly, so that the test counts this and lets the worker refuse it. The stand-in's members list 0 percent until their gang is whole, as the protocol says.

--- a/internal/dispatch/actions.go
+++ b/internal/dispatch/actions.go
@@ -77,6 +77,10 @@
 	Clock      int64 // last known reading of the worker's clock, milliseconds
 	// Superseded are earlier runs of the task that may have ended unheard.
 	Superseded []*egretmuxv1.SupersededRun
+	// AnswerBy is the time after the start is sent in which a member of a gang must have begun; zero for
+	// other tasks.
+	AnswerBy time.Duration
+	Repeated bool // it was sent before, without an answer
 }
 
 // StopOrder orders a worker to stop a run.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -37,6 +37,7 @@
 	Lease       time.Duration // length of a worker's lease
 	FarFactor   float64       // run time on another rack than the task's data, relative to the same rack
 	StopTimeout time.Duration // upper limit for a worker to stop a run
+	GangTimeout time.Duration // time for which a member of a gang waits for the others; zero: without limit
 	RateWindow  time.Duration // time whose worth of jobs a customer may submit at once; zero: defaultRateWindow
 	// UnixMs converts a time since the tenure began to Unix milliseconds.
 	UnixMs func(now time.Duration) int64
@@ -49,6 +50,7 @@
 	jobs               map[string]*job
 	steps              map[StepKey]*step  // steps that are open: all predecessors are done
 	unplaced           map[*step]struct{} // open steps that may have tasks without a run
+	forming            map[*step]forming  // gangs of which members may still have to begin
 	heldTasks          []*task            // tasks of which a run may go on although its worker is not known
 	periodic           []*job             // jobs with occurrences that are not due yet
 	workers            map[string]*worker
@@ -103,7 +105,7 @@
 // New returns the core of a new tenure, with the state that the book holds.
 func New(cfg Config) *Core {
 	c := &Core{
-		cfg: cfg, jobs: make(map[string]*job), steps: make(map[StepKey]*step), unplaced: make(map[*step]struct{}), callers: 1, adviceMs: make(map[bool]float64),
+		cfg: cfg, jobs: make(map[string]*job), steps: make(map[StepKey]*step), unplaced: make(map[*step]struct{}), forming: make(map[*step]forming), callers: 1, adviceMs: make(map[bool]float64),
 		workers: make(map[string]*worker), customers: make(map[string]*customer), fullUntil: make(map[string]time.Duration), admitted: make(map[string]admitted),
 		inheritedLeasesEnd: inheritedLeaseWait(cfg.Lease),
 		runTimes:           make(map[[2]string]*runTimes), speeds: make(map[string]*speed.Pool), allowedShare: make(map[[2]string]float64),
@@ -296,6 +298,7 @@
 	c.steps[key] = s
 	c.unplaced[s] = struct{}{}
 	c.setLatestStart(s, now)
+	c.adoptGang(s, now)
 }
 
 // adoptStoredRun adds a run whose start an earlier leader stored. Any listing of its
@@ -466,6 +469,7 @@
 		}
 	}
 	c.releaseHeld(now)
+	c.stopUnformedGangs(now)
 	var expiredWorkers []*worker
 	for _, w := range c.workers {
 		if w.hasExpiredRuns(now) {
--- /dev/null
+++ b/internal/dispatch/forming_test.go
@@ -0,0 +1,112 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/dispatch"
+)
+
+const (
+	testGangTimeout = 4 * time.Second
+	gangStopTimeout = 900 * time.Millisecond
+)
+
+// newGangHarness returns a harness that has sent the starts of a gang of two, each on a worker of its own.
+func newGangHarness(t *testing.T) (h *harness, starts []dispatch.StartOrder) {
+	t.Helper()
+	h = newHarness(t)
+	h.gangTimeout, h.stopTimeout = testGangTimeout, gangStopTimeout
+	h.beginTenure()
+	h.addWorker("w1", 4)
+	h.addWorker("w2", 4)
+	h.submit("j1", &egretmuxv1.JobStep{Count: 2, CpuMillis: 3000, MemoryMib: 64, Gang: true})
+	h.plan()
+	require.Len(t, h.starts, 2)
+	h.core.StartsSent(h.starts, h.now)
+	starts, h.starts = h.starts, nil
+	return h, starts
+}
+
+// passTime lets ticks pass, in which the worker of each given start lists its run.
+func (h *harness) passTime(d time.Duration, progress float64, listed ...dispatch.StartOrder) {
+	for end := h.now + d; h.now < end; {
+		h.advance(100 * time.Millisecond)
+		for _, s := range listed {
+			run := listedRun(s)
+			run.ProgressPercent = progress
+			h.core.GrantLease(s.Target)
+			h.handleListing(s.Target, []dispatch.ListedRun{run}, nil)
+		}
+	}
+}
+
+func (h *harness) stoppedWorkers() []string {
+	var out []string
+	for _, s := range h.stops {
+		out = append(out, s.Worker)
+	}
+	return out
+}
+
+// Guards against GANG: members waited for one whose start got no answer until the last repeat of it had timed out.
+func TestGangThatIsNotWholeInTimeIsStopped(t *testing.T) {
+	h, starts := newGangHarness(t)
+	h.core.StartAnswered(starts[0], dispatch.Accepted, h.now, h.now)
+	limit := dispatch.FormTimeout(testGangTimeout, gangStopTimeout)
+	h.passTime(limit-100*time.Millisecond, 0, starts[0])
+	require.Empty(t, h.stops)
+	h.passTime(200*time.Millisecond, 0, starts[0])
+	require.ElementsMatch(t, []string{"w1", "w2"}, h.stoppedWorkers())
+	require.Len(t, h.noticesOf("gang_not_whole"), 1)
+	require.Equal(t, 1, h.noticesOf("gang_not_whole")[0].Lost)
+}
+
+func TestGangThatIsWholeIsNotStopped(t *testing.T) {
+	h, starts := newGangHarness(t)
+	h.core.StartAnswered(starts[0], dispatch.Accepted, h.now, h.now)
+	h.passTime(time.Second, 0, starts[0])
+	h.core.StartAnswered(starts[1], dispatch.Accepted, h.now, h.now)
+	h.passTime(2*testGangTimeout, 50, starts...)
+	require.Empty(t, h.noticesOf("gang_not_whole"))
+}
+
+// Guards against GANG: a member was listed, and so had begun, although its start got no answer.
+func TestMemberThatIsListedHasBegun(t *testing.T) {
+	h, starts := newGangHarness(t)
+	h.core.StartAnswered(starts[0], dispatch.Accepted, h.now, h.now)
+	h.passTime(testGangTimeout, 0, starts...)
+	require.Empty(t, h.noticesOf("gang_not_whole"))
+}
+
+// Guards against GANG: the worker of a member was gone as a new leader took over, and nothing but the rule for runs
+// without progress stopped the others.
+func TestGangOfAnEarlierLeaderIsStoppedIfTheLifeOfAMembersWorkerIsOver(t *testing.T) {
+	h, starts := newGangHarness(t)
+	h.core.StartAnswered(starts[0], dispatch.Accepted, h.now, h.now)
+	gone := starts[1]
+	h.apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_EndLife{EndLife: &egretmuxv1.EndLife{Worker: gone.Worker, BornUnixMs: gone.Born}}})
+	h.beginTenure()
+	h.passTime(dispatch.AdoptedFormTimeout(testGangTimeout, gangStopTimeout)+100*time.Millisecond, 0, starts[0])
+	require.Equal(t, []string{starts[0].Worker}, h.stoppedWorkers())
+	require.Empty(t, h.noticed("worker_suspected", "no-progress"), "its worker is not to blame")
+}
+
+// Guards against GANG: an earlier leader had stored the starts of a gang and sent a part of them.
+func TestGangThatAnEarlierLeaderDidNotStartAsAWholeIsStopped(t *testing.T) {
+	h, starts := newGangHarness(t)
+	h.beginTenure()
+	h.passTime(dispatch.AdoptedFormTimeout(testGangTimeout, gangStopTimeout)+100*time.Millisecond, 0, starts[0]) // the other worker is silent
+	require.ElementsMatch(t, []string{"w1", "w2"}, h.stoppedWorkers())
+}
+
+// Guards against the loss of work: members of a gang work only together, so that one at work shows that all have begun.
+func TestGangAtWorkIsNotStoppedByTheNextLeader(t *testing.T) {
+	h, starts := newGangHarness(t)
+	h.beginTenure()
+	h.passTime(2*time.Second, 7, starts[0]) // the other worker is silent
+	require.Empty(t, h.stops)
+}
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -31,6 +31,8 @@
 	notices    []dispatch.Notice
 	present    []dispatch.StartOrder // runs that acceptAll accepted and endOne has not ended
 	behind     time.Duration         // by which the next leader's time of day is behind
+
+	gangTimeout, stopTimeout time.Duration // of the next tenure
 }
 
 func newHarness(t *testing.T, queues ...*egretmuxv1.Queue) *harness {
@@ -66,7 +68,7 @@
 		h.term++
 	}
 	h.core = dispatch.New(dispatch.Config{
-		Book: h.book, Term: h.term, Lease: testLease, FarFactor: 2,
+		Book: h.book, Term: h.term, Lease: testLease, FarFactor: 2, GangTimeout: h.gangTimeout, StopTimeout: h.stopTimeout,
 		UnixMs: func(now time.Duration) int64 { return (began + now - behind).Milliseconds() },
 	})
 	h.now = 0
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -390,7 +390,7 @@
 	order := StartOrder{
 		Target: w.Target, Task: t.key(), Run: number, Payload: s.job.spec.GetPayload(),
 		Checkpoint: checkpoint, LeaseUntil: leaseUntil, TrialLease: trialLease, Clock: w.lease.latest.clock,
-		Superseded: t.unheard,
+		Superseded: t.unheard, AnswerBy: c.formTimeout(s),
 	}
 	r.superseding, t.unheard = t.unheard, nil
 	if issued, ok := s.advice.tickets[w]; ok {
--- a/internal/jobcell/cell.go
+++ b/internal/jobcell/cell.go
@@ -28,8 +28,11 @@
 
 // Timing of the replicated log between instances.
 const (
-	tickInterval    = 50 * time.Millisecond
-	electionTicks   = 12 // election timeout of 600 ms, ten times an fsync on a slow disk
+	tickInterval  = 50 * time.Millisecond
+	electionTicks = 12 // election timeout of 600 ms, ten times an fsync on a slow disk
+	// maxElectionTime is the longest time from the last heartbeat of a leader to the first campaign: timeouts are
+	// random, up to twice the shortest.
+	maxElectionTime = 2 * electionTicks * tickInterval
 	heartbeatTicks  = 3
 	snapshotEntries = 20_000
 )
--- a/internal/jobcell/drive.go
+++ b/internal/jobcell/drive.go
@@ -26,6 +26,10 @@
 	driveBatchInterval = 8 * time.Millisecond
 	delegateBackoff    = 2 * time.Second        // time without orders for an instance whose stream broke
 	driveDeadlineSlack = 500 * time.Millisecond // network round trip between the leader and the instance that calls the worker
+	// gangDeadlineSlack is the same for members of gangs, as the others wait for them meanwhile.
+	gangDeadlineSlack = 150 * time.Millisecond
+	// stopHedgeDelay is the time after which a stop without an answer is also sent directly.
+	stopHedgeDelay = 200 * time.Millisecond
 	// driveKeepaliveInterval is the interval at which an instance sends a response without
 	// answers on a stream.
 	driveKeepaliveInterval = 100 * time.Millisecond
@@ -141,17 +145,25 @@
 	return dispatch.TaskKey{StepKey: dispatch.StepKey{Job: ref.GetJob(), Occurrence: ref.GetOccurrence(), Step: ref.GetStep()}, Index: ref.GetIndex()}
 }
 
-// Start implements scheduler.WorkerClient.
+// Start implements scheduler.WorkerClient. A start that got no answer is repeated directly: the other instance,
+// its link, or what is queued before the order may be slow.
 func (p *workerProxy) Start(ctx context.Context, start dispatch.StartOrder, fence uint64) (dispatch.StartResult, int64) {
-	stream := p.chooseStream(start.Worker)
+	var stream *driveStream
+	if !start.Repeated {
+		stream = p.chooseStream(start.Worker)
+	}
 	if stream == nil {
 		return p.direct.Start(ctx, start, fence)
 	}
+	slack := driveDeadlineSlack
+	if start.AnswerBy > 0 {
+		slack = gangDeadlineSlack
+	}
 	order := newDriveOrder(start.Target, fence)
 	order.Order = &egretmuxv1.DriveOrder_Start{Start: &egretmuxv1.StartOrder{
 		Task: taskRef(start.Task, start.Run), Payload: start.Payload, Checkpoint: start.Checkpoint, Ticket: start.Ticket, LeaseUntil: start.LeaseUntil,
 	}}
-	answer := p.send(ctx, stream, order)
+	answer := p.send(ctx, stream, order, slack)
 	if answer == nil {
 		return dispatch.Unanswered, 0
 	}
@@ -169,8 +181,9 @@
 	return result
 }
 
-// Stop implements scheduler.WorkerClient. A missing answer counts as result 0 (see
-// boolAnswer).
+// Stop implements scheduler.WorkerClient. A missing answer counts as result 0 (see boolAnswer). A stop that
+// another instance does not get through soon is also sent directly, as members of a gang, or a task's next run, wait for
+// it; it changes nothing if it arrives twice.
 func (p *workerProxy) Stop(ctx context.Context, stop dispatch.StopOrder, fence uint64) bool {
 	stream := p.chooseStream(stop.Worker)
 	if stream == nil {
@@ -178,7 +191,37 @@
 	}
 	order := newDriveOrder(stop.Target, fence)
 	order.Order = &egretmuxv1.DriveOrder_Stop{Stop: &egretmuxv1.StopOrder{Task: taskRef(stop.Task, stop.Run)}}
-	return p.send(ctx, stream, order).GetResult() == 1
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers, paths := make(chan bool, 2), 1
+	go func() { answers <- p.send(ctx, stream, order, 0).GetResult() == 1 }()
+	hedge := time.NewTimer(stopHedgeDelay)
+	defer hedge.Stop()
+	sendDirectly := func() {
+		telemetry.CountRetry("stop-sent-directly")
+		paths++
+		go func() { answers <- p.direct.Stop(ctx, stop, fence) }()
+	}
+	for hedged := false; paths > 0; {
+		select {
+		case answered := <-answers:
+			if answered || ctx.Err() != nil {
+				return answered
+			}
+			if paths--; !hedged {
+				hedged = true
+				sendDirectly()
+			}
+		case <-hedge.C:
+			if !hedged {
+				hedged = true
+				sendDirectly()
+			}
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return false
 }
 
 // Pace implements scheduler.WorkerClient. A missing answer counts as result 0.
@@ -189,7 +232,7 @@
 	}
 	order := newDriveOrder(pace.Target, fence)
 	order.Order = &egretmuxv1.DriveOrder_Pace{Pace: &egretmuxv1.PaceOrder{Task: taskRef(pace.Task, pace.Run), Percent: int32(pace.Percent)}}
-	return p.send(ctx, stream, order).GetResult() == 1
+	return p.send(ctx, stream, order, driveDeadlineSlack).GetResult() == 1
 }
 
 // Poll implements scheduler.WorkerClient.
@@ -200,7 +243,7 @@
 	}
 	order := newDriveOrder(poll.Target, poll.Fence)
 	order.Order = &egretmuxv1.DriveOrder_Look{Look: &egretmuxv1.LookOrder{LeaseUntil: poll.LeaseUntil, Cursor: poll.Cursor, WaitMs: poll.Wait.Milliseconds()}}
-	answer := p.send(ctx, stream, order)
+	answer := p.send(ctx, stream, order, driveDeadlineSlack)
 	if answer == nil {
 		return dispatch.Listing{}, scheduler.PollUnanswered
 	}
@@ -379,10 +422,10 @@
 	}
 }
 
-// call sends an order and returns the answer, or nil if there is none in time.
-func (s *driveStream) call(ctx context.Context, order *egretmuxv1.DriveOrder) *egretmuxv1.DriveAnswer {
+// call sends an order and returns the answer, or nil if there is none within slack after the deadline of ctx.
+func (s *driveStream) call(ctx context.Context, order *egretmuxv1.DriveOrder, slack time.Duration) *egretmuxv1.DriveAnswer {
 	deadline, _ := ctx.Deadline()
-	waitCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline.Add(driveDeadlineSlack))
+	waitCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline.Add(slack))
 	defer cancel()
 	defer context.AfterFunc(ctx, func() {
 		if errors.Is(ctx.Err(), context.Canceled) {
--- a/internal/jobcell/drive_test.go
+++ b/internal/jobcell/drive_test.go
@@ -89,7 +89,7 @@
 	o := newDriveOrder(target, 3)
 	key := dispatch.TaskKey{StepKey: dispatch.StepKey{Job: "j", Occurrence: 1, Step: 2}, Index: 3}
 	o.Order = &egretmuxv1.DriveOrder_Start{Start: &egretmuxv1.StartOrder{Task: taskRef(key, 4), Payload: []byte("p"), Checkpoint: "c", Ticket: "t", LeaseUntil: 99}}
-	a := stream.call(contextWithTimeout(t, time.Second), o)
+	a := stream.call(contextWithTimeout(t, time.Second), o, driveDeadlineSlack)
 	require.Equal(t, dispatch.NoRoom, dispatch.StartResult(a.GetResult()))
 	require.Equal(t, int64(77), a.GetClock())
 	require.Equal(t, dispatch.StartOrder{Target: target, Task: key, Run: 4, Payload: []byte("p"), Checkpoint: "c", Ticket: "t", LeaseUntil: 99}, <-fake.started)
@@ -101,7 +101,7 @@
 	<-fake.polled
 	o := newDriveOrder(dispatch.Target{Worker: "w"}, 3)
 	o.Order = &egretmuxv1.DriveOrder_Look{Look: &egretmuxv1.LookOrder{LeaseUntil: 10, Cursor: 2, WaitMs: 100}}
-	a := stream.call(contextWithTimeout(t, time.Second), o)
+	a := stream.call(contextWithTimeout(t, time.Second), o, driveDeadlineSlack)
 	got := <-fake.polled
 	require.Equal(t, scheduler.Poll{Target: dispatch.Target{Worker: "w"}, Fence: 3, LeaseUntil: 10, Cursor: 2, Wait: 100 * time.Millisecond}, got)
 	require.Equal(t, want, decodeListing(a))
@@ -115,7 +115,7 @@
 	send := func() *egretmuxv1.DriveAnswer {
 		o := newDriveOrder(dispatch.Target{Worker: "w"}, 3)
 		o.Order = &egretmuxv1.DriveOrder_Start{Start: &egretmuxv1.StartOrder{Task: &egretmuxv1.TaskRef{Job: "j"}}}
-		return stream.call(contextWithTimeout(t, 100*time.Millisecond), o)
+		return stream.call(contextWithTimeout(t, 100*time.Millisecond), o, driveDeadlineSlack)
 	}
 	require.Equal(t, dispatch.Unanswered, dispatch.StartResult(send().GetResult()))
 	require.NoError(t, server.Config.Close())
@@ -146,7 +146,7 @@
 func sendStart(ctx context.Context, stream *driveStream) *egretmuxv1.DriveAnswer {
 	o := newDriveOrder(dispatch.Target{Worker: "w"}, 3)
 	o.Order = &egretmuxv1.DriveOrder_Start{Start: &egretmuxv1.StartOrder{Task: &egretmuxv1.TaskRef{Job: "j"}}}
-	return stream.call(ctx, o)
+	return stream.call(ctx, o, driveDeadlineSlack)
 }
 
 // Guards against waiting out every order to an instance that lost power or is cut off:
@@ -214,7 +214,7 @@
 	o := newDriveOrder(dispatch.Target{Worker: "w"}, 3)
 	o.Order = &egretmuxv1.DriveOrder_Start{Start: &egretmuxv1.StartOrder{Task: &egretmuxv1.TaskRef{Job: "j"}}}
 	began := time.Now()
-	require.Nil(t, stream.call(ctx, o))
+	require.Nil(t, stream.call(ctx, o, driveDeadlineSlack))
 	require.Less(t, time.Since(began), 5*time.Second)
 }
 
--- /dev/null
+++ b/internal/jobcell/slow_delegate_test.go
@@ -0,0 +1,81 @@
+package jobcell
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/dispatch"
+)
+
+// countingWorkers counts the orders that it gets, and answers stops if told so.
+type countingWorkers struct {
+	fakeWorkers
+	starts, stops atomic.Int32
+	answers       bool
+}
+
+func (w *countingWorkers) Start(context.Context, dispatch.StartOrder, uint64) (dispatch.StartResult, int64) {
+	w.starts.Add(1)
+	return dispatch.Accepted, 1
+}
+
+func (w *countingWorkers) Stop(context.Context, dispatch.StopOrder, uint64) bool {
+	w.stops.Add(1)
+	return w.answers
+}
+
+// orderThroughSilent returns a leader's client of workers whose orders pass through an instance that answers none,
+// and the workers that it calls directly.
+func orderThroughSilent(t *testing.T) (*workerProxy, *countingWorkers) {
+	t.Helper()
+	c := leadThrough(t, serveDelegateAt(t, func(ctx context.Context, _ *connect.BidiStream[egretmuxv1.DriveRequest, egretmuxv1.DriveResponse]) error {
+		<-ctx.Done()
+		return nil
+	}))
+	direct := &countingWorkers{answers: true}
+	p := newWorkerProxy(c, direct)
+	stream := p.chooseStream("w")
+	require.NotNil(t, stream, "the leader calls the worker itself")
+	t.Cleanup(func() { p.closeStreams(stream.address) })
+	return p, direct
+}
+
+var slowDelegateTarget = dispatch.Target{Worker: "w", Born: 1, Address: unreachable}
+
+// Guards against GANG: the start of a member was repeated through the instance that had not answered the first one.
+func TestStartWithoutAnAnswerIsRepeatedDirectly(t *testing.T) {
+	p, direct := orderThroughSilent(t)
+	start := dispatch.StartOrder{Target: slowDelegateTarget, Task: dispatch.TaskKey{StepKey: dispatch.StepKey{Job: "j"}}, Run: 1}
+	result, _ := p.Start(contextWithTimeout(t, 50*time.Millisecond), start, 3)
+	require.Equal(t, dispatch.Unanswered, result)
+	require.Zero(t, direct.starts.Load())
+	start.Repeated = true
+	result, _ = p.Start(contextWithTimeout(t, 50*time.Millisecond), start, 3)
+	require.Equal(t, dispatch.Accepted, result)
+	require.Equal(t, int32(1), direct.starts.Load())
+}
+
+// Guards against GANG: members that waited for the others were told to stop only through the instance that passed no
+// orders on.
+func TestStopThatIsNotPassedOnIsSentDirectly(t *testing.T) {
+	p, direct := orderThroughSilent(t)
+	sent := time.Now()
+	require.True(t, p.Stop(contextWithTimeout(t, 2*time.Second), dispatch.StopOrder{Target: slowDelegateTarget, Run: 1}, 3))
+	require.Less(t, time.Since(sent), time.Second)
+	require.Equal(t, int32(1), direct.stops.Load())
+}
+
+// Guards against GANG: the wait for the answer to the start of a member was as long as that for any other task.
+func TestMemberOfAGangWaitsLessForAnInstanceThatDoesNotAnswer(t *testing.T) {
+	p, _ := orderThroughSilent(t)
+	sent := time.Now()
+	result, _ := p.Start(contextWithTimeout(t, 50*time.Millisecond), dispatch.StartOrder{Target: slowDelegateTarget, Run: 1, AnswerBy: time.Second}, 3)
+	require.Equal(t, dispatch.Unanswered, result)
+	require.Less(t, time.Since(sent), driveDeadlineSlack)
+}
--- a/internal/jobcell/unknown_order_test.go
+++ b/internal/jobcell/unknown_order_test.go
@@ -94,7 +94,12 @@
 		require.Equal(t, scheduler.PollUnanswered, result)
 	})
 	t.Run("stop", func(t *testing.T) {
-		require.False(t, c.workers.Stop(ctx, dispatch.StopOrder{Target: target, Task: key, Run: 1}, 3))
+		direct := &countingWorkers{}
+		p := newWorkerProxy(c, direct)
+		delegate := p.chooseStream("w")
+		t.Cleanup(func() { p.closeStreams(delegate.address) })
+		require.False(t, p.Stop(contextWithTimeout(t, time.Second), dispatch.StopOrder{Target: target, Task: key, Run: 1}, 3))
+		require.Equal(t, int32(1), direct.stops.Load(), "it is also sent directly, once")
 	})
 	t.Run("pace", func(t *testing.T) {
 		require.False(t, c.workers.Pace(ctx, dispatch.PaceOrder{Target: target, Task: key, Run: 1}, 3))
--- /dev/null
+++ b/internal/jobcell/waits_test.go
@@ -0,0 +1,32 @@
+package jobcell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretmux/egretmux/internal/scheduler"
+)
+
+// Guards against GANG: waits that each are short, and together longer than members of a gang wait for each other.
+func TestWaitsInARowAddUpToLessThanTheirBounds(t *testing.T) {
+	for _, site := range []struct{ gang, stop time.Duration }{
+		{3 * time.Second, 900 * time.Millisecond},
+		{4 * time.Second, 900 * time.Millisecond},
+		{4 * time.Second, 200 * time.Millisecond},
+	} {
+		for name, waits := range map[string][]scheduler.Wait{
+			"gang that is not whole":                    scheduler.GangWaits(site.gang, site.stop),
+			"gang whose leader is lost as it starts it": scheduler.AdoptedGangWaits(maxElectionTime, site.gang, site.stop),
+		} {
+			t.Run(fmt.Sprintf("%s, gang_timeout_ms %d, stop_timeout_ms %d", name, site.gang.Milliseconds(), site.stop.Milliseconds()), func(t *testing.T) {
+				for _, w := range waits {
+					t.Logf("%-25s %v", w.Of, w.Length)
+				}
+				require.Less(t, scheduler.Sum(waits), site.gang)
+			})
+		}
+	}
+}
--- a/internal/jobcell/weights.go
+++ b/internal/jobcell/weights.go
@@ -83,9 +83,9 @@
 
 // send sends an order on a stream, returns the answer, or nil if there is none in time,
 // and records how long the order waited at the instance.
-func (p *workerProxy) send(ctx context.Context, stream *driveStream, order *egretmuxv1.DriveOrder) *egretmuxv1.DriveAnswer {
+func (p *workerProxy) send(ctx context.Context, stream *driveStream, order *egretmuxv1.DriveOrder, slack time.Duration) *egretmuxv1.DriveAnswer {
 	sent := time.Now()
-	answer := stream.call(ctx, order)
+	answer := stream.call(ctx, order, slack)
 	if answer == nil {
 		p.logUnanswered(stream, order, time.Since(sent))
 	}
--- a/internal/jobcell/weights_test.go
+++ b/internal/jobcell/weights_test.go
@@ -140,7 +140,9 @@
 	order := newDriveOrder(dispatch.Target{Worker: "w"}, 3)
 	order.Order = &egretmuxv1.DriveOrder_Start{Start: &egretmuxv1.StartOrder{Task: &egretmuxv1.TaskRef{Job: "j"}}}
 	answered := make(chan *egretmuxv1.DriveAnswer)
-	go func() { answered <- c.workers.send(contextWithTimeout(t, 500*time.Millisecond), first, order) }()
+	go func() {
+		answered <- c.workers.send(contextWithTimeout(t, 500*time.Millisecond), first, order, driveDeadlineSlack)
+	}()
 	<-hanging.started
 	slowFirst(&c.workers.mu, c.workers.weights, []string{"first", "second", "third"}, c.workers.stepWeights)
 	require.Less(t, c.workers.weights.Of("first"), 1.0)
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -15,7 +15,11 @@
 	minAnswerWait      = 200 * time.Millisecond // lower limit of answerWait; an answer takes some ten milliseconds
 	answerWaitFactor   = 8                      // answerWait in multiples of the average start latency
 	startLatencyWeight = 1.0 / 16               // weight of one start in the moving average
-	stopRetryPause     = 200 * time.Millisecond
+	stopWait           = 500 * time.Millisecond // timeout of a stop, on all paths together
+	stopRetryPause     = 200 * time.Millisecond // shortest time between two tries of a stop
+	// gangTryShare is the part of the time in which a member of a gang must have begun after which an
+	// unanswered start takes another path.
+	gangTryShare = 0.25
 )
 
 // storeStarts commits starts and then sends those that are still wanted.
@@ -35,18 +39,22 @@
 	if result.NotTaken > 0 {
 		t.cfg.Logger.Info().Str("event", "starts_not_taken").Int("starts", result.NotTaken).Msg("their jobs have ended, or later runs of their tasks were stored before")
 	}
-	t.mu.Lock()
-	for _, s := range starts {
-		t.core.StartStored(s)
-	}
-	t.mu.Unlock()
-	for _, s := range starts {
-		if !t.stillWanted(s) {
-			t.updateCore(func(c *dispatch.Core, now time.Duration) { c.StartAnswered(s, dispatch.NotSent, now, now) })
-			continue
+	t.updateCore(func(c *dispatch.Core, now time.Duration) {
+		var wanted []dispatch.StartOrder
+		for _, s := range starts {
+			c.StartStored(s)
+			if t.ctx.Err() == nil && c.StartWanted(s) {
+				wanted = append(wanted, s)
+				continue
+			}
+			c.StartAnswered(s, dispatch.NotSent, now, now)
 		}
-		go t.sendStart(s)
-	}
+		// All at once: nothing comes between the starts of one gang.
+		c.StartsSent(wanted, now)
+		for _, s := range wanted {
+			go t.sendStart(s)
+		}
+	})
 }
 
 // sendStart sends a start, repeats it once if it gets no answer, and reports the
@@ -62,10 +70,18 @@
 		}
 	}
 	sent := t.now()
-	answer, clock := t.tryStart(s, t.answerWait())
+	wait := t.answerWait()
+	if s.AnswerBy > 0 {
+		wait = min(wait, time.Duration(gangTryShare*float64(s.AnswerBy)))
+	}
+	answer, clock := t.tryStart(s, wait)
 	repeated := answer == dispatch.Unanswered && t.stillWanted(s)
 	if repeated {
-		answer, clock = t.repeatStart(s)
+		wait = orderTimeout
+		if s.AnswerBy > 0 {
+			wait = min(wait, max(minAnswerWait, s.AnswerBy-(t.now()-sent)))
+		}
+		answer, clock = t.repeatStart(s, wait)
 	}
 	anotherLife := answer == dispatch.AnotherIncarnation
 	if clock != 0 && clock < s.Clock {
@@ -108,9 +124,10 @@
 
 // repeatStart sends an unanswered start again; a worker accepts each run only once.
 // A refusal counts as no answer, as the first try may still be carried out.
-func (t *tenure) repeatStart(s dispatch.StartOrder) (dispatch.StartResult, int64) {
+func (t *tenure) repeatStart(s dispatch.StartOrder, wait time.Duration) (dispatch.StartResult, int64) {
 	telemetry.CountRetry("start-unanswered")
-	answer, clock := t.tryStart(s, orderTimeout)
+	s.Repeated = true
+	answer, clock := t.tryStart(s, wait)
 	switch answer {
 	case dispatch.Accepted, dispatch.AnotherIncarnation, dispatch.Unanswered:
 		return answer, clock
@@ -123,7 +140,7 @@
 func (t *tenure) undoStart(s dispatch.StartOrder) {
 	deadline := t.now() + t.cfg.Lease
 	for t.ctx.Err() == nil && t.now() < deadline {
-		ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
+		ctx, cancel := context.WithTimeout(t.ctx, stopWait)
 		answered := t.cfg.WorkerClient.Stop(ctx, dispatch.StopOrder{Target: s.Target, Task: s.Task, Run: s.Run}, t.term)
 		cancel()
 		if answered {
@@ -134,11 +151,12 @@
 }
 
 func (t *tenure) sendStop(s dispatch.StopOrder) {
-	ctx, cancel := context.WithTimeout(t.ctx, t.answerWait())
+	ctx, cancel := context.WithTimeout(t.ctx, stopWait)
 	defer cancel()
+	sent := t.now()
 	answered := t.cfg.WorkerClient.Stop(ctx, s, t.term)
 	if !answered { // delays the report, upon which the core repeats the stop at once
-		time.Sleep(stopRetryPause)
+		time.Sleep(stopRetryPause - (t.now() - sent))
 	}
 	if t.ctx.Err() != nil {
 		return
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -71,6 +71,7 @@
 	Lease        time.Duration // length of a worker's lease
 	FarFactor    float64       // run time on another rack than the task's data, relative to that on the same rack
 	StopTimeout  time.Duration
+	GangTimeout  time.Duration // time for which a member of a gang waits for the others; zero: without limit
 	RateWindow   time.Duration // time whose worth of jobs a customer may submit at once; zero: one second
 	StatusKeep   time.Duration // retention of ended jobs
 	Clock        clock.Clock   // by which confirmations of leadership expire; nil: clock.New
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -85,7 +85,7 @@
 func (t *tenure) createCore() {
 	wall := t.began.UnixMilli()
 	t.core = dispatch.New(dispatch.Config{
-		Book: t.book, Term: t.term, Lease: t.cfg.Lease, FarFactor: t.cfg.FarFactor, StopTimeout: t.cfg.StopTimeout, RateWindow: t.cfg.RateWindow,
+		Book: t.book, Term: t.term, Lease: t.cfg.Lease, FarFactor: t.cfg.FarFactor, StopTimeout: t.cfg.StopTimeout, GangTimeout: t.cfg.GangTimeout, RateWindow: t.cfg.RateWindow,
 		UnixMs: func(now time.Duration) int64 { return wall + now.Milliseconds() },
 	})
 	for _, w := range t.book.Workers() {
--- a/internal/standin/jobs/gang.go
+++ b/internal/standin/jobs/gang.go
@@ -97,6 +97,14 @@
 	}
 }
 
+// waitsForOthers reports whether a run is that of a member of a gang that is not whole, and so does not work yet.
+func (l *Ledger) waitsForOthers(t Task, run uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	g := l.gangs[gangOf(t, run)]
+	return g != nil && !g.complete
+}
+
 func (l *Ledger) gangComplete(t Task, run uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/standin/jobs/runner.go
+++ b/internal/standin/jobs/runner.go
@@ -625,6 +625,9 @@
 	for t, taskRun := range r.running {
 		r.checkpoint(t, taskRun, time.Now(), false)
 		percent := min(99, 100*float64(time.Since(taskRun.began))/float64(max(1, taskRun.length)))
+		if r.cfg.Ledger.waitsForOthers(t, taskRun.number) {
+			percent = 0
+		}
 		running = append(running, []any{taskName(t), taskRun.number, taskRun.saved, int(percent)})
 	}
 	for _, f := range r.finished[:min(len(r.finished), maxListedEnds)] {
