jobcell, scheduler: a leader that answers no call hands leadership over

By the same cause the starts and stops of gangs were not sent.

Cause: replicas elect a leader when they miss its heartbeats, and these go on while its planner, its listener or its link stands still. Nothing replaced such a leader. Besides, the confirmation of leadership waited for the planner's lock, so that a slow planner held up every call, reads of the configuration among them, and after 0.9 s had them all refused.

Change: a leader calls itself as others do, with a call that needs a confirmation and one that needs the planner. Confirmations no longer wait for the planner; leases run from them as before.

That this is what stood still at the users is not known.

--- a/internal/jobcell/cell.go
+++ b/internal/jobcell/cell.go
@@ -66,6 +66,7 @@
 type Cell struct {
 	cfg                 Config
 	dialer              *peer.Dialer
+	probeDialer         *peer.Dialer // of the calls to this instance itself
 	leader              *peer.LeaderClient
 	folder              atomic.Pointer[dataFolder]
 	folderOpened        chan error // outcomes of opening the data folder
@@ -90,7 +91,11 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Cell{cfg: cfg, dialer: dialer, failed: make(chan error, 1), replicaStartAllowed: make(chan struct{}), folderOpened: make(chan error, 1)}
+	probeDialer, err := peer.NewDialer("", "")
+	if err != nil {
+		return nil, err
+	}
+	c := &Cell{cfg: cfg, dialer: dialer, probeDialer: probeDialer, failed: make(chan error, 1), replicaStartAllowed: make(chan struct{}), folderOpened: make(chan error, 1)}
 	c.directory = discovery.New(c.self, cfg.Seeds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), time.Now())
 	c.advice = newAdviceBalancer(c)
 	c.workers = newWorkerProxy(c, cfg.Scheduler.WorkerClient)
@@ -166,6 +171,7 @@
 	loops.Go(func() { c.scheduler.Run(ctx) })
 	loops.Go(func() { c.membershipLoop(ctx, node) })
 	loops.Go(func() { c.voterWatchLoop(ctx, node) })
+	loops.Go(func() { c.leaderProbeLoop(ctx) })
 	loops.Wait()
 }
 
--- a/internal/jobcell/lost_disk_test.go
+++ b/internal/jobcell/lost_disk_test.go
@@ -41,7 +41,8 @@
 	done    chan struct{}
 	killed  bool
 
-	configure func(*Cell) // called before the cell runs; may be nil
+	configure func(*Cell)                     // called before the cell runs; may be nil
+	wrap      func(http.Handler) http.Handler // around the handler of calls from other instances; may be nil
 }
 
 // startCell starts instances of which the first `disks` have a data folder, and waits
@@ -85,7 +86,11 @@
 	if i.configure != nil {
 		i.configure(i.cell)
 	}
-	i.server = &http.Server{Handler: i.cell.Handler(), ReadHeaderTimeout: readHeaderTimeout, Protocols: new(http.Protocols)}
+	handler := i.cell.Handler()
+	if i.wrap != nil {
+		handler = i.wrap(handler)
+	}
+	i.server = &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, Protocols: new(http.Protocols)}
 	i.server.Protocols.SetUnencryptedHTTP2(true)
 	go func() { _ = i.server.Serve(listener) }() // ends with kill
 	var ctx context.Context
--- a/internal/jobcell/waits_test.go
+++ b/internal/jobcell/waits_test.go
@@ -10,6 +10,11 @@
 	"github.com/egretmux/egretmux/internal/scheduler"
 )
 
+// Guards against CONFIG: a leader that answers no call is replaced later than reads must be answered.
+func TestUnresponsiveLeaderIsReplacedInTime(t *testing.T) {
+	require.Less(t, unresponsiveTime+maxElectionTime/2, configurationBound)
+}
+
 // Guards against GANG: waits that each are short, and together longer than members of a gang wait for each other.
 func TestWaitsInARowAddUpToLessThanTheirBounds(t *testing.T) {
 	for _, site := range []struct{ gang, stop time.Duration }{
--- a/internal/scheduler/confirm.go
+++ b/internal/scheduler/confirm.go
@@ -56,7 +56,7 @@
 // confirmations that wait for the processor. New jobs are refused then, so that
 // accepted ones are served.
 func (t *tenure) overloaded() bool {
-	return time.Duration(t.confirmLatency.Load()) > overloadConfirmThreshold
+	return time.Duration(t.confirmLatency.Load()+t.planLatency.Load()) > overloadConfirmThreshold
 }
 
 // HandOver begins to transfer leadership to the replica with the most complete log, if
@@ -81,6 +81,35 @@
 	}
 }
 
+// noteConfirmed passes a confirmation on to the core without waiting for it: while the planner is slow, leadership
+// goes on being confirmed, and calls that need no planner are answered. Only confirmLoop calls it.
+func (t *tenure) noteConfirmed(began time.Duration) {
+	select {
+	case <-t.confirmed: // the core needs only the latest
+	default:
+	}
+	t.confirmed <- began
+}
+
+// extendLeasesLoop tells the core of confirmations, from which leases run.
+func (t *tenure) extendLeasesLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case began := <-t.confirmed:
+			waited := t.now()
+			t.updateCore(func(c *dispatch.Core, _ time.Duration) { c.LeaderConfirmed(began) })
+			took := t.now() - waited
+			telemetry.ObserveSeconds("planner_wait", took)
+			t.planLatency.Store(int64(took))
+			if took > plannerSlowThreshold {
+				t.cfg.Logger.Warn().Str("event", "planner_slow").Uint64("term", t.term).Int64("age_ms", took.Milliseconds()).Msg("decisions waited for the planner")
+			}
+		}
+	}
+}
+
 // confirmLoop confirms leadership periodically and on request. It hands leadership
 // over when confirmations stay slow because of this instance's log.
 func (t *tenure) confirmLoop(ctx context.Context) {
@@ -109,7 +138,7 @@
 		err := t.node.ConfirmLeader(ctx)
 		if err == nil {
 			t.lastConfirmed.Store(int64(clockBegan))
-			t.updateCore(func(c *dispatch.Core, _ time.Duration) { c.LeaderConfirmed(began) })
+			t.noteConfirmed(began)
 		}
 		for _, w := range waiting {
 			w <- err
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -31,7 +31,8 @@
 	// New jobs are refused while a confirmation takes longer than
 	// overloadConfirmThreshold; the election timeout of followers is twice as long.
 	overloadConfirmThreshold = 300 * time.Millisecond
-	confirmPause             = 10 * time.Millisecond // minimum pause between two confirmations, so that reads are batched
+	plannerSlowThreshold     = 300 * time.Millisecond // wait for the planner from which it is logged
+	confirmPause             = 10 * time.Millisecond  // minimum pause between two confirmations, so that reads are batched
 	cleanupPeriod            = 5 * time.Second
 	silentWorkerTimeout      = 20 * time.Second       // after which a silent worker without runs is retired
 	pollWait                 = time.Second            // longest time a poll waits for an end; also limits the age of listed progress
@@ -63,16 +64,18 @@
 	// lastConfirmed is when the last confirmation began, in nanoseconds on the clock of cfg, as other
 	// instances do not wait while this one's machine is suspended.
 	lastConfirmed  atomic.Int64
-	workerCount    atomic.Int64 // polled workers
-	startLatency   atomic.Int64 // moving average, in nanoseconds
-	confirmLatency atomic.Int64 // of the latest confirmation, in nanoseconds
+	workerCount    atomic.Int64       // polled workers
+	startLatency   atomic.Int64       // moving average, in nanoseconds
+	confirmLatency atomic.Int64       // of the latest confirmation, in nanoseconds
+	planLatency    atomic.Int64       // from the latest confirmation until the core knew of it, in nanoseconds
+	confirmed      chan time.Duration // beginning of the latest confirmation, of which the core does not know yet
 }
 
 func newTenure(ctx context.Context, cfg Config, node *consensus.Node, book *job.Book, term uint64) *tenure {
 	t := &tenure{
 		ctx: ctx, cfg: cfg, node: node, book: book, term: term, began: time.Now(),
 		pollers: make(map[dispatch.Target]*poller), endedAt: make(map[string]time.Time), proposed: make(map[string]int),
-		planRequested: make(chan struct{}, 1), endsQueue: newEndsQueue(),
+		planRequested: make(chan struct{}, 1), endsQueue: newEndsQueue(), confirmed: make(chan time.Duration, 1),
 	}
 	t.lastConfirmed.Store(int64(cfg.Clock()))
 	return t
@@ -112,6 +115,7 @@
 	t.cfg.Logger.Info().Str("event", "tenure_began").Uint64("term", t.term).Int("workers", workers).Int("runs", runs).Msg("leading the cell")
 	var loops sync.WaitGroup
 	loops.Go(func() { t.confirmLoop(ctx) })
+	loops.Go(func() { t.extendLeasesLoop(ctx) })
 	loops.Go(func() {
 		periodic.Run(ctx, tickPeriod, func(time.Time) {
 			t.updateCore(func(c *dispatch.Core, now time.Duration) {
