peer: a silent connection is found sooner, and the repeat of a call uses another one

Cause: silent connections were found after 2 s, so that a leader elected over the new connections of some replicas waited for confirmations that others still sent over silent ones; and calls were repeated over the silent connection until then.

Change: connections of the replicated log are pinged after 0.3 s and closed 0.5 s later. A call to the leader, or an announcement, that gets no answer in its time lets the next one use a new connection, once a second and instance at most.

--- a/internal/jobcell/announce.go
+++ b/internal/jobcell/announce.go
@@ -90,6 +90,9 @@
 	resp, err := jobs.AnnounceMember(ctx, connect.NewRequest(call.Announce))
 	if err != nil {
 		telemetry.CountRetry("announce-failed")
+		if connect.CodeOf(err) == connect.CodeDeadlineExceeded {
+			c.dialer.Renew(call.Address)
+		}
 		c.directory.Failed(call, time.Now())
 		return
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -27,9 +27,17 @@
 	dialTimeout   = time.Second
 	pingAfterIdle = time.Second
 	pingTimeout   = time.Second
-	idleTimeout   = time.Minute
-	cellKeyHeader = "Egretmux-Cell-Key"
-	minRetryPause = 30 * time.Millisecond
+	// The same for the connections of the replicated log. A replica that hears nothing for an election timeout
+	// campaigns, and its leadership is confirmed over connections of others that may be silent, too.
+	logPingAfterIdle = 300 * time.Millisecond
+	logPingTimeout   = 500 * time.Millisecond
+	idleTimeout      = time.Minute
+	cellKeyHeader    = "Egretmux-Cell-Key"
+	minRetryPause    = 30 * time.Millisecond
+	// minRenewInterval is the shortest time between two new connections to one instance that is slow to answer.
+	minRenewInterval = time.Second
+	// renewAfter is the time without an answer after which the next try uses a new connection.
+	renewAfter    = 400 * time.Millisecond
 	maxRetryPause = 300 * time.Millisecond
 )
 
@@ -41,7 +49,14 @@
 	scheme  string
 
 	mu      sync.Mutex
-	clients map[string]*Clients // by address
+	clients map[string]*Clients    // by address
+	renewed map[string]renewedPath // by address
+}
+
+// renewedPath is the transport of an instance that does not share that of the others any more.
+type renewedPath struct {
+	transport *http.Transport
+	at        time.Time
 }
 
 // NewDialer returns a dialer that sends the cell key with each call. It uses TLS
@@ -53,7 +68,7 @@
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfterIdle, PingTimeout: pingTimeout},
 		Protocols:       new(http.Protocols),
 	}
-	d := &Dialer{cellKey: key, scheme: "http://", client: &http.Client{Transport: transport}, clients: make(map[string]*Clients)}
+	d := &Dialer{cellKey: key, scheme: "http://", client: &http.Client{Transport: transport}, clients: make(map[string]*Clients), renewed: make(map[string]renewedPath)}
 	if caFile == "" {
 		transport.Protocols.SetUnencryptedHTTP2(true)
 		return d, nil
@@ -75,10 +90,9 @@
 // withOwnConnections returns a copy of the dialer that shares no connection with
 // it, so that bulk transfers over one do not delay calls over the other.
 func (d *Dialer) withOwnConnections() *Dialer {
-	return &Dialer{
-		cellKey: d.cellKey, scheme: d.scheme, clients: make(map[string]*Clients),
-		client: &http.Client{Transport: d.client.Transport.(*http.Transport).Clone()},
-	}
+	transport := d.client.Transport.(*http.Transport).Clone()
+	transport.HTTP2 = &http.HTTP2Config{SendPingTimeout: logPingAfterIdle, PingTimeout: logPingTimeout}
+	return &Dialer{cellKey: d.cellKey, scheme: d.scheme, clients: make(map[string]*Clients), renewed: make(map[string]renewedPath), client: &http.Client{Transport: transport}}
 }
 
 // Key returns the cell key.
@@ -112,21 +126,39 @@
 	if c := d.clients[address]; c != nil {
 		return c
 	}
-	c := d.newClients(address)
+	c := d.newClients(address, d.client)
 	d.clients[address] = c
 	return c
 }
 
-func (d *Dialer) newClients(address string) *Clients {
+// Renew lets the next calls to an instance use a new connection, after one that got no answer in its time: the open
+// connection may be silent, which pings find out later. Calls in progress go on over the former connection.
+func (d *Dialer) Renew(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	former := d.renewed[address]
+	if time.Since(former.at) < minRenewInterval {
+		return
+	}
+	telemetry.CountRetry("connection-renewed")
+	if former.transport != nil {
+		former.transport.CloseIdleConnections()
+	}
+	transport := d.client.Transport.(*http.Transport).Clone()
+	d.renewed[address] = renewedPath{transport, time.Now()}
+	d.clients[address] = d.newClients(address, &http.Client{Transport: transport})
+}
+
+func (d *Dialer) newClients(address string, client *http.Client) *Clients {
 	interceptors := connect.WithInterceptors(d.interceptor())
 	url := d.scheme + address
 	return &Clients{
 		Address:   address,
-		Cell:      egretmuxv1connect.NewCellServiceClient(d.client, url, interceptors),
-		Task:      egretmuxv1connect.NewTaskServiceClient(d.client, url, interceptors),
-		Operator:  egretmuxv1connect.NewOperatorServiceClient(d.client, url, interceptors),
-		Consensus: egretmuxv1connect.NewConsensusServiceClient(d.client, url, interceptors),
-		Jobs:      egretmuxv1connect.NewJobCellServiceClient(d.client, url, interceptors),
+		Cell:      egretmuxv1connect.NewCellServiceClient(client, url, interceptors),
+		Task:      egretmuxv1connect.NewTaskServiceClient(client, url, interceptors),
+		Operator:  egretmuxv1connect.NewOperatorServiceClient(client, url, interceptors),
+		Consensus: egretmuxv1connect.NewConsensusServiceClient(client, url, interceptors),
+		Jobs:      egretmuxv1connect.NewJobCellServiceClient(client, url, interceptors),
 	}
 }
 
@@ -269,13 +301,16 @@
 	pause := minRetryPause
 	var unknownErr *refusal.Error
 	for {
-		clients := l.pickInstance()
+		clients, tried := l.pickInstance(), time.Now()
 		changed, err := l.run(ctx, clients, f)
 		if err == nil {
 			l.updateLeader(clients.Address, "", true)
 			return nil
 		}
 		refusalErr, redirect := refusalrpc.From(err)
+		if refusalErr.Kind == refusal.OutcomeUnknown && time.Since(tried) >= renewAfter {
+			l.dialer.Renew(clients.Address)
+		}
 		if refusalErr.Kind != refusal.NoLeader && refusalErr.Kind != refusal.OutcomeUnknown {
 			l.updateLeader(clients.Address, "", true)
 			if unknownErr != nil && !settlesEarlierTries(refusalErr.Kind) {
