--- a/internal/dispatch/forming_test.go
+++ b/internal/dispatch/forming_test.go
@@ -110,3 +110,61 @@
 	h.passTime(2*time.Second, 7, starts[0]) // the other worker is silent
 	require.Empty(t, h.stops)
 }
+
+// Guards against GANG: the others waited until a member whose start got no answer was known not to be there.
+func TestUnansweredStartOfAMemberStopsItsGangAtOnce(t *testing.T) {
+	h, starts := newGangHarness(t)
+	h.core.StartAnswered(starts[0], dispatch.Accepted, h.now, h.now)
+	h.core.StartAnswered(starts[1], dispatch.Unanswered, h.now, h.now)
+	h.takeActions()
+	require.ElementsMatch(t, []string{"w1", "w2"}, h.stoppedWorkers())
+}
+
+// Guards against members that are started as parts of different runs and so never work together: one of them had been
+// started more often, as its worker's life was over when a new leader took over.
+func TestMembersStartUnderOneNumberHoweverOftenEachWasStarted(t *testing.T) {
+	h, starts := newGangHarness(t)
+	again := starts[0]
+	again.Run += 3
+	h.store(again)
+	h.beginTenure()
+	for range 2 * int(testLease/(100*time.Millisecond)) {
+		h.advance(100 * time.Millisecond)
+		for _, name := range []string{"w1", "w2"} {
+			h.core.GrantLease(targetOf(life(name, 4)))
+			h.handleListing(targetOf(life(name, 4)), nil, nil)
+		}
+		h.plan()
+	}
+	require.GreaterOrEqual(t, len(h.starts), 2)
+	require.Equal(t, h.starts[0].Run, h.starts[1].Run)
+	require.Greater(t, h.starts[0].Run, again.Run)
+}
+
+// Guards against GANG and against work that goes on in vain: a member was gone, and the others went on.
+func TestGangIsStoppedOnceAMemberIsGone(t *testing.T) {
+	for name, lose := range map[string]func(h *harness, member dispatch.StartOrder){
+		"not listed": func(h *harness, member dispatch.StartOrder) { h.handleListing(member.Target, nil, nil) },
+		"ended": func(h *harness, member dispatch.StartOrder) {
+			h.handleListing(member.Target, nil, []dispatch.ListedEnd{h.listedEnd(member, egretmuxv1.RunOutcome_RUN_OUTCOME_ALONE)})
+			h.storeEnds()
+		},
+		"moved": func(h *harness, member dispatch.StartOrder) {
+			h.core.WorkerDraining(member.Target, 0, h.now)
+			h.advance(100 * time.Millisecond)
+		},
+		"its worker is gone": func(h *harness, member dispatch.StartOrder) { h.core.WorkerGone(member.Target, "another-life", h.now) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, starts := newGangHarness(t)
+			for _, s := range starts {
+				h.core.StartAnswered(s, dispatch.Accepted, h.now, h.now)
+			}
+			h.passTime(time.Second, 10, starts...)
+			require.Empty(t, h.stops)
+			lose(h, starts[1])
+			h.takeActions()
+			require.Contains(t, h.stoppedWorkers(), starts[0].Worker)
+		})
+	}
+}
