jobcell, scheduler, peer: an overloaded leader is not taken for one that stands still

Calls that time out also opened connections to it, and confirmations no longer waited for the planner at all, so that there were more of them.

Change: four calls without an answer in a row instead of three, one kind of call instead of two, every 0.4 s; the planner is judged by the confirmation that it hasn't learned of, after 1.2 s. A confirmation gives the planner 0.1 s before the next one. No new connection while the instance answers other calls.

--- a/internal/jobcell/announce.go
+++ b/internal/jobcell/announce.go
@@ -96,6 +96,7 @@
 		c.directory.Failed(call, time.Now())
 		return
 	}
+	c.dialer.Answered(call.Address)
 	telemetry.ObserveSeconds("announce", time.Since(began))
 	c.directory.Answered(call, resp.Msg, began, time.Now())
 	c.followVoters()
--- a/internal/jobcell/half_alive_leader_test.go
+++ b/internal/jobcell/half_alive_leader_test.go
@@ -126,6 +126,7 @@
 	require.False(t, hands(time.Second, failed))
 	require.False(t, hands(2*time.Second, nil), "one answer suffices")
 	require.False(t, hands(3*time.Second, failed))
+	require.False(t, hands(3500*time.Millisecond, failed))
 	require.False(t, hands(4*time.Second, failed))
 	require.True(t, hands(5*time.Second, failed))
 	for at := 6 * time.Second; at < 5*time.Second+handOverPause; at += time.Second {
--- a/internal/jobcell/leader_probe.go
+++ b/internal/jobcell/leader_probe.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/cockroachdb/errors"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/refusal"
@@ -16,16 +15,18 @@
 // Timing of the calls by which a leader checks that it answers. The replicas only hear the heartbeats of its log,
 // which go on while its planner, its listener or its link stands still.
 const (
-	leaderProbePeriod  = 250 * time.Millisecond
+	leaderProbePeriod  = 400 * time.Millisecond // while it answers
 	leaderProbeTimeout = 400 * time.Millisecond
-	maxFailedProbes    = 3 // in a row
+	probeRetryPause    = 50 * time.Millisecond
+	maxFailedProbes    = 4 // in a row
+	plannerStallLimit  = 1200 * time.Millisecond
 	// handOverPause is the time after a hand-over in which a leader is not replaced again: the cause may be one
 	// that moves with leadership, as too many calls.
 	handOverPause = 5 * time.Second
 )
 
 // unresponsiveTime is the longest time for which a leader answers no call until it hands leadership over.
-const unresponsiveTime = leaderProbePeriod + maxFailedProbes*(leaderProbePeriod+leaderProbeTimeout)
+const unresponsiveTime = leaderProbePeriod + maxFailedProbes*(leaderProbeTimeout+probeRetryPause)
 
 // leaderProbe checks that this instance answers calls while it leads, and hands leadership over if it does not.
 type leaderProbe struct {
@@ -39,13 +40,15 @@
 // leaderProbeLoop probes this instance until the context ends.
 func (c *Cell) leaderProbeLoop(ctx context.Context) {
 	probe := &leaderProbe{cell: c}
-	ticker := time.NewTicker(leaderProbePeriod)
-	defer ticker.Stop()
-	for {
+	for ctx.Err() == nil {
+		pause := leaderProbePeriod
+		if probe.failed > 0 {
+			pause = probeRetryPause
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(pause):
 		}
 		node := c.scheduler.Node()
 		if node == nil {
@@ -61,8 +64,13 @@
 			continue
 		}
 		began := time.Now()
+		if stalled := c.scheduler.PlannerStalled(); stalled > plannerStallLimit && !began.Before(probe.quietBy) {
+			probe.quietBy = began.Add(handOverPause)
+			c.handOverUnresponsive(ctx, "planner", stalled, status.Term)
+			continue
+		}
 		if probe.update(c.probeLeader(ctx), began, time.Now()) {
-			c.handOverUnresponsive(ctx, time.Since(probe.failing), status.Term)
+			c.handOverUnresponsive(ctx, "no-answer", time.Since(probe.failing), status.Term)
 		}
 	}
 }
@@ -84,9 +92,9 @@
 	return true
 }
 
-func (c *Cell) handOverUnresponsive(ctx context.Context, age time.Duration, term uint64) {
-	telemetry.Count("leadership_handed_over_total")
-	c.cfg.Logger.Warn().Str("event", "leader_unresponsive").Uint64("term", term).Int64("age_ms", age.Milliseconds()).Msg("handing over leadership: this instance leads and does not answer calls")
+func (c *Cell) handOverUnresponsive(ctx context.Context, reason string, age time.Duration, term uint64) {
+	telemetry.Count(`leadership_handed_over_total{reason="` + reason + `"}`)
+	c.cfg.Logger.Warn().Str("event", "leader_unresponsive").Str("reason", reason).Uint64("term", term).Int64("age_ms", age.Milliseconds()).Msg("handing over leadership: this instance leads and does not answer calls")
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
 	if err := scheduler.HandOver(ctx, c.scheduler.Node()); err != nil {
@@ -94,21 +102,12 @@
 	}
 }
 
-// probeLeader makes two calls to this instance as others do. One needs a confirmation of its leadership, the other
-// one its planner.
+// probeLeader makes a call to this instance as others do, which needs a confirmation of its leadership.
 func (c *Cell) probeLeader(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, leaderProbeTimeout)
 	defer cancel()
-	own := c.probeDialer.Clients(c.cfg.Address).Jobs
-	planned := make(chan error, 1)
-	go func() {
-		req := connect.NewRequest(&egretmuxv1.ShowCustomersRequest{})
-		req.Header().Set(forwardedHeader, "1")
-		_, err := own.ShowCustomers(ctx, req)
-		planned <- err
-	}()
-	_, err := own.GetCatalogue(ctx, connect.NewRequest(&egretmuxv1.GetCatalogueRequest{}))
-	return errors.CombineErrors(unlessRefused(err), unlessRefused(<-planned))
+	_, err := c.probeDialer.Clients(c.cfg.Address).Jobs.GetCatalogue(ctx, connect.NewRequest(&egretmuxv1.GetCatalogueRequest{}))
+	return unlessRefused(err)
 }
 
 // unlessRefused returns nil for the refusals of a leader that answers.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -51,6 +51,8 @@
 	mu      sync.Mutex
 	clients map[string]*Clients    // by address
 	renewed map[string]renewedPath // by address
+	// answeredAt is when a call was last answered, by address: a connection that carries answers is not silent.
+	answeredAt map[string]time.Time
 }
 
 // renewedPath is the transport of an instance that does not share that of the others any more.
@@ -68,7 +70,7 @@
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfterIdle, PingTimeout: pingTimeout},
 		Protocols:       new(http.Protocols),
 	}
-	d := &Dialer{cellKey: key, scheme: "http://", client: &http.Client{Transport: transport}, clients: make(map[string]*Clients), renewed: make(map[string]renewedPath)}
+	d := &Dialer{cellKey: key, scheme: "http://", client: &http.Client{Transport: transport}, clients: make(map[string]*Clients), renewed: make(map[string]renewedPath), answeredAt: make(map[string]time.Time)}
 	if caFile == "" {
 		transport.Protocols.SetUnencryptedHTTP2(true)
 		return d, nil
@@ -92,7 +94,7 @@
 func (d *Dialer) withOwnConnections() *Dialer {
 	transport := d.client.Transport.(*http.Transport).Clone()
 	transport.HTTP2 = &http.HTTP2Config{SendPingTimeout: logPingAfterIdle, PingTimeout: logPingTimeout}
-	return &Dialer{cellKey: d.cellKey, scheme: d.scheme, clients: make(map[string]*Clients), renewed: make(map[string]renewedPath), client: &http.Client{Transport: transport}}
+	return &Dialer{cellKey: d.cellKey, scheme: d.scheme, clients: make(map[string]*Clients), renewed: make(map[string]renewedPath), answeredAt: make(map[string]time.Time), client: &http.Client{Transport: transport}}
 }
 
 // Key returns the cell key.
@@ -131,13 +133,21 @@
 	return c
 }
 
+// Answered records that an instance has answered a call.
+func (d *Dialer) Answered(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.answeredAt[address] = time.Now()
+}
+
 // Renew lets the next calls to an instance use a new connection, after one that got no answer in its time: the open
 // connection may be silent, which pings find out later. Calls in progress go on over the former connection.
+// Nothing changes while the instance answers other calls.
 func (d *Dialer) Renew(address string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	former := d.renewed[address]
-	if time.Since(former.at) < minRenewInterval {
+	if time.Since(former.at) < minRenewInterval || time.Since(d.answeredAt[address]) < renewAfter {
 		return
 	}
 	telemetry.CountRetry("connection-renewed")
@@ -304,12 +314,16 @@
 		clients, tried := l.pickInstance(), time.Now()
 		changed, err := l.run(ctx, clients, f)
 		if err == nil {
+			l.dialer.Answered(clients.Address)
 			l.updateLeader(clients.Address, "", true)
 			return nil
 		}
 		refusalErr, redirect := refusalrpc.From(err)
-		if refusalErr.Kind == refusal.OutcomeUnknown && time.Since(tried) >= renewAfter {
+		switch {
+		case refusalErr.Kind == refusal.OutcomeUnknown && time.Since(tried) >= renewAfter:
 			l.dialer.Renew(clients.Address)
+		case refusalErr.Ran != refusal.Unknown:
+			l.dialer.Answered(clients.Address)
 		}
 		if refusalErr.Kind != refusal.NoLeader && refusalErr.Kind != refusal.OutcomeUnknown {
 			l.updateLeader(clients.Address, "", true)
--- a/internal/scheduler/confirm.go
+++ b/internal/scheduler/confirm.go
@@ -88,9 +88,30 @@
 	case <-t.confirmed: // the core needs only the latest
 	default:
 	}
+	t.unknownSince.CompareAndSwap(0, int64(t.now()))
 	t.confirmed <- began
 }
 
+// awaitCore gives the core a moment to learn of the confirmation, so that confirmations are not more frequent than
+// it can take them.
+func (t *tenure) awaitCore() {
+	wait := time.NewTimer(maxCoreWait)
+	defer wait.Stop()
+	select {
+	case <-t.coreKnows:
+	case <-wait.C:
+	case <-t.ctx.Done():
+	}
+}
+
+// plannerStalled returns for how long the core has not learned of a confirmation; zero if it knows the latest.
+func (t *tenure) plannerStalled() time.Duration {
+	if since := t.unknownSince.Load(); since != 0 {
+		return t.now() - time.Duration(since)
+	}
+	return 0
+}
+
 // extendLeasesLoop tells the core of confirmations, from which leases run.
 func (t *tenure) extendLeasesLoop(ctx context.Context) {
 	for {
@@ -100,6 +121,11 @@
 		case began := <-t.confirmed:
 			waited := t.now()
 			t.updateCore(func(c *dispatch.Core, _ time.Duration) { c.LeaderConfirmed(began) })
+			t.unknownSince.Store(0)
+			select {
+			case t.coreKnows <- struct{}{}:
+			default:
+			}
 			took := t.now() - waited
 			telemetry.ObserveSeconds("planner_wait", took)
 			t.planLatency.Store(int64(took))
@@ -146,6 +172,7 @@
 		took := t.now() - began
 		telemetry.ObserveSeconds("confirm", took)
 		t.confirmLatency.Store(int64(took))
+		t.awaitCore()
 		// A slow confirmation adds its duration, in whole thresholds, to the score. One
 		// that is not slow, or is slow although appends are fast, resets it: handing
 		// over does not help against load, which moves with leadership.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -289,6 +289,17 @@
 	return s.tenure != nil && s.tenure.confirmedRecently()
 }
 
+// PlannerStalled returns for how long the planner of this leader has stood still; zero if it works or this
+// instance does not lead.
+func (s *Scheduler) PlannerStalled() time.Duration {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if s.tenure == nil {
+		return 0
+	}
+	return s.tenure.plannerStalled()
+}
+
 // StartWave stores a wave of planned machine upkeep.
 func (s *Scheduler) StartWave(ctx context.Context, w *egretmuxv1.Wave) error {
 	t, err := s.current()
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -31,6 +31,7 @@
 	// New jobs are refused while a confirmation takes longer than
 	// overloadConfirmThreshold; the election timeout of followers is twice as long.
 	overloadConfirmThreshold = 300 * time.Millisecond
+	maxCoreWait              = 100 * time.Millisecond // of a confirmation for the core
 	plannerSlowThreshold     = 300 * time.Millisecond // wait for the planner from which it is logged
 	confirmPause             = 10 * time.Millisecond  // minimum pause between two confirmations, so that reads are batched
 	cleanupPeriod            = 5 * time.Second
@@ -59,6 +60,7 @@
 	proposed map[string]int       // by job: its submits whose outcome is not known
 
 	planRequested chan struct{}
+	coreKnows     chan struct{} // signals that the core has learned of a confirmation
 	endsQueue     *endsQueue
 	confirmations confirmQueue
 	// lastConfirmed is when the last confirmation began, in nanoseconds on the clock of cfg, as other
@@ -67,6 +69,7 @@
 	workerCount    atomic.Int64       // polled workers
 	startLatency   atomic.Int64       // moving average, in nanoseconds
 	confirmLatency atomic.Int64       // of the latest confirmation, in nanoseconds
+	unknownSince   atomic.Int64       // when the first confirmation was made that the core does not know, in nanoseconds; zero if there is none
 	planLatency    atomic.Int64       // from the latest confirmation until the core knew of it, in nanoseconds
 	confirmed      chan time.Duration // beginning of the latest confirmation, of which the core does not know yet
 }
@@ -75,7 +78,7 @@
 	t := &tenure{
 		ctx: ctx, cfg: cfg, node: node, book: book, term: term, began: time.Now(),
 		pollers: make(map[dispatch.Target]*poller), endedAt: make(map[string]time.Time), proposed: make(map[string]int),
-		planRequested: make(chan struct{}, 1), endsQueue: newEndsQueue(), confirmed: make(chan time.Duration, 1),
+		planRequested: make(chan struct{}, 1), endsQueue: newEndsQueue(), confirmed: make(chan time.Duration, 1), coreKnows: make(chan struct{}, 1),
 	}
 	t.lastConfirmed.Store(int64(cfg.Clock()))
 	return t
