jobcell, peer: gang bounds that are too tight are reported; one hedge for a stop, one constructor of dialers

The sums of waits are used at a start as well: settings whose gang_timeout_ms is shorter than they take are logged as gang_bound_tight. The rest moves code only. TestTimeOfGangsThatIsTooShortIsReported and the tests of slow delegates pass.

--- a/internal/jobcell/cell.go
+++ b/internal/jobcell/cell.go
@@ -96,6 +96,7 @@
 		return nil, err
 	}
 	c := &Cell{cfg: cfg, dialer: dialer, probeDialer: probeDialer, failed: make(chan error, 1), replicaStartAllowed: make(chan struct{}), folderOpened: make(chan error, 1)}
+	c.checkGangBounds()
 	c.directory = discovery.New(c.self, cfg.Seeds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), time.Now())
 	c.advice = newAdviceBalancer(c)
 	c.workers = newWorkerProxy(c, cfg.Scheduler.WorkerClient)
@@ -117,6 +118,19 @@
 	return c, nil
 }
 
+// checkGangBounds warns of settings by which members of a gang wait for the others for less time than it takes to
+// find out that the gang is not whole, and to stop them.
+func (c *Cell) checkGangBounds() {
+	gang, stop := c.cfg.Scheduler.GangTimeout, c.cfg.Scheduler.StopTimeout
+	if gang == 0 {
+		return
+	}
+	longest := max(scheduler.Sum(scheduler.GangWaits(gang, stop)), scheduler.Sum(scheduler.AdoptedGangWaits(maxElectionTime, gang, stop)))
+	if longest >= gang {
+		c.cfg.Logger.Warn().Str("event", "gang_bound_tight").Int64("timeout_ms", gang.Milliseconds()).Int64("needed_ms", longest.Milliseconds()).Msg("members of gangs may give up waiting before they are stopped; let them wait longer")
+	}
+}
+
 // Failed returns the channel that receives the error that ends this instance.
 func (c *Cell) Failed() <-chan error { return c.failed }
 
--- a/internal/jobcell/drive.go
+++ b/internal/jobcell/drive.go
@@ -197,29 +197,23 @@
 	go func() { answers <- p.send(ctx, stream, order, 0).GetResult() == 1 }()
 	hedge := time.NewTimer(stopHedgeDelay)
 	defer hedge.Stop()
-	sendDirectly := func() {
-		telemetry.CountRetry("stop-sent-directly")
-		paths++
-		go func() { answers <- p.direct.Stop(ctx, stop, fence) }()
-	}
 	for hedged := false; paths > 0; {
 		select {
 		case answered := <-answers:
 			if answered || ctx.Err() != nil {
 				return answered
 			}
-			if paths--; !hedged {
-				hedged = true
-				sendDirectly()
-			}
+			paths--
 		case <-hedge.C:
-			if !hedged {
-				hedged = true
-				sendDirectly()
-			}
 		case <-ctx.Done():
 			return false
 		}
+		if !hedged {
+			hedged = true
+			paths++
+			telemetry.CountRetry("stop-sent-directly")
+			go func() { answers <- p.direct.Stop(ctx, stop, fence) }()
+		}
 	}
 	return false
 }
--- a/internal/jobcell/waits_test.go
+++ b/internal/jobcell/waits_test.go
@@ -1,10 +1,13 @@
 package jobcell
 
 import (
+	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/egretmux/egretmux/internal/scheduler"
@@ -35,3 +38,19 @@
 		}
 	}
 }
+
+// Guards against settings that break the sums without a word.
+func TestTimeOfGangsThatIsTooShortIsReported(t *testing.T) {
+	for _, c := range []struct {
+		gang     time.Duration
+		reported bool
+	}{{time.Second, true}, {4 * time.Second, false}, {0, false}} {
+		var log bytes.Buffer
+		_, err := New(Config{
+			Address: "a", Logger: zerolog.New(&log),
+			Scheduler: scheduler.Config{WorkerClient: newFakeWorkers(), GangTimeout: c.gang, StopTimeout: 900 * time.Millisecond},
+		})
+		require.NoError(t, err)
+		require.Equal(t, c.reported, strings.Contains(log.String(), "gang_bound_tight"), "%v: %s", c.gang, log.String())
+	}
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -70,7 +70,7 @@
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfterIdle, PingTimeout: pingTimeout},
 		Protocols:       new(http.Protocols),
 	}
-	d := &Dialer{cellKey: key, scheme: "http://", client: &http.Client{Transport: transport}, clients: make(map[string]*Clients), renewed: make(map[string]renewedPath), answeredAt: make(map[string]time.Time)}
+	d := newDialer(key, "http://", transport)
 	if caFile == "" {
 		transport.Protocols.SetUnencryptedHTTP2(true)
 		return d, nil
@@ -94,7 +94,14 @@
 func (d *Dialer) withOwnConnections() *Dialer {
 	transport := d.client.Transport.(*http.Transport).Clone()
 	transport.HTTP2 = &http.HTTP2Config{SendPingTimeout: logPingAfterIdle, PingTimeout: logPingTimeout}
-	return &Dialer{cellKey: d.cellKey, scheme: d.scheme, clients: make(map[string]*Clients), renewed: make(map[string]renewedPath), answeredAt: make(map[string]time.Time), client: &http.Client{Transport: transport}}
+	return newDialer(d.cellKey, d.scheme, transport)
+}
+
+func newDialer(key, scheme string, transport *http.Transport) *Dialer {
+	return &Dialer{
+		cellKey: key, scheme: scheme, client: &http.Client{Transport: transport},
+		clients: make(map[string]*Clients), renewed: make(map[string]renewedPath), answeredAt: make(map[string]time.Time),
+	}
 }
 
 // Key returns the cell key.
