jobcell: a leader is not replaced because the other replicas are slow

The links of four replicas were thin; the leader, whose own link was sound, handed over to one of them, and for 2.6 s nobody led, while the stops of the gang were not answered yet.

Cause: the leader's call to itself needed a confirmation by the others, so that a slow majority looked like a leader that doesn't answer.

Change: the call needs the planner and nothing of the others; any refusal is an answer.

--- a/internal/jobcell/leader_probe.go
+++ b/internal/jobcell/leader_probe.go
@@ -7,7 +7,7 @@
 	"connectrpc.com/connect"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
-	"github.com/egretmux/egretmux/internal/refusal"
+	"github.com/egretmux/egretmux/internal/refusal/refusalrpc"
 	"github.com/egretmux/egretmux/internal/scheduler"
 	"github.com/egretmux/egretmux/internal/telemetry"
 )
@@ -102,22 +102,16 @@
 	}
 }
 
-// probeLeader makes a call to this instance as others do, which needs a confirmation of its leadership.
+// probeLeader makes a call to this instance as others do, which needs its planner. It needs nothing of the other replicas:
+// if these are slow, another leader is no better, and may be one of them.
 func (c *Cell) probeLeader(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, leaderProbeTimeout)
 	defer cancel()
-	_, err := c.probeDialer.Clients(c.cfg.Address).Jobs.GetCatalogue(ctx, connect.NewRequest(&egretmuxv1.GetCatalogueRequest{}))
-	return unlessRefused(err)
-}
-
-// unlessRefused returns nil for the refusals of a leader that answers.
-func unlessRefused(err error) error {
-	if err == nil {
-		return nil
-	}
-	switch refusalOf(err).Kind {
-	case refusal.NoLeader, refusal.OutcomeUnknown, refusal.DeadlinePassed, refusal.Cancelled:
-		return err
+	req := connect.NewRequest(&egretmuxv1.ShowCustomersRequest{})
+	req.Header().Set(forwardedHeader, "1")
+	_, err := c.probeDialer.Clients(c.cfg.Address).Jobs.ShowCustomers(ctx, req)
+	if refusalrpc.IsRefusal(err) {
+		return nil // it answers
 	}
-	return nil
+	return err
 }
--- a/internal/refusal/refusalrpc/refusalrpc.go
+++ b/internal/refusal/refusalrpc/refusalrpc.go
@@ -55,6 +55,25 @@
 	return connect.CodeInternal
 }
 
+// IsRefusal reports whether an instance answered a call with a refusal.
+func IsRefusal(err error) bool { return detailOf(err) != nil }
+
+// detailOf returns the Refusal detail of an RPC error, or nil.
+func detailOf(err error) *egretmuxv1.Refusal {
+	var connectErr *connect.Error
+	if !errors.As(err, &connectErr) {
+		return nil
+	}
+	for _, detail := range connectErr.Details() {
+		if msg, detailErr := detail.Value(); detailErr == nil {
+			if wire, ok := msg.(*egretmuxv1.Refusal); ok {
+				return wire
+			}
+		}
+	}
+	return nil
+}
+
 // From converts an RPC error to a refusal and the leader's address, if it has
 // one. An error without a Refusal detail is a connection failure: unless dialing
 // failed, the call may have run.
@@ -62,15 +81,8 @@
 	if err == nil {
 		return nil, ""
 	}
-	var connectErr *connect.Error
-	if errors.As(err, &connectErr) {
-		for _, detail := range connectErr.Details() {
-			if msg, detailErr := detail.Value(); detailErr == nil {
-				if wire, ok := msg.(*egretmuxv1.Refusal); ok {
-					return fromWire(wire), wire.GetLeaderAddress()
-				}
-			}
-		}
+	if wire := detailOf(err); wire != nil {
+		return fromWire(wire), wire.GetLeaderAddress()
 	}
 	var opErr *net.OpError
 	if errors.As(err, &opErr) && opErr.Op == "dial" {
