--- a/internal/jobcell/half_alive_leader_test.go
+++ b/internal/jobcell/half_alive_leader_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -149,8 +150,10 @@
 		})
 	}()
 	<-stalled
+	release := sync.OnceFunc(func() { close(released) })
+	defer release()
 	require.Eventually(t, func() bool { return !c.scheduler.Leads() }, configurationBound, checkPeriod, "its confirmation does not expire")
 	require.NoError(t, c.probeLeader(t.Context()), "it answers that it cannot lead now")
-	close(released)
+	release()
 	require.Error(t, newTestCell(t, unreachable).probeLeader(t.Context()), "nobody answers")
 }
