dispatch: a new leader does not stop gangs of which it has heard nothing yet

Cause: the time in which the members of an adopted gang have to be listed ran from the beginning of the tenure, and no worker of these gangs had answered the first poll by then, although all of them were at work.

Change: the time runs from the first listing of a member. A member that waits is on a worker that will be listed.

TestGangOfAnEarlierLeaderIsNotStoppedBeforeItsWorkersAreHeard fails before (both members are stopped) and passes.

--- a/internal/dispatch/forming.go
+++ b/internal/dispatch/forming.go
@@ -18,8 +18,9 @@
 
 // forming is a run of a gang of which members may still have to begin.
 type forming struct {
-	number uint64
-	until  time.Duration
+	number  uint64
+	until   time.Duration
+	adopted bool // an earlier leader has started it
 }
 
 // FormTimeout returns the time after the first start of a gang in which all members must have begun, given the time
@@ -31,7 +32,7 @@
 	return max(minFormTimeout, time.Duration(formShare*float64(gangTimeout-stopTimeout)))
 }
 
-// AdoptedFormTimeout is the same for a gang that an earlier leader started, from the beginning of the tenure.
+// AdoptedFormTimeout is the same for a gang that an earlier leader started, from the first listing of a member.
 func AdoptedFormTimeout(gangTimeout, stopTimeout time.Duration) time.Duration {
 	return time.Duration(adoptedFormShare * float64(FormTimeout(gangTimeout, stopTimeout)))
 }
@@ -65,10 +66,14 @@
 		}
 	}
 	if number > 0 {
-		c.forming[s] = forming{number: number, until: now + AdoptedFormTimeout(c.cfg.GangTimeout, c.cfg.StopTimeout)}
+		c.forming[s] = c.adoptedForming(number, now)
 	}
 }
 
+func (c *Core) adoptedForming(number uint64, now time.Duration) forming {
+	return forming{number: number, until: now + AdoptedFormTimeout(c.cfg.GangTimeout, c.cfg.StopTimeout), adopted: true}
+}
+
 // stopUnformedGangs stops the gangs that are not whole in time, so that no member waits for the others until it
 // gives up.
 func (c *Core) stopUnformedGangs(now time.Duration) {
@@ -78,6 +83,8 @@
 		switch {
 		case over || c.steps[s.key] != s || begun == len(s.tasks):
 			delete(c.forming, s)
+		case f.adopted && begun == 0: // no worker of it has been heard: it may be at work
+			c.forming[s] = c.adoptedForming(f.number, now)
 		case now >= f.until:
 			late = append(late, s)
 		}
--- a/internal/dispatch/forming_test.go
+++ b/internal/dispatch/forming_test.go
@@ -182,3 +182,14 @@
 		})
 	}
 }
+
+// Guards against the loss of work: after a change of the leader, gangs at work were stopped because none of their workers
+// had been heard yet.
+func TestGangOfAnEarlierLeaderIsNotStoppedBeforeItsWorkersAreHeard(t *testing.T) {
+	h, starts := newGangHarness(t)
+	h.beginTenure()
+	h.passTime(3*time.Second, 0)
+	require.Empty(t, h.stops)
+	h.passTime(time.Second, 30, starts...)
+	require.Empty(t, h.stops)
+}
