dispatch: log what blocks a starved step

Change: step_blocked, with the rule that refuses the step the worker that comes closest to running it, counted by reason in decisions_total.

--- a/internal/dispatch/starved.go
+++ b/internal/dispatch/starved.go
@@ -25,8 +25,12 @@
 			s.idle, s.idleSince = idle, now
 		}
 		starved := s.idle && now-s.idleSince >= starvedAfter && !s.overRate && s.quotaHold == nil
-		if starved && !s.starved {
+		switch {
+		case starved && !s.starved:
 			c.addNotice(Notice{Event: "step_starved", Job: s.key.Job, Task: s.key.String(), Age: now - s.idleSince})
+			s.blockedAt = 0
+		case starved:
+			c.findBlocked(s, pool, now)
 		}
 		s.starved = starved
 		s.mayProbe, s.mayRetry = false, false
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -65,6 +65,8 @@
 	starved     bool          // whether it takes room that is kept for others
 	mayProbe    bool          // whether it may probe workers that rest
 	mayRetry    bool          // whether also those on which it has failed
+	blockedBy   refusal       // why it still waits although it is starved, as of blockedAt
+	blockedAt   time.Duration // zero until that is known
 	latestStart time.Duration // latest start that still meets the objective
 	estimatedAt time.Duration // when latestStart was computed
 	lateness    int           // onTime, late or expired
