dispatch: a starved step does not wait for an isolation to end

Cause: a suspect starts on a worker of its own only, and at most a quarter of a pool is so isolated, for whole runs of tasks under two crashes. Members of gangs isolated their workers without that limit. So isolation waited for ends that may be far off, and closed workers were closed to everything else as well.

Evidence: step_blocked names isolation-limit from 1.0 s after the loss to the end, 3 of 12 workers isolated by members of the gang, 9 idle.

Change: the limit holds for whatever isolates a worker, gangs and adopted runs too. A suspect of a starved step waits for an isolation for a second while workers with room may run it, then starts beside others on the worker where a crash would cost least. A starved step that has no other room uses the workers that are kept for suspects; a gang asks for their tickets. So the closed part of a pool and the wait are bounded at once: a task at fault still crashes three workers at most.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -24,13 +24,20 @@
 // the suspect would have to wait for it.
 const startingPenalty = 1e6
 
-// maxIsolatedShare is the largest fraction of a pool's workers that are kept for suspects, so
-// that many suspects at once, as after the failure of a rack, leave room for other work.
+// maxIsolatedShare is the largest fraction of a pool's workers that are kept for suspects, members of
+// gangs included, so that many suspects at once, as after the failure of a rack, leave room for other
+// work. Isolation is a preference: a starved step waits for it no longer than maxIsolationDelay, and
+// shares the worker of another suspect if no other one has room.
 const maxIsolatedShare = 0.25
 
 // maxKeptPeriod is how long a worker is kept for a suspect that does not start there.
 const maxKeptPeriod = 2 * startupPeriod
 
+// maxIsolationDelay is how long the suspects of a starved step wait for workers of their own while
+// there are some that may run them. With starvedAfter, which runs at the same time, a call for advice and
+// the start it has to stay below three seconds.
+const maxIsolationDelay = 2 * startupPeriod
+
 // maxUnisolatedCrashes is the number of crashes under a task beyond which its runs are
 // isolated for as long as they take, whatever the time of the crashes.
 const maxUnisolatedCrashes = 1
@@ -58,6 +65,7 @@
 // started, and how many have no worker that may run them.
 func (c *Core) placeSuspects(s *step, suspects []*task, now time.Duration) (started, without int) {
 	if len(suspects) == 0 {
+		s.isolationDelayed = false
 		return 0, 0
 	}
 	for _, t := range suspects {
@@ -68,20 +76,26 @@
 	q := c.queue(s.job)
 	candidates, _ := s.withRoom(c.startableWorkers(s, q, now), 1)
 	s.sortByRisk(candidates, now)
+	if delayed := len(c.workersWithRoom(s, q.GetService(), now)) > 0; delayed != s.isolationDelayed {
+		s.isolationDelayed, s.isolationDelayedSince = delayed, now
+	}
+	overdue := s.starved && s.isolationDelayed && now-s.isolationDelayedSince >= maxIsolationDelay
 	allowed := c.isolationsLeft(q.GetService())
 	for _, t := range suspects {
-		if len(candidates) == 0 || allowed <= 0 {
+		if len(candidates) == 0 {
+			t.kept = nil
+			without++
+			continue
+		}
+		if allowed <= 0 && !overdue {
 			t.kept = nil
-			if len(candidates) == 0 {
-				without++
-			}
 			continue
 		}
 		i := max(0, slices.Index(candidates, t.kept))
 		w := candidates[i]
 		candidates = slices.Delete(candidates, i, i+1)
 		allowed--
-		if w.startingRuns(now) == 0 {
+		if w.startingRuns(now) == 0 || overdue {
 			t.kept = nil
 			c.startTask(t, w, t.highestRun+1, now)
 			started++
@@ -141,9 +155,16 @@
 	return n
 }
 
-// keptForSuspect reports whether a worker gets no runs but those of one suspect.
+// keptForSuspect reports whether a worker gets no runs but those of one suspect and of starved steps.
 func (w *worker) keptForSuspect() bool { return w.isolated != nil || w.keptFor != nil }
 
+// isolate keeps a worker for the run of a suspect, if one more may be kept.
+func (c *Core) isolate(w *worker, r *run) {
+	if w.keptFor == r.task || w.isolated == nil && c.isolationsLeft(w.life.GetPool()) > 0 {
+		w.isolated = r
+	}
+}
+
 // endIsolation opens a worker to other runs once its suspect needs it no more.
 func (w *worker) endIsolation(now time.Duration) {
 	if t := w.keptFor; t != nil && (!t.waits() || t.kept != w || now-w.keptSince > maxKeptPeriod) {
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -259,8 +259,8 @@
 	t.dropUnheard(w.Target, number)
 	t.highestRun = max(t.highestRun, number)
 	t.step.runsOn[w]++
-	if t.suspect() && state != ended && w.isolated == nil {
-		w.isolated = r
+	if t.suspect() && state != ended {
+		c.isolate(w, r)
 	}
 	return r
 }
--- a/internal/dispatch/placeable.go
+++ b/internal/dispatch/placeable.go
@@ -44,7 +44,7 @@
 	}
 	missing := s.tasksLeft
 	for _, w := range c.workers {
-		if w.life.GetPool() != pool || !s.suits(w) || w.synced && !w.acceptsRuns(now) { // a new leader has not read all workers yet
+		if w.life.GetPool() != pool || !s.suits(w) || w.synced && !s.mayUse(w, now) { // a new leader has not read all workers yet
 			continue
 		}
 		if mayRun, known := s.advice.allowed[w]; known && !mayRun {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -183,8 +183,14 @@
 // canRunOn reports whether the worker could run tasks of the step, regardless of
 // its free resources and of tickets.
 func (s *step) canRunOn(w *worker, pool string, now time.Duration) bool {
-	accepts := w.acceptsRuns(now) || s.mayProbe && w.acceptsProbes(now) && (s.mayRetry || !s.failedOn[w])
-	return w.life.GetPool() == pool && accepts && s.suits(w) && w.mayStart(s)
+	return w.life.GetPool() == pool && s.mayUse(w, now) && s.suits(w) && w.mayStart(s)
+}
+
+// mayUse reports whether the worker may get new runs of the step. One that rests or is kept for a
+// suspect gets those of starved steps that have no other room.
+func (s *step) mayUse(w *worker, now time.Duration) bool {
+	mayProbe := s.mayProbe && (s.mayRetry || !s.failedOn[w])
+	return w.acceptsOrders(now) && (s.mayShare || !w.keptForSuspect()) && (mayProbe || now >= w.restUntil)
 }
 
 // suits reports whether a worker of the step's pool has the capacity and the label that a
@@ -310,7 +316,9 @@
 // limit.
 func (s *step) maxNewRuns(w *worker, limit int) int {
 	usable := w.available()
-	if (s.urgent || s.spec.GetLongRunning() || s.starved) && !w.closed() {
+	switch {
+	case w.outOfProbes() || w.keptForSuspect() && !s.mayShare: // nothing is available
+	case s.urgent || s.spec.GetLongRunning() || s.starved:
 		usable = w.free // reserved resources too: the gang can wait a little longer
 	}
 	usable.cpu -= s.requiredHeadroom(w)
--- a/internal/dispatch/starved.go
+++ b/internal/dispatch/starved.go
@@ -18,7 +18,7 @@
 	for pool, room := range c.poolRooms() {
 		mostlyFree[pool] = 2*room.free > room.capacity
 	}
-	someRest := slices.ContainsFunc(slices.Collect(maps.Values(c.workers)), func(w *worker) bool { return now < w.restUntil })
+	someClosed := slices.ContainsFunc(slices.Collect(maps.Values(c.workers)), func(w *worker) bool { return now < w.restUntil || w.keptForSuspect() })
 	for _, s := range waiting {
 		pool := c.queue(s.job).GetService()
 		if idle := mostlyFree[pool] && (s.spec.GetLongRunning() || !s.runs()); idle != s.idle {
@@ -33,14 +33,27 @@
 			c.findBlocked(s, pool, now)
 		}
 		s.starved = starved
-		s.mayProbe, s.mayRetry = false, false
-		if starved && someRest {
-			sound, room := c.soundRoom(s, pool, now)
-			s.mayProbe, s.mayRetry = !room, !sound
+		s.mayShare, s.mayProbe, s.mayRetry = false, false, false
+		if starved && someClosed {
+			c.openClosedWorkers(s, pool, now)
 		}
 	}
 }
 
+// openClosedWorkers lets a starved step use workers that are kept for suspects and, if it has no room there
+// either, probe those that rest.
+func (c *Core) openClosedWorkers(s *step, pool string, now time.Duration) {
+	sound, room := c.soundRoom(s, pool, now)
+	if !room {
+		s.mayShare = true
+		sound, room = c.soundRoom(s, pool, now)
+	}
+	s.mayProbe, s.mayRetry = !room, !sound
+	if s.mayShare {
+		s.placement.until = 0
+	}
+}
+
 // soundRoom reports whether a worker that does not fail may run a step, and whether such workers have room for a task
 // of it, or for the whole gang.
 func (c *Core) soundRoom(s *step, pool string, now time.Duration) (sound, room bool) {
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -51,26 +51,30 @@
 
 // step is an open step: all its predecessors are done.
 type step struct {
-	key         StepKey
-	job         *job
-	spec        *egretmuxv1.JobStep
-	demand      resources
-	usage       resources // of one task, counted towards the customer's quota
-	tasks       []*task
-	tasksLeft   int           // number of tasks that are not done
-	dueAt       time.Duration // when the job was accepted or the occurrence was due
-	openedAt    time.Duration // when its predecessors were done
-	idle        bool          // whether tasks wait and, unless they last, nothing of it runs, in a mostly free pool
-	idleSince   time.Duration
-	starved     bool          // whether it takes room that is kept for others
-	mayProbe    bool          // whether it may probe workers that rest
-	mayRetry    bool          // whether also those on which it has failed
-	blockedBy   refusal       // why it still waits although it is starved, as of blockedAt
-	blockedAt   time.Duration // zero until that is known
-	latestStart time.Duration // latest start that still meets the objective
-	estimatedAt time.Duration // when latestStart was computed
-	lateness    int           // onTime, late or expired
-	expectedRun time.Duration // run time of one task on an average worker, as of estimatedAt
+	key       StepKey
+	job       *job
+	spec      *egretmuxv1.JobStep
+	demand    resources
+	usage     resources // of one task, counted towards the customer's quota
+	tasks     []*task
+	tasksLeft int           // number of tasks that are not done
+	dueAt     time.Duration // when the job was accepted or the occurrence was due
+	openedAt  time.Duration // when its predecessors were done
+	idle      bool          // whether tasks wait and, unless they last, nothing of it runs, in a mostly free pool
+	idleSince time.Duration
+	starved   bool // whether it takes room that is kept for others
+	mayShare  bool // whether it may use workers that are kept for suspects
+	mayProbe  bool // whether it may probe workers that rest
+	mayRetry  bool // whether also those on which it has failed
+	// isolationDelayed is set while suspects of it wait although workers with room may run them.
+	isolationDelayed      bool
+	isolationDelayedSince time.Duration
+	blockedBy             refusal       // why it still waits although it is starved, as of blockedAt
+	blockedAt             time.Duration // zero until that is known
+	latestStart           time.Duration // latest start that still meets the objective
+	estimatedAt           time.Duration // when latestStart was computed
+	lateness              int           // onTime, late or expired
+	expectedRun           time.Duration // run time of one task on an average worker, as of estimatedAt
 	// slownessLimit is the slowness of a worker up to which a start in the present plan meets
 	// the objective.
 	slownessLimit float64
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -87,8 +87,8 @@
 	withheld      []uint64 // numbers of listed ends that must not be acknowledged, lowest first
 	lapse         lapse    // while there are any
 	runs          map[runKey]*run
-	isolated      *run          // run of a suspect; while it is set, the worker gets no other runs
-	keptFor       *task         // suspect that starts here next; while it is set, the worker gets no other runs
+	isolated      *run          // run of a suspect; while it is set, only starved steps get other runs here
+	keptFor       *task         // suspect that starts here next; while it is set, the same
 	keptSince     time.Duration // when keptFor was last changed
 	// lapsedRuns are the runs that were given up when the lease expired. They were lost in a
 	// crash if the worker never answers again.
@@ -137,14 +137,14 @@
 	maxFailures      = 3               // failed runs without a successful one in between
 )
 
-// acceptsRuns reports whether the worker may get new runs.
+// acceptsRuns reports whether the worker may get new runs of any step.
 func (w *worker) acceptsRuns(now time.Duration) bool {
-	return w.acceptsProbes(now) && now >= w.restUntil
+	return w.acceptsOrders(now) && !w.keptForSuspect() && now >= w.restUntil
 }
 
-// acceptsProbes reports whether the worker may get new runs if it does not rest.
-func (w *worker) acceptsProbes(now time.Duration) bool {
-	return w.usable() && !w.keptForSuspect() && len(w.orphans) == 0 && now >= w.backoffUntil
+// acceptsOrders reports whether the worker may get new runs if it neither rests nor is kept for a suspect.
+func (w *worker) acceptsOrders(now time.Duration) bool {
+	return w.usable() && len(w.orphans) == 0 && now >= w.backoffUntil
 }
 
 // usable reports whether the worker can be reached and is to be used.
@@ -152,10 +152,11 @@
 	return w.synced && w.lease.anchor.known && !w.retiring && !w.draining && !w.cordoned && w.missedPolls <= maxMissedPolls
 }
 
-// closed reports whether a worker gets no further runs for now, whatever it has free.
-func (w *worker) closed() bool {
-	return w.failing() && w.probation.left <= 0 || w.keptForSuspect()
-}
+// closed reports whether a worker gets no further runs for now, whatever it has free, but of starved steps.
+func (w *worker) closed() bool { return w.outOfProbes() || w.keptForSuspect() }
+
+// outOfProbes reports whether a failing worker gets no further runs for now.
+func (w *worker) outOfProbes() bool { return w.failing() && w.probation.left <= 0 }
 
 // available returns the resources that are neither in use nor reserved.
 func (w *worker) available() resources {
