dispatch: lasting tasks do not wait for isolations in a busy pool either

As a suspect, or with its only worker kept for one, it waited in a pool of which half is in use.

Cause: only a mostly free pool made a step starved, and the start of one task of a lasting step began the wait of its others anew.

Change: a step of which lasting tasks wait is starved after a second in any pool, until all of them have started.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -377,7 +377,7 @@
 	s := t.step
 	leaseUntil, trialLease := c.leaseForStart(w, s, now)
 	r := c.addRun(t, w, number, ordered, now)
-	s.idle = false
+	s.idle = s.idle && s.spec.GetLongRunning() // others of its tasks may wait
 	c.noteProbe(r, now)
 	if s.overRate {
 		s.job.customer.overRateStarted += s.demand.cpu
--- a/internal/dispatch/starved.go
+++ b/internal/dispatch/starved.go
@@ -11,7 +11,7 @@
 const starvedAfter = time.Second
 
 // findStarved finds the steps of which nothing has run for some time although their pool is mostly
-// free. What keeps room from them (reservations and claims of gangs, headroom, faster workers, the rest
+// free, and those of which a lasting task has waited for as long in any pool. What keeps room from them (reservations and claims of gangs, headroom, faster workers, the rest
 // of workers) is a preference, and work must go on where there is room.
 func (c *Core) findStarved(waiting []*step, now time.Duration) {
 	mostlyFree := make(map[string]bool)
@@ -21,7 +21,7 @@
 	someClosed := slices.ContainsFunc(slices.Collect(maps.Values(c.workers)), func(w *worker) bool { return now < w.restUntil || w.keptForSuspect() })
 	for _, s := range waiting {
 		pool := c.queue(s.job).GetService()
-		if idle := mostlyFree[pool] && (s.spec.GetLongRunning() || !s.runs()); idle != s.idle {
+		if idle := s.spec.GetLongRunning() || mostlyFree[pool] && !s.runs(); idle != s.idle {
 			s.idle, s.idleSince = idle, now
 		}
 		starved := s.idle && now-s.idleSince >= starvedAfter && !s.overRate && s.quotaHold == nil
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -60,7 +60,7 @@
 	tasksLeft int           // number of tasks that are not done
 	dueAt     time.Duration // when the job was accepted or the occurrence was due
 	openedAt  time.Duration // when its predecessors were done
-	idle      bool          // whether tasks wait and, unless they last, nothing of it runs, in a mostly free pool
+	idle      bool          // whether tasks wait that last, or nothing of it runs in a mostly free pool
 	idleSince time.Duration
 	starved   bool // whether it takes room that is kept for others
 	mayShare  bool // whether it may use workers that are kept for suspects
--- a/internal/dispatch/suspect_test.go
+++ b/internal/dispatch/suspect_test.go
@@ -105,3 +105,16 @@
 	h.plan()
 	require.Len(t, h.acceptAll(), 9, "a quarter of the pool is isolated")
 }
+
+// Guards against a lasting task that waits for an isolation in a pool of which more than half is in use.
+func TestLastingSuspectDoesNotWaitForIsolatedRunsToEndInABusyPool(t *testing.T) {
+	h := newHarnessWithAnIsolatedRun(t)
+	lasting := tasks(1, 1)
+	lasting.LongRunning = true
+	h.submit(id(2), lasting)
+	h.crashUnder(id(2), 0)
+	h.submit(id(3), tasks(9, 1))
+	h.plan()
+	require.Len(t, h.acceptAll(), 9)
+	require.Less(t, h.idleTime(id(2)), maxIdleTime)
+}
