job: a job that is cancelled before its submit arrives never runs

Cause: the cancellation of a job that the book does not know changed nothing, so that a submit which arrives later is a new job.

Evidence: the log of the leader holds job_accepted after the cancellation, and no job_cancelled. Checking whether the client has left would only narrow the race.

Change: such a cancellation is stored before its 410, by queue and ID. Its submit is refused with 503 whenever it arrives within status_s, by every later leader.

--- a/internal/job/book.go
+++ b/internal/job/book.go
@@ -30,25 +30,29 @@
 	ended     *endedLives
 
 	superseded *supersededRuns
+	withdrawn  withdrawnJobs
 	waves      map[uint64]*egretmuxv1.Wave
 }
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{jobs: make(map[string]*Record), workers: make(map[string]*Worker), ended: newEndedLives(), superseded: newSupersededRuns(), waves: make(map[uint64]*egretmuxv1.Wave)}
+	return &Book{jobs: make(map[string]*Record), workers: make(map[string]*Worker), ended: newEndedLives(), superseded: newSupersededRuns(), withdrawn: make(withdrawnJobs), waves: make(map[uint64]*egretmuxv1.Wave)}
 }
 
 // Result is the outcome of an applied command.
 type Result struct {
-	Known    bool                // submit, cancel: the job exists; wave: it exists; catalogue: this or a higher version is in force
-	Conflict bool                // the catalogue in force has the same version but other content
-	Outdated bool                // life: it is over
-	NotTaken int                 // starts: how many changed nothing, as their job has ended or a later run was stored before
-	Phase    egretmuxv1.JobPhase // submit, cancel: of the known job; unspecified until it has ended
+	Known       bool                // submit, cancel: the job exists; wave: it exists; catalogue: this or a higher version is in force
+	Conflict    bool                // the catalogue in force has the same version but other content
+	Outdated    bool                // life: it is over
+	Withdrawn   bool                // submit: the job was cancelled before, and is not accepted
+	Full        bool                // cancel: the job is not known, and could not be withdrawn
+	WithdrawnAt uint64              // cancel: index of the log entry that withdrew the job, as it is not known
+	NotTaken    int                 // starts: how many changed nothing, as their job has ended or a later run was stored before
+	Phase       egretmuxv1.JobPhase // submit, cancel: of the known job; unspecified until it has ended
 }
 
 // Apply implements consensus.StateMachine.
-func (b *Book) Apply(_ uint64, data []byte) any {
+func (b *Book) Apply(index uint64, data []byte) any {
 	cmd := &egretmuxv1.JobCommand{}
 	if err := proto.Unmarshal(data, cmd); err != nil {
 		return errors.Wrap(err, "the log holds a command that cannot be read; all instances must run the same release")
@@ -59,7 +63,7 @@
 	case *egretmuxv1.JobCommand_Submit:
 		return b.submitJob(c.Submit.GetJob())
 	case *egretmuxv1.JobCommand_Cancel:
-		return b.cancelJob(c.Cancel.GetJob())
+		return b.cancelJob(index, c.Cancel)
 	case *egretmuxv1.JobCommand_PutCatalogue:
 		return b.putCatalogue(c.PutCatalogue.GetCatalogue())
 	case *egretmuxv1.JobCommand_NoteEnds:
@@ -90,6 +94,9 @@
 				delete(b.jobs, id)
 			}
 		}
+		for _, w := range c.ForgetJobs.GetWithdrawn() {
+			b.forgetWithdrawn(w)
+		}
 	}
 	return Result{}
 }
@@ -98,14 +105,20 @@
 	if r := b.jobs[j.GetId()]; r != nil {
 		return Result{Known: true, Phase: r.Phase}
 	}
+	if _, withdrawn := b.withdrawn[JobKey{j.GetHost(), j.GetPrefix(), j.GetId()}]; withdrawn {
+		return Result{Withdrawn: true}
+	}
 	b.jobs[j.GetId()] = newRecord(j)
 	return Result{}
 }
 
-func (b *Book) cancelJob(id string) Result {
-	r := b.jobs[id]
+func (b *Book) cancelJob(index uint64, c *egretmuxv1.CancelJob) Result {
+	r := b.jobs[c.GetJob()]
 	if r == nil {
-		return Result{}
+		if !b.withdraw(index, c) {
+			return Result{Full: true}
+		}
+		return Result{WithdrawnAt: index}
 	}
 	if !r.Ended() {
 		r.finish(egretmuxv1.JobPhase_JOB_PHASE_CANCELLED)
@@ -233,6 +246,7 @@
 	}
 	snap.EndedLives = b.ended.toProto()
 	snap.Superseded = b.superseded.toProto()
+	snap.Withdrawn = b.withdrawn.toProto()
 	for _, w := range b.waves {
 		snap.Waves = append(snap.Waves, w)
 	}
@@ -273,5 +287,6 @@
 	b.jobs, b.workers, b.waves = jobs, workers, waves
 	b.ended = endedLivesFromProto(snap.GetEndedLives())
 	b.superseded = supersededRunsFromProto(snap.GetSuperseded())
+	b.withdrawn = withdrawnJobsFromProto(snap.GetWithdrawn())
 	return nil
 }
--- a/internal/jobcell/attempts.go
+++ b/internal/jobcell/attempts.go
@@ -16,7 +16,7 @@
 // settle reports whether the result of an attempt ends the call, and with what. A success
 // does. So does a client error (4xx), since the leader would refuse the call again, but
 // for a lack of capacity (429) after an attempt that may have been executed: the next
-// attempt may find that one stored.
+// attempt may find that one stored. A withdrawn job is not accepted by any attempt.
 func (a *attempts) settle(answer *egretmuxv1.JobAnswer, err error) (final bool, _ *egretmuxv1.JobAnswer, _ error) {
 	if err == nil {
 		if answer.GetNoQueue() && a.changedUnknown() {
@@ -26,7 +26,7 @@
 	}
 	refused := refusal.Of(err)
 	status := refused.Kind.HTTPStatus()
-	if status >= http.StatusInternalServerError || (status == http.StatusTooManyRequests && a.unknown != nil) {
+	if status >= http.StatusInternalServerError && refused.Kind != refusal.JobWithdrawn || (status == http.StatusTooManyRequests && a.unknown != nil) {
 		a.record(refused)
 		return false, nil, err
 	}
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -38,6 +38,8 @@
 	AnswerCut        Kind = "answer-cut"
 	AnswerMismatch   Kind = "answer-mismatch"
 	Cancelled        Kind = "cancelled"
+	JobWithdrawn     Kind = "job-withdrawn"
+	WithdrawnFull    Kind = "withdrawn-full"
 	VersionConflict  Kind = "version-conflict"
 	NotFound         Kind = "not-found"
 	NeverRunnable    Kind = "never-runnable"
@@ -53,7 +55,7 @@
 		QueueFull, Shed, DeadlineTooClose, DeadlinePassed, InFlightFull, Draining,
 		NoLease, NoLeader, KeyConflict, KeyInProgress, OutcomeUnknown, EndpointRefused,
 		LinkFailed, LinkSilent, AnswerCut, AnswerMismatch, Cancelled, VersionConflict,
-		NotFound, NeverRunnable, QuotaExceeded, DeadlineNotMet, Internal,
+		NotFound, NeverRunnable, QuotaExceeded, DeadlineNotMet, JobWithdrawn, WithdrawnFull, Internal,
 	}
 }
 
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -42,6 +42,9 @@
 		}
 		return a.answer(&egretmuxv1.JobAnswer{Found: true}), nil
 	}
+	if t.book.IsWithdrawn(a.jobKey()) { // committed, whoever leads
+		return nil, jobWithdrawn(id)
+	}
 	if err := t.checkQuota(ctx, id, j, a.customer); err != nil {
 		return nil, err
 	}
@@ -60,7 +63,7 @@
 	}
 	steps, overRate := len(j.GetSteps()), j.GetOverRate()
 	result, err := t.proposeForCaller(ctx, &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_Submit{Submit: &egretmuxv1.SubmitJob{Job: j}}}, func(result job.Result) {
-		if result.Known {
+		if result.Known || result.Withdrawn {
 			t.admissionSettled(id)
 			return
 		}
@@ -74,6 +77,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if result.Withdrawn {
+		return nil, jobWithdrawn(id)
+	}
 	if result.Known && !a.ownsJob(t.book, t.book.Catalogue()) { // another customer's submit was faster
 		return nil, notOwner(id)
 	}
@@ -118,9 +124,16 @@
 		}
 		return a.answer(&egretmuxv1.JobAnswer{Found: true, Phase: phase}), nil
 	}
-	cmd := &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_Cancel{Cancel: &egretmuxv1.CancelJob{Job: id}}}
+	if t.isRecentlyWithdrawn(a.jobKey()) {
+		if err := t.confirm(ctx); err != nil {
+			return nil, err
+		}
+		return a.answer(&egretmuxv1.JobAnswer{}), nil
+	}
+	cmd := cancelCommand(a.jobKey())
 	onCommit := func(result job.Result) {
 		if !result.Known {
+			t.markWithdrawn(a.jobKey(), result)
 			return
 		}
 		t.updateCore(func(c *dispatch.Core, _ time.Duration) {
@@ -136,7 +149,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if !result.Known {
+	switch {
+	case result.Full:
+		return nil, refusal.New(refusal.WithdrawnFull, "cancel it again later", "job %.100s is not known, and %d jobs are withdrawn already", id, job.MaxWithdrawn).WithRetryAfter(withdrawnFullPause)
+	case !result.Known:
 		return a.answer(&egretmuxv1.JobAnswer{}), nil
 	}
 	return a.answer(&egretmuxv1.JobAnswer{Found: true, Phase: result.Phase}), nil
--- a/internal/scheduler/export_test.go
+++ b/internal/scheduler/export_test.go
@@ -29,11 +29,11 @@
 
 // BeginUnknownCancel begins a cancellation that was applied before its job was stored. The calls that join it get its
 // outcome once the returned function is called.
-func (s *Scheduler) BeginUnknownCancel(id string) (end func(), err error) {
+func (s *Scheduler) BeginUnknownCancel(key job.JobKey) (end func(), err error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	t := s.tenure
-	data, err := proto.Marshal(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_Cancel{Cancel: &egretmuxv1.CancelJob{Job: id}}})
+	data, err := proto.Marshal(cancelCommand(key))
 	p, _ := t.beginProposal(data, true)
 	return func() { t.endProposal(p, data, job.Result{}, nil) }, err
 }
--- a/internal/scheduler/joined_cancel_test.go
+++ b/internal/scheduler/joined_cancel_test.go
@@ -8,13 +8,14 @@
 	"github.com/stretchr/testify/require"
 
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
+	"github.com/egretmux/egretmux/internal/job"
 )
 
 // Guards against a cancel that is answered as if the job were not known, and leaves it running: it joined an earlier
 // cancel, which was applied before the job was stored.
 func TestCancelThatJoinsOneFromBeforeTheSubmitCancelsTheJob(t *testing.T) {
 	s := startLeaderWith(t, catalogue(1, "one"))
-	end, err := s.BeginUnknownCancel(strings.TrimPrefix(jobPath, "/q/"))
+	end, err := s.BeginUnknownCancel(job.JobKey{Host: "h", Prefix: "/q/", ID: strings.TrimPrefix(jobPath, "/q/")})
 	require.NoError(t, err)
 	require.NoError(t, untilNotShed(func() error { return submitOneTask(t.Context(), s) }))
 	var answer *egretmuxv1.JobAnswer
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -52,11 +52,12 @@
 	began time.Time
 	ctx   context.Context
 
-	mu       sync.Mutex // guards core, pollers, endedAt and proposed
-	core     *dispatch.Core
-	pollers  map[dispatch.Target]*poller
-	endedAt  map[string]time.Time // when a job was first seen as ended
-	proposed map[string]int       // by job: its submits whose outcome is not known
+	mu        sync.Mutex // guards core, pollers, endedAt, withdrawn and proposed
+	core      *dispatch.Core
+	pollers   map[dispatch.Target]*poller
+	endedAt   map[string]time.Time // when a job was first seen as ended
+	withdrawn map[job.JobKey]withdrawal
+	proposed  map[string]int // by job: its submits whose outcome is not known
 
 	proposalsMu sync.Mutex
 	proposals   map[string]*callerProposal // by command: those that calls may join
@@ -81,7 +82,7 @@
 func newTenure(ctx context.Context, cfg Config, node *consensus.Node, book *job.Book, term uint64) *tenure {
 	t := &tenure{
 		ctx: ctx, cfg: cfg, node: node, book: book, term: term, began: time.Now(),
-		pollers: make(map[dispatch.Target]*poller), endedAt: make(map[string]time.Time), proposed: make(map[string]int), proposals: make(map[string]*callerProposal),
+		pollers: make(map[dispatch.Target]*poller), endedAt: make(map[string]time.Time), withdrawn: make(map[job.JobKey]withdrawal), proposed: make(map[string]int), proposals: make(map[string]*callerProposal),
 		planRequested: make(chan struct{}, 1), endsQueue: newEndsQueue(), confirmed: make(chan time.Duration, 1), coreKnows: make(chan struct{}, 1),
 	}
 	t.lastConfirmed.Store(int64(cfg.Clock()))
@@ -107,6 +108,9 @@
 			t.endedAt[id] = t.began
 		}
 	})
+	for _, w := range t.book.Withdrawn() {
+		t.withdrawn[job.JobKey{Host: w.GetHost(), Prefix: w.GetPrefix(), ID: w.GetJob()}] = withdrawal{w.GetIndex(), t.began}
+	}
 }
 
 func targetOf(life *egretmuxv1.WorkerLife) dispatch.Target {
@@ -269,7 +273,7 @@
 	})
 }
 
-// cleanUp removes ended jobs whose retention is over, and retires workers that have left or
+// cleanUp removes ended and withdrawn jobs whose retention is over, and retires workers that have left or
 // have been silent for silentWorkerTimeout.
 func (t *tenure) cleanUp() {
 	var ids []string
@@ -280,10 +284,11 @@
 			delete(t.endedAt, id)
 		}
 	}
+	withdrawn := t.takeWithdrawnBefore(time.Now().Add(-t.cfg.StatusKeep))
 	silent, left := t.core.WorkersSilentFor(silentWorkerTimeout, t.now()), t.core.WorkersThatLeft()
 	t.mu.Unlock()
-	if len(ids) > 0 {
-		t.proposeLogged("jobs_not_forgotten", &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_ForgetJobs{ForgetJobs: &egretmuxv1.ForgetJobs{Jobs: ids}}})
+	if len(ids)+len(withdrawn) > 0 {
+		t.proposeLogged("jobs_not_forgotten", &egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_ForgetJobs{ForgetJobs: &egretmuxv1.ForgetJobs{Jobs: ids, Withdrawn: withdrawn}}})
 	}
 	t.retireWorkersThatLeft(left)
 	for _, w := range silent {
