jobcell: a submit that may have waited for long in a stall is not carried out

What callers would see: a job that ends, or is cancelled, and is forgotten after status_s, runs anew by a late copy of its submit that waited in a socket of a process which stood still for longer.

Cause: a call counts from when it is read, whatever the process did before.

Change: a submit that may have arrived more than a quarter of status_s ago is answered 504, at the client's instance and at one that passes it on. The rest of status_s is for the time that the call takes from then on.

Result: TestSubmitThatMayHaveWaitedForLongInAStallIsNotCarriedOut fails without the change (no-leader instead of deadline-passed), and passes.

--- a/internal/jobcell/call_order_test.go
+++ b/internal/jobcell/call_order_test.go
@@ -220,3 +220,20 @@
 		require.True(t, answer.GetFound())
 	})
 }
+
+// Guards against a submit that is carried out after its job was cancelled, or ended, and was forgotten: it had waited
+// in a socket of this process, which stood still.
+func TestSubmitThatMayHaveWaitedForLongInAStallIsNotCarriedOut(t *testing.T) {
+	c := newTestCell(t, "a")
+	c.cfg.Scheduler.StatusKeep = time.Minute
+	call := &egretmuxv1.JobCall{Verb: egretmuxv1.JobVerb_JOB_VERB_SUBMIT, Address: &egretmuxv1.QueueAddress{Host: "h", Path: "/q/00000000000000aa"}}
+	c.order.tick(time.Now().Add(-20 * time.Second))
+	_, err := c.CallJob(t.Context(), call)
+	require.Equal(t, refusal.DeadlinePassed, refusal.Of(err).Kind)
+	require.Equal(t, refusal.Unknown, refusal.Of(err).Ran, "a copy of it may have been accepted")
+	_, err = (&service{cell: c}).CallJob(t.Context(), connect.NewRequest(call))
+	require.Equal(t, refusal.DeadlinePassed, refusalOf(err).Kind, "nor passed on")
+	c.order.tick(time.Now())
+	c.order.tick(time.Now().Add(orderBacklog))
+	require.NoError(t, c.checkArrival(call, time.Now().Add(2*orderBacklog)))
+}
--- a/internal/jobcell/forward.go
+++ b/internal/jobcell/forward.go
@@ -48,6 +48,9 @@
 	if ctx.Err() != nil {
 		return nil, refusal.New(refusal.DeadlinePassed, "retry at another instance", "the call's time was over before it was tried").WithCause(ctx.Err())
 	}
+	if err := c.checkArrival(call, began); err != nil {
+		return nil, err
+	}
 	arrived, queue := c.order.earliestArrival(began), queueOf(call.GetAddress())
 	answer, err := c.callUntilOutcomeKnown(ctx, call)
 	if err != nil {
@@ -79,6 +82,22 @@
 	return nil, refusal.New(refusal.NoLeader, "retry shortly", "the configuration changed while the call waited").WithRetryAfter(time.Second)
 }
 
+// maxArrivalShare is the part of the retention of jobs, as a divisor, for which a submit may have waited
+// unread. The rest of it is for the time that the call takes from then on.
+const maxArrivalShare = 4
+
+// checkArrival refuses a submit that may have waited here for so long, while the process stood still, that its
+// job may have been cancelled, or have ended, and be forgotten. An earlier copy of it may have been accepted.
+func (c *Cell) checkArrival(call *egretmuxv1.JobCall, began time.Time) error {
+	if call.GetVerb() != egretmuxv1.JobVerb_JOB_VERB_SUBMIT {
+		return nil
+	}
+	if waited := began.Sub(c.order.earliestArrival(began)); waited > c.cfg.Scheduler.StatusKeep/maxArrivalShare {
+		return refusal.NewUnknown(refusal.DeadlinePassed, "send it again", "the submit may have arrived %s ago, while this process stood still", waited.Round(time.Second))
+	}
+	return nil
+}
+
 // changes reports whether a call with this answer has changed something, so that it must not be refused
 // as one that was not executed.
 func changes(call *egretmuxv1.JobCall, answer *egretmuxv1.JobAnswer) bool {
--- a/internal/jobcell/serve.go
+++ b/internal/jobcell/serve.go
@@ -24,6 +24,9 @@
 func (s *service) CallJob(ctx context.Context, req *connect.Request[egretmuxv1.JobCall]) (*connect.Response[egretmuxv1.JobAnswer], error) {
 	s.cell.calls.begin(ctx, req.Msg, fromInstance)
 	defer s.cell.calls.end(req.Msg, fromInstance)
+	if err := s.cell.checkArrival(req.Msg, time.Now()); err != nil {
+		return reply[egretmuxv1.JobAnswer](s.cell, nil, err)
+	}
 	if req.Msg.GetRelayed() && s.cell.directory.InContact(time.Now()) {
 		answer, err := s.cell.callJobOnLeader(ctx, req.Msg)
 		return reply(s.cell, answer, err)
