edge: an account of bodies, and limits of connections, for all listeners of a platform's instance

What callers saw: clients that send many bodies of legal size and stop short of their end took a process beyond its machine's memory, and in chunks of a byte kept it from answering others.

Cause: each body was read whole for up to 30 s, and nothing counted them together; connections were bounded by the descriptors that replicas, disks and runners need.

If there is no room, the body that began first and is not complete makes room.

--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -17,6 +17,8 @@
 	acceptTime = 10 * time.Millisecond
 	// firstRequestTime is how long a new connection may take until its first request, once its listener closes.
 	firstRequestTime = time.Second
+	// maxEnding is the number of connections beyond the limit that are open while others end.
+	maxEnding = 16
 	// lastReadTime bounds the last attempt to read from a connection or a listener that ends.
 	lastReadTime = time.Millisecond
 )
@@ -32,6 +34,16 @@
 	accepting bool
 	closing   bool
 	drained   chan struct{} // closed when nothing is open any more after Drain
+	limit     int           // connections that are open at a time; zero: no limit
+	makeRoom  func() bool
+	pressure  *Pressure
+}
+
+// LimitOpen bounds the connections that are open at a time. Beyond the limit the one is closed that has been without
+// a request for longest; if there is none, makeRoom is called, which ends a request that is being read and reports whether
+// there was one. Otherwise the new connection is closed. It must be called before Listen.
+func (c *Connections) LimitOpen(limit int, makeRoom func() bool, pressure *Pressure) {
+	c.limit, c.makeRoom, c.pressure = limit, makeRoom, pressure
 }
 
 // NewConnections returns connections without a listener.
@@ -99,10 +111,40 @@
 	return c.closing
 }
 
+// roomForOneMore reports whether one more connection may be open, and lets another one end if need be.
+func (c *Connections) roomForOneMore() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.limit == 0 || len(c.open) < c.limit {
+		return true
+	}
+	if len(c.open) >= c.limit+maxEnding { // those that were told to end have not been closed yet
+		c.pressure.note(pressedConnections)
+		return false
+	}
+	var longest *connection
+	since := time.Now()
+	for conn := range c.open {
+		if at, idle := conn.idleSince(); idle && at.Before(since) {
+			longest, since = conn, at
+		}
+	}
+	switch {
+	case longest != nil:
+		longest.endNow()
+		c.pressure.note(pressedIdle)
+	case c.makeRoom():
+	default:
+		c.pressure.note(pressedConnections)
+		return false
+	}
+	return true
+}
+
 func (c *Connections) add(conn net.Conn) *connection {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	tracked := &connection{Conn: conn, connections: c}
+	tracked := &connection{Conn: conn, connections: c, since: time.Now()}
 	c.open[tracked] = struct{}{}
 	if c.closing {
 		tracked.end()
@@ -148,6 +190,10 @@
 func (l *trackedListener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
+		if err == nil && !l.connections.roomForOneMore() {
+			_ = conn.Close()
+			continue
+		}
 		if err == nil {
 			return l.connections.add(conn), nil
 		}
@@ -179,6 +225,7 @@
 	reading  bool      // a byte of the request to come was read, or it is being answered
 	answered bool      // at least one request was answered
 	ending   bool      // it ends once it is not reading
+	since    time.Time // when it became idle
 	deadline time.Time // that the server has set for reads
 }
 
@@ -194,10 +241,27 @@
 func (c *connection) becomeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading, c.answered = false, true
+	c.reading, c.answered, c.since = false, true, time.Now()
 	c.endIfIdleLocked()
 }
 
+// idleSince returns since when the connection has had no request, and whether it has none and does not end yet.
+func (c *connection) idleSince() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.since, !c.reading && !c.ending
+}
+
+// endNow ends the connection unless a request has begun to arrive.
+func (c *connection) endNow() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = true
+	if !c.reading {
+		_ = c.Conn.SetReadDeadline(time.Now()) // fails only if the connection is closed
+	}
+}
+
 // endIfIdleLocked lets the next read fail if no request arrives in time. The caller holds c.mu.
 func (c *connection) endIfIdleLocked() {
 	if !c.ending || c.reading {
--- a/internal/jobcell/instance.go
+++ b/internal/jobcell/instance.go
@@ -42,6 +42,8 @@
 // InstanceConfig holds the settings of an Instance.
 type InstanceConfig struct {
 	ShutdownTime time.Duration            // time between the stop signal and the kill
+	BodyMemory   int64                    // bytes of memory for the bodies of requests; zero: no limit
+	MaxOpen      map[string]int           // connections that listeners may have open at a time, by name; zero: no limit
 	Reload       func() ([]string, error) // re-reads the settings and returns the seeds
 	Signals      Signals                  // of this process; the zero value handles none
 	Logger       zerolog.Logger
@@ -72,6 +74,8 @@
 type Instance struct {
 	cell     *Cell
 	cfg      InstanceConfig
+	bodies   *edge.BodyAccount // of all listeners
+	pressure *edge.Pressure
 	servers  []*server
 	draining chan struct{}
 	failed   chan error
@@ -91,6 +95,10 @@
 // NewInstance returns an instance without listeners.
 func NewInstance(c *Cell, cfg InstanceConfig) *Instance {
 	i := &Instance{cell: c, cfg: cfg, draining: make(chan struct{}), failed: make(chan error, 8)}
+	i.pressure = edge.NewPressure(func(reason string) {
+		cfg.Logger.Warn().Str("event", "clients_turned_away").Str("reason", reason).Msg("clients press beyond the limits of this instance")
+	})
+	i.bodies = edge.NewBodyAccount(cfg.BodyMemory, i.pressure)
 	i.requestsCtx, i.endRequests = context.WithCancel(context.Background())
 	return i
 }
@@ -102,8 +110,9 @@
 	}
 	inFlight := new(atomic.Int64)
 	connections := edge.NewConnections()
+	connections.LimitOpen(i.cfg.MaxOpen[name], i.bodies.EvictOldest, i.pressure)
 	i.servers = append(i.servers, &server{name: name, address: address, inFlight: inFlight, connections: connections, http: &http.Server{
-		Handler: edge.CountInFlight(inFlight, edge.CloseAfter(i.draining, edge.LimitBodyTime(bodyTimeout, h))), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: edge.CountInFlight(inFlight, edge.CloseAfter(i.draining, edge.LimitBodyTime(bodyTimeout, i.bodies.Limit(h)))), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return i.requestsCtx }, ConnState: connections.TrackState,
 	}})
 }
