scheduler: the retention of a withdrawn job counts from its last cancellation

Cause: outcomes of two cancellations of one job may be handled in either order. With the earlier index last, the record would not be forgotten in this tenure. Change: the higher index stays. Found by reading; no test of its own.

--- a/internal/dispatch/starved.go
+++ b/internal/dispatch/starved.go
@@ -11,8 +11,9 @@
 const starvedAfter = time.Second
 
 // findStarved finds the steps of which nothing has run for some time although their pool is mostly
-// free, and those of which a lasting task has waited for as long in any pool. What keeps room from them (reservations and claims of gangs, headroom, faster workers, the rest
-// of workers) is a preference, and work must go on where there is room.
+// free, and those of which a lasting task has waited for as long in any pool. What keeps room from them
+// (reservations and claims of gangs, headroom, faster workers, the rest of workers, suspects) is a
+// preference, and work must go on where there is room.
 func (c *Core) findStarved(waiting []*step, now time.Duration) {
 	mostlyFree := make(map[string]bool)
 	for pool, room := range c.poolRooms() {
--- a/internal/scheduler/withdrawn.go
+++ b/internal/scheduler/withdrawn.go
@@ -45,7 +45,9 @@
 	telemetry.Count("jobs_withdrawn_total")
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.withdrawn[key] = withdrawal{result.WithdrawnAt, time.Now()}
+	if t.withdrawn[key].index < result.WithdrawnAt { // outcomes may overtake each other
+		t.withdrawn[key] = withdrawal{result.WithdrawnAt, time.Now()}
+	}
 }
 
 // isRecentlyWithdrawn reports whether a job was withdrawn so recently that another cancellation needs to store nothing.
