dispatch: the cost of explaining and opening no longer grows with the starved steps

Cause: once a second findBlocked looked at each worker for each starved step and split the step's waiting tasks anew for each (58% of the time of a plan with 1,000 starved steps), and each plan searched all workers for each starved step while one worker rested, also for steps that the plan did not consider. Plans became slow, and as a pause of three times their length follows, tickets ran out between two plans and more steps starved. Change: eight steps a second are explained, those not explained for longest first; closed workers are opened to a step when the plan considers it. Result: TestCostOfPlansIsBoundedWhateverTheBacklog fails before (pairs explained in 4 s with 40 workers: 12,300, 123,000, 492,000 for 100, 1,000, 4,000 steps; 41,000 and 164,000 pairs to open workers in one plan), passes now. BenchmarkPlanOfStarvedSteps, 350 workers: 15.7 to 3.4 ms a plan with 1,000 steps, 82 to 39 with 10,000; 1,119 workers: 23 to 2.6 and 225 to 26. The package's tests pass but for the known red ones.

--- a/internal/dispatch/blocked.go
+++ b/internal/dispatch/blocked.go
@@ -1,12 +1,19 @@
 package dispatch
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // A starved step that still waits is logged with the rule that keeps it waiting: the one that
 // refuses it the worker that comes closest to running it.
 
-// blockedCheckInterval is the time between two searches for what blocks a step.
-const blockedCheckInterval = time.Second
+// A search looks at all workers, so that only some steps are searched for at a time.
+const (
+	blockedCheckInterval = time.Second
+	maxBlockedChecks     = 8 // steps in each interval
+)
 
 // refusal is why a worker gets no task of a step now. A worker that comes closer to running it has a
 // higher one.
@@ -36,16 +43,29 @@
 
 func (r refusal) String() string { return refusalNames[r] }
 
-// findBlocked logs what blocks the steps that were starved in the plan before as well, and when that changes.
-func (c *Core) findBlocked(s *step, pool string, now time.Duration) {
-	if now < s.blockedAt+blockedCheckInterval {
+// explainBlocked logs what blocks some of the steps that were starved in the plan before as well: those for which
+// it was not searched for the longest time, and of these the ones that wait longest.
+func (c *Core) explainBlocked(blocked []*step, now time.Duration) {
+	if len(blocked) == 0 || now < c.blockedCheckedAt+blockedCheckInterval {
 		return
 	}
+	c.blockedCheckedAt = now
+	slices.SortFunc(blocked, func(a, b *step) int {
+		return cmp.Or(cmp.Compare(a.blockedAt, b.blockedAt), cmp.Compare(a.idleSince, b.idleSince), a.key.compare(b.key))
+	})
+	for _, s := range blocked[:min(maxBlockedChecks, len(blocked))] {
+		c.findBlocked(s, now)
+	}
+}
+
+// findBlocked logs what blocks a step, if that has changed.
+func (c *Core) findBlocked(s *step, now time.Duration) {
 	by := refusedForAll
 	c.countPairs(PartExplain, len(c.workers))
+	pool, onlySuspects := c.queue(s.job).GetService(), s.onlySuspectsWait()
 	for _, w := range c.workers {
 		if w.life.GetPool() == pool && s.suits(w) {
-			by = max(by, c.refusalOf(s, w, now))
+			by = max(by, c.refusalOf(s, w, onlySuspects, now))
 		}
 	}
 	if s.blockedAt == 0 || by != s.blockedBy {
@@ -54,10 +74,15 @@
 	s.blockedAt, s.blockedBy = now, by
 }
 
+// onlySuspectsWait reports whether all waiting tasks of a step are suspects.
+func (s *step) onlySuspectsWait() bool {
+	suspects, others := splitSuspects(s.waitingTasks())
+	return len(suspects) > 0 && len(others) == 0
+}
+
 // refusalOf returns why a suitable worker gets no task of a step.
-func (c *Core) refusalOf(s *step, w *worker, now time.Duration) refusal {
+func (c *Core) refusalOf(s *step, w *worker, onlySuspects bool, now time.Duration) refusal {
 	q := c.queue(s.job)
-	suspects, others := splitSuspects(s.waitingTasks())
 	switch {
 	case !w.usable():
 		return refusedUnusable
@@ -79,7 +104,7 @@
 		return refusedForRoomKept
 	case q.GetAdvice() != nil && !s.advice.hasValidTicket(w, now):
 		return refusedForTicket
-	case len(suspects) > 0 && len(others) == 0 && c.isolationsLeft(q.GetService()) <= 0:
+	case onlySuspects && c.isolationsLeft(q.GetService()) <= 0:
 		return refusedIsolation
 	case s.spec.GetGang() && s.runCount() > 0:
 		return refusedEarlierRun
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -65,7 +65,8 @@
 	speeds             map[string]*speed.Pool  // by pool
 	allowedShare       map[[2]string]float64   // by queue: learned share of the workers in a call that its answer newly allows
 	notices            []Notice
-	cost               PlanCost // since the last TakePlanCost
+	blockedCheckedAt   time.Duration // when it was last searched for what blocks steps
+	cost               PlanCost      // since the last TakePlanCost
 	urgentUsage        urgentUsage
 	rotation           int // round-robin position in the steps that a plan does not always consider
 	callers            int // instances that can call the advice service at the same time
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -51,12 +51,16 @@
 	c.cost.Waiting = len(ordered)
 	c.findStarved(ordered, now)
 	c.renewClaims(ordered)
+	someClosed := c.hasClosedWorkers(now)
 	for _, s := range c.selectSteps(c.withoutHeld(ordered, now)) {
 		waiting := s.waitingTasks()
 		if len(waiting) == 0 {
 			continue
 		}
 		pool := c.queue(s.job).GetService()
+		if s.starved && someClosed {
+			c.openClosedWorkers(s, pool, now)
+		}
 		if s.spec.GetGang() {
 			if !c.planGang(p, s, waiting) {
 				p.unclaimed.leave(pool, s, s.unheldCount())
--- a/internal/dispatch/plan_cost_bench_test.go
+++ b/internal/dispatch/plan_cost_bench_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	egretmuxv1 "github.com/egretmux/egretmux/gen/egretmux/v1"
 	"github.com/egretmux/egretmux/internal/dispatch"
 	"github.com/egretmux/egretmux/internal/job"
@@ -41,8 +43,10 @@
 	q := queue()
 	q.Priority = 1
 	q.Advice = &egretmuxv1.QueueAdvice{DecideMs: 500, PerWorkerMs: 7, ValidityMs: 2500}
+	plain := queue()
+	plain.Name, plain.Prefix, plain.Attempts = "plain", "/plain/", 50
 	apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_PutCatalogue{PutCatalogue: &egretmuxv1.PutCatalogue{Catalogue: &egretmuxv1.Catalogue{
-		Version: 1, Queues: []*egretmuxv1.Queue{q}, Pools: []*egretmuxv1.Pool{{Name: "ledger"}}, Customers: customersOf(20),
+		Version: 1, Queues: []*egretmuxv1.Queue{q, plain}, Pools: []*egretmuxv1.Pool{{Name: "ledger"}}, Customers: customersOf(20),
 	}}}})
 	c := dispatch.New(dispatch.Config{Book: book, Term: 2, Lease: testLease, FarFactor: 2, UnixMs: func(now time.Duration) int64 { return now.Milliseconds() }})
 	c.SetAdviceCallers(40)
@@ -53,6 +57,7 @@
 			c.HandleListing(targetOf(l), 0, 0, dispatch.Listing{Clock: 1000, Complete: true})
 		}
 	}
+	failAll(tb, c, apply)
 	for n := range steps {
 		step := tasks([]uint32{3, 25, 20}[n%3], 4)
 		step.EstimateMs, step.Gang = 2000, n%3 == 2
@@ -63,3 +68,23 @@
 	}
 	return c
 }
+
+// failAll lets all runs on a worker of its own fail, so that it rests.
+func failAll(tb testing.TB, c *dispatch.Core, apply func(*egretmuxv1.JobCommand)) {
+	tb.Helper()
+	l := life("failing", 64)
+	c.WorkerJoined(l, 0)
+	c.HandleListing(targetOf(l), 0, 0, dispatch.Listing{Clock: 1000, Complete: true})
+	apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_Submit{Submit: &egretmuxv1.SubmitJob{Job: &egretmuxv1.Job{
+		Id: id(1 << 20), Host: "h", Prefix: "/plain/", Service: "ledger", Attempts: 50, Steps: []*egretmuxv1.JobStep{tasks(3, 20)},
+	}}}})
+	c.JobAccepted(id(1<<20), 0)
+	c.Plan(0)
+	var listed []dispatch.ListedEnd
+	for n, start := range c.TakeActions().Starts {
+		c.StartAnswered(start, dispatch.Accepted, 0, 0)
+		listed = append(listed, dispatch.ListedEnd{Number: uint64(n + 1), Task: start.Task, Run: start.Run, Outcome: failed, TaskParsed: true})
+	}
+	require.Len(tb, listed, 3)
+	c.HandleListing(targetOf(l), 0, 0, dispatch.Listing{Clock: 1000, Ended: listed})
+}
--- a/internal/dispatch/starved.go
+++ b/internal/dispatch/starved.go
@@ -1,10 +1,6 @@
 package dispatch
 
-import (
-	"maps"
-	"slices"
-	"time"
-)
+import "time"
 
 // starvedAfter is the time without a run from which on a step takes any room that suits it. With
 // a call for advice and the start it has to stay below three seconds.
@@ -19,8 +15,8 @@
 	for pool, room := range c.poolRooms() {
 		mostlyFree[pool] = 2*room.free > room.capacity
 	}
-	someClosed := slices.ContainsFunc(slices.Collect(maps.Values(c.workers)), func(w *worker) bool { return now < w.restUntil || w.keptForSuspect() })
-	starvedSteps := 0
+	var blocked []*step
+	c.cost.Starved = 0
 	for _, s := range waiting {
 		pool := c.queue(s.job).GetService()
 		if idle := s.spec.GetLongRunning() || mostlyFree[pool] && !s.runs(); idle != s.idle {
@@ -32,18 +28,25 @@
 			c.addNotice(Notice{Event: "step_starved", Job: s.key.Job, Task: s.key.String(), Age: now - s.idleSince})
 			s.blockedAt = 0
 		case starved:
-			c.findBlocked(s, pool, now)
+			blocked = append(blocked, s)
 		}
 		s.starved = starved
+		s.mayShare, s.mayProbe, s.mayRetry = false, false, false
 		if starved {
-			starvedSteps++
+			c.cost.Starved++
 		}
-		s.mayShare, s.mayProbe, s.mayRetry = false, false, false
-		if starved && someClosed {
-			c.openClosedWorkers(s, pool, now)
+	}
+	c.explainBlocked(blocked, now)
+}
+
+// hasClosedWorkers reports whether any worker rests or is kept for a suspect.
+func (c *Core) hasClosedWorkers(now time.Duration) bool {
+	for _, w := range c.workers {
+		if now < w.restUntil || w.keptForSuspect() {
+			return true
 		}
 	}
-	c.cost.Starved = starvedSteps
+	return false
 }
 
 // openClosedWorkers lets a starved step use workers that are kept for suspects and, if it has no room there
