dispatch: jobs are shown without waiting for the planner

Cause: whether a job has had a run, and how many of a queue have not, was read from the core under the planner's lock. With plans of 0.4 s and more, and calls of all instances in line for the lock, reads timed out. Change: the core keeps both in an index with a lock of its own, which reads use.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -44,10 +44,11 @@
 }
 
 // Core makes the scheduling decisions of one leader's tenure. Its times count from
-// the start of the tenure. It is not safe for concurrent use.
+// the start of the tenure. It is not safe for concurrent use, but for JobStarted and PendingJobs.
 type Core struct {
 	cfg                Config
 	jobs               map[string]*job
+	pending            *pendingJobs
 	steps              map[StepKey]*step  // steps that are open: all predecessors are done
 	unplaced           map[*step]struct{} // open steps that may have tasks without a run
 	unsent             []unsentStarts     // in the order in which they were stored
@@ -108,7 +109,7 @@
 // New returns the core of a new tenure, with the state that the book holds.
 func New(cfg Config) *Core {
 	c := &Core{
-		cfg: cfg, jobs: make(map[string]*job), steps: make(map[StepKey]*step), unplaced: make(map[*step]struct{}), forming: make(map[*step]forming), callers: 1, adviceMs: make(map[bool]float64),
+		cfg: cfg, jobs: make(map[string]*job), steps: make(map[StepKey]*step), unplaced: make(map[*step]struct{}), forming: make(map[*step]forming), callers: 1, adviceMs: make(map[bool]float64), pending: newPendingJobs(),
 		workers: make(map[string]*worker), customers: make(map[string]*customer), fullUntil: make(map[string]time.Duration), admitted: make(map[string]admitted),
 		inheritedLeasesEnd: inheritedLeaseWait(cfg.Lease),
 		runTimes:           make(map[[2]string]*runTimes), speeds: make(map[string]*speed.Pool), allowedShare: make(map[[2]string]float64),
@@ -179,6 +180,7 @@
 	age := max(0, c.cfg.UnixMs(now)-spec.GetAcceptedUnixMs())
 	j := &job{id: id, spec: spec, steps: make(map[StepKey]*step), acceptedAt: now - time.Duration(age)*time.Millisecond, customer: c.customerOf(spec)}
 	c.jobs[id] = j
+	c.pending.add(j)
 	if spec.GetOverRate() {
 		c.backlog = nil
 	}
@@ -281,7 +283,9 @@
 	}
 	for i, state := range ready.tasks {
 		t := &task{step: s, index: uint32(i), done: state.Done, highestRun: max(state.LastEndedRun, state.LastStartedRun), crashes: state.Crashes, startupCrashes: state.StartupCrashes}
-		j.started = j.started || state.LastEndedRun > 0
+		if state.LastEndedRun > 0 {
+			c.pending.start(j)
+		}
 		s.succeeded = s.succeeded || t.done
 		if !t.done {
 			s.tasksLeft++
@@ -371,6 +375,7 @@
 		delete(c.steps, s.key)
 	}
 	delete(c.jobs, id)
+	c.pending.remove(j)
 	c.periodic = slices.DeleteFunc(c.periodic, func(o *job) bool { return o == j })
 }
 
@@ -427,10 +432,9 @@
 
 // markJobStarted records that a worker has started a task of the job.
 func (c *Core) markJobStarted(j *job, now time.Duration) {
-	if j.started {
+	if !c.pending.start(j) {
 		return
 	}
-	j.started = true
 	c.addNotice(Notice{Event: "job_begun", Job: j.id, Queue: c.queue(j).GetName(), Age: now - j.acceptedAt})
 }
 
@@ -443,24 +447,6 @@
 	return n
 }
 
-// PendingJobs returns how many accepted jobs of a queue, periodic ones left out,
-// have had no run yet.
-func (c *Core) PendingJobs(host, prefix string) int {
-	n := 0
-	for _, j := range c.jobs {
-		if !j.started && j.spec.GetRepeats() == 0 && j.spec.GetHost() == host && j.spec.GetPrefix() == prefix {
-			n++
-		}
-	}
-	return n
-}
-
-// JobStarted reports whether a job has had a run.
-func (c *Core) JobStarted(id string) bool {
-	j := c.jobs[id]
-	return j != nil && j.started
-}
-
 // Tick opens due occurrences, removes the runs of workers whose lease has expired,
 // moves runs that are stuck or would outlast their draining worker, and copies those on
 // slow workers.
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -13,7 +13,6 @@
 	spec       *egretmuxv1.Job
 	customer   *customer         // nil if it came without a credential
 	acceptedAt time.Duration     // negative if before this tenure
-	started    bool              // whether a worker has started a run of it
 	steps      map[StepKey]*step // open ones
 	openTasks  int               // tasks of open steps
 	nextDue    uint32            // lowest occurrence that is not due yet
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -176,8 +176,6 @@
 		return a.answer(&egretmuxv1.JobAnswer{NoQueue: true}), nil
 	}
 	if id == "" {
-		t.mu.Lock()
-		defer t.mu.Unlock()
 		return a.answer(&egretmuxv1.JobAnswer{Found: true, Counted: true, Pending: uint64(t.core.PendingJobs(q.GetHost(), q.GetPrefix()))}), nil
 	}
 	answer := a.answer(&egretmuxv1.JobAnswer{})
@@ -189,8 +187,6 @@
 	})
 	if answer.Found && answer.GetPhase() == egretmuxv1.JobPhase_JOB_PHASE_UNSPECIFIED {
 		answer.Phase = egretmuxv1.JobPhase_JOB_PHASE_QUEUED
-		t.mu.Lock()
-		defer t.mu.Unlock()
 		if t.core.JobStarted(id) {
 			answer.Phase = egretmuxv1.JobPhase_JOB_PHASE_RUNNING
 		}
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -54,7 +54,7 @@
 	began time.Time
 	ctx   context.Context
 
-	mu        sync.Mutex // guards core, pollers, endedAt, withdrawn and proposed
+	mu        sync.Mutex // guards core (but for what may be called at any time), pollers, endedAt, withdrawn and proposed
 	core      *dispatch.Core
 	pollers   map[dispatch.Target]*poller
 	endedAt   map[string]time.Time // when a job was first seen as ended
