dispatch: workers to ask about are ranked only as far as they are asked

Cause: after a change of the leader all waiting steps ask for advice at once, and a plan sorted all workers for each of them, though a call names some ten to sixty. Change: a heap yields the best workers; decisions are the same. The package's tests pass but for the known red ones.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -177,33 +177,32 @@
 // discoverAllowed asks about workers of which it is not known whether they may run a
 // gang, first about those that can take most of its tasks now.
 func (c *Core) discoverAllowed(s *step, q *egretmuxv1.Queue, needed int, now time.Duration) {
-	candidates := c.eligibleWorkers(s, q.GetService(), now)
-	s.sortByScore(candidates)
-	s.sortByRoom(candidates, needed)
 	var unknown []*worker
 	room := 0.0
-	for _, w := range candidates {
+	for _, w := range c.eligibleWorkers(s, q.GetService(), now) {
 		mayRun, answered := s.advice.allowed[w]
 		switch {
 		case !answered:
+			w.stepRank = s.maxNewRuns(w, needed)
 			unknown = append(unknown, w)
 		case mayRun:
 			room += float64(s.maxNewRuns(w, needed))
 		}
 	}
+	s.rate(unknown)
 	var toAsk []*worker
-	for _, w := range unknown {
+	for w := range bestFirst(unknown, compareRanks) {
 		if room >= ticketRoomFactor*float64(needed) {
 			break
 		}
-		room += c.allowedShareOf(s.job) * max(0.5, float64(s.maxNewRuns(w, needed)))
+		room += c.allowedShareOf(s.job) * max(0.5, float64(w.stepRank))
 		toAsk = append(toAsk, w)
 	}
 	c.askAbout(s, q.GetAdvice(), toAsk)
 }
 
 // requestAdvice requests advice for a step whose valid tickets were not enough to
-// place its tasks. The candidates are the workers to ask about, best first.
+// place its tasks. The candidates are the workers to ask about, in any order.
 func (c *Core) requestAdvice(s *step, q *egretmuxv1.QueueAdvice, candidates []*worker, needed int, now time.Duration) {
 	a := &s.advice
 	var renewable, unknown []*worker
@@ -219,8 +218,9 @@
 			ticketedRoom += s.maxNewRuns(w, needed)
 		}
 	}
+	s.rate(candidates)
 	var toAsk []*worker
-	for _, w := range renewable {
+	for w := range bestFirst(renewable, compareScores) {
 		if float64(ticketedRoom) >= float64(needed)*renewalRoomFactor {
 			break
 		}
@@ -233,7 +233,7 @@
 		// A worker is allowed with the learned probability, and then takes as many
 		// tasks as fit on it.
 		expectedRoom := 0.0
-		for _, w := range unknown {
+		for w := range bestFirst(unknown, compareScores) {
 			if expectedRoom >= shortfall {
 				break
 			}
--- a/internal/dispatch/copies.go
+++ b/internal/dispatch/copies.go
@@ -88,6 +88,7 @@
 	if len(candidates) == 0 || s.startable(1) == 0 || c.failuresOf(t)+maxRuns > s.job.spec.GetAttempts() {
 		return false
 	}
+	s.sortByScore(candidates)
 	if q.GetAdvice() != nil {
 		ticketed := slices.IndexFunc(candidates, func(w *worker) bool { return s.advice.hasValidTicket(w, now) })
 		if ticketed < 0 {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -261,15 +261,8 @@
 
 // sortByScore sorts workers by their score, best first.
 func (s *step) sortByScore(workers []*worker) {
-	for _, w := range workers {
-		w.stepScore = s.score(w)
-	}
-	slices.SortFunc(workers, func(a, b *worker) int {
-		if a.stepScore != b.stepScore {
-			return cmp.Compare(a.stepScore, b.stepScore)
-		}
-		return cmp.Compare(a.Worker, b.Worker)
-	})
+	s.rate(workers)
+	slices.SortFunc(workers, compareScores)
 }
 
 // sortByRoom puts the workers first that can take most of n tasks of the step now. Equal
@@ -367,7 +360,7 @@
 }
 
 // workersWithRoom returns the workers that have the resources for a task of the
-// step now, best score first.
+// step now, in no order.
 func (c *Core) workersWithRoom(s *step, pool string, now time.Duration) []*worker {
 	c.countPairs(PartAdvise, len(c.workers))
 	var out []*worker
@@ -376,7 +369,6 @@
 			out = append(out, w)
 		}
 	}
-	s.sortByScore(out)
 	return out
 }
 
--- a/internal/dispatch/plan_cost_bench_test.go
+++ b/internal/dispatch/plan_cost_bench_test.go
@@ -88,3 +88,17 @@
 	require.Len(tb, listed, 3)
 	c.HandleListing(targetOf(l), 0, 0, dispatch.Listing{Clock: 1000, Ended: listed})
 }
+
+// BenchmarkFirstPlan makes the first plan of a new leader, which has no tickets.
+func BenchmarkFirstPlan(b *testing.B) {
+	for _, workers := range []int{350, 1119} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			for b.Loop() {
+				b.StopTimer()
+				c := starvedCore(b, workers, 1000)
+				b.StartTimer()
+				c.Plan(0)
+			}
+		})
+	}
+}
