dispatch: a blocked step is explained after the plan has considered it

What operators saw: a starved step that may probe a resting worker and waits for its ticket was logged as worker-resting, and with more than eight newly starved steps a second no change of a reason was ever logged. The search ran before closed workers were opened to the steps of the plan, and newly starved steps came before all that had been looked at. Change: the search follows the plan, among the steps that it considered; four of eight are the ones that wait longest. Result: TestStepThatMayProbeARestingWorkerIsLoggedWithItsMissingTicket and TestChangedReasonIsLoggedWhileManyStepsBecomeStarved fail before, pass now, as do the tests of costs, starved steps and waits.

--- a/internal/dispatch/blocked.go
+++ b/internal/dispatch/blocked.go
@@ -12,7 +12,7 @@
 // A search looks at all workers, so that only some steps are searched for at a time.
 const (
 	blockedCheckInterval = time.Second
-	maxBlockedChecks     = 8 // steps in each interval
+	maxBlockedChecks     = 4 // steps in each interval that wait longest, and as many others
 )
 
 // refusal is why a worker gets no task of a step now. A worker that comes closer to running it has a
@@ -43,17 +43,23 @@
 
 func (r refusal) String() string { return refusalNames[r] }
 
-// explainBlocked logs what blocks some of the steps that were starved in the plan before as well: those for which
-// it was not searched for the longest time, and of these the ones that wait longest.
-func (c *Core) explainBlocked(blocked []*step, now time.Duration) {
-	if len(blocked) == 0 || now < c.blockedCheckedAt+blockedCheckInterval {
+// explainBlocked logs what blocks some of the starved steps that a plan has considered and that were starved before as
+// well: those that wait longest, and those for which it was not searched for the longest time.
+func (c *Core) explainBlocked(considered []*step, now time.Duration) {
+	if now < c.blockedCheckedAt+blockedCheckInterval {
+		return
+	}
+	blocked := slices.DeleteFunc(considered, func(s *step) bool { return !s.starved || s.starvedAt == now || !s.waits() })
+	if len(blocked) == 0 {
 		return
 	}
 	c.blockedCheckedAt = now
-	slices.SortFunc(blocked, func(a, b *step) int {
-		return cmp.Or(cmp.Compare(a.blockedAt, b.blockedAt), cmp.Compare(a.idleSince, b.idleSince), a.key.compare(b.key))
-	})
-	for _, s := range blocked[:min(maxBlockedChecks, len(blocked))] {
+	longestIdle := func(a, b *step) int { return cmp.Or(cmp.Compare(a.idleSince, b.idleSince), a.key.compare(b.key)) }
+	slices.SortFunc(blocked, longestIdle)
+	first := min(maxBlockedChecks, len(blocked))
+	others := blocked[first:]
+	slices.SortFunc(others, func(a, b *step) int { return cmp.Or(cmp.Compare(a.blockedAt, b.blockedAt), longestIdle(a, b)) })
+	for _, s := range blocked[:min(first+maxBlockedChecks, len(blocked))] {
 		c.findBlocked(s, now)
 	}
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -52,7 +52,8 @@
 	c.findStarved(ordered, now)
 	c.renewClaims(ordered)
 	someClosed := c.hasClosedWorkers(now)
-	for _, s := range c.selectSteps(c.withoutHeld(ordered, now)) {
+	considered := c.selectSteps(c.withoutHeld(ordered, now))
+	for _, s := range considered {
 		waiting := s.waitingTasks()
 		if len(waiting) == 0 {
 			continue
@@ -82,6 +83,7 @@
 		}
 	}
 	c.noteFullPools(p)
+	c.explainBlocked(considered, now)
 }
 
 // plan is the state of one plan.
--- a/internal/dispatch/starved.go
+++ b/internal/dispatch/starved.go
@@ -15,7 +15,6 @@
 	for pool, room := range c.poolRooms() {
 		mostlyFree[pool] = 2*room.free > room.capacity
 	}
-	var blocked []*step
 	c.cost.Starved = 0
 	for _, s := range waiting {
 		pool := c.queue(s.job).GetService()
@@ -23,12 +22,9 @@
 			s.idle, s.idleSince = idle, now
 		}
 		starved := s.idle && now-s.idleSince >= starvedAfter && !s.overRate && s.quotaHold == nil
-		switch {
-		case starved && !s.starved:
+		if starved && !s.starved {
 			c.addNotice(Notice{Event: "step_starved", Job: s.key.Job, Task: s.key.String(), Age: now - s.idleSince})
-			s.blockedAt = 0
-		case starved:
-			blocked = append(blocked, s)
+			s.starvedAt, s.blockedAt = now, 0
 		}
 		s.starved = starved
 		s.mayShare, s.mayProbe, s.mayRetry = false, false, false
@@ -36,7 +32,6 @@
 			c.cost.Starved++
 		}
 	}
-	c.explainBlocked(blocked, now)
 }
 
 // hasClosedWorkers reports whether any worker rests or is kept for a suspect.
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -70,6 +70,7 @@
 	isolationDelayedSince time.Duration
 	blockedBy             refusal       // why it still waits although it is starved, as of blockedAt
 	blockedAt             time.Duration // zero until that is known
+	starvedAt             time.Duration // when it became starved
 	latestStart           time.Duration // latest start that still meets the objective
 	estimatedAt           time.Duration // when latestStart was computed
 	lateness              int           // onTime, late or expired
