scheduler: the pause after a plan is bounded

What callers saw: once plans took 0.6 s and more, hardly any job began (see the postmortem of the plans that grow). Cause: the pause after a plan was three times its length without a bound, so that plans were further apart than tickets last. Change: the pause is at most 250 ms.

--- a/internal/scheduler/export_test.go
+++ b/internal/scheduler/export_test.go
@@ -46,3 +46,6 @@
 	t.mu.Lock()
 	return t.mu.Unlock
 }
+
+// PauseAfterPlan returns the pause after a plan of the given length.
+func PauseAfterPlan(took time.Duration) time.Duration { return pauseAfterPlan(took) }
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -23,6 +23,7 @@
 	tickPeriod      = 100 * time.Millisecond // between checks of leases and due times
 	planPause       = 3 * time.Millisecond   // minimum pause between two plans, so that events are batched
 	planPauseFactor = 3                      // pause after a plan in multiples of its duration, if longer than planPause
+	maxPlanPause    = 250 * time.Millisecond // longest pause after a plan
 	confirmPeriod   = 300 * time.Millisecond // leases run from the last confirmation
 	confirmValidity = 900 * time.Millisecond // age beyond which a confirmation no longer counts: three missed ones
 	// New jobs are refused while a confirmation takes longer than
@@ -185,10 +186,16 @@
 		took := time.Since(began)
 		telemetry.ObserveSeconds("plan", took)
 		t.notePlan(cost, took)
-		time.Sleep(max(planPause, planPauseFactor*took))
+		time.Sleep(pauseAfterPlan(took))
 	}
 }
 
+// pauseAfterPlan returns the pause after a plan of the given length. It is bounded, as tickets of the advice service last
+// some seconds at most and have to be used by a later plan.
+func pauseAfterPlan(took time.Duration) time.Duration {
+	return min(maxPlanPause, max(planPause, planPauseFactor*took))
+}
+
 // notePlan counts what a plan had to do, and logs it if the plan was slow.
 func (t *tenure) notePlan(cost dispatch.PlanCost, took time.Duration) {
 	telemetry.SetGauge(`plan_steps{state="waiting"}`, float64(cost.Waiting))
