dispatch: a stored job over rate is added to the sums of admissions

Each stored job over rate dropped the sums over all waiting steps, so that the next admission made them anew under the planner's lock, whatever backlogMaxAge said. Change: the steps of the job are added to the sums, which live for their 100 ms. The tests of admissions, rates, shares and quotas pass.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -174,7 +174,7 @@
 		pool, waiting := c.queue(s.job).GetService(), s.waitingCount()
 		switch {
 		case s.comesAfterRate():
-			b.overRate[s.job.customer] = append(b.overRate[s.job.customer], waitingStep{pool, s.latestStart, int64(waiting) * s.demand.cpu})
+			b.add(s, pool)
 		case c.isPlaceable(s, pool, now):
 			b.within[pool] += int64(waiting-s.heldTasks(waiting)) * s.demand.cpu
 		}
@@ -183,6 +183,23 @@
 	return b
 }
 
+// add adds a step over rate.
+func (b *backlog) add(s *step, pool string) {
+	b.overRate[s.job.customer] = append(b.overRate[s.job.customer], waitingStep{pool, s.latestStart, int64(s.waitingCount()) * s.demand.cpu})
+}
+
+// addToBacklog adds the open steps of a job that has been stored to the sums, if it is over rate.
+func (c *Core) addToBacklog(j *job) {
+	if c.backlog == nil || !j.spec.GetOverRate() {
+		return
+	}
+	for _, s := range j.steps {
+		if s.comesAfterRate() {
+			c.backlog.add(s, c.queue(j).GetService())
+		}
+	}
+}
+
 // usableRoom returns the free cpu, headroom left out, of the workers that can take a task of
 // the job now.
 func (c *Core) usableRoom(spec *egretmuxv1.Job, now time.Duration) int64 {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -181,16 +181,14 @@
 	j := &job{id: id, spec: spec, steps: make(map[StepKey]*step), acceptedAt: now - time.Duration(age)*time.Millisecond, customer: c.customerOf(spec)}
 	c.jobs[id] = j
 	c.pending.add(j)
-	if spec.GetOverRate() {
-		c.backlog = nil
-	}
 	if spec.GetRepeats() > 0 {
 		c.periodic = append(c.periodic, j)
 		c.openBegunOccurrences(j, now)
 		c.openDueOccurrences(j, now)
-		return
+	} else {
+		c.openReadySteps(j, 0, j.acceptedAt, now)
 	}
-	c.openReadySteps(j, 0, j.acceptedAt, now)
+	c.addToBacklog(j)
 }
 
 // maxOpenTasks bounds the tasks of a periodic job whose steps are open: all its occurrences
--- a/internal/dispatch/plan_cost_bench_test.go
+++ b/internal/dispatch/plan_cost_bench_test.go
@@ -102,3 +102,43 @@
 		})
 	}
 }
+
+// BenchmarkAdmission decides about submits of a customer over its rate while steps of others wait; after each one, another
+// job over rate is stored.
+func BenchmarkAdmission(b *testing.B) {
+	for _, steps := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprintf("steps=%d", steps), func(b *testing.B) {
+			book := job.NewBook()
+			apply := func(cmd *egretmuxv1.JobCommand) { applyTo(b, book, cmd) }
+			apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_PutCatalogue{PutCatalogue: &egretmuxv1.PutCatalogue{Catalogue: &egretmuxv1.Catalogue{
+				Version: 1, Queues: []*egretmuxv1.Queue{queue()}, Pools: []*egretmuxv1.Pool{{Name: "ledger"}},
+				Customers: []*egretmuxv1.Customer{{Name: "within", Weight: 1}, {Name: "beyond", Weight: 1, JobsPerSecond: 0.001}},
+			}}}})
+			c := dispatch.New(dispatch.Config{Book: book, Term: 2, Lease: testLease, FarFactor: 2, UnixMs: func(now time.Duration) int64 { return now.Milliseconds() }})
+			l := life("w", 64)
+			c.WorkerJoined(l, 0)
+			c.HandleListing(targetOf(l), 0, 0, dispatch.Listing{Clock: 1000, Complete: true})
+			jobOf := func(n int, customer string) *egretmuxv1.Job {
+				return &egretmuxv1.Job{Id: id(n), Host: "h", Prefix: "/q/", Service: "ledger", Attempts: 2, Customer: customer, Steps: []*egretmuxv1.JobStep{tasks(25, 4)}}
+			}
+			store := func(j *egretmuxv1.Job) {
+				apply(&egretmuxv1.JobCommand{Command: &egretmuxv1.JobCommand_Submit{Submit: &egretmuxv1.SubmitJob{Job: j}}})
+				c.JobAccepted(j.GetId(), 0)
+			}
+			for n := range steps {
+				store(jobOf(n, "within"))
+			}
+			next := steps
+			for b.Loop() {
+				c.Admit(jobOf(next, "beyond"), 0)
+				b.StopTimer()
+				stored := jobOf(next+1, "beyond")
+				stored.OverRate = true
+				stored.Steps[0].LongRunning = true // it does not count itself
+				store(stored)
+				next += 2
+				b.StartTimer()
+			}
+		})
+	}
+}
