dispatch: runs that no copy can overtake are not searched for workers

Change: a run is searched for only if a copy on the fastest worker next to the data would overtake it; quota and attempts come first.

--- a/internal/dispatch/copies.go
+++ b/internal/dispatch/copies.go
@@ -37,12 +37,13 @@
 	if len(stragglers) == 0 {
 		return
 	}
-	wanted := c.poolsWithWaitingSteps()
+	wanted, pools := c.poolsWithWaitingSteps(), c.poolsForCopies(now)
 	sortRuns(stragglers)
 	for _, r := range stragglers {
 		s := r.task.step
 		pool := c.queue(s.job).GetService()
-		if wanted[pool] || float64(copiesCPU[pool]+s.demand.cpu) > copyShare*float64(c.poolCPU(pool, now)) {
+		p := pools[pool]
+		if wanted[pool] || p == nil || float64(copiesCPU[pool]+s.demand.cpu) > copyShare*float64(p.cpu) || copyGain*c.shortestCopyTime(r, p.leastSlowness) > c.remainingAtRate(r) {
 			continue
 		}
 		if c.copyRun(r, now) {
@@ -63,6 +64,29 @@
 	return out
 }
 
+// copyPool is what a pool offers to copies.
+type copyPool struct {
+	cpu           int64   // of the workers that accept runs
+	leastSlowness float64 // of these workers
+}
+
+func (c *Core) poolsForCopies(now time.Duration) map[string]*copyPool {
+	pools := make(map[string]*copyPool)
+	for _, w := range c.workers {
+		if !w.acceptsRuns(now) {
+			continue
+		}
+		p := pools[w.life.GetPool()]
+		if p == nil {
+			p = &copyPool{leastSlowness: w.slowness}
+			pools[w.life.GetPool()] = p
+		}
+		p.cpu += w.capacity.cpu
+		p.leastSlowness = min(p.leastSlowness, w.slowness)
+	}
+	return pools
+}
+
 // poolCPU returns the cpu of the workers of a pool that accept runs.
 func (c *Core) poolCPU(pool string, now time.Duration) int64 {
 	cpu := int64(0)
@@ -84,8 +108,11 @@
 	tooSlow := func(w *worker) bool {
 		return w == r.worker || copyGain*c.copyTime(r, w) > remaining
 	}
+	if s.startable(1) == 0 || c.failuresOf(t)+maxRuns > s.job.spec.GetAttempts() {
+		return false
+	}
 	candidates := slices.DeleteFunc(c.workersWithRoom(s, q.GetService(), now), tooSlow)
-	if len(candidates) == 0 || s.startable(1) == 0 || c.failuresOf(t)+maxRuns > s.job.spec.GetAttempts() {
+	if len(candidates) == 0 {
 		return false
 	}
 	s.sortByScore(candidates)
@@ -115,6 +142,12 @@
 	return c.expectedMsOn(r.task.step, w) * math.Exp(r.progress.ratio) / r.worker.slowness * w.slowness
 }
 
+// shortestCopyTime is a lower bound of copyTime: that on a worker of the given slowness next to the data.
+func (c *Core) shortestCopyTime(r *run, slowness float64) float64 {
+	s := r.task.step
+	return c.estimateMs(s.job.spec, s.spec) * math.Exp(r.progress.ratio) / r.worker.slowness * slowness
+}
+
 func (c *Core) failuresOf(t *task) (failures uint32) {
 	key := t.key()
 	c.cfg.Book.View(key.Job, func(rec *jobs.Record) {
