dispatch: a job with a done step has started for the next leader as well

What callers saw: a running job shown as queued, and counted as pending, after a change of the leader between two of its steps. Only ends in the tasks of open steps told that a job had begun. Change: the record tells whether any step is done.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -169,9 +169,10 @@
 		return
 	}
 	var spec *egretmuxv1.Job
+	started := false
 	c.cfg.Book.View(id, func(r *jobs.Record) {
 		if r != nil && !r.Ended() {
-			spec = r.Job
+			spec, started = r.Job, r.HasDoneStep()
 		}
 	})
 	if spec == nil {
@@ -181,6 +182,9 @@
 	j := &job{id: id, spec: spec, steps: make(map[StepKey]*step), acceptedAt: now - time.Duration(age)*time.Millisecond, customer: c.customerOf(spec)}
 	c.jobs[id] = j
 	c.pending.add(j)
+	if started {
+		c.pending.start(j)
+	}
 	if spec.GetRepeats() > 0 {
 		c.periodic = append(c.periodic, j)
 		c.openBegunOccurrences(j, now)
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -83,6 +83,16 @@
 	return occ != nil && int(step) < len(occ.steps) && occ.steps[step].openTasks == 0
 }
 
+// HasDoneStep reports whether all tasks of any step are done.
+func (r *Record) HasDoneStep() bool {
+	for _, occ := range r.occurrences {
+		if slices.ContainsFunc(occ.steps, func(s stepState) bool { return s.openTasks == 0 }) {
+			return true
+		}
+	}
+	return false
+}
+
 // GangFailures returns the number of failed runs of a gang.
 func (r *Record) GangFailures(occurrence, step uint32) uint32 {
 	occ := r.occurrences[occurrence]
